Whole path, thin: entry, agent, stand-ins and demo

Cause: nothing stood. The path from a caller through an entry and an agent to an engine or plain service is the base of everything else.

Built: framed msgpack with streams, credit and verified ends; result codes; INI files to one configuration, folded from log records; entry with home targets for non-repeatable requests; agent with a ledger of keys; stand-ins; demo on loopback.

Not yet: leases, membership, expert maps, fair shares, TLS.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,201 @@
+// Package agent is the process beside each target: the only door to it.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// Options are what an agent needs besides its settings.
+type Options struct {
+	Settings    settings.Agent
+	Backend     platform.Backend
+	Logger      logr.Logger
+	Metrics     *metrics.Set
+	Incarnation uint64 // differs at each start of the process
+	ReportEvery time.Duration
+	// Listener takes the place of a TCP listener on Settings.Listen.
+	Listener net.Listener
+}
+
+const defaultReportEvery = 100 * time.Millisecond
+
+// Agent serves one target.
+type Agent struct {
+	opts    Options
+	log     logr.Logger
+	ln      net.Listener
+	leaving atomic.Bool
+	running atomic.Int64
+	idle    chan struct{} // signalled when running falls to zero
+	ledger  *ledger
+	version atomic.Uint64 // newest configuration version heard of
+	stop    chan struct{}
+	duties  conc.WaitGroup
+
+	mu    sync.Mutex
+	peers map[*wire.Conn]*peerState
+}
+
+// peerState is what the agent keeps for each connected entry.
+type peerState struct {
+	counted atomic.Uint64 // newest dispatch number of the entry
+}
+
+// Start begins to listen and returns at once.
+func Start(o Options) (*Agent, error) {
+	ln := o.Listener
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", o.Settings.Listen); err != nil {
+			return nil, fmt.Errorf("agent of %s: %w", o.Settings.Target, err)
+		}
+	}
+	if o.ReportEvery == 0 {
+		o.ReportEvery = defaultReportEvery
+	}
+	a := &Agent{
+		opts:   o,
+		log:    o.Logger.WithName("agent").WithValues("target", o.Settings.Target),
+		ln:     ln,
+		idle:   make(chan struct{}, 1),
+		ledger: newLedger(),
+		stop:   make(chan struct{}),
+		peers:  make(map[*wire.Conn]*peerState),
+	}
+	a.duties.Go(a.acceptLoop)
+	a.duties.Go(a.reportLoop)
+	a.log.Info("started", "listen", a.Addr(), "incarnation", o.Incarnation)
+	return a, nil
+}
+
+// Addr returns the address that entries connect to.
+func (a *Agent) Addr() string { return a.ln.Addr().String() }
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{
+		Name:        a.opts.Settings.Target,
+		Role:        wire.RoleAgent,
+		Incarnation: a.opts.Incarnation,
+		DataCentre:  a.opts.Settings.DataCentre,
+	}
+}
+
+func (a *Agent) acceptLoop() {
+	for {
+		nc, err := a.ln.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		go a.servePeer(nc)
+	}
+}
+
+func (a *Agent) servePeer(nc net.Conn) {
+	c, err := wire.Server(nc, a.hello(), a, wire.Options{})
+	if err != nil {
+		a.log.Error(err, "peer refused", "peer", nc.RemoteAddr().String())
+		return
+	}
+	a.mu.Lock()
+	a.peers[c] = new(peerState)
+	a.mu.Unlock()
+	a.report(c)
+	<-c.Done()
+	a.mu.Lock()
+	delete(a.peers, c)
+	a.mu.Unlock()
+}
+
+func (a *Agent) peer(c *wire.Conn) *peerState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.peers[c]
+}
+
+func (a *Agent) conns() []*wire.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	conns := make([]*wire.Conn, 0, len(a.peers))
+	for c := range a.peers {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// ServeNote implements wire.Handler.
+func (a *Agent) ServeNote(_ *wire.Conn, n wire.Note, payload []byte) {
+	if n != wire.NoteConfig {
+		return
+	}
+	var notice wire.ConfigNotice
+	if _, err := notice.UnmarshalMsg(payload); err != nil {
+		a.log.Error(err, "bad configuration notice")
+		return
+	}
+	raise(&a.version, notice.Version)
+}
+
+// raise sets v to n unless it is already higher: versions never go back.
+func raise(v *atomic.Uint64, n uint64) {
+	for {
+		old := v.Load()
+		if n <= old || v.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+// Drain refuses new work from now on and tells every entry.
+func (a *Agent) Drain() {
+	if a.leaving.Swap(true) {
+		return
+	}
+	a.log.Info("leaving", "running", a.running.Load())
+	for _, c := range a.conns() {
+		a.report(c)
+	}
+}
+
+// Shutdown drains, waits for requests in flight until ctx ends, and stops. The
+// error says how many were cut off.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.Drain()
+	var err error
+	for n := a.running.Load(); n > 0 && err == nil; n = a.running.Load() {
+		select {
+		case <-a.idle:
+		case <-ctx.Done():
+			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
+		}
+	}
+	a.Close()
+	return err
+}
+
+// Close stops at once, like a crash.
+func (a *Agent) Close() {
+	select {
+	case <-a.stop:
+		return
+	default:
+	}
+	close(a.stop)
+	_ = a.ln.Close()
+	for _, c := range a.conns() {
+		c.Close()
+	}
+	a.duties.Wait()
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+const relayBuffer = 8 << 10
+
+// ServeStream implements wire.Handler.
+func (a *Agent) ServeStream(ctx context.Context, s *wire.Stream, m wire.Method, payload []byte) {
+	if m != wire.MethodRequest {
+		a.refuse(s, "", result.New(result.WireUnknownKind, "method %d", m))
+		return
+	}
+	var req wire.Request
+	if _, err := req.UnmarshalMsg(payload); err != nil {
+		a.refuse(s, "", result.New(result.WireMalformed, "request: %w", err))
+		return
+	}
+	if p := a.peer(s.Conn()); p != nil {
+		raise(&p.counted, req.Dispatch)
+	}
+	if err := a.admit(&req); err != nil {
+		a.refuse(s, req.ID, err)
+		return
+	}
+	defer a.leave()
+	a.run(ctx, s, &req)
+}
+
+// admit books a place for the request, or says why it does not run. The place
+// is taken before leaving is looked at, so that a drain either sees the request
+// in flight or the request sees the drain.
+func (a *Agent) admit(req *wire.Request) error {
+	n := a.running.Add(1)
+	err := a.check(req, int(n))
+	if err != nil {
+		a.leave()
+	}
+	return err
+}
+
+func (a *Agent) check(req *wire.Request, running int) error {
+	switch {
+	case req.AgentInc != a.opts.Incarnation:
+		return result.New(result.StaleAgent, "meant for incarnation %d, this is %d", req.AgentInc, a.opts.Incarnation)
+	case a.leaving.Load():
+		return result.New(result.TargetLeaving, "%s is leaving", a.opts.Settings.Target)
+	case running > a.opts.Settings.Queue:
+		return result.New(result.TargetBusy, "%d requests at once, limit %d", running, a.opts.Settings.Queue)
+	case req.DeadlineMs <= 0:
+		return result.New(result.DeadlineUnmet, "no time is left")
+	}
+	return nil
+}
+
+func (a *Agent) leave() {
+	if a.running.Add(-1) == 0 {
+		select {
+		case a.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (a *Agent) refuse(s *wire.Stream, id string, err error) {
+	e := result.From(err)
+	a.opts.Metrics.Result(e.Code)
+	a.log.V(1).Info("refused", "request", id, "code", e.Code, "detail", e.Detail)
+	_ = s.Refuse(e) // without a connection nobody waits for the answer
+}
+
+func (a *Agent) run(ctx context.Context, s *wire.Stream, req *wire.Request) {
+	ctx, cancel := context.WithTimeoutCause(ctx, time.Duration(req.DeadlineMs)*time.Millisecond,
+		result.New(result.DeadlinePast, "deadline passed on %s", a.opts.Settings.Target))
+	defer cancel()
+	key := ledgerKey{team: req.Team, service: req.Service, key: req.Key}
+	if !req.Repeatable {
+		if err := a.ledger.claim(key, req.Body, time.Now()); err != nil {
+			a.refuse(s, req.ID, err)
+			return
+		}
+	}
+	reply, err := a.opts.Backend.Run(ctx, call(req))
+	if err != nil {
+		err = backendError(ctx, err)
+		if !req.Repeatable && result.From(err).Run() == result.RunNot {
+			a.ledger.release(key)
+		}
+		a.refuse(s, req.ID, err)
+		return
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if err := a.relay(ctx, s, reply); err != nil {
+		a.log.Info("answer broken", "request", req.ID, "detail", err.Error())
+		_ = s.Abort(err) // without a connection the entry sees the loss itself
+		return
+	}
+	a.opts.Metrics.Result(result.OK)
+}
+
+func call(req *wire.Request) *platform.Call {
+	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body}
+	for _, h := range req.Headers {
+		c.Headers = append(c.Headers, [2]string{h.Name, h.Value})
+	}
+	c.Headers = append(c.Headers, [2]string{"Heatherrail-Request-Id", req.ID})
+	if req.Key != "" {
+		c.Headers = append(c.Headers, [2]string{"Idempotency-Key", req.Key})
+	}
+	return c
+}
+
+// backendError turns a failed call into a result: "not run" only if no byte of
+// it was sent.
+func backendError(ctx context.Context, err error) error {
+	var send *platform.SendError
+	if errors.As(err, &send) && !send.Sent {
+		return result.New(result.Unreachable, "backend: %w", err)
+	}
+	return midRunError(ctx, err)
+}
+
+func midRunError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return result.From(context.Cause(ctx))
+	}
+	return result.New(result.EngineLost, "backend: %w", err)
+}
+
+// relay copies the answer into the stream; a slow reader holds back the backend
+// through the stream's credit.
+func (a *Agent) relay(ctx context.Context, s *wire.Stream, reply *platform.Reply) error {
+	answer := wire.Answer{Status: reply.Status, Target: a.opts.Settings.Target}
+	for _, h := range reply.Headers {
+		answer.Headers = append(answer.Headers, wire.Header{Name: h[0], Value: h[1]})
+	}
+	if err := s.SendMessage(wire.MessageAnswer, &answer); err != nil {
+		return fmt.Errorf("send answer: %w", err)
+	}
+	buf := make([]byte, relayBuffer)
+	for {
+		n, err := reply.Body.Read(buf)
+		if n > 0 {
+			if sendErr := s.Send(ctx, buf[:n]); sendErr != nil {
+				return fmt.Errorf("send chunk: %w", sendErr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return s.Finish()
+		}
+		if err != nil {
+			return midRunError(ctx, err)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/heatherrail-agent/main.go
@@ -0,0 +1,41 @@
+// Command heatherrail-agent is the process beside each target.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/heatherrail/heatherrail/agent"
+	"github.com/heatherrail/heatherrail/internal/daemon"
+	"github.com/heatherrail/heatherrail/logging"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/settings"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	f := daemon.Parse("heatherrail-agent is the only door to one target.")
+	file, err := settings.LoadAgent(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitSettings
+	}
+	if f.Check {
+		fmt.Println("ok")
+		return daemon.ExitOK
+	}
+	a, err := agent.Start(agent.Options{
+		Settings:    file.Agent,
+		Backend:     platform.NewHTTPBackend(file.Agent.Backend),
+		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
+		Metrics:     metrics.New(),
+		Incarnation: daemon.Incarnation(),
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitFail
+	}
+	return daemon.Wait(a, file.Agent.Grace)
+}
--- /dev/null
+++ b/cmd/heatherrail-entry/main.go
@@ -0,0 +1,42 @@
+// Command heatherrail-entry is the process that callers talk to.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/heatherrail/heatherrail/entry"
+	"github.com/heatherrail/heatherrail/internal/daemon"
+	"github.com/heatherrail/heatherrail/logging"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/settings"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	f := daemon.Parse("heatherrail-entry admits, places and relays the requests of callers.")
+	file, err := settings.LoadEntry(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitSettings
+	}
+	if f.Check {
+		fmt.Println("ok")
+		return daemon.ExitOK
+	}
+	e, err := entry.Start(entry.Options{
+		Settings:    file.Entry,
+		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
+		VMs:         &platform.HTTPVMList{Addr: file.Platform.VMs},
+		Logger:      logging.New(os.Stderr, file.Entry.Verbosity),
+		Metrics:     metrics.New(),
+		Incarnation: daemon.Incarnation(),
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitFail
+	}
+	return daemon.Wait(e, file.Entry.Grace)
+}
--- /dev/null
+++ b/config/schema.go
@@ -0,0 +1,95 @@
+// Package config turns operators' INI files into one typed configuration, and
+// log records into the sequence of accepted versions. It does no I/O of its own.
+package config
+
+//go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_gen.go
+
+//msgp:limit arrays:131072 maps:131072
+
+import "time"
+
+// Config is the whole dynamic configuration. Lists are sorted by name, so equal
+// content has one encoding and one digest.
+type Config struct {
+	Fleets   []Fleet   `msg:"fleets"`
+	Targets  []Target  `msg:"targets"`
+	Groups   []Group   `msg:"groups"`
+	Services []Service `msg:"services"`
+	Teams    []Team    `msg:"teams"`
+	Policies []Policy  `msg:"policies"`
+}
+
+// Fleet is a set of targets of one kind.
+type Fleet struct {
+	Name   string `msg:"n"`
+	Kind   string `msg:"k" ini:"kind" required:"true" oneof:"engine plain" doc:"engine: model engines; plain: ordinary services"`
+	Fenced bool   `msg:"f" ini:"fenced-orders" default:"no" doc:"yes: the engines themselves refuse orders with an old fencing number"`
+}
+
+// Target is one place where work can run. Its address comes from the VM list.
+type Target struct {
+	Name       string `msg:"n"`
+	Fleet      string `msg:"f" ini:"fleet" required:"true" doc:"name of the target's fleet"`
+	DataCentre string `msg:"d" ini:"data-centre" required:"true" doc:"data centre of the target"`
+}
+
+// Group is a rank group: targets that run in lock-step on one expert map.
+type Group struct {
+	Name    string   `msg:"n"`
+	Fleet   string   `msg:"f" ini:"fleet" required:"true" doc:"fleet that the ranks belong to"`
+	Ranks   []string `msg:"r" ini:"ranks" required:"true" doc:"targets in the order of their ranks"`
+	Layers  int      `msg:"l" ini:"layers" default:"48" min:"1" max:"512" doc:"layers with experts"`
+	Experts int      `msg:"e" ini:"experts" default:"32" min:"1" max:"4096" doc:"experts a layer"`
+	Slots   int      `msg:"s" ini:"slots" default:"40" min:"1" max:"8192" doc:"expert slots a layer over all ranks, redundant ones included"`
+}
+
+// Service is what callers ask for by name.
+type Service struct {
+	Name   string `msg:"n"`
+	Fleet  string `msg:"f" ini:"fleet" required:"true" doc:"fleet that serves it"`
+	Model  string `msg:"m" ini:"model" doc:"model that the engines must have loaded; empty for plain services"`
+	Policy string `msg:"p" ini:"policy" default:"default" doc:"routing policy"`
+}
+
+// Team is a group of callers with keys, shares and limits of its own.
+type Team struct {
+	Name      string   `msg:"n"`
+	KeyHashes []string `msg:"k" ini:"key-hash" required:"true" doc:"sha256 of each valid key in hex; two during a rotation"`
+	Services  []string `msg:"s" ini:"services" required:"true" doc:"services that the team may use"`
+	Weight    int      `msg:"w" ini:"weight" default:"100" min:"1" max:"100000" doc:"share under contention"`
+	Tokens    int      `msg:"t" ini:"tokens-per-second" default:"0" min:"0" doc:"limit over all entries; 0: none"`
+	Requests  int      `msg:"r" ini:"requests-per-second" default:"0" min:"0" doc:"limit over all entries; 0: none"`
+	InFlight  int      `msg:"c" ini:"in-flight" default:"0" min:"0" doc:"limit of requests at once over all entries; 0: none"`
+}
+
+// Policy says how requests of a service are placed, retried and protected.
+type Policy struct {
+	Name        string        `msg:"n"`
+	Deadline    time.Duration `msg:"d" ini:"deadline" default:"60s" min:"10ms" max:"1h" doc:"for requests that bring none"`
+	RetryShare  float64       `msg:"r" ini:"retry-share" default:"0.1" min:"0" max:"1" doc:"retries as a share of requests"`
+	DedupWindow time.Duration `msg:"w" ini:"dedup-window" default:"10m" min:"1s" max:"24h" doc:"how long a non-repeatable request is remembered"`
+	DedupKeys   int           `msg:"k" ini:"dedup-keys" default:"65536" min:"1" doc:"how many are remembered by a target at most"`
+	SkewWeight  float64       `msg:"s" ini:"skew-weight" default:"1" min:"0" doc:"price of step-time skew when experts are placed"`
+	MoveWeight  float64       `msg:"m" ini:"move-weight" default:"1" min:"0" doc:"price of a gigabyte of expert weights moved"`
+}
+
+// Change is one record on the log: a whole configuration that replaces a base.
+type Change struct {
+	ID     string `msg:"id"`
+	Base   uint64 `msg:"b"` // version that it replaces
+	Digest uint64 `msg:"d"` // of the encoded Config
+	Config []byte `msg:"c"` // encoded Config
+}
+
+// Record is what the log holds.
+type Record struct {
+	Schema uint32 `msg:"s"`
+	Kind   string `msg:"k"` // RecordChange
+	Body   []byte `msg:"b"`
+}
+
+// RecordSchema is the newest record schema that this build understands.
+const RecordSchema = 1
+
+// RecordChange holds a Change.
+const RecordChange = "change"
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,354 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherrail/heatherrail/platform"
+)
+
+// Run is one request that a stand-in really ran.
+type Run struct {
+	Key      string // idempotency key
+	Body     string
+	Finished bool
+}
+
+// Engine is a model engine. Its next token depends on the whole text so far, so
+// an answer can be checked, and a continued one equals an uncut one.
+type Engine struct {
+	Name  string
+	Model string
+
+	mu         sync.Mutex
+	maxRunning int
+	requests   []*generation // running first, then queued
+	runs       []*Run
+	stalled    bool
+	down       bool
+	kill       chan struct{} // closed when the engine dies
+}
+
+// NewEngine returns an engine that decodes up to maxRunning requests in a step.
+func NewEngine(name, model string, maxRunning int) *Engine {
+	return &Engine{Name: name, Model: model, maxRunning: maxRunning, kill: make(chan struct{})}
+}
+
+// generation is one request inside the engine.
+type generation struct {
+	ctx  context.Context
+	text string // prompt and tokens so far
+	left int
+	out  chan string // as many places as tokens, so a step never waits
+	run  *Run
+}
+
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+const (
+	defaultTokens = 16
+	maxTokens     = 1 << 16
+)
+
+func (r *completionRequest) text() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+// words is the vocabulary of the stand-in.
+var words = strings.Fields("check fridge oven clean log shift door probe batch cool heat rest proof knead label date")
+
+// NextToken returns the token that follows a text.
+func NextToken(text string) string {
+	return " " + words[xxhash.Sum64String(text)%uint64(len(words))]
+}
+
+// Generate returns the text that an engine produces for a prompt.
+func Generate(prompt string, tokens int) string {
+	text := prompt
+	for range tokens {
+		text += NextToken(text)
+	}
+	return text[len(prompt):]
+}
+
+// Stall holds the engine's steps, or lets them go on.
+func (e *Engine) Stall(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = on
+}
+
+// Stalled reports whether the engine holds its steps.
+func (e *Engine) Stalled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stalled && !e.down
+}
+
+// Kill ends all requests and refuses new ones until Restart.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.down = true
+	e.requests = nil
+	close(e.kill)
+}
+
+// Restart brings a killed engine back, empty.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		e.down = false
+		e.kill = make(chan struct{})
+	}
+}
+
+// Runs returns what the engine has started so far.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make([]Run, len(e.runs))
+	for i, r := range e.runs {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// step computes one token for each running request.
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var kept []*generation
+	for i, g := range e.requests {
+		if g.ctx.Err() != nil {
+			continue
+		}
+		if i < e.maxRunning {
+			g.emit()
+		}
+		if g.left > 0 {
+			kept = append(kept, g)
+		}
+	}
+	e.requests = kept
+}
+
+func (g *generation) emit() {
+	token := NextToken(g.text)
+	g.text += token
+	g.left--
+	g.out <- token
+	if g.left == 0 {
+		g.run.Finished = true
+		close(g.out)
+	}
+}
+
+// Active returns how many requests the engine holds.
+func (e *Engine) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+var errEngineDown = errors.New("engine is down")
+
+// Run implements platform.Backend.
+func (e *Engine) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+	var req completionRequest
+	if err := json.Unmarshal(call.Body, &req); err != nil {
+		return jsonReply(http.StatusBadRequest, map[string]string{"error": err.Error()}), nil
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultTokens
+	}
+	req.MaxTokens = min(req.MaxTokens, maxTokens)
+	ctx, cancel := context.WithCancel(ctx)
+	g := &generation{
+		ctx:  ctx,
+		text: req.text(),
+		left: req.MaxTokens,
+		out:  make(chan string, req.MaxTokens),
+		run:  &Run{Key: header(call, "Idempotency-Key"), Body: string(call.Body)},
+	}
+	e.mu.Lock()
+	kill := e.kill
+	if e.down {
+		e.mu.Unlock()
+		cancel()
+		return nil, &platform.SendError{Sent: false, Err: errEngineDown}
+	}
+	e.requests = append(e.requests, g)
+	e.runs = append(e.runs, g.run)
+	e.mu.Unlock()
+	body := &engineBody{engine: e, gen: g, kill: kill, cancel: cancel, chat: len(req.Messages) > 0, stream: req.Stream}
+	contentType := "application/json"
+	if req.Stream {
+		contentType = "text/event-stream"
+	}
+	return &platform.Reply{
+		Status:  http.StatusOK,
+		Headers: [][2]string{{"Content-Type", contentType}, {"Heatherrail-Model", e.Model}},
+		Body:    body,
+	}, nil
+}
+
+func header(call *platform.Call, name string) string {
+	for _, h := range call.Headers {
+		if strings.EqualFold(h[0], name) {
+			return h[1]
+		}
+	}
+	return ""
+}
+
+func jsonReply(status int, v any) *platform.Reply {
+	text, _ := json.Marshal(v) // maps of strings always encode
+	return &platform.Reply{
+		Status:  status,
+		Headers: [][2]string{{"Content-Type", "application/json"}},
+		Body:    io.NopCloser(strings.NewReader(string(text))),
+	}
+}
+
+// engineBody turns tokens into an answer as the reader asks for it.
+type engineBody struct {
+	engine *Engine
+	gen    *generation
+	kill   chan struct{}
+	cancel context.CancelFunc
+	chat   bool
+	stream bool
+	buf    []byte
+	ended  bool
+}
+
+// Read implements io.Reader.
+func (b *engineBody) Read(p []byte) (int, error) {
+	for len(b.buf) == 0 {
+		if b.ended {
+			return 0, io.EOF
+		}
+		if err := b.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, b.buf)
+	b.buf = b.buf[n:]
+	return n, nil
+}
+
+func (b *engineBody) fill() error {
+	if b.stream {
+		token, ok, err := b.next()
+		if err != nil {
+			return err
+		}
+		if ok {
+			b.buf = fmt.Appendf(nil, "data: %s\n\n", b.chunk(token))
+			return nil
+		}
+		b.buf = []byte("data: [DONE]\n\n")
+		b.ended = true
+		return nil
+	}
+	var text strings.Builder
+	for {
+		token, ok, err := b.next()
+		if err != nil {
+			return err
+		}
+		if !ok {
+			break
+		}
+		text.WriteString(token)
+	}
+	b.buf = b.whole(text.String())
+	b.ended = true
+	return nil
+}
+
+func (b *engineBody) next() (string, bool, error) {
+	select {
+	case token, ok := <-b.gen.out:
+		return token, ok, nil
+	default:
+	}
+	select {
+	case token, ok := <-b.gen.out:
+		return token, ok, nil
+	case <-b.kill:
+		return "", false, errEngineDown
+	case <-b.gen.ctx.Done():
+		return "", false, context.Cause(b.gen.ctx)
+	}
+}
+
+type choice struct {
+	Index   int          `json:"index"`
+	Text    string       `json:"text,omitempty"`
+	Delta   *chatMessage `json:"delta,omitempty"`
+	Message *chatMessage `json:"message,omitempty"`
+}
+
+type completion struct {
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+func (b *engineBody) chunk(token string) []byte {
+	c := completion{Object: "text_completion", Model: b.engine.Model, Choices: []choice{{Text: token}}}
+	if b.chat {
+		c.Object = "chat.completion.chunk"
+		c.Choices[0] = choice{Delta: &chatMessage{Role: "assistant", Content: token}}
+	}
+	text, _ := json.Marshal(c) // plain structs always encode
+	return text
+}
+
+func (b *engineBody) whole(text string) []byte {
+	c := completion{Object: "text_completion", Model: b.engine.Model, Choices: []choice{{Text: text}}}
+	if b.chat {
+		c.Object = "chat.completion"
+		c.Choices[0] = choice{Message: &chatMessage{Role: "assistant", Content: text}}
+	}
+	out, _ := json.Marshal(c) // plain structs always encode
+	return out
+}
+
+// Close implements io.Closer; an unfinished request leaves the engine.
+func (b *engineBody) Close() error {
+	b.cancel()
+	return nil
+}
--- /dev/null
+++ b/internal/fake/http.go
@@ -0,0 +1,117 @@
+package fake
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+)
+
+// Server serves one stand-in on a loopback port chosen by the system. It uses
+// the standard library's server, which tells a handler when its client leaves;
+// the engine stand-in must free the slot then.
+type Server struct {
+	Addr string
+	srv  *http.Server
+}
+
+// Serve starts a server.
+func Serve(h http.Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &Server{Addr: ln.Addr().String(), srv: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}}
+	go func() { _ = s.srv.Serve(ln) }() // ends with Close
+	return s, nil
+}
+
+// Close stops the server and cuts its connections.
+func (s *Server) Close() { _ = s.srv.Close() }
+
+// BackendHandler serves a backend over HTTP.
+func BackendHandler(b platform.Backend) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		call := &platform.Call{Method: r.Method, Path: r.URL.RequestURI(), Body: body}
+		for name := range r.Header {
+			call.Headers = append(call.Headers, [2]string{name, r.Header.Get(name)})
+		}
+		reply, err := b.Run(r.Context(), call)
+		if err != nil {
+			panic(http.ErrAbortHandler) // a dead backend cuts its connections
+		}
+		defer func() { _ = reply.Body.Close() }()
+		relay(w, reply)
+	})
+}
+
+func relay(w http.ResponseWriter, reply *platform.Reply) {
+	for _, h := range reply.Headers {
+		w.Header().Set(h[0], h[1])
+	}
+	w.WriteHeader(reply.Status)
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := reply.Body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return
+			}
+			_ = flusher.Flush() // a client that left shows at the next write
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// PlatformHandler serves the log and the VM list.
+func PlatformHandler(log *Log, vms *VMList) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathAppend, func(w http.ResponseWriter, r *http.Request) {
+		var req platform.AppendRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		offset, err := log.Append(r.Context(), req.Records)
+		answer(w, platform.AppendReply{Offset: offset}, err)
+	})
+	mux.HandleFunc("GET "+platform.PathRead, func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.ParseUint(r.FormValue("from"), 10, 64)
+		max, _ := strconv.Atoi(r.FormValue("max"))
+		waitMs, _ := strconv.Atoi(r.FormValue("wait_ms"))
+		page, err := log.Read(r.Context(), from, max, time.Duration(waitMs)*time.Millisecond)
+		answer(w, platform.ReadReply(page), err)
+	})
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		list, err := vms.List(r.Context())
+		answer(w, list, err)
+	})
+	return mux
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case errors.Is(err, platform.ErrTrimmed):
+		http.Error(w, err.Error(), http.StatusGone)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		_ = json.NewEncoder(w).Encode(v) // a client that left needs no answer
+	}
+}
--- /dev/null
+++ b/internal/fake/log.go
@@ -0,0 +1,141 @@
+// Package fake holds small stand-ins for the platform and for targets. Tests,
+// the demo and the benches use them, in the process or over HTTP.
+package fake
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+)
+
+// ErrDown is what a stand-in answers while it is down.
+var ErrDown = errors.New("stand-in is down")
+
+// LogFaults says how the log misbehaves.
+type LogFaults struct {
+	Down        bool
+	LoseAnswers int           // this many appends take effect and answer with an error
+	Delay       time.Duration // added to each call
+}
+
+// Log is an append-only log in memory.
+type Log struct {
+	mu      sync.Mutex
+	first   uint64
+	records [][]byte
+	changed chan struct{}
+	faults  LogFaults
+	appends int
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Trim drops all records before an offset.
+func (l *Log) Trim(before uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if before > l.first && before <= l.first+uint64(len(l.records)) {
+		l.records = l.records[before-l.first:]
+		l.first = before
+	}
+}
+
+// Appends returns how many append calls took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, records [][]byte) (uint64, error) {
+	if err := l.delay(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return 0, ErrDown
+	}
+	offset := l.first + uint64(len(l.records))
+	for _, r := range records {
+		l.records = append(l.records, append([]byte(nil), r...))
+	}
+	l.appends++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return 0, platform.ErrUnknownOutcome
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Page, error) {
+	if err := l.delay(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := l.page(from, max)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) page(from uint64, max int) (platform.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return platform.Page{}, nil, ErrDown
+	}
+	if from < l.first {
+		return platform.Page{First: l.first}, nil, platform.ErrTrimmed
+	}
+	end := l.first + uint64(len(l.records))
+	from = min(from, end)
+	to := min(from+uint64(max), end)
+	return platform.Page{
+		First:   l.first,
+		Next:    to,
+		Records: append([][]byte(nil), l.records[from-l.first:to-l.first]...),
+	}, l.changed, nil
+}
+
+func (l *Log) delay(ctx context.Context) error {
+	l.mu.Lock()
+	d := l.faults.Delay
+	l.mu.Unlock()
+	if d == 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,99 @@
+// Package logging writes logr events as one line of key=value pairs each.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// New returns a logger that writes to w events up to the given verbosity.
+func New(w io.Writer, verbosity int) logr.Logger {
+	return logr.New(&sink{out: &lockedWriter{w: w}, verbosity: verbosity})
+}
+
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (l *lockedWriter) write(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = io.WriteString(l.w, line) // a process must not stop because its log does
+}
+
+type sink struct {
+	out       *lockedWriter
+	verbosity int
+	name      string
+	pairs     string
+}
+
+// Init implements logr.LogSink.
+func (s *sink) Init(logr.RuntimeInfo) {}
+
+// Enabled implements logr.LogSink.
+func (s *sink) Enabled(level int) bool { return level <= s.verbosity }
+
+// Info implements logr.LogSink.
+func (s *sink) Info(_ int, msg string, kv ...any) { s.emit("info", msg, nil, kv) }
+
+// Error implements logr.LogSink.
+func (s *sink) Error(err error, msg string, kv ...any) { s.emit("error", msg, err, kv) }
+
+// WithValues implements logr.LogSink.
+func (s *sink) WithValues(kv ...any) logr.LogSink {
+	clone := *s
+	clone.pairs += pairs(kv)
+	return &clone
+}
+
+// WithName implements logr.LogSink.
+func (s *sink) WithName(name string) logr.LogSink {
+	clone := *s
+	if clone.name != "" {
+		name = clone.name + "." + name
+	}
+	clone.name = name
+	return &clone
+}
+
+func (s *sink) emit(level, msg string, err error, kv []any) {
+	var b strings.Builder
+	b.WriteString("time=")
+	b.WriteString(time.Now().UTC().Format("2006-01-02T15:04:05.000Z"))
+	b.WriteString(" level=" + level)
+	if s.name != "" {
+		b.WriteString(" part=" + s.name)
+	}
+	b.WriteString(" event=" + quote(msg))
+	if err != nil {
+		b.WriteString(" error=" + quote(err.Error()))
+	}
+	b.WriteString(s.pairs)
+	b.WriteString(pairs(kv))
+	b.WriteByte('\n')
+	s.out.write(b.String())
+}
+
+func pairs(kv []any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(kv); i += 2 {
+		fmt.Fprintf(&b, " %v=%s", kv[i], quote(fmt.Sprint(kv[i+1])))
+	}
+	return b.String()
+}
+
+// quote keeps one event on one line: values from callers may hold anything.
+func quote(s string) string {
+	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '"' || r == '=' || r > '~' }) {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- /dev/null
+++ b/result/codes.go
@@ -0,0 +1,124 @@
+package result
+
+import (
+	"net/http"
+	"time"
+)
+
+// 1xx: the request is wrong; sending it again unchanged does not help.
+const (
+	OK              Code = 0
+	BadRequest      Code = 101
+	Unauthorized    Code = 102
+	UnknownService  Code = 103
+	BodyTooLarge    Code = 104
+	KeyReused       Code = 105
+	KeyMissing      Code = 106
+	ServiceDenied   Code = 107
+	CrashSuspect    Code = 108
+	MalformedHeader Code = 109
+)
+
+// 2xx: the system refuses the request now; it did not run.
+const (
+	NoConfig       Code = 201
+	NoTarget       Code = 202
+	TargetLeaving  Code = 203
+	TargetBusy     Code = 204
+	StaleVersion   Code = 205
+	StaleAgent     Code = 206
+	Unreachable    Code = 207
+	LimitTeam      Code = 208
+	Overloaded     Code = 209
+	DeadlineUnmet  Code = 210
+	EntryLeaving   Code = 211
+	DedupFull      Code = 212
+	RetryExhausted Code = 213
+	SuspectHeld    Code = 214
+)
+
+// 3xx: honest doubt; the request may have run.
+const (
+	TargetLost   Code = 301
+	EngineLost   Code = 302
+	DeadlinePast Code = 303
+	KeyInDoubt   Code = 304
+	CallerGone   Code = 305
+	AnswerBroken Code = 306
+	Internal     Code = 399
+)
+
+// 4xx: faults between our own processes; callers see them only as a cause.
+const (
+	WireFrameTooLarge Code = 401
+	WireMalformed     Code = 402
+	WireSchema        Code = 403
+	WireFlowControl   Code = 404
+	WireUnknownKind   Code = 405
+	WireClosed        Code = 406
+	WireSequence      Code = 407
+	WireDigest        Code = 408
+)
+
+const shortWait = time.Second
+
+var table = []Info{
+	{OK, "ok", http.StatusOK, RunDone, 0, "The whole answer was delivered.", "Nothing."},
+	{BadRequest, "bad_request", http.StatusBadRequest, RunNot, 0, "The request cannot be read.", "See the detail in the caller's answer."},
+	{Unauthorized, "unauthorized", http.StatusUnauthorized, RunNot, 0, "The key belongs to no team.", "Compare the team's key-hash with the key that the caller sends."},
+	{UnknownService, "unknown_service", http.StatusNotFound, RunNot, 0, "No service has this name.", "Check services.ini and the version in force."},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RunNot, 0, "The body is larger than the limit.", "Raise max-body in the entry's settings, if intended."},
+	{KeyReused, "idempotency_key_reused", http.StatusUnprocessableEntity, RunNot, 0, "The idempotency key was used with another body.", "The caller's key generator repeats itself."},
+	{KeyMissing, "idempotency_key_missing", http.StatusBadRequest, RunNot, 0, "A request that may not be repeated needs an Idempotency-Key.", "Tell the team."},
+	{ServiceDenied, "service_denied", http.StatusForbidden, RunNot, 0, "The team may not use this service.", "Check the team's services in teams.ini."},
+	{CrashSuspect, "crash_suspect", http.StatusUnprocessableEntity, RunNot, 5 * time.Minute, "This request crashed the targets that ran it and is refused for a time.", "Look at the targets' logs around the quarantine event."},
+	{MalformedHeader, "malformed_header", http.StatusBadRequest, RunNot, 0, "A Heatherrail header has a value that is not allowed.", "See the detail in the caller's answer."},
+	{NoConfig, "no_config", http.StatusServiceUnavailable, RunNot, shortWait, "This process knows no configuration yet.", "Check that the log service or a peer can be reached."},
+	{NoTarget, "no_target", http.StatusServiceUnavailable, RunNot, shortWait, "No target of the service can take work.", "Look at status: targets leaving, ejected or lost."},
+	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, RunNot, shortWait, "The target is leaving.", "Expected during a drain; entries retry elsewhere."},
+	{TargetBusy, "target_busy", http.StatusServiceUnavailable, RunNot, shortWait, "The target's queue is full.", "Compare the agent's queue-limit with the load."},
+	{StaleVersion, "stale_version", http.StatusServiceUnavailable, RunNot, shortWait, "The entry works under an overtaken configuration.", "The entry hears from nobody; check its links."},
+	{StaleAgent, "stale_agent", http.StatusServiceUnavailable, RunNot, shortWait, "The request was meant for an earlier incarnation of the agent.", "Expected once after an agent restarts."},
+	{Unreachable, "unreachable", http.StatusServiceUnavailable, RunNot, shortWait, "The target could not be reached; no byte was sent.", "Check the agent's process and address."},
+	{LimitTeam, "team_limit", http.StatusTooManyRequests, RunNot, shortWait, "The team is over its limit.", "Compare the team's limits with its demand."},
+	{Overloaded, "overloaded", http.StatusTooManyRequests, RunNot, 2 * time.Second, "The service is overloaded.", "Add targets or shed load."},
+	{DeadlineUnmet, "deadline_unmet", http.StatusServiceUnavailable, RunNot, shortWait, "The deadline cannot be met, so the request was not started.", "Compare the expected wait with the callers' deadlines."},
+	{EntryLeaving, "entry_leaving", http.StatusServiceUnavailable, RunNot, shortWait, "This entry is shutting down.", "Expected while an entry is replaced."},
+	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
+	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
+	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
+	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
+	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
+	{KeyInDoubt, "key_in_doubt", http.StatusConflict, RunMaybe, 0, "An earlier try with this idempotency key may have run.", "The caller must look before it asks again."},
+	{CallerGone, "caller_gone", 499, RunMaybe, 0, "The caller closed its connection.", "Nothing, unless it is frequent."},
+	{AnswerBroken, "answer_broken", http.StatusBadGateway, RunMaybe, 0, "The answer could not be completed.", "Look at the target's log."},
+	{Internal, "internal", http.StatusInternalServerError, RunMaybe, 0, "A fault inside heatherrail.", "Report it with the request id."},
+	{WireFrameTooLarge, "wire_frame_too_large", http.StatusBadGateway, RunMaybe, 0, "A frame is larger than the limit.", "Versions or limits differ between processes."},
+	{WireMalformed, "wire_malformed", http.StatusBadGateway, RunMaybe, 0, "A frame cannot be decoded.", "Something else speaks to this port."},
+	{WireSchema, "wire_schema", http.StatusBadGateway, RunNot, 0, "The peer speaks another schema version.", "Finish the upgrade."},
+	{WireFlowControl, "wire_flow_control", http.StatusBadGateway, RunMaybe, 0, "The peer sent more than its credit.", "Report it."},
+	{WireUnknownKind, "wire_unknown_kind", http.StatusBadGateway, RunMaybe, 0, "A frame has an unknown kind.", "Versions differ between processes."},
+	{WireClosed, "wire_closed", http.StatusBadGateway, RunMaybe, 0, "The connection between two processes ended.", "Look at the peer's log."},
+	{WireSequence, "wire_sequence", http.StatusBadGateway, RunMaybe, 0, "A chunk was lost, doubled or reordered.", "Report it."},
+	{WireDigest, "wire_digest", http.StatusBadGateway, RunMaybe, 0, "An answer does not match its digest.", "Report it."},
+}
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(table))
+	for _, info := range table {
+		m[info.Code] = info
+	}
+	return m
+}()
+
+// All returns the table in the order of the codes.
+func All() []Info { return table }
+
+// Info returns the table entry; an unlisted code is reported as Internal.
+func (c Code) Info() Info {
+	if info, ok := byCode[c]; ok {
+		return info
+	}
+	return byCode[Internal]
+}
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,87 @@
+// Package wire carries typed messages between heatherrail processes: msgpack in
+// length-prefixed frames, many streams over one TCP connection.
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/heatherrail/heatherrail/result"
+)
+
+// Kind is the type of a frame. Numbers are part of the protocol.
+type Kind uint8
+
+// Frame kinds. Kinds from KindNote on carry no stream.
+const (
+	KindHello   Kind = 1 // Hello, first in each direction
+	KindPing    Kind = 2 // empty, keeps the connection alive
+	KindOpen    Kind = 3 // method byte, then the method's request message
+	KindMessage Kind = 4 // message kind byte, then a typed message on a stream
+	KindData    Kind = 5 // array of sequence number and bytes
+	KindEnd     Kind = 6 // End
+	KindRefuse  Kind = 7 // Refusal, ends a stream
+	KindCancel  Kind = 8 // empty; the sender no longer wants the stream
+	KindCredit  Kind = 9 // Credit
+	KindNote    Kind = 16
+)
+
+// Sizes of a frame, in bytes.
+const (
+	headerSize = 4 + 1 + 8
+	// DefaultMaxFrame bounds what one frame may ask a receiver to allocate.
+	DefaultMaxFrame = 8 << 20
+)
+
+// Frame is one decoded frame. Payload is valid until the next read.
+type Frame struct {
+	Kind    Kind
+	Stream  uint64
+	Payload []byte
+}
+
+// frameReader reads frames into one buffer that it reuses.
+type frameReader struct {
+	r      io.Reader
+	max    int
+	buf    []byte
+	header [headerSize]byte
+}
+
+// next returns the next frame. The length is checked against the limit before
+// anything is allocated, so that four bytes from a stranger can't claim memory.
+func (fr *frameReader) next() (Frame, error) {
+	if _, err := io.ReadFull(fr.r, fr.header[:]); err != nil {
+		return Frame{}, err
+	}
+	size := int(binary.BigEndian.Uint32(fr.header[:4]))
+	if size > fr.max {
+		return Frame{}, result.New(result.WireFrameTooLarge, "frame of %d bytes, limit %d", size, fr.max)
+	}
+	if cap(fr.buf) < size {
+		fr.buf = make([]byte, size)
+	}
+	payload := fr.buf[:size]
+	if _, err := io.ReadFull(fr.r, payload); err != nil {
+		return Frame{}, fmt.Errorf("frame cut short: %w", err)
+	}
+	f := Frame{
+		Kind:    Kind(fr.header[4]),
+		Stream:  binary.BigEndian.Uint64(fr.header[5:]),
+		Payload: payload,
+	}
+	return f, nil
+}
+
+// beginFrame appends a frame header with an empty length to b.
+func beginFrame(b []byte, kind Kind, stream uint64) []byte {
+	b = append(b, 0, 0, 0, 0, byte(kind))
+	return binary.BigEndian.AppendUint64(b, stream)
+}
+
+// endFrame fills in the length of the frame that begins at start.
+func endFrame(b []byte, start int) []byte {
+	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-headerSize))
+	return b
+}
