--- a/cmd/heatherrail/main.go
+++ b/cmd/heatherrail/main.go
@@ -19,6 +19,7 @@
 type options struct {
 	Demo    demoCommand    `command:"demo" description:"start a whole small system on loopback and send requests through it"`
 	Check   checkCommand   `command:"check" description:"check configuration files without applying them"`
+	Bench   benchCommand   `command:"bench" description:"measure this build; each bench compares within one run"`
 	Version versionCommand `command:"version" description:"print the version"`
 }
 
