--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -26,7 +27,8 @@
 	Metrics     *metrics.Set
 	Incarnation uint64 // differs at each start of the process
 	ReportEvery time.Duration
-	// Listener takes the place of a TCP listener on Settings.Listen.
+	// Listener takes the place of a plain TCP listener on Settings.Listen, which
+	// works on loopback only.
 	Listener net.Listener
 }
 
@@ -59,7 +61,7 @@
 	ln := o.Listener
 	if ln == nil {
 		var err error
-		if ln, err = net.Listen("tcp", o.Settings.Listen); err != nil {
+		if ln, err = new(wire.Network).Listen(o.Settings.Listen); err != nil {
 			return nil, fmt.Errorf("agent of %s: %w", o.Settings.Target, err)
 		}
 	}
@@ -94,21 +96,20 @@
 }
 
 func (a *Agent) acceptLoop() {
-	for {
-		nc, err := a.ln.Accept()
-		if err != nil {
-			return // the listener was closed
-		}
-		go a.servePeer(nc)
+	acceptor := wire.Acceptor{
+		Listener: a.ln,
+		Hello:    a.hello(),
+		Handler:  a,
+		Serve:    a.servePeer,
+		Refused: func(remote net.Addr, err error) {
+			a.opts.Metrics.Result(result.From(err).Code)
+			a.log.Error(err, "peer refused", "peer", remote.String())
+		},
 	}
+	acceptor.Run()
 }
 
-func (a *Agent) servePeer(nc net.Conn) {
-	c, err := wire.Server(nc, a.hello(), a, wire.Options{})
-	if err != nil {
-		a.log.Error(err, "peer refused", "peer", nc.RemoteAddr().String())
-		return
-	}
+func (a *Agent) servePeer(c *wire.Conn) {
 	a.mu.Lock()
 	a.peers[c] = new(peerState)
 	a.mu.Unlock()
--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -26,8 +26,14 @@
 		fmt.Println("ok")
 		return daemon.ExitOK
 	}
+	ln, err := file.Network.Listen(file.Agent.Listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitFail
+	}
 	a, err := agent.Start(agent.Options{
 		Settings:    file.Agent,
+		Listener:    ln,
 		Backend:     platform.NewHTTPBackend(file.Agent.Backend),
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
 		Metrics:     metrics.New(),
--- a/cmd/heatherrail-entry/main.go
+++ b/cmd/heatherrail-entry/main.go
@@ -28,6 +28,7 @@
 	}
 	e, err := entry.Start(entry.Options{
 		Settings:    file.Entry,
+		Dial:        file.Network.Dial,
 		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
 		VMs:         &platform.HTTPVMList{Addr: file.Platform.VMs},
 		Logger:      logging.New(os.Stderr, file.Entry.Verbosity),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Options are what an entry needs besides its settings.
@@ -29,7 +30,8 @@
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64
-	// Dial connects to other processes; nil: TCP. Tests put a network of their own.
+	// Dial connects to other processes; nil: plain TCP, on loopback only. Tests put
+	// a network of their own.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
@@ -58,8 +60,7 @@
 // Start begins to serve and returns at once.
 func Start(o Options) (*Entry, error) {
 	if o.Dial == nil {
-		var d net.Dialer
-		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+		o.Dial = new(wire.Network).Dial
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
--- a/internal/tools/gendocs/settings.go
+++ b/internal/tools/gendocs/settings.go
@@ -32,8 +32,9 @@
 }
 
 var settingsSections = []section{
-	{"[entry]", "heatherrail-entry", settings.Entry{}},
-	{"[agent]", "heatherrail-agent", settings.Agent{}},
+	{"[entry]", "the process that callers talk to, heatherrail-entry", settings.Entry{}},
+	{"[agent]", "the process beside a target, heatherrail-agent", settings.Agent{}},
+	{"[tls]", "both daemons: keys for the connections between heatherrail processes", settings.TLS{}},
 	{"[platform]", "both daemons: where the platform's services are", settings.Platform{}},
 }
 
--- a/result/codes.go
+++ b/result/codes.go
@@ -35,6 +35,8 @@
 	DedupFull      Code = 212
 	RetryExhausted Code = 213
 	SuspectHeld    Code = 214
+	WireStreams    Code = 260
+	ConnsFull      Code = 261
 )
 
 // 3xx: honest doubt; the request may have run.
@@ -58,6 +60,8 @@
 	WireClosed        Code = 406
 	WireSequence      Code = 407
 	WireDigest        Code = 408
+	WireRole          Code = 409
+	WirePlain         Code = 410
 )
 
 const shortWait = time.Second
@@ -87,6 +91,8 @@
 	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
 	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{WireStreams, "wire_streams", http.StatusServiceUnavailable, RunNot, shortWait, "A connection between two processes has as many streams as it may.", "Spread the load over more entries, or look for requests that never end."},
+	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
@@ -102,6 +108,8 @@
 	{WireClosed, "wire_closed", http.StatusBadGateway, RunMaybe, 0, "The connection between two processes ended.", "Look at the peer's log."},
 	{WireSequence, "wire_sequence", http.StatusBadGateway, RunMaybe, 0, "A chunk was lost, doubled or reordered.", "Report it."},
 	{WireDigest, "wire_digest", http.StatusBadGateway, RunMaybe, 0, "An answer does not match its digest.", "Report it."},
+	{WirePlain, "wire_plain", http.StatusBadGateway, RunNot, 0, "Plain TCP is allowed on loopback only.", "Set the keys in [tls]."},
+	{WireRole, "wire_role", http.StatusBadGateway, RunNot, 0, "The peer's certificate does not allow the role that it claims.", "Compare the certificate's names with SECURITY.md."},
 }
 
 var byCode = func() map[Code]Info {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,16 +4,22 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/ini"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Entry is the [entry] section of heatherrail-entry.
 type Entry struct {
 	Name       string        `ini:"name" required:"true" doc:"name of this entry, unique"`
 	DataCentre string        `ini:"data-centre" required:"true" doc:"data centre of this VM"`
+	MaxCallers int           `ini:"max-callers" default:"8192" min:"16" max:"262144" doc:"callers' connections at once"`
 	Callers    string        `ini:"callers" required:"true" format:"address" doc:"address that callers connect to"`
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	MaxBody    ini.Bytes     `ini:"max-body" default:"4MB" min:"1KB" max:"7MB" doc:"largest request body"`
@@ -40,56 +46,142 @@
 	VMs string `ini:"vms" required:"true" format:"address" doc:"address of the VM list"`
 }
 
+// TLS is the [tls] section of both daemons: the keys for the connections between
+// heatherrail processes. Without it they speak plain TCP, on loopback only.
+type TLS struct {
+	Cert string `ini:"cert" doc:"PEM file of this process's certificate, with the DNS names of its roles, see SECURITY.md"`
+	Key  string `ini:"key" doc:"PEM file of its private key"`
+	CA   string `ini:"ca" doc:"PEM file of the authorities that peers' certificates are accepted from; two during a rotation"`
+}
+
+// Network returns how processes connect.
+func (t *TLS) Network() (*wire.Network, error) {
+	if *t == (TLS{}) {
+		return new(wire.Network), nil
+	}
+	keys, err := wire.LoadKeys(t.Cert, t.Key, t.CA)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Network{Keys: keys}, nil
+}
+
 // EntryFile is a whole settings file of heatherrail-entry.
 type EntryFile struct {
 	Entry    Entry
 	Platform Platform
+	TLS      TLS
+	Network  *wire.Network // made from TLS
 }
 
 // AgentFile is a whole settings file of heatherrail-agent.
 type AgentFile struct {
 	Agent    Agent
 	Platform Platform
+	TLS      TLS
+	Network  *wire.Network // made from TLS
 }
 
 // LoadEntry reads and checks a file; the error lists every fault.
 func LoadEntry(path string) (*EntryFile, error) {
 	var f EntryFile
-	err := load(path, map[string]any{"entry": &f.Entry, "platform": &f.Platform})
-	return &f, err
+	l := load(path, map[string]any{"entry": &f.Entry, "platform": &f.Platform, "tls": &f.TLS})
+	f.Network = l.network(&f.TLS, "entry", f.Entry.Listen)
+	return &f, l.err()
 }
 
 // LoadAgent reads and checks a file; the error lists every fault.
 func LoadAgent(path string) (*AgentFile, error) {
 	var f AgentFile
-	err := load(path, map[string]any{"agent": &f.Agent, "platform": &f.Platform})
-	return &f, err
+	l := load(path, map[string]any{"agent": &f.Agent, "platform": &f.Platform, "tls": &f.TLS})
+	f.Network = l.network(&f.TLS, "agent", f.Agent.Listen)
+	return &f, l.err()
 }
 
-func load(path string, want map[string]any) error {
+// loaded is a file that was read, with its faults.
+type loaded struct {
+	path     string
+	readErr  error
+	sections map[string]*ini.Section
+	errs     ini.Errors
+}
+
+func (l *loaded) err() error {
+	if l.readErr != nil {
+		return l.readErr
+	}
+	return l.errs.Err()
+}
+
+// fail reports a fault at a key, or at the top of the file if it is not given.
+func (l *loaded) fail(section, key, what string) {
+	line := 1
+	if sec := l.sections[section]; sec != nil {
+		line = sec.LineOf(key)
+	}
+	l.errs = append(l.errs, &ini.Error{File: l.path, Line: line, Where: section + "." + key, What: what})
+}
+
+// network checks [tls] against the address that it protects.
+func (l *loaded) network(t *TLS, section, listen string) *wire.Network {
+	if l.err() != nil {
+		return nil
+	}
+	given := 0
+	for _, file := range []string{t.Cert, t.Key, t.CA} {
+		if file != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		l.fail("tls", "cert", "cert, key and ca belong together: give all three or none")
+		return nil
+	}
+	n, err := t.Network()
+	if err != nil {
+		l.fail("tls", "cert", err.Error())
+		return nil
+	}
+	if err := n.Check(listen); err != nil {
+		l.fail(section, "listen", result.From(err).Detail)
+	}
+	return n
+}
+
+func load(path string, want map[string]any) *loaded {
+	l := &loaded{path: path, sections: make(map[string]*ini.Section)}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
+		l.readErr = fmt.Errorf("read settings: %w", err)
+		return l
 	}
 	sections, errs := ini.Parse(path, string(text))
-	seen := make(map[string]bool)
+	l.errs = errs
 	for i := range sections {
 		sec := &sections[i]
 		dst, known := want[sec.Title()]
 		switch {
 		case !known:
-			errs = append(errs, &ini.Error{File: path, Line: sec.Line, What: fmt.Sprintf("unknown section [%s]", sec.Title())})
-		case seen[sec.Title()]:
-			errs = append(errs, &ini.Error{File: path, Line: sec.Line, What: fmt.Sprintf("section [%s] is given twice", sec.Title())})
+			l.errs = append(l.errs, &ini.Error{File: path, Line: sec.Line, What: fmt.Sprintf("unknown section [%s], allowed: %s", sec.Title(), titles(want))})
+		case l.sections[sec.Title()] != nil:
+			l.errs = append(l.errs, &ini.Error{File: path, Line: sec.Line, What: fmt.Sprintf("section [%s] is given twice", sec.Title())})
 		default:
-			errs = append(errs, ini.Decode(sec, dst)...)
+			l.errs = append(l.errs, ini.Decode(sec, dst)...)
+			l.sections[sec.Title()] = sec
 		}
-		seen[sec.Title()] = true
 	}
-	for name, dst := range want {
-		if !seen[name] {
-			errs = append(errs, ini.Decode(&ini.Section{Kind: name, File: path, Line: 1}, dst)...)
+	for _, name := range slices.Sorted(maps.Keys(want)) {
+		if l.sections[name] == nil {
+			l.errs = append(l.errs, ini.Decode(&ini.Section{Kind: name, File: path, Line: 1}, want[name])...)
 		}
 	}
-	return errs.Err()
+	return l
+}
+
+func titles(want map[string]any) string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(want)) {
+		names = append(names, "["+name+"]")
+	}
+	return strings.Join(names, " ")
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -44,40 +44,6 @@
 	ServeNote(c *Conn, n Note, payload []byte)
 }
 
-// Options tune a connection.
-type Options struct {
-	MaxFrame  int           // bytes; zero: DefaultMaxFrame
-	Window    int           // bytes a peer may send on a stream before credit; zero: DefaultWindow
-	PingEvery time.Duration // zero: one second
-	Silence   time.Duration // a peer silent for this long is lost; zero: four seconds
-}
-
-// Defaults of Options.
-const (
-	DefaultWindow    = 32 << 10
-	defaultPingEvery = time.Second
-	defaultSilence   = 4 * time.Second
-	outRing          = 256 // frames that wait for the writer
-	readBuffer       = 32 << 10
-	writeBuffer      = 32 << 10
-)
-
-func (o Options) withDefaults() Options {
-	if o.MaxFrame == 0 {
-		o.MaxFrame = DefaultMaxFrame
-	}
-	if o.Window == 0 {
-		o.Window = DefaultWindow
-	}
-	if o.PingEvery == 0 {
-		o.PingEvery = defaultPingEvery
-	}
-	if o.Silence == 0 {
-		o.Silence = defaultSilence
-	}
-	return o
-}
-
 // Conn is one connection between two processes.
 type Conn struct {
 	nc      net.Conn
@@ -92,6 +58,8 @@
 	mu        sync.Mutex
 	streams   map[uint64]*Stream
 	nextID    uint64
+	accepted  int    // streams that the peer opened and that are still served
+	parity    uint64 // of this side's stream ids
 	duties    conc.WaitGroup
 }
 
@@ -122,15 +90,13 @@
 		done:    make(chan struct{}),
 		streams: make(map[uint64]*Stream),
 		nextID:  firstID,
+		parity:  firstID % idStep,
 	}
 	hello.Schema, hello.Oldest = SchemaVersion, OldestSchema
+	hello.Window = uint32(c.opts.Window)
 	c.duties.Go(c.writeLoop)
-	if err := c.send(KindHello, 0, nil, &hello); err != nil {
-		c.close(err)
-		return nil, err
-	}
-	fr := &frameReader{r: bufio.NewReaderSize(nc, readBuffer), max: c.opts.MaxFrame}
-	if err := c.readHello(fr); err != nil {
+	fr, err := c.greet(&hello)
+	if err != nil {
 		c.close(err)
 		c.duties.Wait()
 		return nil, err
@@ -139,14 +105,25 @@
 	return c, nil
 }
 
-func (c *Conn) readHello(fr *frameReader) error {
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.Silence)); err != nil {
-		return fmt.Errorf("hello: %w", err)
+// greet exchanges hellos. Until the peer is known, it can make this side read
+// no more than a small frame, and only for a short time.
+func (c *Conn) greet(hello *Hello) (*frameReader, error) {
+	if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.HelloTimeout)); err != nil {
+		return nil, fmt.Errorf("hello: %w", err)
+	}
+	if err := c.send(KindHello, 0, nil, hello); err != nil {
+		return nil, err
 	}
+	fr := &frameReader{r: bufio.NewReaderSize(c.nc, readBuffer), max: maxHello}
 	f, err := fr.next()
 	if err != nil {
-		return fmt.Errorf("hello: %w", err)
+		return nil, fmt.Errorf("hello: %w", err)
 	}
+	fr.max = c.opts.MaxFrame
+	return fr, c.readHello(f)
+}
+
+func (c *Conn) readHello(f Frame) error {
 	if f.Kind != KindHello {
 		return result.New(result.WireMalformed, "first frame has kind %d, want hello", f.Kind)
 	}
@@ -157,7 +134,13 @@
 		return result.New(result.WireSchema, "peer speaks %d to %d, this build %d to %d",
 			c.peer.Oldest, c.peer.Schema, OldestSchema, SchemaVersion)
 	}
-	return nil
+	if c.peer.Window == 0 {
+		c.peer.Window = DefaultWindow
+	}
+	if c.peer.Window > maxWindow {
+		return result.New(result.WireMalformed, "hello: window of %d bytes, limit %d", c.peer.Window, maxWindow)
+	}
+	return checkRole(c.nc, c.peer.Role)
 }
 
 // Peer returns what the other side said in its hello.
@@ -214,20 +197,28 @@
 // send encodes one frame and hands it to the writer; it waits while the ring is
 // full, which is how a slow peer slows its senders.
 func (c *Conn) send(kind Kind, stream uint64, prefix []byte, msg msgp.Marshaler) error {
+	bp, err := c.encode(kind, stream, prefix, msg)
+	if err != nil {
+		return err
+	}
+	return c.enqueue(bp)
+}
+
+func (c *Conn) encode(kind Kind, stream uint64, prefix []byte, msg msgp.Marshaler) (*[]byte, error) {
 	bp := framePool.Get().(*[]byte)
 	b := beginFrame((*bp)[:0], kind, stream)
 	b = append(b, prefix...)
 	if msg != nil {
 		var err error
 		if b, err = msg.MarshalMsg(b); err != nil {
-			return result.New(result.WireMalformed, "encode: %w", err)
+			return nil, result.New(result.WireMalformed, "encode: %w", err)
 		}
 	}
 	if len(b)-headerSize > c.opts.MaxFrame {
-		return result.New(result.WireFrameTooLarge, "frame of %d bytes, limit %d", len(b)-headerSize, c.opts.MaxFrame)
+		return nil, result.New(result.WireFrameTooLarge, "frame of %d bytes, limit %d", len(b)-headerSize, c.opts.MaxFrame)
 	}
 	*bp = endFrame(b, 0)
-	return c.enqueue(bp)
+	return bp, nil
 }
 
 func (c *Conn) enqueue(bp *[]byte) error {
@@ -253,9 +244,14 @@
 		var err error
 		select {
 		case bp := <-c.out:
-			err = c.writeBatch(w, bp)
+			if err = c.limitWrite(); err == nil {
+				err = c.writeBatch(w, bp)
+			}
 		case <-ping.C:
-			if _, err = w.Write(pingFrame); err == nil {
+			if err = c.limitWrite(); err == nil {
+				_, err = w.Write(pingFrame)
+			}
+			if err == nil {
 				err = w.Flush()
 			}
 		case <-c.done:
@@ -268,6 +264,12 @@
 	}
 }
 
+// limitWrite bounds the next write. A peer that pings but does not read would
+// otherwise hold all senders of this side for good.
+func (c *Conn) limitWrite() error {
+	return c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence))
+}
+
 // writeBatch writes frames until the ring is empty, then flushes: one system
 // call for all that has gathered.
 func (c *Conn) writeBatch(w *bufio.Writer, bp *[]byte) error {
@@ -306,66 +308,3 @@
 		}
 	}
 }
-
-// dispatch hands a frame to its stream. An error ends the connection: the peer
-// has broken the protocol and nothing it says later can be trusted.
-func (c *Conn) dispatch(f Frame) error {
-	switch f.Kind {
-	case KindPing:
-		return nil
-	case KindNote:
-		if len(f.Payload) == 0 {
-			return result.New(result.WireMalformed, "empty note")
-		}
-		c.handler.ServeNote(c, Note(f.Payload[0]), f.Payload[1:])
-		return nil
-	case KindOpen:
-		return c.accept(f)
-	case KindMessage, KindData, KindEnd, KindRefuse, KindCancel, KindCredit:
-		// A frame for a stream that this side has left is late, not wrong.
-		if s := c.stream(f.Stream); s != nil {
-			return s.receive(f)
-		}
-		return nil
-	default:
-		return result.New(result.WireUnknownKind, "frame kind %d", f.Kind)
-	}
-}
-
-func (c *Conn) accept(f Frame) error {
-	if len(f.Payload) == 0 {
-		return result.New(result.WireMalformed, "empty open")
-	}
-	payload := append([]byte(nil), f.Payload[1:]...)
-	method := Method(f.Payload[0])
-	s := newStream(c, f.Stream)
-	c.mu.Lock()
-	_, taken := c.streams[f.Stream]
-	if !taken {
-		c.streams[f.Stream] = s
-	}
-	c.mu.Unlock()
-	if taken {
-		return result.New(result.WireMalformed, "stream %d opened twice", f.Stream)
-	}
-	go func() {
-		ctx, cancel := context.WithCancelCause(context.Background())
-		defer cancel(nil)
-		s.onCancel(cancel)
-		c.handler.ServeStream(ctx, s, method, payload)
-		s.Close()
-	}()
-	return nil
-}
-
-func (c *Conn) stream(id uint64) *Stream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.streams[id]
-}
-
-func (c *Conn) forget(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.streams, id)
-}
--- /dev/null
+++ b/wire/network_test.go
@@ -0,0 +1,174 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/internal/testkeys"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+func keys(t *testing.T, a *testkeys.Authority, roles ...string) (*wire.Keys, testkeys.Files) {
+	t.Helper()
+	var names []string
+	for _, role := range roles {
+		names = append(names, wire.RoleName(role))
+	}
+	f, err := a.Write(t.TempDir(), names...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := wire.LoadKeys(f.Cert, f.Key, f.CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k, f
+}
+
+func authority(t *testing.T) *testkeys.Authority {
+	t.Helper()
+	a, err := testkeys.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// listen runs an acceptor and returns its address and what it refuses.
+func listen(t *testing.T, n *wire.Network, a wire.Acceptor) (string, <-chan error) {
+	t.Helper()
+	ln, err := n.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := make(chan error, 64)
+	a.Listener = ln
+	a.Handler = serverFunc(nil)
+	a.Refused = func(_ net.Addr, err error) { refused <- err }
+	done := make(chan struct{})
+	go func() { defer close(done); a.Run() }()
+	t.Cleanup(func() { _ = ln.Close(); <-done })
+	return ln.Addr().String(), refused
+}
+
+func dial(t *testing.T, n *wire.Network, addr, role string) (*wire.Conn, error) {
+	t.Helper()
+	nc, err := n.Dial(context.Background(), addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := wire.Client(nc, wire.Hello{Name: "client", Role: role}, serverFunc(nil), wire.Options{})
+	if err == nil {
+		t.Cleanup(c.Close)
+	}
+	return c, err
+}
+
+func TestPlainTCPIsRefusedOffLoopback(t *testing.T) {
+	g := NewWithT(t)
+	plain := new(wire.Network)
+	_, err := plain.Listen("0.0.0.0:0")
+	g.Expect(result.From(err).Code).To(Equal(result.WirePlain))
+	_, err = plain.Dial(context.Background(), "192.0.2.1:7000")
+	g.Expect(result.From(err).Code).To(Equal(result.WirePlain))
+	g.Expect(plain.Check("[::ffff:127.0.0.1]:7000")).To(Succeed())
+	g.Expect((&wire.Network{Keys: new(wire.Keys)}).Check("192.0.2.1:7000")).To(Succeed())
+}
+
+// A process gets in only with a certificate of the right authority for the role
+// that it claims. A target VM's key that has leaked would otherwise let its
+// holder give work to every other target, as if it were an entry.
+func TestMutualTLS(t *testing.T) {
+	ours, foreign := authority(t), authority(t)
+	agentKeys, _ := keys(t, ours, wire.RoleAgent)
+	entryKeys, _ := keys(t, ours, wire.RoleEntry)
+	strangerKeys, _ := keys(t, foreign, wire.RoleEntry)
+	addr, refused := listen(t, &wire.Network{Keys: agentKeys}, wire.Acceptor{Hello: wire.Hello{Name: "t", Role: wire.RoleAgent}})
+
+	t.Run("right key and role", func(t *testing.T) {
+		g := NewWithT(t)
+		c, err := dial(t, &wire.Network{Keys: entryKeys}, addr, wire.RoleEntry)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(c.Peer().Name).To(Equal("t"))
+	})
+	t.Run("role that the certificate lacks", func(t *testing.T) {
+		g := NewWithT(t)
+		_, _ = dial(t, &wire.Network{Keys: agentKeys}, addr, wire.RoleEntry)
+		g.Expect(result.From(<-refused).Code).To(Equal(result.WireRole))
+	})
+	t.Run("foreign authority", func(t *testing.T) {
+		g := NewWithT(t)
+		_, err := dial(t, &wire.Network{Keys: strangerKeys}, addr, wire.RoleEntry)
+		g.Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+		<-refused
+	})
+	t.Run("no certificate", func(t *testing.T) {
+		g := NewWithT(t)
+		_, err := dial(t, new(wire.Network), addr, wire.RoleEntry)
+		g.Expect(err).To(HaveOccurred())
+		<-refused
+	})
+}
+
+// Keys are rotated without a restart: the operator replaces the files, first
+// broken by mistake, then right. The broken ones must not take the old away.
+func TestKeysAreReadAgainWhenTheirFilesChange(t *testing.T) {
+	g := NewWithT(t)
+	old, next := authority(t), authority(t)
+	serverKeys, files := keys(t, old, wire.RoleAgent)
+	addr, refused := listen(t, &wire.Network{Keys: serverKeys}, wire.Acceptor{Hello: wire.Hello{Role: wire.RoleAgent}})
+	oldEntry, _ := keys(t, old, wire.RoleEntry)
+	nextEntry, _ := keys(t, next, wire.RoleEntry)
+
+	later := time.Now().Add(time.Minute)
+	g.Expect(os.WriteFile(files.Cert, []byte("broken"), 0o600)).To(Succeed())
+	g.Expect(os.Chtimes(files.Cert, later, later)).To(Succeed())
+	_, err := dial(t, &wire.Network{Keys: oldEntry}, addr, wire.RoleEntry)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(serverKeys.Problem()).To(HaveOccurred())
+
+	dir := files.Cert[:len(files.Cert)-len("/cert.pem")]
+	_, err = next.Write(dir, wire.RoleName(wire.RoleAgent))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = dial(t, &wire.Network{Keys: nextEntry}, addr, wire.RoleEntry)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(serverKeys.Problem()).NotTo(HaveOccurred())
+	_, err = dial(t, &wire.Network{Keys: oldEntry}, addr, wire.RoleEntry)
+	g.Expect(err).To(HaveOccurred())
+	<-refused
+}
+
+// Strangers connect and say nothing. They are dropped after the hello's timeout
+// and meanwhile hold only the places meant for them; known peers stay.
+func TestSilentStrangersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	n := new(wire.Network)
+	addr, refused := listen(t, n, wire.Acceptor{
+		Hello:      wire.Hello{Role: wire.RoleAgent},
+		MaxPending: 2,
+		Options:    wire.Options{HelloTimeout: 200 * time.Millisecond},
+	})
+	known, err := dial(t, n, addr, wire.RoleEntry)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 8 {
+		nc, err := net.Dial("tcp", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = nc.Close() }()
+	}
+	turnedAway := 0
+	for range 8 {
+		if result.From(<-refused).Code == result.ConnsFull {
+			turnedAway++
+		}
+	}
+	g.Expect(turnedAway).To(BeNumerically(">=", 1))
+	g.Expect(known.SendNote(wire.NoteLoad, &wire.Load{})).To(Succeed())
+	_, err = dial(t, n, addr, wire.RoleEntry)
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- /dev/null
+++ b/wire/receive.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"context"
+
+	"github.com/heatherrail/heatherrail/result"
+)
+
+// dispatch hands a frame to its stream. An error ends the connection: the peer
+// has broken the protocol and nothing it says later can be trusted.
+func (c *Conn) dispatch(f Frame) error {
+	switch f.Kind {
+	case KindPing:
+		return nil
+	case KindNote:
+		if len(f.Payload) == 0 {
+			return result.New(result.WireMalformed, "empty note")
+		}
+		c.handler.ServeNote(c, Note(f.Payload[0]), f.Payload[1:])
+		return nil
+	case KindOpen:
+		return c.accept(f)
+	case KindMessage, KindData, KindEnd, KindRefuse, KindCancel, KindCredit:
+		// A frame for a stream that this side has left is late, not wrong.
+		if s := c.stream(f.Stream); s != nil {
+			return s.receive(f)
+		}
+		return nil
+	default:
+		return result.New(result.WireUnknownKind, "frame kind %d", f.Kind)
+	}
+}
+
+// accept takes a stream that the peer opens. The count of such streams bounds
+// the goroutines and payloads that a peer can make this side hold.
+func (c *Conn) accept(f Frame) error {
+	if len(f.Payload) == 0 {
+		return result.New(result.WireMalformed, "empty open")
+	}
+	if f.Stream == 0 || f.Stream%idStep == c.parity {
+		// A peer that used this side's ids could put its frames into a stream that
+		// this side opens later.
+		return result.New(result.WireMalformed, "stream id %d is not the peer's to use", f.Stream)
+	}
+	s := newStream(c, f.Stream)
+	c.mu.Lock()
+	_, taken := c.streams[f.Stream]
+	full := c.accepted >= c.opts.MaxStreams
+	if !taken && !full {
+		c.streams[f.Stream] = s
+		c.accepted++
+	}
+	c.mu.Unlock()
+	switch {
+	case taken:
+		return result.New(result.WireMalformed, "stream %d opened twice", f.Stream)
+	case full:
+		return c.refuseOpen(f.Stream)
+	}
+	payload := append([]byte(nil), f.Payload[1:]...)
+	go c.serveStream(s, Method(f.Payload[0]), payload)
+	return nil
+}
+
+func (c *Conn) serveStream(s *Stream, m Method, payload []byte) {
+	defer c.leaveAccepted()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	s.onCancel(cancel)
+	c.handler.ServeStream(ctx, s, m, payload)
+	s.Close()
+}
+
+func (c *Conn) leaveAccepted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted--
+}
+
+// refuseOpen answers an open beyond the limit. The reader must not wait for the
+// writer here: with both rings full the two readers would wait for each other.
+func (c *Conn) refuseOpen(id uint64) error {
+	err := result.New(result.WireStreams, "%d streams are open", c.opts.MaxStreams)
+	r := Refusal{Code: uint16(err.Code), Detail: err.Detail, RetryAfterMs: err.Wait().Milliseconds()}
+	bp, encodeErr := c.encode(KindRefuse, id, nil, &r)
+	if encodeErr != nil {
+		return encodeErr
+	}
+	select {
+	case c.out <- bp:
+		return nil
+	default:
+		return err
+	}
+}
+
+func (c *Conn) stream(id uint64) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[id]
+}
+
+func (c *Conn) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.streams, id)
+}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -19,6 +19,7 @@
 	Role        string `msg:"r"` // RoleEntry, RoleAgent or RoleTool
 	Incarnation uint64 `msg:"i"` // new at each process start
 	DataCentre  string `msg:"d"`
+	Window      uint32 `msg:"w"` // bytes of chunks a stream may have in flight towards the sender; zero: DefaultWindow
 }
 
 // Roles of processes in Hello.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -346,9 +346,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendUint32(o, z.Schema)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -365,6 +365,9 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.DataCentre)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendUint32(o, z.Window)
 	return
 }
 
@@ -426,6 +429,12 @@
 				err = msgp.WrapError(err, "DataCentre")
 				return
 			}
+		case "w":
+			z.Window, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -440,7 +449,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre)
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.Uint32Size
 	return
 }
 
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -38,13 +38,16 @@
 	cancel   context.CancelCauseFunc
 	credit   int // bytes this side may still send
 	creditOK chan struct{}
-	pending  int // bytes received and not yet consumed
-	unacked  int // bytes consumed and not yet returned as credit
+	pending  int // chunk bytes received and not yet consumed
+	unacked  int // chunk bytes consumed and not yet returned as credit
+	messages int // typed messages received and not yet consumed
+	msgBytes int // of those messages
 
 	recvSeq    uint64
 	recvDigest *xxhash.Digest
 	sendSeq    uint64
 	sendDigest *xxhash.Digest
+	peerEnded  bool // the peer has sent its end or refusal
 	closed     bool
 }
 
@@ -54,7 +57,7 @@
 		id:         id,
 		wake:       make(chan struct{}, 1),
 		creditOK:   make(chan struct{}, 1),
-		credit:     c.opts.Window,
+		credit:     int(c.peer.Window),
 		recvDigest: xxhash.New(),
 		sendDigest: xxhash.New(),
 	}
@@ -94,57 +97,97 @@
 	}
 }
 
-// receive handles one frame of this stream. It copies what it keeps.
+// receive handles one frame of this stream. It copies what it keeps. Only the
+// connection's reader calls it.
 func (s *Stream) receive(f Frame) error {
+	switch f.Kind {
+	case KindCancel:
+		s.fail(result.New(result.CallerGone, "cancelled by %s", s.conn.peer.Name))
+		return nil
+	case KindCredit:
+		return s.receiveCredit(f.Payload)
+	}
+	if s.peerEnded {
+		return result.New(result.WireMalformed, "stream %d: frame kind %d after its end", s.id, f.Kind)
+	}
 	switch f.Kind {
 	case KindMessage:
 		if len(f.Payload) == 0 {
 			return result.New(result.WireMalformed, "empty message")
 		}
-		data := append([]byte(nil), f.Payload[1:]...)
-		return s.push(Event{Message: MessageKind(f.Payload[0]), Data: data}, 0)
+		return s.pushMessage(MessageKind(f.Payload[0]), f.Payload[1:])
 	case KindData:
 		return s.receiveData(f.Payload)
 	case KindEnd:
+		s.peerEnded = true
 		return s.receiveEnd(f.Payload)
-	case KindRefuse:
-		var r Refusal
-		if _, err := r.UnmarshalMsg(f.Payload); err != nil {
-			return result.New(result.WireMalformed, "refusal: %w", err)
-		}
-		s.fail(r.Err())
-		return nil
-	case KindCancel:
-		s.fail(result.New(result.CallerGone, "cancelled by %s", s.conn.peer.Name))
-		return nil
 	default:
-		var c Credit
-		if _, err := c.UnmarshalMsg(f.Payload); err != nil {
-			return result.New(result.WireMalformed, "credit: %w", err)
-		}
-		s.mu.Lock()
-		s.credit += int(c.Bytes)
-		s.mu.Unlock()
-		signal(s.creditOK)
-		return nil
+		s.peerEnded = true
+		return s.receiveRefusal(f.Payload)
+	}
+}
+
+func (s *Stream) receiveRefusal(p []byte) error {
+	var r Refusal
+	if _, err := r.UnmarshalMsg(p); err != nil {
+		return result.New(result.WireMalformed, "refusal: %w", err)
+	}
+	s.fail(r.Err())
+	return nil
+}
+
+// receiveCredit adds credit. A peer can return no more than it was sent, so more
+// than its window is a fault of the peer, and an unbounded sum would wrap.
+func (s *Stream) receiveCredit(p []byte) error {
+	var c Credit
+	if _, err := c.UnmarshalMsg(p); err != nil {
+		return result.New(result.WireMalformed, "credit: %w", err)
+	}
+	s.mu.Lock()
+	s.credit += int(c.Bytes)
+	excess := s.credit > int(s.conn.peer.Window)
+	s.mu.Unlock()
+	if excess {
+		return result.New(result.WireFlowControl, "stream %d: credit beyond the window", s.id)
 	}
+	signal(s.creditOK)
+	return nil
 }
 
-// maxMessages bounds typed messages that wait in a stream; chunk bytes are
-// bounded by the window.
-const maxMessages = 64
+// Limits on typed messages that wait in a stream; chunk bytes are bounded by the
+// window. One message is always taken, so that MaxFrame alone bounds its size.
+const (
+	maxMessages     = 64
+	maxMessageBytes = 1 << 20
+)
 
-func (s *Stream) push(e Event, size int) error {
+func (s *Stream) pushMessage(k MessageKind, p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending += size
-	if s.pending > s.conn.opts.Window || (size == 0 && len(s.queue) >= maxMessages && s.pending == 0) {
-		return result.New(result.WireFlowControl, "stream %d exceeded its window", s.id)
+	if s.failure != nil {
+		return nil
 	}
+	s.messages++
+	s.msgBytes += len(p)
+	if s.messages > maxMessages || (s.messages > 1 && s.msgBytes > maxMessageBytes) {
+		return result.New(result.WireFlowControl, "stream %d: too many messages wait", s.id)
+	}
+	s.queue = append(s.queue, Event{Message: k, Data: append([]byte(nil), p...)})
+	signal(s.wake)
+	return nil
+}
+
+func (s *Stream) pushData(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.failure != nil {
 		return nil
 	}
-	s.queue = append(s.queue, e)
+	s.pending += len(p)
+	if s.pending > s.conn.opts.Window {
+		return result.New(result.WireFlowControl, "stream %d exceeded its window", s.id)
+	}
+	s.queue = append(s.queue, Event{Data: append([]byte(nil), p...)})
 	signal(s.wake)
 	return nil
 }
@@ -162,13 +205,17 @@
 	if err != nil {
 		return result.New(result.WireMalformed, "chunk bytes: %w", err)
 	}
+	if len(data) == 0 {
+		// Free of charge against the window, so a flood of them would be unbounded.
+		return result.New(result.WireMalformed, "empty chunk")
+	}
 	if seq != s.recvSeq {
 		s.fail(result.New(result.WireSequence, "chunk %d arrived, want %d", seq, s.recvSeq))
 		return nil
 	}
 	s.recvSeq++
 	_, _ = s.recvDigest.Write(data) // a Digest never fails
-	return s.push(Event{Data: append([]byte(nil), data...)}, len(data))
+	return s.pushData(data)
 }
 
 func (s *Stream) receiveEnd(p []byte) error {
@@ -198,7 +245,7 @@
 			e := s.queue[0]
 			s.queue[0] = Event{}
 			s.queue = s.queue[1:]
-			grant := s.consume(len(e.Data), e.Message)
+			grant := s.consume(e)
 			s.mu.Unlock()
 			s.returnCredit(grant)
 			return e, nil
@@ -216,10 +263,13 @@
 	}
 }
 
-// consume books n chunk bytes as read and returns the credit that is due. It is
+// consume books an event as read and returns the credit that is due. It is
 // returned in halves of the window, to save frames.
-func (s *Stream) consume(n int, m MessageKind) int {
-	if m != 0 {
+func (s *Stream) consume(e Event) int {
+	n := len(e.Data)
+	if e.Message != 0 {
+		s.messages--
+		s.msgBytes -= n
 		return 0
 	}
 	s.pending -= n
@@ -239,109 +289,3 @@
 	// A lost connection fails the stream itself; the credit is then moot.
 	_ = s.conn.send(KindCredit, s.id, nil, &Credit{Bytes: uint32(n)})
 }
-
-// SendMessage sends a typed message.
-func (s *Stream) SendMessage(k MessageKind, msg msgp.Marshaler) error {
-	return s.conn.send(KindMessage, s.id, []byte{byte(k)}, msg)
-}
-
-// Send sends p as one or more chunks and waits for credit where needed.
-func (s *Stream) Send(ctx context.Context, p []byte) error {
-	for len(p) > 0 {
-		n, err := s.takeCredit(ctx, len(p))
-		if err != nil {
-			return err
-		}
-		if err := s.sendChunk(p[:n]); err != nil {
-			return err
-		}
-		p = p[n:]
-	}
-	return nil
-}
-
-func (s *Stream) takeCredit(ctx context.Context, want int) (int, error) {
-	for {
-		s.mu.Lock()
-		failure := s.failure
-		n := min(want, s.credit)
-		if failure == nil || failure == io.EOF {
-			s.credit -= n
-		}
-		s.mu.Unlock()
-		if failure != nil && failure != io.EOF {
-			return 0, failure
-		}
-		if n > 0 {
-			return n, nil
-		}
-		select {
-		case <-s.creditOK:
-		case <-ctx.Done():
-			return 0, context.Cause(ctx)
-		}
-	}
-}
-
-func (s *Stream) sendChunk(p []byte) error {
-	_, _ = s.sendDigest.Write(p)
-	bp := framePool.Get().(*[]byte)
-	b := beginFrame((*bp)[:0], KindData, s.id)
-	b = msgp.AppendArrayHeader(b, 2)
-	b = msgp.AppendUint64(b, s.sendSeq)
-	b = msgp.AppendBytes(b, p)
-	s.sendSeq++
-	*bp = endFrame(b, 0)
-	return s.conn.enqueue(bp)
-}
-
-// Finish ends a complete answer.
-func (s *Stream) Finish() error {
-	return s.end(result.OK, "")
-}
-
-// Abort ends an answer that can't be completed; the receiver gets the code in
-// place of a clean end.
-func (s *Stream) Abort(err error) error {
-	e := result.From(err)
-	return s.end(e.Code, e.Detail)
-}
-
-func (s *Stream) end(code result.Code, detail string) error {
-	e := End{Chunks: s.sendSeq, Digest: s.sendDigest.Sum64(), Code: uint16(code), Detail: detail}
-	err := s.conn.send(KindEnd, s.id, nil, &e)
-	s.markClosed()
-	return err
-}
-
-// Refuse ends a stream before its answer.
-func (s *Stream) Refuse(err error) error {
-	e := result.From(err)
-	r := Refusal{Code: uint16(e.Code), Detail: e.Detail, RetryAfterMs: e.Wait().Milliseconds()}
-	sendErr := s.conn.send(KindRefuse, s.id, nil, &r)
-	s.markClosed()
-	return sendErr
-}
-
-func (s *Stream) markClosed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-}
-
-// Close leaves the stream. If neither side has ended it, the peer is told to
-// stop working on it.
-func (s *Stream) Close() {
-	s.mu.Lock()
-	tell := !s.closed && s.failure == nil
-	s.closed = true
-	if s.failure == nil {
-		s.failure = result.New(result.WireClosed, "stream closed by this side")
-	}
-	s.mu.Unlock()
-	s.conn.forget(s.id)
-	if tell {
-		// Without a connection the peer cancels by itself.
-		_ = s.conn.send(KindCancel, s.id, nil, nil)
-	}
-}
