--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,7 +15,6 @@
 	"github.com/heatherrail/heatherrail/agent"
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/entry"
-	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/settings"
@@ -31,41 +31,34 @@
 
 // Fleet is a running system. All of its parts are stopped by Close.
 type Fleet struct {
-	Config  *config.Config
-	Log     *fake.Log
-	VMs     *fake.VMList
-	Weights *fake.WeightStore
-	Engines map[string]*fake.Engine
-	Plains  map[string]*fake.Plain
-	Agents  map[string]*agent.Agent
+	*Standins
 	Entries []*entry.Entry
 	Metrics *metrics.Set
 
-	opts     Options
-	groups   []*fake.RankGroup
-	servers  []*fake.Server
-	platform string
-	nextInc  uint64
+	opts    Options
+	mu      sync.Mutex
+	Agents  map[string]*agent.Agent // by target; the control address may replace some
+	vms     map[string]platform.VM  // of the agents, by target
+	nextInc uint64
 }
 
 const (
-	loopback        = "127.0.0.1:0"
-	maxRunning      = 64
-	weightStoreRate = 1 << 30 // bytes a second
+	loopback   = "127.0.0.1:0"
+	maxCallers = 8192
 )
 
 // Start brings everything up and applies the configuration.
 func Start(o Options) (*Fleet, error) {
+	standins, err := StartStandins(o.Config, o.StepTime)
+	if err != nil {
+		return nil, err
+	}
 	f := &Fleet{
-		Config:  o.Config,
-		Log:     fake.NewLog(),
-		VMs:     fake.NewVMList(0),
-		Weights: fake.NewWeightStore(weightStoreRate),
-		Engines: make(map[string]*fake.Engine),
-		Plains:  make(map[string]*fake.Plain),
-		Agents:  make(map[string]*agent.Agent),
-		Metrics: metrics.New(),
-		opts:    o,
+		Standins: standins,
+		Metrics:  metrics.New(),
+		opts:     o,
+		Agents:   make(map[string]*agent.Agent),
+		vms:      make(map[string]platform.VM),
 	}
 	if err := f.start(); err != nil {
 		f.Close()
@@ -75,23 +68,18 @@
 }
 
 func (f *Fleet) start() error {
-	srv, err := f.serve(fake.PlatformHandler(f.Log, f.VMs))
-	if err != nil {
-		return err
-	}
-	f.platform = srv.Addr
 	for _, t := range f.Config.Targets {
-		if err := f.startTarget(t); err != nil {
+		if err := f.startAgent(t); err != nil {
 			return err
 		}
 	}
-	f.startGroups()
 	for i := range f.opts.Entries {
 		if err := f.startEntry(i); err != nil {
 			return err
 		}
 	}
-	return f.apply()
+	f.Control.Handle("POST /agents/{name}/{action}", f.controlAgent)
+	return f.Apply()
 }
 
 func (f *Fleet) incarnation() uint64 {
@@ -99,45 +87,22 @@
 	return uint64(time.Now().UnixNano()) + f.nextInc
 }
 
-// backend is a stand-in behind an agent.
-func (f *Fleet) startBackend(t config.Target) (platform.Backend, string) {
-	for _, fleet := range f.Config.Fleets {
-		if fleet.Name == t.Fleet && fleet.Kind == "engine" {
-			e := fake.NewEngine(t.Name, f.model(t.Fleet), maxRunning)
-			f.Engines[t.Name] = e
-			return e, fleet.Kind
-		}
-	}
-	p := fake.NewPlain(t.Name)
-	f.Plains[t.Name] = p
-	return p, "plain"
-}
-
-func (f *Fleet) model(fleet string) string {
-	for _, s := range f.Config.Services {
-		if s.Fleet == fleet {
-			return s.Model
-		}
-	}
-	return ""
-}
-
-func (f *Fleet) startTarget(t config.Target) error {
-	backend, kind := f.startBackend(t)
-	srv, err := f.serve(fake.BackendHandler(backend))
-	if err != nil {
-		return err
-	}
+// startAgent starts the agent of a target on a VM of its own; it replaces an
+// earlier VM of the target.
+func (f *Fleet) startAgent(t config.Target) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	backend := f.Targets[t.Name].Server.Addr
 	a, err := agent.Start(agent.Options{
 		Settings: settings.Agent{
 			Target:     t.Name,
 			DataCentre: t.DataCentre,
 			Listen:     loopback,
-			Backend:    srv.Addr,
-			Kind:       kind,
+			Backend:    backend,
+			Kind:       f.Kind(t),
 			Queue:      4 * maxRunning,
 		},
-		Backend:     platform.NewHTTPBackend(srv.Addr),
+		Backend:     platform.NewHTTPBackend(backend),
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
@@ -145,35 +110,50 @@
 	if err != nil {
 		return fmt.Errorf("start agent: %w", err)
 	}
+	f.VMs.Remove(f.vms[t.Name].ID)
 	f.Agents[t.Name] = a
-	f.VMs.Put(platform.VM{
+	f.vms[t.Name] = platform.VM{
 		ID:         ulid.Make().String(),
 		Name:       t.Name,
 		Role:       platform.RoleTarget,
 		Address:    a.Addr(),
 		DataCentre: t.DataCentre,
 		State:      platform.StateLive,
-	})
+	}
+	f.VMs.Put(f.vms[t.Name])
 	return nil
 }
 
-// startGroups runs the engines of each rank group in lock-step, and engines
-// without a group alone.
-func (f *Fleet) startGroups() {
-	grouped := make(map[string]bool)
-	for _, g := range f.Config.Groups {
-		var ranks []*fake.Engine
-		for _, name := range g.Ranks {
-			grouped[name] = true
-			ranks = append(ranks, f.Engines[name])
-		}
-		f.groups = append(f.groups, fake.NewRankGroup(f.opts.StepTime, ranks...))
+// Agent returns the agent of a target, nil if there is none.
+func (f *Fleet) Agent(target string) *agent.Agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Agents[target]
+}
+
+// controlAgent lets scenarios kill, replace and drain the agents of this process.
+func (f *Fleet) controlAgent(r *http.Request) (any, error) {
+	name := r.PathValue("name")
+	a := f.Agent(name)
+	if a == nil {
+		return nil, errNoTarget
 	}
-	for name, e := range f.Engines {
-		if !grouped[name] {
-			f.groups = append(f.groups, fake.NewRankGroup(f.opts.StepTime, e))
+	switch r.PathValue("action") {
+	case "kill":
+		a.Close()
+	case "drain":
+		a.Drain()
+	case "restart":
+		a.Close()
+		for _, t := range f.Config.Targets {
+			if t.Name == name {
+				return struct{}{}, f.startAgent(t)
+			}
 		}
+	default:
+		return nil, fmt.Errorf("want kill, drain or restart")
 	}
+	return struct{}{}, nil
 }
 
 func (f *Fleet) startEntry(i int) error {
@@ -186,10 +166,11 @@
 			Callers:    loopback,
 			Listen:     loopback,
 			MaxBody:    4 << 20,
+			MaxCallers: maxCallers,
 			AnswerLife: f.opts.AnswerLife,
 		},
-		Log:         &platform.HTTPLog{Addr: f.platform},
-		VMs:         &platform.HTTPVMList{Addr: f.platform},
+		Log:         &platform.HTTPLog{Addr: f.Platform},
+		VMs:         &platform.HTTPVMList{Addr: f.Platform},
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
@@ -210,26 +191,6 @@
 	return nil
 }
 
-func (f *Fleet) apply() error {
-	raw, err := config.NewChange(ulid.Make().String(), 0, f.Config)
-	if err != nil {
-		return err
-	}
-	if _, err := f.Log.Append(context.Background(), [][]byte{raw}); err != nil {
-		return fmt.Errorf("apply: %w", err)
-	}
-	return nil
-}
-
-func (f *Fleet) serve(h http.Handler) (*fake.Server, error) {
-	srv, err := fake.Serve(h)
-	if err != nil {
-		return nil, err
-	}
-	f.servers = append(f.servers, srv)
-	return srv, nil
-}
-
 // WaitReady returns when every entry has the configuration and every target can
 // be reached through it.
 func (f *Fleet) WaitReady(ctx context.Context) error {
@@ -259,13 +220,12 @@
 	for _, e := range f.Entries {
 		e.Close()
 	}
-	for _, a := range f.Agents {
+	f.mu.Lock()
+	agents := f.Agents
+	f.Agents = make(map[string]*agent.Agent)
+	f.mu.Unlock()
+	for _, a := range agents {
 		a.Close()
 	}
-	for _, g := range f.groups {
-		g.Close()
-	}
-	for _, s := range f.servers {
-		s.Close()
-	}
+	f.Standins.Close()
 }
--- /dev/null
+++ b/demo/standins.go
@@ -0,0 +1,169 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/internal/fake"
+)
+
+// Standins take the place of the platform and of all targets that a
+// configuration declares, each behind a loopback port of its own.
+type Standins struct {
+	Config  *config.Config
+	Log     *fake.Log
+	VMs     *fake.VMList
+	Weights *fake.WeightStore
+	Engines map[string]*fake.Engine
+	Plains  map[string]*fake.Plain
+	Targets map[string]*fake.TargetServer
+	Control *fake.Control
+
+	Platform    string // address of the log service and the VM list
+	ControlAddr string
+
+	groups  []*fake.RankGroup
+	servers []*fake.Server
+}
+
+const (
+	maxRunning      = 64
+	weightStoreRate = 1 << 30 // bytes a second
+)
+
+// StartStandins brings the stand-ins up; steps of the engines take stepTime.
+func StartStandins(cfg *config.Config, stepTime time.Duration) (*Standins, error) {
+	s := &Standins{
+		Config:  cfg,
+		Log:     fake.NewLog(),
+		VMs:     fake.NewVMList(0),
+		Weights: fake.NewWeightStore(weightStoreRate),
+		Engines: make(map[string]*fake.Engine),
+		Plains:  make(map[string]*fake.Plain),
+		Targets: make(map[string]*fake.TargetServer),
+		Control: fake.NewControl(),
+	}
+	if err := s.start(stepTime); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Standins) start(stepTime time.Duration) error {
+	srv, err := s.serve(fake.PlatformHandler(s.Log, s.VMs))
+	if err != nil {
+		return err
+	}
+	s.Platform = srv.Addr
+	for _, t := range s.Config.Targets {
+		if err := s.startTarget(t); err != nil {
+			return err
+		}
+	}
+	s.startGroups(stepTime)
+	s.Control.AddLog(s.Log)
+	s.Control.AddVMs(s.VMs)
+	s.Control.AddTargets(s.Targets)
+	srv, err = s.serve(s.Control)
+	if err != nil {
+		return err
+	}
+	s.ControlAddr = srv.Addr
+	return nil
+}
+
+func (s *Standins) serve(h http.Handler) (*fake.Server, error) {
+	srv, err := fake.Serve(h)
+	if err != nil {
+		return nil, err
+	}
+	s.servers = append(s.servers, srv)
+	return srv, nil
+}
+
+// Kind returns the kind of the fleet that a target belongs to.
+func (s *Standins) Kind(t config.Target) string {
+	for _, fleet := range s.Config.Fleets {
+		if fleet.Name == t.Fleet {
+			return fleet.Kind
+		}
+	}
+	return ""
+}
+
+func (s *Standins) startTarget(t config.Target) (err error) {
+	if s.Kind(t) == "engine" {
+		e := fake.NewEngine(t.Name, s.model(t.Fleet), maxRunning)
+		s.Engines[t.Name] = e
+		s.Targets[t.Name], err = fake.ServeTarget(t.Name, e)
+	} else {
+		p := fake.NewPlain(t.Name)
+		s.Plains[t.Name] = p
+		s.Targets[t.Name], err = fake.ServeTarget(t.Name, p)
+	}
+	if err == nil {
+		s.servers = append(s.servers, s.Targets[t.Name].Server)
+	}
+	return err
+}
+
+func (s *Standins) model(fleet string) string {
+	for _, svc := range s.Config.Services {
+		if svc.Fleet == fleet {
+			return svc.Model
+		}
+	}
+	return ""
+}
+
+// startGroups runs the engines of each rank group in lock-step, and engines
+// without a group alone.
+func (s *Standins) startGroups(stepTime time.Duration) {
+	grouped := make(map[string]bool)
+	for _, g := range s.Config.Groups {
+		var ranks []*fake.Engine
+		for _, name := range g.Ranks {
+			grouped[name] = true
+			ranks = append(ranks, s.Engines[name])
+		}
+		s.groups = append(s.groups, fake.NewRankGroup(stepTime, ranks...))
+	}
+	for name, e := range s.Engines {
+		if !grouped[name] {
+			s.groups = append(s.groups, fake.NewRankGroup(stepTime, e))
+		}
+	}
+}
+
+// Apply puts the configuration on the log as the first version.
+func (s *Standins) Apply() error {
+	raw, err := config.NewChange(ulid.Make().String(), 0, s.Config)
+	if err != nil {
+		return err
+	}
+	if _, err := s.Log.Append(context.Background(), [][]byte{raw}); err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	return nil
+}
+
+// errNoTarget is answered for targets that the configuration does not declare.
+var errNoTarget = errors.New("no such target")
+
+// Close stops all stand-ins.
+func (s *Standins) Close() {
+	for _, g := range s.groups {
+		g.Close()
+	}
+	for _, srv := range s.servers {
+		srv.Close()
+	}
+	s.Control.Close()
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,9 +18,9 @@
 
 // Run is one request that a stand-in really ran.
 type Run struct {
-	Key      string // idempotency key
-	Body     string
-	Finished bool
+	Key      string `json:"key,omitempty"` // idempotency key
+	Body     string `json:"body"`
+	Finished bool   `json:"finished"`
 }
 
 // Engine is a model engine. Its next token depends on the whole text so far, so
@@ -34,6 +35,7 @@
 	runs       []*Run
 	stalled    bool
 	down       bool
+	delay      time.Duration
 	kill       chan struct{} // closed when the engine dies
 }
 
@@ -111,6 +113,13 @@
 	return e.stalled && !e.down
 }
 
+// SetDelay makes each request wait for d before the engine takes it.
+func (e *Engine) SetDelay(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = d
+}
+
 // Kill ends all requests and refuses new ones until Restart.
 func (e *Engine) Kill() {
 	e.mu.Lock()
@@ -201,6 +210,10 @@
 		out:  make(chan string, req.MaxTokens),
 		run:  &Run{Key: header(call, "Idempotency-Key"), Body: string(call.Body)},
 	}
+	if err := e.waitDelay(ctx); err != nil {
+		cancel()
+		return nil, &platform.SendError{Sent: true, Err: err}
+	}
 	e.mu.Lock()
 	kill := e.kill
 	if e.down {
@@ -223,6 +236,21 @@
 	}, nil
 }
 
+func (e *Engine) waitDelay(ctx context.Context) error {
+	e.mu.Lock()
+	delay := e.delay
+	e.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 func header(call *platform.Call, name string) string {
 	for _, h := range call.Headers {
 		if strings.EqualFold(h[0], name) {
--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,28 +11,6 @@
 	"github.com/heatherrail/heatherrail/platform"
 )
 
-// Server serves one stand-in on a loopback port chosen by the system. It uses
-// the standard library's server, which tells a handler when its client leaves;
-// the engine stand-in must free the slot then.
-type Server struct {
-	Addr string
-	srv  *http.Server
-}
-
-// Serve starts a server.
-func Serve(h http.Handler) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	s := &Server{Addr: ln.Addr().String(), srv: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}}
-	go func() { _ = s.srv.Serve(ln) }() // ends with Close
-	return s, nil
-}
-
-// Close stops the server and cuts its connections.
-func (s *Server) Close() { _ = s.srv.Close() }
-
 // BackendHandler serves a backend over HTTP.
 func BackendHandler(b platform.Backend) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// LogState is what the log holds.
+type LogState struct {
+	First   uint64 `json:"first"`
+	Next    uint64 `json:"next"`
+	Appends int    `json:"appends"`
+}
+
+// State returns what the log holds.
+func (l *Log) State() LogState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LogState{First: l.first, Next: l.first + uint64(len(l.records)), Appends: l.appends}
+}
+
 // Appends returns how many append calls took effect.
 func (l *Log) Appends() int {
 	l.mu.Lock()
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -14,10 +14,12 @@
 type Plain struct {
 	Name string
 
-	mu    sync.Mutex
-	runs  []Run
-	delay time.Duration
-	down  bool
+	mu     sync.Mutex
+	runs   []Run
+	delay  time.Duration
+	down   bool
+	active int
+	resume chan struct{} // not nil while stalled; closed at the end of the stall
 }
 
 // NewPlain returns an empty service.
@@ -32,6 +34,26 @@
 // SetDelay makes each call take at least d.
 func (p *Plain) SetDelay(d time.Duration) { p.set(func() { p.delay = d }) }
 
+// Stall holds all calls, or lets them go on.
+func (p *Plain) Stall(on bool) {
+	p.set(func() {
+		switch {
+		case on && p.resume == nil:
+			p.resume = make(chan struct{})
+		case !on && p.resume != nil:
+			close(p.resume)
+			p.resume = nil
+		}
+	})
+}
+
+// Active returns how many calls are inside.
+func (p *Plain) Active() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active
+}
+
 func (p *Plain) set(change func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,17 +70,15 @@
 // Run implements platform.Backend.
 func (p *Plain) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
 	p.mu.Lock()
-	down, delay := p.down, p.delay
+	down := p.down
 	p.mu.Unlock()
 	if down {
 		return nil, &platform.SendError{Sent: false, Err: errEngineDown}
 	}
-	if delay > 0 {
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-			return nil, &platform.SendError{Sent: true, Err: context.Cause(ctx)}
-		}
+	p.set(func() { p.active++ })
+	defer p.set(func() { p.active-- })
+	if err := p.wait(ctx); err != nil {
+		return nil, &platform.SendError{Sent: true, Err: err}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,3 +91,26 @@
 		"path":    call.Path,
 	}), nil
 }
+
+// wait holds a call for the delay and for as long as the service is stalled.
+func (p *Plain) wait(ctx context.Context) error {
+	p.mu.Lock()
+	delay, resume := p.delay, p.resume
+	p.mu.Unlock()
+	if resume != nil {
+		select {
+		case <-resume:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/internal/fake/vms.go
+++ b/internal/fake/vms.go
@@ -26,6 +26,13 @@
 	return &VMList{lag: lag}
 }
 
+// SetLag changes how late readers see changes.
+func (l *VMList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
 // Put adds or replaces the VM with the same ID.
 func (l *VMList) Put(vm platform.VM) {
 	l.update(func(vms []platform.VM) []platform.VM {
@@ -58,8 +65,7 @@
 	horizon := time.Now().Add(-l.lag)
 	for i := len(l.history) - 1; i >= 0; i-- {
 		if !l.history[i].at.After(horizon) {
-			l.history = l.history[i:]
-			return slices.Clone(l.history[0].vms), ctx.Err()
+			return slices.Clone(l.history[i].vms), ctx.Err()
 		}
 	}
 	return nil, ctx.Err()
