--- a/entry/http.go
+++ b/entry/http.go
@@ -79,6 +79,8 @@
 }
 
 func (e *Entry) serveMetrics(c fiber.Ctx) error {
+	e.opts.Metrics.Gauge("targets_linked", float64(e.Linked()))
+	e.opts.Metrics.Gauge("requests_in_flight", float64(e.inFlight.Load()))
 	var b strings.Builder
 	if err := e.opts.Metrics.Write(&b); err != nil {
 		return err
--- /dev/null
+++ b/scenarios/world_test.go
@@ -0,0 +1,385 @@
+package scenarios
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/heatherrail/heatherrail/demo"
+	"github.com/heatherrail/heatherrail/internal/testkeys"
+	"github.com/heatherrail/heatherrail/platform"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 30 * time.Second
+
+// world is the system of one scenario.
+type world struct {
+	dir   string
+	desc  demo.Description
+	keys  *testkeys.Authority // nil: plain
+	procs map[string]*process
+	vmIDs int
+
+	mu      sync.Mutex
+	entries []string // addresses for callers, live ones
+	sent    []sent
+	serial  int
+	batches map[string]*batch
+}
+
+// process is one program under test.
+type process struct {
+	cmd     *exec.Cmd
+	vm      platform.VM
+	started chan map[string]string // key=value pairs of its "started" event
+	done    chan struct{}          // closed after its end; err is set then
+	err     error
+}
+
+// launch starts a program; its log goes to NAME.log in the scenario's directory.
+func (w *world) launch(name, program string, args ...string) (*process, io.Reader, error) {
+	p := &process{
+		cmd:     exec.Command(filepath.Join(binDir, program), args...),
+		started: make(chan map[string]string, 1),
+		done:    make(chan struct{}),
+	}
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	logFile, err := os.Create(filepath.Join(w.dir, name+".log"))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, nil, err
+	}
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		defer func() { _ = logFile.Close() }()
+		p.readLog(io.TeeReader(stderr, logFile))
+	}()
+	go func() {
+		<-logged
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	w.procs[name] = p
+	return p, stdout, nil
+}
+
+var pair = regexp.MustCompile(`(\S+?)=("[^"]*"|\S+)`)
+
+func (p *process) readLog(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if !strings.Contains(lines.Text(), "event=started") {
+			continue
+		}
+		values := make(map[string]string)
+		for _, m := range pair.FindAllStringSubmatch(lines.Text(), -1) {
+			values[m[1]] = m[2]
+		}
+		select {
+		case p.started <- values:
+		default:
+		}
+	}
+}
+
+func (p *process) awaitStart() (map[string]string, error) {
+	select {
+	case v := <-p.started:
+		return v, nil
+	case <-p.done:
+		return nil, fmt.Errorf("ended at its start: %v", p.err)
+	case <-time.After(patience):
+		return nil, errors.New("did not start")
+	}
+}
+
+// fleet EXAMPLE ENTRIES [tls] starts stand-ins, an agent for each target and
+// entries, and waits until every entry reaches every target.
+func (w *world) fleet(args []string) (string, error) {
+	if len(args) < 2 {
+		return "", errors.New("want: fleet EXAMPLE ENTRIES [tls]")
+	}
+	count, err := strconv.Atoi(args[1])
+	if err != nil {
+		return "", err
+	}
+	if len(args) > 2 {
+		if w.keys, err = testkeys.NewAuthority(); err != nil {
+			return "", err
+		}
+	}
+	_, out, err := w.launch("standins", "heatherrail", "demo", "--standins-only", "--example", args[0])
+	if err != nil {
+		return "", err
+	}
+	if err := json.NewDecoder(out).Decode(&w.desc); err != nil {
+		return "", fmt.Errorf("stand-ins: %w", err)
+	}
+	var names []string
+	for target := range w.desc.Standins.Targets {
+		names = append(names, target)
+	}
+	for i := range count {
+		names = append(names, fmt.Sprintf("entry-%d", i+1))
+	}
+	if _, err := w.start(names); err != nil {
+		return "", err
+	}
+	return "", w.awaitReady()
+}
+
+// start NAME… starts an entry (entry-N) or the agent of a target on a new VM.
+func (w *world) start(names []string) (string, error) {
+	for _, name := range names {
+		if err := w.startOne(name); err != nil {
+			return "", fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return "", nil
+}
+
+func (w *world) startOne(name string) error {
+	program, text := "heatherrail-entry", w.entrySettings(name)
+	target, isAgent := w.desc.Standins.Targets[name]
+	if isAgent {
+		program, text = "heatherrail-agent", w.agentSettings(name, target)
+	}
+	keys, err := w.writeKeys(name, isAgent)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(w.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(text+keys), 0o600); err != nil {
+		return err
+	}
+	p, _, err := w.launch(name, program, "--settings", path)
+	if err != nil {
+		return err
+	}
+	values, err := p.awaitStart()
+	if err != nil {
+		return err
+	}
+	w.vmIDs++
+	p.vm = platform.VM{ID: fmt.Sprintf("vm-%d", w.vmIDs), Name: name, State: platform.StateLive, DataCentre: target.DataCentre}
+	p.vm.Role, p.vm.Address = platform.RoleTarget, values["listen"]
+	if !isAgent {
+		p.vm.Role, p.vm.Callers = platform.RoleEntry, values["callers"]
+		p.vm.DataCentre = w.anyDataCentre()
+		w.mu.Lock()
+		w.entries = append(w.entries, p.vm.Callers)
+		w.mu.Unlock()
+	}
+	if p.vm.Address == "" {
+		p.vm.Address = p.vm.Callers
+	}
+	body, err := json.Marshal(p.vm)
+	if err != nil {
+		return err
+	}
+	return w.control(http.MethodPut, "/vms", string(body))
+}
+
+func (w *world) anyDataCentre() string {
+	for _, t := range w.desc.Standins.Targets {
+		return t.DataCentre
+	}
+	return ""
+}
+
+func (w *world) entrySettings(name string) string {
+	return fmt.Sprintf("[entry]\nname = %s\ndata-centre = %s\ncallers = 127.0.0.1:0\nlisten = 127.0.0.1:0\nanswer-life = 1s\nshutdown-deadline = 20s\n%s",
+		name, w.anyDataCentre(), w.platformSettings())
+}
+
+func (w *world) agentSettings(name string, t demo.TargetRow) string {
+	return fmt.Sprintf("[agent]\ntarget = %s\ndata-centre = %s\nlisten = 127.0.0.1:0\nbackend = %s\nkind = %s\nshutdown-deadline = 20s\n%s",
+		name, t.DataCentre, t.Address, t.Kind, w.platformSettings())
+}
+
+func (w *world) platformSettings() string {
+	return fmt.Sprintf("[platform]\nlog = %s\nvms = %s\n", w.desc.Standins.Platform, w.desc.Standins.Platform)
+}
+
+func (w *world) writeKeys(name string, isAgent bool) (string, error) {
+	if w.keys == nil {
+		return "", nil
+	}
+	role := "entry.heatherrail"
+	if isAgent {
+		role = "agent.heatherrail"
+	}
+	dir := filepath.Join(w.dir, name+"-keys")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	f, err := w.keys.Write(dir, role)
+	return fmt.Sprintf("[tls]\ncert = %s\nkey = %s\nca = %s\n", f.Cert, f.Key, f.CA), err
+}
+
+// awaitReady waits until every entry reaches every target.
+func (w *world) awaitReady() error {
+	want := fmt.Sprintf("heatherrail_targets_linked %d", len(w.desc.Standins.Targets))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for _, addr := range w.entries {
+		for {
+			text, err := get(ctx, "http://"+addr+"/metrics")
+			if err == nil && strings.Contains(text, want) {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("entry %s is not ready: %v\n%s", addr, err, text)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// counter PREFIX prints the counters of all live entries that begin with it.
+func (w *world) counter(args []string) (string, error) {
+	var out strings.Builder
+	for _, addr := range w.entries {
+		text, err := get(context.Background(), "http://"+addr+"/metrics")
+		if err != nil {
+			return "", err
+		}
+		for line := range strings.Lines(text) {
+			if strings.HasPrefix(line, args[0]) {
+				out.WriteString(line)
+			}
+		}
+	}
+	return out.String(), nil
+}
+
+// fault METHOD PATH asks the stand-ins' control address, see docs/STANDINS.md.
+func (w *world) fault(args []string) (string, error) {
+	return "", w.control(args[0], args[1], "")
+}
+
+func (w *world) control(method, path, body string) error {
+	req, err := http.NewRequest(method, "http://"+w.desc.Standins.Control+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	_, err = do(req)
+	return err
+}
+
+func get(ctx context.Context, url string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	return do(req)
+}
+
+func do(req *http.Request) (string, error) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: status %d: %s", req.URL.Path, resp.StatusCode, text)
+	}
+	return string(text), err
+}
+
+// shutdown NAME… shuts processes down gracefully and expects exit code 0.
+func (w *world) shutdown(names []string) (string, error) {
+	return "", w.each(names, func(p *process) error {
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		return p.awaitEnd()
+	})
+}
+
+// crash NAME… ends processes as a lost VM does.
+func (w *world) crash(names []string) (string, error) {
+	return "", w.each(names, func(p *process) error {
+		w.forgetEntry(p)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		return nil
+	})
+}
+
+// pause and resume freeze processes and let them go on.
+func (w *world) pause(names []string) (string, error) {
+	return "", w.each(names, func(p *process) error { return p.cmd.Process.Signal(syscall.SIGSTOP) })
+}
+
+func (w *world) resume(names []string) (string, error) {
+	return "", w.each(names, func(p *process) error { return p.cmd.Process.Signal(syscall.SIGCONT) })
+}
+
+func (w *world) each(names []string, f func(*process) error) error {
+	for _, name := range names {
+		p := w.procs[name]
+		if p == nil {
+			return fmt.Errorf("there is no process %s", name)
+		}
+		if err := f(p); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func (p *process) awaitEnd() error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(patience):
+		return errors.New("did not end")
+	}
+}
+
+func (w *world) forgetEntry(p *process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var rest []string
+	for _, addr := range w.entries {
+		if addr != p.vm.Callers {
+			rest = append(rest, addr)
+		}
+	}
+	w.entries = rest
+}
+
+func (w *world) close() {
+	for _, p := range w.procs {
+		_ = p.cmd.Process.Kill() // those that have ended need nothing
+		<-p.done
+	}
+}
