Callers' interface: refusals in one shape, limits, whole event streams

Cause, from the code and the first runs of the new tests: - unknown paths and methods were answered as 400 bad_request without an id; - a body over the limit was refused while the caller still sent, so the connection was reset and the caller never saw the refusal (test: write: connection reset by peer); - a caller that stopped reading kept its connection for good, and an answer that its caller did not read to the end was counted nowhere; - HEAD towards a service waited for a body; several headers of one name were cut to the last; - a path reaches fasthttp's request line unchecked; - an engine's event stream without its last event passed for a whole answer; - each request looked up its counter by building a tagged scope.

--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -31,10 +31,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return daemon.ExitFail
 	}
+	backend := platform.NewHTTPBackend(file.Agent.Backend)
+	backend.WholeEvents = file.Agent.Kind == settings.KindEngine
 	a, err := agent.Start(agent.Options{
 		Settings:    file.Agent,
 		Listener:    ln,
-		Backend:     platform.NewHTTPBackend(file.Agent.Backend),
+		Backend:     backend,
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
 		Metrics:     metrics.New(),
 		Incarnation: daemon.Incarnation(),
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -92,17 +92,19 @@
 func (f *Fleet) startAgent(t config.Target) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	backend := f.Targets[t.Name].Server.Addr
+	addr := f.Targets[t.Name].Server.Addr
+	backend := platform.NewHTTPBackend(addr)
+	backend.WholeEvents = f.Kind(t) == settings.KindEngine
 	a, err := agent.Start(agent.Options{
 		Settings: settings.Agent{
 			Target:     t.Name,
 			DataCentre: t.DataCentre,
 			Listen:     loopback,
-			Backend:    backend,
+			Backend:    addr,
 			Kind:       f.Kind(t),
 			Queue:      4 * maxRunning,
 		},
-		Backend:     platform.NewHTTPBackend(backend),
+		Backend:     backend,
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -9,23 +11,77 @@
 // watchedListener hands out connections that can be watched for a caller that
 // leaves. fasthttp reads a connection only between requests, so by itself it
 // would notice a closed one at the next write, which may be a long prefill away.
+// It also bounds the connections of one address: a caller that opens them and
+// stays silent must not take the places of all others.
 type watchedListener struct {
 	net.Listener
+	perAddress int
+	refused    func(remote net.Addr)
+
+	mu    sync.Mutex
+	count map[netip.Addr]int
+}
+
+func newWatchedListener(ln net.Listener, maxCallers int, refused func(net.Addr)) *watchedListener {
+	return &watchedListener{
+		Listener:   ln,
+		perAddress: max(1, maxCallers/addressShare),
+		refused:    refused,
+		count:      make(map[netip.Addr]int),
+	}
 }
 
+// addressShare: one address may hold half of all places. Many callers of a team
+// can stand behind one address, so a smaller share would refuse honest ones.
+const addressShare = 2
+
 // Accept implements net.Listener.
 func (l *watchedListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		addr := remoteAddr(nc)
+		if l.take(addr) {
+			return &callerConn{Conn: nc, release: func() { l.leave(addr) }}, nil
+		}
+		_ = nc.Close() // not worth a goroutine that might have to wait for it
+		l.refused(nc.RemoteAddr())
+	}
+}
+
+func remoteAddr(nc net.Conn) netip.Addr {
+	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr()
+	}
+	return netip.Addr{}
+}
+
+func (l *watchedListener) take(addr netip.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count[addr] >= l.perAddress {
+		return false
+	}
+	l.count[addr]++
+	return true
+}
+
+func (l *watchedListener) leave(addr netip.Addr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count[addr]--; l.count[addr] == 0 {
+		delete(l.count, addr)
 	}
-	return &callerConn{Conn: nc}, nil
 }
 
 // callerConn is a caller's connection. While a request runs, one byte is read
 // ahead; it is kept for the server's next read.
 type callerConn struct {
 	net.Conn
+	release func()
+	closing sync.Once
 
 	mu      sync.Mutex
 	ahead   [1]byte
@@ -50,6 +106,50 @@
 	return c.Conn.Read(p)
 }
 
+// callerStall is how long a caller may not read at all. Without a bound, a
+// caller that stops reading would keep its connection, and what the answer
+// holds, for good.
+const callerStall = 30 * time.Second
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(callerStall)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Bounds of a lingering close.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 64 << 20
+)
+
+// Close implements net.Conn. A caller that still sends when its request is
+// refused, for example a body that is too large, would have its connection reset
+// and lose the refusal; so what it sends is read for a moment and dropped.
+func (c *callerConn) Close() error {
+	c.closing.Do(func() {
+		tcp, ok := c.Conn.(*net.TCPConn)
+		if !ok || tcp.CloseWrite() != nil {
+			c.end()
+			return
+		}
+		go func() {
+			defer c.end()
+			if tcp.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+				_, _ = io.CopyN(io.Discard, tcp, lingerBytes) // any end will do
+			}
+		}()
+	})
+	return nil
+}
+
+func (c *callerConn) end() {
+	_ = c.Conn.Close() // nothing is left to be said
+	c.release()
+}
+
 // aLongTimeAgo is a deadline that ends a pending read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
@@ -107,12 +108,18 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	err := e.app.Listener(&watchedListener{e.ln}, fiber.ListenConfig{DisableStartupMessage: true})
+	ln := newWatchedListener(e.ln, e.opts.Settings.MaxCallers, e.refuseConn)
+	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && e.ctx.Err() == nil {
 		e.log.Error(err, "caller side stopped")
 	}
 }
 
+func (e *Entry) refuseConn(remote net.Addr) {
+	e.opts.Metrics.Result(result.ConnsFull)
+	e.log.V(1).Info("connection refused", "remote", remote.String(), "code", int(result.ConnsFull))
+}
+
 // Drain takes the entry out of the answers that callers get. It goes on to
 // serve: callers keep earlier answers for a while.
 func (e *Entry) Drain() {
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"strconv"
 	"strings"
 	"time"
 
@@ -15,7 +12,6 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
-	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Headers of the callers' interface.
@@ -39,11 +35,16 @@
 func (e *Entry) newApp() *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit:      int(e.opts.Settings.MaxBody),
+		Concurrency:    e.opts.Settings.MaxCallers,
 		ReadTimeout:    callerReadTimeout,
 		IdleTimeout:    callerIdle,
 		ReadBufferSize: callerReadBuffer,
 		ErrorHandler:   e.httpError,
 	})
+	app.Use(func(c fiber.Ctx) error {
+		requestID(c)
+		return c.Next()
+	})
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", e.serveReady)
 	app.Get("/metrics", e.serveMetrics)
@@ -64,11 +65,32 @@
 	return e.refuse(c, err)
 }
 
+// codeOfStatus names what the library refuses by itself.
 func codeOfStatus(status int) result.Code {
-	if status == fiber.StatusRequestEntityTooLarge {
+	switch status {
+	case fiber.StatusNotFound:
+		return result.UnknownPath
+	case fiber.StatusMethodNotAllowed:
+		return result.MethodNotAllowed
+	case fiber.StatusRequestTimeout:
+		return result.RequestTimeout
+	case fiber.StatusRequestEntityTooLarge:
 		return result.BodyTooLarge
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return result.HeadersTooLarge
+	default:
+		return result.BadRequest
+	}
+}
+
+// requestID returns the id of the request being answered.
+func requestID(c fiber.Ctx) string {
+	if id := c.Response().Header.Peek(HeaderRequestID); len(id) > 0 {
+		return string(id)
 	}
-	return result.BadRequest
+	id := ulid.Make().String()
+	c.Set(HeaderRequestID, id)
+	return id
 }
 
 func (e *Entry) serveReady(c fiber.Ctx) error {
@@ -142,8 +164,8 @@
 	if snap == nil {
 		return nil, nil, result.New(result.NoConfig, "no configuration yet")
 	}
-	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if !ok {
+	scheme, key, ok := strings.Cut(c.Get(fiber.HeaderAuthorization), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
 		return nil, nil, result.New(result.Unauthorized, "want Authorization: Bearer KEY")
 	}
 	team := snap.TeamByKey(key)
@@ -181,7 +203,7 @@
 	if err != nil {
 		return e.refuse(c, err)
 	}
-	c.Set(HeaderRequestID, call.ID)
+	begun := time.Now()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := watchCaller(c, cancel)
 	e.begin()
@@ -192,10 +214,16 @@
 		e.end()
 		return e.refuse(c, err)
 	}
-	e.answer(c, x, func() {
-		stop()
-		cancel(nil)
-		e.end()
+	e.answer(c, &answerBody{
+		entry: e,
+		call:  call,
+		x:     x,
+		begun: begun,
+		done: func() {
+			stop()
+			cancel(nil)
+			e.end()
+		},
 	})
 	return nil
 }
@@ -207,135 +235,3 @@
 	}
 	return conn.watch(func() { cancel(result.New(result.CallerGone, "caller closed its connection")) })
 }
-
-// newCall copies everything out of the library's buffers, which it reuses for
-// another caller's request once the handler has returned.
-func newCall(c fiber.Ctx, snap *config.Snapshot, team *config.Team, service, path string) (*Call, error) {
-	svc := snap.Service(service)
-	if svc == nil {
-		return nil, result.New(result.UnknownService, "no service %q", service)
-	}
-	allowed := false
-	for _, name := range team.Services {
-		allowed = allowed || name == service
-	}
-	if !allowed {
-		return nil, result.New(result.ServiceDenied, "team %s may not use %s", team.Name, service)
-	}
-	call := &Call{
-		ID:         ulid.Make().String(),
-		Team:       team.Name,
-		Service:    service,
-		Method:     strings.Clone(c.Method()),
-		Path:       path,
-		Headers:    []wire.Header{{Name: "Content-Type", Value: strings.Clone(c.Get(fiber.HeaderContentType))}},
-		Body:       append([]byte(nil), c.Body()...),
-		Key:        strings.Clone(c.Get(HeaderKey)),
-		Repeatable: true,
-	}
-	return call, call.readHeaders(c, snap.Policy(svc))
-}
-
-func (call *Call) readHeaders(c fiber.Ctx, policy *config.Policy) error {
-	switch v := c.Get(HeaderRepeatable); v {
-	case "", "yes":
-	case "no":
-		call.Repeatable = false
-		if call.Key == "" {
-			return result.New(result.KeyMissing, "%s: no needs an %s", HeaderRepeatable, HeaderKey)
-		}
-	default:
-		return result.New(result.MalformedHeader, "%s: %q is not allowed, send yes or no", HeaderRepeatable, v)
-	}
-	wait := policy.Deadline
-	if v := c.Get(HeaderDeadline); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 32)
-		if err != nil || ms <= 0 {
-			return result.New(result.MalformedHeader, "%s: %q is no number of milliseconds", HeaderDeadline, v)
-		}
-		wait = time.Duration(ms) * time.Millisecond
-	}
-	call.Deadline = time.Now().Add(wait)
-	if v := c.Get(HeaderPriority); v != "" {
-		n, err := strconv.ParseInt(v, 10, 8)
-		if err != nil {
-			return result.New(result.MalformedHeader, "%s: %q is no number from -128 to 127", HeaderPriority, v)
-		}
-		call.Priority = int8(n)
-	}
-	return nil
-}
-
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = map[string]bool{
-	"connection": true, "keep-alive": true, "transfer-encoding": true,
-	"content-length": true, "te": true, "trailer": true, "upgrade": true, "date": true, "server": true,
-}
-
-// answer hands the exchange to the library as a body that it reads while it
-// writes to the caller: a slow caller holds back the target, and a body that
-// ends with an error closes the connection instead of looking complete.
-func (e *Entry) answer(c fiber.Ctx, x *Exchange, done func()) {
-	resp := c.Response()
-	resp.SetStatusCode(x.Answer.Status)
-	sse := false
-	for _, h := range x.Answer.Headers {
-		if !hopHeaders[strings.ToLower(h.Name)] {
-			resp.Header.Set(h.Name, h.Value)
-		}
-		sse = sse || (strings.EqualFold(h.Name, "Content-Type") && strings.HasPrefix(h.Value, "text/event-stream"))
-	}
-	resp.Header.Set(HeaderTarget, x.Target)
-	resp.Header.Set(HeaderRun, result.RunDone.String())
-	resp.SetBodyStream(&answerBody{entry: e, x: x, done: done, sse: sse}, -1)
-}
-
-type answerBody struct {
-	entry  *Entry
-	x      *Exchange
-	done   func()
-	rest   []byte
-	sse    bool
-	failed error
-}
-
-// Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) {
-	for len(b.rest) == 0 {
-		if b.failed != nil {
-			return 0, b.failed
-		}
-		data, err := b.x.Recv()
-		if err != nil {
-			b.end(err)
-			continue
-		}
-		b.rest = data
-	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
-	return n, nil
-}
-
-// end decides how the body stops: cleanly, or with an error event (where the
-// caller reads events) and a cut connection.
-func (b *answerBody) end(err error) {
-	b.failed = err
-	if errors.Is(err, io.EOF) {
-		b.entry.opts.Metrics.Result(result.OK)
-		b.failed = io.EOF
-		return
-	}
-	r := result.From(err)
-	b.entry.opts.Metrics.Result(r.Code)
-	if b.sse {
-		b.rest = fmt.Appendf(nil, "event: error\ndata: %s\n\n", errorJSON(r))
-	}
-}
-
-// Close implements io.Closer; the library calls it when the answer is over.
-func (b *answerBody) Close() error {
-	b.x.Close()
-	b.done()
-	return nil
-}
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -38,7 +38,7 @@
 	r := result.From(err)
 	info := r.Code.Info()
 	e.opts.Metrics.Result(r.Code)
-	e.log.Info("refused", "request", string(c.Response().Header.Peek(HeaderRequestID)), "code", r.Code, "reason", info.Name, "detail", r.Detail)
+	e.log.Info("refused", "request", requestID(c), "code", int(r.Code), "reason", info.Name, "detail", r.Detail)
 	c.Set(HeaderResult, strconv.Itoa(int(r.Code)))
 	c.Set(HeaderRun, info.Run.String())
 	if wait := r.Wait(); wait > 0 {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,8 +5,13 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -15,21 +20,54 @@
 
 // Set is the metrics of one process.
 type Set struct {
-	scope tally.TestScope
+	scope         tally.TestScope
+	results       sync.Map // result.Code to tally.Counter
+	firstToken    tally.Histogram
+	betweenTokens tally.Histogram
 }
 
+// Bounds of the histograms around the aims of our users: first token within
+// 0.76 s and 49 ms between tokens for 95 in 100.
+var (
+	firstTokenBounds = tally.DurationBuckets{
+		10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+		200 * time.Millisecond, 400 * time.Millisecond, 760 * time.Millisecond, 1500 * time.Millisecond,
+		3 * time.Second, 10 * time.Second, 30 * time.Second,
+	}
+	betweenTokensBounds = tally.DurationBuckets{
+		2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+		35 * time.Millisecond, 49 * time.Millisecond, 75 * time.Millisecond, 150 * time.Millisecond,
+		500 * time.Millisecond, 2 * time.Second, 10 * time.Second,
+	}
+)
+
 // New returns an empty set. tally's scope without a reporter keeps running
 // totals, which is what a pulled endpoint needs.
 func New() *Set {
-	return &Set{scope: tally.NewTestScope("heatherrail", nil)}
+	scope := tally.NewTestScope("heatherrail", nil)
+	return &Set{
+		scope:         scope,
+		firstToken:    scope.Histogram("first_token_seconds", firstTokenBounds),
+		betweenTokens: scope.Histogram("between_tokens_seconds", betweenTokensBounds),
+	}
 }
 
+// FirstToken records the time from a request's arrival to its first token.
+func (s *Set) FirstToken(d time.Duration) { s.firstToken.RecordDuration(d) }
+
+// BetweenTokens records the time from one token to the next.
+func (s *Set) BetweenTokens(d time.Duration) { s.betweenTokens.RecordDuration(d) }
+
 // Scope returns the scope to count in.
 func (s *Set) Scope() tally.Scope { return s.scope }
 
 // Result counts one outcome of a request.
 func (s *Set) Result(c result.Code) {
-	s.scope.Tagged(map[string]string{"reason": c.Info().Name}).Counter("results_total").Inc(1)
+	counter, ok := s.results.Load(c)
+	if !ok {
+		counter, _ = s.results.LoadOrStore(c, s.scope.Tagged(map[string]string{"reason": c.Info().Name}).Counter("results_total"))
+	}
+	counter.(tally.Counter).Inc(1)
 }
 
 // Retry counts one retry by the reason of the failed try.
@@ -43,7 +81,7 @@
 // Gauge sets a gauge.
 func (s *Set) Gauge(name string, v float64) { s.scope.Gauge(name).Update(v) }
 
-// Write writes all counters and gauges, sorted, one a line.
+// Write writes all counters, gauges and histograms, sorted, one a line.
 func (s *Set) Write(w io.Writer) error {
 	snap := s.scope.Snapshot()
 	var lines []string
@@ -53,6 +91,9 @@
 	for _, g := range snap.Gauges() {
 		lines = append(lines, line(g.Name(), g.Tags(), fmt.Sprint(g.Value())))
 	}
+	for _, h := range snap.Histograms() {
+		lines = append(lines, histogram(h.Name(), h.Tags(), h.Durations())...)
+	}
 	slices.Sort(lines)
 	if _, err := io.WriteString(w, strings.Join(lines, "")); err != nil {
 		return fmt.Errorf("write metrics: %w", err)
@@ -60,6 +101,27 @@
 	return nil
 }
 
+// histogram returns cumulative counts, as collectors expect them.
+func histogram(name string, tags map[string]string, counts map[time.Duration]int64) []string {
+	bounds := slices.Sorted(maps.Keys(counts))
+	var lines []string
+	total := int64(0)
+	for _, bound := range bounds {
+		total += counts[bound]
+		le := "+Inf"
+		if bound < math.MaxInt64 {
+			le = strconv.FormatFloat(bound.Seconds(), 'g', -1, 64)
+		}
+		withBound := maps.Clone(tags)
+		if withBound == nil {
+			withBound = make(map[string]string)
+		}
+		withBound["le"] = le
+		lines = append(lines, line(name+"_bucket", withBound, strconv.FormatInt(total, 10)))
+	}
+	return append(lines, line(name+"_count", tags, strconv.FormatInt(total, 10)))
+}
+
 func line(name string, tags map[string]string, value string) string {
 	name = strings.ReplaceAll(name, ".", "_")
 	if len(tags) == 0 {
--- a/result/codes.go
+++ b/result/codes.go
@@ -17,6 +17,11 @@
 	ServiceDenied   Code = 107
 	CrashSuspect    Code = 108
 	MalformedHeader Code = 109
+
+	UnknownPath      Code = 110
+	MethodNotAllowed Code = 111
+	HeadersTooLarge  Code = 112
+	RequestTimeout   Code = 113
 )
 
 // 2xx: the system refuses the request now; it did not run.
@@ -77,6 +82,10 @@
 	{ServiceDenied, "service_denied", http.StatusForbidden, RunNot, 0, "The team may not use this service.", "Check the team's services in teams.ini."},
 	{CrashSuspect, "crash_suspect", http.StatusUnprocessableEntity, RunNot, 5 * time.Minute, "This request crashed the targets that ran it and is refused for a time.", "Look at the targets' logs around the quarantine event."},
 	{MalformedHeader, "malformed_header", http.StatusBadRequest, RunNot, 0, "A Heatherrail header has a value that is not allowed.", "See the detail in the caller's answer."},
+	{UnknownPath, "unknown_path", http.StatusNotFound, RunNot, 0, "The callers' interface has no such path.", "Tell the team."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RunNot, 0, "The path does not take this method.", "Tell the team."},
+	{HeadersTooLarge, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNot, 0, "The request's headers are larger than the limit.", "Tell the team."},
+	{RequestTimeout, "request_timeout", http.StatusRequestTimeout, RunNot, 0, "The request did not arrive whole in time.", "A slow network, or a caller that holds connections open on purpose."},
 	{NoConfig, "no_config", http.StatusServiceUnavailable, RunNot, shortWait, "This process knows no configuration yet.", "Check that the log service or a peer can be reached."},
 	{NoTarget, "no_target", http.StatusServiceUnavailable, RunNot, shortWait, "No target of the service can take work.", "Look at status: targets leaving, ejected or lost."},
 	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, RunNot, shortWait, "The target is leaving.", "Expected during a drain; entries retry elsewhere."},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,12 @@
 	Verbosity  int           `ini:"verbosity" default:"0" min:"0" max:"4" doc:"detail of the log"`
 }
 
+// Kinds of targets.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
 // Platform is the [platform] section of both daemons.
 type Platform struct {
 	Log string `ini:"log" required:"true" format:"address" doc:"address of the log service"`
