bench relay: what entry and agent add to a streamed answer

Cause: nothing measured the path against the stand-in called directly.

Done: bench relay, pairs in one run: way of a paced event, first event and throughput of unpaced streams, memory of a stream, allocations against stream length, and how long a request of a caller that left holds its place.

--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -8,7 +8,9 @@
 )
 
 // benchCommand groups the benches; each bench has a file of its own.
-type benchCommand struct{}
+type benchCommand struct {
+	Relay benchRelay `command:"relay" description:"what entry and agent add to a streamed answer"`
+}
 
 // benchFlags are the flags that all benches share.
 type benchFlags struct {
