Outcomes: home agent's memory, attestations, retry budget, ejection, quarantine, continuation

Cause: the ledger forgot at a restart, refused every repeat and let a moved home run a key again; retries were three tries per request; a lost engine cut its answers; a crashing request could walk through the fleet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,8 +12,10 @@
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -26,8 +28,14 @@
 	Metrics     *metrics.Set
 	Incarnation uint64 // differs at each start of the process
 	ReportEvery time.Duration
+	// Log tells which entries exist. Without it the agent goes by the entries that
+	// are linked to it, which is not enough after a restart: for tests alone.
+	Log platform.Log
 	// Listener takes the place of a TCP listener on Settings.Listen.
 	Listener net.Listener
+
+	// Off is for tests of the checkers.
+	Off safeguard.Off
 }
 
 const defaultReportEvery = 100 * time.Millisecond
@@ -41,6 +49,10 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
+	witness *witness
+	crashes *crashWatch
+	ctx     context.Context // ends when the agent stops
+	cancel  context.CancelCauseFunc
 	version atomic.Uint64 // newest configuration version heard of
 	stop    chan struct{}
 	duties  conc.WaitGroup
@@ -75,6 +87,11 @@
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
+	a.ctx, a.cancel = context.WithCancelCause(context.Background())
+	a.witness = newWitness(o.Settings.Target, o.Log)
+	a.crashes = newCrashWatch(a)
+	a.ledger.forgetful = o.Off.Ledger
+	a.witness.trusting = o.Off.Witness
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.log.Info("started", "listen", a.Addr(), "incarnation", o.Incarnation)
@@ -136,8 +153,13 @@
 }
 
 // ServeNote implements wire.Handler.
-func (a *Agent) ServeNote(_ *wire.Conn, n wire.Note, payload []byte) {
-	if n != wire.NoteConfig {
+func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
+	switch n {
+	case wire.NoteConfig:
+	case wire.NoteAttest:
+		a.serveAttest(c, payload)
+		return
+	default:
 		return
 	}
 	var notice wire.ConfigNotice
@@ -148,6 +170,15 @@
 	raise(&a.version, notice.Version)
 }
 
+func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
+	var at wire.Attest
+	if _, err := at.UnmarshalMsg(payload); err != nil {
+		a.log.Error(err, "bad attestation")
+		return
+	}
+	a.witness.attest(c.Peer().Incarnation, &at)
+}
+
 // raise sets v to n unless it is already higher: versions never go back.
 func raise(v *atomic.Uint64, n uint64) {
 	for {
@@ -193,6 +224,7 @@
 	default:
 	}
 	close(a.stop)
+	a.cancel(result.New(result.TargetLost, "the agent stops"))
 	_ = a.ln.Close()
 	for _, c := range a.conns() {
 		c.Close()
--- a/agent/run.go
+++ b/agent/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/heatherrail/heatherrail/platform"
@@ -28,6 +29,10 @@
 	if p := a.peer(s.Conn()); p != nil {
 		raise(&p.counted, req.Dispatch)
 	}
+	if !req.Repeatable {
+		a.serveOnce(ctx, s, &req)
+		return
+	}
 	if err := a.admit(&req); err != nil {
 		a.refuse(s, req.ID, err)
 		return
@@ -49,9 +54,10 @@
 }
 
 func (a *Agent) check(req *wire.Request, running int) error {
+	if err := a.checkIncarnation(req); err != nil {
+		return err
+	}
 	switch {
-	case req.AgentInc != a.opts.Incarnation:
-		return result.New(result.StaleAgent, "meant for incarnation %d, this is %d", req.AgentInc, a.opts.Incarnation)
 	case a.leaving.Load():
 		return result.New(result.TargetLeaving, "%s is leaving", a.opts.Settings.Target)
 	case running > a.opts.Settings.Queue:
@@ -62,6 +68,15 @@
 	return nil
 }
 
+// checkIncarnation refuses what was sent to an earlier process at this address:
+// its sender may already have been told that the request is lost.
+func (a *Agent) checkIncarnation(req *wire.Request) error {
+	if req.AgentInc != a.opts.Incarnation && !a.opts.Off.Incarnation {
+		return result.New(result.StaleAgent, "meant for incarnation %d, this is %d", req.AgentInc, a.opts.Incarnation)
+	}
+	return nil
+}
+
 func (a *Agent) leave() {
 	if a.running.Add(-1) == 0 {
 		select {
@@ -78,28 +93,28 @@
 	_ = s.Refuse(e) // without a connection nobody waits for the answer
 }
 
-func (a *Agent) run(ctx context.Context, s *wire.Stream, req *wire.Request) {
-	ctx, cancel := context.WithTimeoutCause(ctx, time.Duration(req.DeadlineMs)*time.Millisecond,
+// runContext bounds work by the deadline that the request carries.
+func (a *Agent) runContext(ctx context.Context, req *wire.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(ctx, time.Duration(req.DeadlineMs)*time.Millisecond,
 		result.New(result.DeadlinePast, "deadline passed on %s", a.opts.Settings.Target))
+}
+
+func (a *Agent) run(ctx context.Context, s *wire.Stream, req *wire.Request) {
+	ctx, cancel := a.runContext(ctx, req)
 	defer cancel()
-	key := ledgerKey{team: req.Team, service: req.Service, key: req.Key}
-	if !req.Repeatable {
-		if err := a.ledger.claim(key, req.Body, time.Now()); err != nil {
-			a.refuse(s, req.ID, err)
-			return
-		}
+	run, err := a.crashes.begin(ctx, req)
+	if err != nil {
+		a.refuse(s, req.ID, err)
+		return
 	}
+	defer run.end()
 	reply, err := a.opts.Backend.Run(ctx, call(req))
 	if err != nil {
-		err = backendError(ctx, err)
-		if !req.Repeatable && result.From(err).Run() == result.RunNot {
-			a.ledger.release(key)
-		}
-		a.refuse(s, req.ID, err)
+		a.refuse(s, req.ID, a.runError(ctx, run, err))
 		return
 	}
 	defer func() { _ = reply.Body.Close() }()
-	if err := a.relay(ctx, s, reply); err != nil {
+	if err := a.relay(ctx, s, run, reply); err != nil {
 		a.log.Info("answer broken", "request", req.ID, "detail", err.Error())
 		_ = s.Abort(err) // without a connection the entry sees the loss itself
 		return
@@ -136,13 +151,34 @@
 	return result.New(result.EngineLost, "backend: %w", err)
 }
 
-// relay copies the answer into the stream; a slow reader holds back the backend
-// through the stream's credit.
-func (a *Agent) relay(ctx context.Context, s *wire.Stream, reply *platform.Reply) error {
+// runError is backendError for a request that may have been on the engine when
+// it crashed.
+func (a *Agent) runError(ctx context.Context, run *crashRun, err error) error {
+	err = backendError(ctx, err)
+	if result.From(err).Code == result.EngineLost {
+		run.engineLost()
+	}
+	return err
+}
+
+// modelHeader is where an engine names the model version that it runs.
+const modelHeader = "Heatherrail-Model"
+
+func (a *Agent) answer(reply *platform.Reply) wire.Answer {
 	answer := wire.Answer{Status: reply.Status, Target: a.opts.Settings.Target}
 	for _, h := range reply.Headers {
 		answer.Headers = append(answer.Headers, wire.Header{Name: h[0], Value: h[1]})
+		if strings.EqualFold(h[0], modelHeader) {
+			answer.Model = h[1]
+		}
 	}
+	return answer
+}
+
+// relay copies the answer into the stream; a slow reader holds back the backend
+// through the stream's credit.
+func (a *Agent) relay(ctx context.Context, s *wire.Stream, run *crashRun, reply *platform.Reply) error {
+	answer := a.answer(reply)
 	if err := s.SendMessage(wire.MessageAnswer, &answer); err != nil {
 		return fmt.Errorf("send answer: %w", err)
 	}
@@ -158,7 +194,7 @@
 			return s.Finish()
 		}
 		if err != nil {
-			return midRunError(ctx, err)
+			return a.runError(ctx, run, err)
 		}
 	}
 }
--- /dev/null
+++ b/agent/witness.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+const (
+	// dispatchSlack is how much longer than the window an entry books a dispatch:
+	// the run may begin that much later.
+	dispatchSlack = 2 * time.Minute
+	// presenceSlack covers the entries' refresh interval and clock differences.
+	presenceSlack = 6 * time.Minute
+	// settleWait is how long a request waits for entries that have not attested yet.
+	settleWait = time.Second
+	settlePoll = 10 * time.Millisecond
+)
+
+// witness decides whether a key that the ledger does not know may run.
+//
+// Failure: the agent restarts, or the key's home moves here with a new
+// configuration, and the caller repeats a request that ran before. Symptom: an
+// oven starts twice. Enough, because each dispatch is booked by its entry before
+// it is sent, all entries that could dispatch are on the log, and the key runs
+// only after each of them has said that it sent it nowhere else and will not
+// do so under an older version.
+type witness struct {
+	target string
+	log    platform.Log // nil: the roster is the linked entries
+	now    func() time.Time
+
+	mu       sync.Mutex
+	attested map[uint64]uint64    // entry incarnation -> version
+	absent   map[uint64]bool      // entries that were waited for in vain
+	doubts   map[uint64]time.Time // key hash -> last heard
+	homes    []homeList           // contiguous versions, oldest first
+	trusting bool                 // a test's switch: run unknown keys at once
+
+	roster   map[uint64]time.Time // entry incarnation -> last presence
+	rosterAt uint64               // version known when the roster was read
+	read     bool                 // the roster was read at all
+
+	logMu sync.Mutex // held while the log is read
+	next  uint64     // log offset to read from
+}
+
+// homeList is the fleet's declared targets over a run of versions.
+type homeList struct {
+	from, to uint64
+	names    []string
+	since    time.Time
+}
+
+func newWitness(target string, log platform.Log) *witness {
+	return &witness{
+		target:   target,
+		log:      log,
+		now:      time.Now,
+		attested: make(map[uint64]uint64),
+		absent:   make(map[uint64]bool),
+		doubts:   make(map[uint64]time.Time),
+		roster:   make(map[uint64]time.Time),
+	}
+}
+
+// attest takes an entry's statement.
+func (w *witness) attest(entry uint64, at *wire.Attest) {
+	now := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attested[entry] = max(w.attested[entry], at.Version)
+	delete(w.absent, entry)
+	for _, k := range at.Keys {
+		w.doubts[k] = now
+	}
+	w.learnHomes(at, now)
+}
+
+// learnHomes extends the history of target lists. A version that was missed
+// starts it anew: the home may have been elsewhere meanwhile.
+func (w *witness) learnHomes(at *wire.Attest, now time.Time) {
+	next := homeList{from: at.Version, to: at.Version, names: at.Targets, since: now}
+	if len(w.homes) == 0 {
+		w.homes = []homeList{next}
+		return
+	}
+	last := &w.homes[len(w.homes)-1]
+	switch {
+	case at.Version <= last.to:
+	case at.Version > last.to+1:
+		w.homes = []homeList{next}
+	case slices.Equal(last.names, at.Targets):
+		last.to = at.Version
+	default:
+		w.homes = append(w.homes, next)
+	}
+}
--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -32,6 +32,7 @@
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
 		Metrics:     metrics.New(),
 		Incarnation: daemon.Incarnation(),
+		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/config/fold.go
+++ b/config/fold.go
@@ -55,6 +55,9 @@
 	if _, err := rec.UnmarshalMsg(raw); err != nil {
 		return fmt.Errorf("record: %w", err)
 	}
+	if rec.Schema <= RecordSchema && rec.Kind == RecordPresence {
+		return nil // read by agents, see Presence
+	}
 	if rec.Schema > RecordSchema || rec.Kind != RecordChange {
 		return fmt.Errorf("record of schema %d, kind %q: this build knows schema %d", rec.Schema, rec.Kind, RecordSchema)
 	}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -30,6 +30,7 @@
 	fleets   map[string]*Fleet
 	byFleet  map[string][]Target
 	byKey    map[string]*Team
+	fleetOf  map[string]string // by target
 }
 
 // NewSnapshot indexes a configuration.
@@ -44,6 +45,7 @@
 		fleets:   make(map[string]*Fleet, len(c.Fleets)),
 		byFleet:  make(map[string][]Target, len(c.Fleets)),
 		byKey:    make(map[string]*Team, len(c.Teams)),
+		fleetOf:  make(map[string]string, len(c.Targets)),
 	}
 	for i := range c.Services {
 		s.services[c.Services[i].Name] = &c.Services[i]
@@ -56,6 +58,7 @@
 	}
 	for _, t := range c.Targets {
 		s.byFleet[t.Fleet] = append(s.byFleet[t.Fleet], t)
+		s.fleetOf[t.Name] = t.Fleet
 	}
 	for i := range c.Teams {
 		for _, h := range c.Teams[i].KeyHashes {
@@ -77,6 +80,9 @@
 // Targets returns the declared targets of a fleet in the order of their names.
 func (s *Snapshot) Targets(fleet string) []Target { return s.byFleet[fleet] }
 
+// FleetOf returns the fleet of a declared target, empty for any other name.
+func (s *Snapshot) FleetOf(target string) string { return s.fleetOf[target] }
+
 // TeamByKey returns the team that a key belongs to. The look-up is by the key's
 // hash, so its timing tells nothing about the key; the comparison of the stored
 // hash is in constant time all the same.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -141,6 +141,7 @@
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
+		Log:         &platform.HTTPLog{Addr: f.platform},
 	})
 	if err != nil {
 		return fmt.Errorf("start agent: %w", err)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -33,22 +33,88 @@
 type Exchange struct {
 	Answer wire.Answer
 	Target string
-	stream *wire.Stream
-	ctx    context.Context
-	cancel context.CancelFunc
+	Models []string // model versions that produced the answer, in order
+
+	tries     *tries
+	stream    *wire.Stream
+	ctx       context.Context
+	cancel    context.CancelFunc
+	text      *textStream // nil: the answer is no stream of text
+	delivered int         // bytes handed to the caller
+	skip      int         // bytes of a replayed answer that the caller has already
+}
+
+// Do runs a call under one configuration version and returns when its answer
+// begins. The error is a *result.Error. Cancelling ctx frees the target.
+func (e *Entry) Do(ctx context.Context, snap *config.Snapshot, c *Call) (*Exchange, error) {
+	cancel := func() {}
+	if !e.opts.Off.Deadline {
+		ctx, cancel = context.WithDeadlineCause(ctx, c.Deadline, result.New(result.DeadlinePast, "deadline passed"))
+	}
+	policy := snap.Policy(snap.Service(c.Service))
+	e.out.request(c.Service, policy.RetryShare)
+	t := newTries(e, snap, c, policy)
+	a, err := t.next(ctx, c.Body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	x := &Exchange{tries: t, ctx: ctx, cancel: cancel}
+	x.adopt(a)
+	x.Answer = a.answer
+	x.text = newTextStream(c, &a.answer)
+	return x, nil
+}
+
+// adopt goes on with the stream of a try.
+func (x *Exchange) adopt(a *attempt) {
+	x.stream, x.Target = a.stream, a.target
+	if n := len(x.Models); n == 0 || x.Models[n-1] != a.answer.Model {
+		x.Models = append(x.Models, a.answer.Model)
+	}
 }
 
 // Recv returns the next bytes; io.EOF only after a whole answer.
 func (x *Exchange) Recv() ([]byte, error) {
 	for {
-		ev, err := x.stream.Recv(x.ctx)
-		if err != nil {
-			return nil, err
+		data, err := x.receive()
+		if err == nil && len(data) > 0 {
+			x.delivered += len(data)
+			return data, nil
 		}
-		if ev.Message == 0 {
-			return ev.Data, nil
+		if errors.Is(err, io.EOF) {
+			x.tries.succeeded(x.Target)
+			return nil, io.EOF
+		}
+		if err == nil {
+			continue
 		}
+		if rest, recovered := x.recover(err); !recovered {
+			return nil, err
+		} else if len(rest) > 0 {
+			return rest, nil
+		}
+	}
+}
+
+// receive returns bytes that the caller does not have yet, none if an event held
+// only others.
+func (x *Exchange) receive() ([]byte, error) {
+	ev, err := x.stream.Recv(x.ctx)
+	if err != nil && x.text != nil {
+		return x.text.end(err)
+	}
+	if err != nil || ev.Message != 0 {
+		return nil, err
 	}
+	data := ev.Data
+	n := min(x.skip, len(data))
+	x.skip -= n
+	data = data[n:]
+	if x.text != nil {
+		data = x.text.feed(data)
+	}
+	return data, nil
 }
 
 // Close frees the target if the answer has not ended.
@@ -57,59 +123,65 @@
 	x.cancel()
 }
 
-// maxTries bounds the tries of one request; the retry budget comes on top.
-const maxTries = 3
-
-// Do runs a call under one configuration version and returns when its answer
-// begins. The error is a *result.Error. Cancelling ctx frees the target.
-func (e *Entry) Do(ctx context.Context, snap *config.Snapshot, c *Call) (*Exchange, error) {
-	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, result.New(result.DeadlinePast, "deadline passed"))
-	avoid := make(map[string]bool)
-	var last error
-	for range maxTries {
-		target, err := e.choose(snap, c, avoid)
-		if err != nil {
-			if last == nil {
-				last = err
-			}
-			break
-		}
-		x, err := e.try(ctx, snap, c, target)
-		if err == nil {
-			x.cancel = cancel
-			return x, nil
-		}
-		last = err
-		if !mayRetry(ctx, c, err) {
-			break
-		}
-		avoid[target] = true
-		e.opts.Metrics.Retry(result.From(err).Code)
+// recover goes on with an answer whose target was lost. Where it can't, the
+// first error stands: part of the request has run.
+func (x *Exchange) recover(cause error) (rest []byte, ok bool) {
+	x.stream.Close()
+	t := x.tries
+	t.failed(x.Target, cause)
+	body, ok := x.remainder()
+	if !ok {
+		return nil, false
+	}
+	if body == nil {
+		return x.text.finish(), true
 	}
-	cancel()
-	return nil, result.From(last)
+	if !t.again(x.ctx, x.Target, cause) {
+		return nil, false
+	}
+	a, err := t.next(x.ctx, body)
+	if err != nil {
+		return nil, false
+	}
+	// The caller has the first status already.
+	if a.answer.Status != x.Answer.Status || (x.skip > 0 && !a.answer.Replay) {
+		a.stream.Close()
+		return nil, false
+	}
+	x.adopt(a)
+	if x.text != nil && x.delivered > 0 {
+		rest = x.text.continued(a)
+	}
+	return rest, true
 }
 
-// mayRetry: a request that certainly did not run may go elsewhere; one that may
-// have run only if its caller allows repeats.
-func mayRetry(ctx context.Context, c *Call, err error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	r := result.From(err)
-	if r.Run() == result.RunNot {
-		return r.Code.Info().RetryAfter > 0
+// remainder returns the body of the request for what the caller does not have
+// yet; nil if nothing but the end is missing.
+func (x *Exchange) remainder() (body []byte, ok bool) {
+	c := x.tries.call
+	switch {
+	case !c.Repeatable:
+		x.skip = x.delivered // the home replays its one run
+		return c.Body, true
+	case x.delivered == 0:
+		if x.text != nil {
+			x.text.reset()
+		}
+		return c.Body, true
+	case x.text != nil:
+		x.text.reset()
+		if x.tries.entry.opts.Off.Continue {
+			return c.Body, true
+		}
+		return x.text.remainder(c)
 	}
-	return c.Repeatable
+	return nil, false
 }
 
-// choose returns the target of the next try.
+// choose returns the target of the next try of a repeatable request.
 func (e *Entry) choose(snap *config.Snapshot, c *Call, avoid map[string]bool) (string, error) {
 	svc := snap.Service(c.Service)
 	declared := snap.Targets(svc.Fleet)
-	if !c.Repeatable {
-		return home(c, declared)
-	}
 	views := make([]route.Target, len(declared))
 	for i, t := range declared {
 		views[i] = route.Target{Name: t.Name, DataCentre: t.DataCentre}
@@ -117,7 +189,7 @@
 			l.view(&views[i])
 		}
 	}
-	req := &route.Request{DataCentre: e.opts.Settings.DataCentre, Avoid: avoid}
+	req := &route.Request{DataCentre: e.opts.Settings.DataCentre, Avoid: e.out.keepOut(declared, avoid)}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	i := e.placer.Pick(req, views, rng)
 	if i < 0 {
@@ -125,63 +197,3 @@
 	}
 	return views[i].Name, nil
 }
-
-func home(c *Call, declared []config.Target) (string, error) {
-	names := make([]string, len(declared))
-	for i, t := range declared {
-		names[i] = t.Name
-	}
-	i := route.Home(c.Team+"\x00"+c.Service+"\x00"+c.Key, names)
-	if i < 0 {
-		return "", result.New(result.NoTarget, "service %s has no targets", c.Service)
-	}
-	return names[i], nil
-}
-
-// try sends the call to one target and waits for the start of its answer.
-func (e *Entry) try(ctx context.Context, snap *config.Snapshot, c *Call, target string) (*Exchange, error) {
-	l := e.link(target)
-	if l == nil {
-		return nil, result.New(result.Unreachable, "no link to %s", target)
-	}
-	req := &wire.Request{
-		ID:            c.ID,
-		Team:          c.Team,
-		Service:       c.Service,
-		Method:        c.Method,
-		Path:          c.Path,
-		Headers:       c.Headers,
-		Body:          c.Body,
-		Key:           c.Key,
-		Repeatable:    c.Repeatable,
-		Priority:      c.Priority,
-		DeadlineMs:    time.Until(c.Deadline).Milliseconds(),
-		ConfigVersion: snap.Version,
-	}
-	s, err := l.open(req)
-	if err != nil {
-		return nil, err
-	}
-	x := &Exchange{Target: target, stream: s, ctx: ctx}
-	if err := x.awaitAnswer(); err != nil {
-		s.Close()
-		return nil, err
-	}
-	return x, nil
-}
-
-func (x *Exchange) awaitAnswer() error {
-	ev, err := x.stream.Recv(x.ctx)
-	switch {
-	case errors.Is(err, io.EOF):
-		return result.New(result.AnswerBroken, "%s ended the stream without an answer", x.Target)
-	case err != nil:
-		return err
-	case ev.Message != wire.MessageAnswer:
-		return result.New(result.WireMalformed, "%s sent no answer first", x.Target)
-	}
-	if _, err := x.Answer.UnmarshalMsg(ev.Data); err != nil {
-		return result.New(result.WireMalformed, "answer: %w", err)
-	}
-	return nil
-}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -34,6 +34,7 @@
 			}
 		}
 		e.install(fold.Current())
+		e.out.foldedTo.Store(next)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/route"
@@ -33,6 +34,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
+	// Off is for tests of the checkers.
+	Off safeguard.Off
 }
 
 // Entry is one running entry.
@@ -50,6 +53,7 @@
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
 	placer   *route.Placer
+	out      *outcomes
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -69,6 +73,7 @@
 		ctx:    ctx,
 		cancel: cancel,
 		placer: route.DefaultPlacer(),
+		out:    newOutcomes(&o),
 		links:  make(map[string]*link),
 	}
 	if !o.NoCallers {
@@ -79,6 +84,7 @@
 	}
 	e.duties.Go(e.tailLog)
 	e.duties.Go(e.watchVMs)
+	e.duties.Go(e.announce)
 	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
 	return e, nil
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -87,7 +87,12 @@
 	return conn
 }
 
+// adopt takes a new connection into use. The attestation goes first: the agent
+// must have it before any request of this entry.
 func (l *link) adopt(conn *wire.Conn) {
+	if s := l.entry.current.Load(); s != nil {
+		l.attest(conn, s)
+	}
 	l.mu.Lock()
 	l.conn = conn
 	l.dispatch = 0
@@ -121,7 +126,18 @@
 	l.mu.Unlock()
 	if conn != nil {
 		_ = conn.SendNote(wire.NoteConfig, notice(s)) // a lost link sends it again when it is back
+		l.attest(conn, s)
+	}
+}
+
+// attest tells the agent which requests that must not run twice went elsewhere.
+func (l *link) attest(conn *wire.Conn, s *config.Snapshot) {
+	fleet := s.FleetOf(l.target)
+	if fleet == "" {
+		return
 	}
+	p := place{target: l.target, incarnation: conn.Peer().Incarnation}
+	_ = conn.SendNote(wire.NoteAttest, l.entry.out.book.attest(s, p, fleet)) // sent again with the next link
 }
 
 // ServeStream implements wire.Handler; agents open no streams.
@@ -131,7 +147,12 @@
 
 // ServeNote implements wire.Handler.
 func (l *link) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
-	if n != wire.NoteLoad {
+	switch n {
+	case wire.NoteLoad:
+	case wire.NoteCrash:
+		l.entry.serveCrash(payload)
+		return
+	default:
 		return
 	}
 	var load wire.Load
@@ -159,8 +180,9 @@
 	t.Unreported = int(l.dispatch - min(l.load.CountedTo, l.dispatch))
 }
 
-// open sends a request to the agent.
-func (l *link) open(req *wire.Request) (*wire.Stream, error) {
+// open sends a request to the agent. before is called with the agent's
+// incarnation before any byte is handed to the connection; its error stops the try.
+func (l *link) open(req *wire.Request, before func(incarnation uint64) error) (*wire.Stream, error) {
 	l.mu.Lock()
 	conn := l.conn
 	if conn == nil {
@@ -171,6 +193,9 @@
 	req.Dispatch = l.dispatch
 	l.mu.Unlock()
 	req.AgentInc = conn.Peer().Incarnation
+	if err := before(req.AgentInc); err != nil {
+		return nil, err
+	}
 	s, err := conn.Open(wire.MethodRequest, req)
 	if err != nil {
 		return nil, result.New(result.Unreachable, "open stream to %s: %w", l.target, err)
--- /dev/null
+++ b/entry/outcomes.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// outcomes is what an entry remembers of how requests ended.
+type outcomes struct {
+	book      *book
+	presentAt atomic.Uint64 // log offset after the first presence record
+	foldedTo  atomic.Uint64 // log offset up to which versions are known here
+
+	mu         sync.Mutex
+	budgets    map[string]*route.RetryBudget // by service
+	ejector    *route.Ejector
+	quarantine *route.Quarantine
+}
+
+func newOutcomes(o *Options) *outcomes {
+	return &outcomes{
+		book:       newBook(o.Off.Book),
+		budgets:    make(map[string]*route.RetryBudget),
+		ejector:    route.NewEjector(),
+		quarantine: route.NewQuarantine(),
+	}
+}
+
+func (o *outcomes) budget(service string) *route.RetryBudget {
+	b := o.budgets[service]
+	if b == nil {
+		b = new(route.RetryBudget)
+		o.budgets[service] = b
+	}
+	return b
+}
+
+// request books a caller's request in the service's retry budget.
+func (o *outcomes) request(service string, share float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.budget(service).Request(share)
+}
+
+func (o *outcomes) takeRetry(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.budget(service).Take()
+}
+
+// ended books the end of a try in the target's health.
+func (o *outcomes) ended(target string, err error) {
+	fault := err != nil && route.TargetFault(result.From(err).Code)
+	if err != nil && !fault {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ejector.Report(target, !fault, time.Now())
+}
+
+// keepOut adds the ejected targets to those that one request avoids.
+func (o *outcomes) keepOut(declared []config.Target, avoid map[string]bool) map[string]bool {
+	o.mu.Lock()
+	skip := o.ejector.Skip(targetNames(declared), time.Now(), rand.Float64)
+	o.mu.Unlock()
+	for name := range avoid {
+		skip[name] = true
+	}
+	return skip
+}
+
+func (o *outcomes) judge(fingerprint uint64) (route.Verdict, time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	verdict, until := o.quarantine.Judge(fingerprint, now)
+	return verdict, until.Sub(now)
+}
+
+func (o *outcomes) clear(fingerprint uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.quarantine.Clear(fingerprint)
+}
+
+// serveCrash takes an agent's report of a crashed engine.
+func (e *Entry) serveCrash(payload []byte) {
+	var c wire.Crash
+	if _, err := c.UnmarshalMsg(payload); err != nil {
+		e.log.Error(err, "bad crash report")
+		return
+	}
+	e.out.mu.Lock()
+	now := time.Now()
+	refused := e.out.quarantine.Crash(c.ID, c.Alone, c.Suspects, now)
+	e.out.ejector.Eject(c.Target, now)
+	e.out.mu.Unlock()
+	e.opts.Metrics.Count("quarantine_suspects_total", int64(len(c.Suspects)))
+	e.opts.Metrics.Count("quarantine_refused_total", int64(refused))
+	e.log.Info("target crashed", "target", c.Target, "suspects", len(c.Suspects), "refused", refused)
+}
--- /dev/null
+++ b/internal/safeguard/safeguard.go
@@ -0,0 +1,15 @@
+// Package safeguard names the safeguards that a test can switch off, to see that
+// its checker notices. Nothing outside this module can reach it.
+package safeguard
+
+// Off lists safeguards that are switched off. The zero value is the product.
+type Off struct {
+	Ledger      bool // agent: remember keys
+	Witness     bool // agent: ask who may have run an unknown key
+	Incarnation bool // agent: refuse what was sent to an earlier process
+	Book        bool // entry: book dispatches and attest them
+	Proof       bool // entry: retry only what provably did not run
+	Home        bool // entry: one home for each key
+	Deadline    bool // entry: end a request at its deadline
+	Continue    bool // entry: continue a text where it was cut
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -35,6 +35,9 @@
 	DedupFull      Code = 212
 	RetryExhausted Code = 213
 	SuspectHeld    Code = 214
+
+	EntryUnregistered Code = 220
+	TargetIsolated    Code = 221
 )
 
 // 3xx: honest doubt; the request may have run.
@@ -87,6 +90,8 @@
 	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
 	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
+	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
--- a/route/home.go
+++ b/route/home.go
@@ -2,6 +2,24 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// HomeKey joins what names a request that must not run twice.
+func HomeKey(team, service, key string) string {
+	return team + "\x00" + service + "\x00" + key
+}
+
+// KeyHash is the short name of a HomeKey between processes. Two keys with one
+// hash make a false doubt, never a second run.
+func KeyHash(homeKey string) uint64 { return xxhash.Sum64String(homeKey) }
+
+// Fingerprint names a caller's request over repeats, which have new ids.
+func Fingerprint(team, service string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(team + "\x00" + service + "\x00") // a Digest never fails
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
 // Home returns the index of the one target that runs a non-repeatable request:
 // the highest hash of key and name. It depends on the declared targets alone,
 // not on who seems alive, so two entries can't choose different ones.
--- /dev/null
+++ b/route/quarantine.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Verdict is what the quarantine says about a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	VerdictFree   Verdict = iota
+	VerdictAlone          // suspected: runs alone or not at all
+	VerdictRefuse         // crashed a target alone
+)
+
+// Quarantine remembers requests that ran on targets which crashed. It is not
+// safe for concurrent use.
+//
+// Failure: one request crashes each target that runs it and its caller sends it
+// again. Symptom: targets of a service die one after the other. All that ran on
+// a crashed target are suspects; each runs once more, alone, so a second crash
+// has one culprit and whoever ended well is cleared.
+type Quarantine struct {
+	suspects map[uint64]*suspect
+	crashes  []crashSeen
+}
+
+type suspect struct {
+	refused bool
+	until   time.Time
+}
+
+type crashSeen struct {
+	id       uint64
+	at       time.Time
+	suspects []uint64
+}
+
+// Bounds of the quarantine.
+const (
+	suspectFor   = time.Minute
+	refuseFor    = 5 * time.Minute
+	wideWindow   = 30 * time.Second
+	wideCrashes  = 3 // that a suspect had no part in
+	suspectLimit = 4096
+)
+
+// NewQuarantine returns a quarantine that suspects nobody.
+func NewQuarantine() *Quarantine { return &Quarantine{suspects: make(map[uint64]*suspect)} }
+
+// Crash books the crash of a target. alone: the only suspect was running alone
+// on purpose. Doubled reports of one crash count once. It returns how many
+// requests are refused from now on.
+func (q *Quarantine) Crash(id uint64, alone bool, suspects []uint64, now time.Time) int {
+	q.expire(now)
+	if slices.ContainsFunc(q.crashes, func(c crashSeen) bool { return c.id == id }) {
+		return 0
+	}
+	q.crashes = append(q.crashes, crashSeen{id: id, at: now, suspects: suspects})
+	refused := 0
+	for _, f := range suspects {
+		s := q.suspects[f]
+		switch {
+		case s == nil && len(q.suspects) < suspectLimit:
+			q.suspects[f] = &suspect{until: now.Add(suspectFor)}
+		case s == nil || s.refused:
+		case alone && !q.wide(f):
+			s.refused, s.until = true, now.Add(refuseFor)
+			refused++
+		default:
+			s.until = now.Add(suspectFor)
+		}
+	}
+	return refused
+}
+
+// wide tells whether targets crash all over the fleet without the suspect. Then
+// its second crash proves nothing, and refusing would add to the damage.
+func (q *Quarantine) wide(f uint64) bool {
+	others := 0
+	for _, c := range q.crashes {
+		if !slices.Contains(c.suspects, f) {
+			others++
+		}
+	}
+	return others >= wideCrashes
+}
+
+func (q *Quarantine) expire(now time.Time) {
+	q.crashes = slices.DeleteFunc(q.crashes, func(c crashSeen) bool { return now.Sub(c.at) > wideWindow })
+	for f, s := range q.suspects {
+		if now.After(s.until) {
+			delete(q.suspects, f)
+		}
+	}
+}
+
+// Judge returns the verdict on a request, and until when it stands.
+func (q *Quarantine) Judge(f uint64, now time.Time) (Verdict, time.Time) {
+	s := q.suspects[f]
+	switch {
+	case s == nil || now.After(s.until):
+		return VerdictFree, time.Time{}
+	case s.refused:
+		return VerdictRefuse, s.until
+	}
+	return VerdictAlone, s.until
+}
+
+// Clear takes the suspicion from a request that ended well.
+func (q *Quarantine) Clear(f uint64) {
+	if s := q.suspects[f]; s != nil && !s.refused {
+		delete(q.suspects, f)
+	}
+}
--- /dev/null
+++ b/route/retry.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/heatherrail/heatherrail/result"
+)
+
+// RetryBudget allows retries as a share of requests, so that a service that
+// fails as a whole gets little more load than its callers send. The zero value
+// is empty.
+type RetryBudget struct {
+	tokens float64
+}
+
+// retryBurst bounds the retries saved up in quiet times: enough for what was in
+// flight on one target that dies, too few to be felt in a full outage.
+const retryBurst = 20
+
+// Request books one request of a caller.
+func (b *RetryBudget) Request(share float64) {
+	b.tokens = min(b.tokens+share, retryBurst)
+}
+
+// Take books one retry; false if the budget is spent.
+func (b *RetryBudget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff bounds of retries.
+const (
+	backoffBase = 10 * time.Millisecond
+	backoffMax  = time.Second
+)
+
+// Backoff returns how long to wait before retry n (from zero): anything up to a
+// bound that doubles, so that entries which failed together don't return
+// together.
+func Backoff(n int, rng *rand.Rand) time.Duration {
+	bound := min(backoffBase<<min(n, 16), backoffMax)
+	return time.Duration(rng.Int64N(int64(bound)))
+}
+
+// RetryRule says what a failed try allows.
+type RetryRule uint8
+
+// Rules for a failed try.
+const (
+	RetryNever    RetryRule = iota
+	RetryBudgeted           // a retry costs budget and waits
+	RetryFree               // the try cost its target nothing; go elsewhere at once
+)
+
+// Retryable decides about a failed try. A request that may not be repeated is
+// sent again only with proof that the try did not run, or, to the same home,
+// after a lost connection: the home knows the key, so the repeat joins the first
+// run and can't become a second one.
+func Retryable(code result.Code, repeatable bool) RetryRule {
+	switch code {
+	case result.TargetLeaving, result.StaleAgent, result.TargetIsolated:
+		return RetryFree
+	case result.NoTarget, result.Unreachable, result.TargetBusy, result.StaleVersion:
+		return RetryBudgeted
+	case result.WireClosed, result.TargetLost:
+		return RetryBudgeted
+	case result.EngineLost, result.AnswerBroken, result.WireSequence, result.WireDigest, result.SuspectHeld:
+		if repeatable {
+			return RetryBudgeted
+		}
+	}
+	return RetryNever
+}
+
+// TargetFault tells whether a result speaks against the health of the target
+// that gave it. Slowness does not: a slow target is not dead.
+func TargetFault(code result.Code) bool {
+	switch code {
+	case result.EngineLost, result.TargetLost, result.WireClosed, result.Unreachable, result.AnswerBroken,
+		result.WireSequence, result.WireDigest:
+		return true
+	}
+	return false
+}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -53,6 +53,9 @@
 	AgentInc      uint64   `msg:"ai"` // incarnation that the entry believes it speaks to
 	Dispatch      uint64   `msg:"di"` // this entry's running number of dispatches to the target
 	Suspect       bool     `msg:"su"` // must run alone
+	Fingerprint   uint64   `msg:"fp"` // names the caller's request over its tries and continuations
+	DedupMs       int64    `msg:"dw"` // not repeatable: milliseconds for which the key is remembered
+	DedupKeys     int      `msg:"dk"` // not repeatable: how many keys a target remembers at most
 }
 
 // Answer is the first message of a running request's stream.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -658,9 +658,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 18
 	// string "id"
-	o = append(o, 0x8f, 0xa2, 0x69, 0x64)
+	o = append(o, 0xde, 0x0, 0x12, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "tm"
 	o = append(o, 0xa2, 0x74, 0x6d)
@@ -710,6 +710,15 @@
 	// string "su"
 	o = append(o, 0xa2, 0x73, 0x75)
 	o = msgp.AppendBool(o, z.Suspect)
+	// string "fp"
+	o = append(o, 0xa2, 0x66, 0x70)
+	o = msgp.AppendUint64(o, z.Fingerprint)
+	// string "dw"
+	o = append(o, 0xa2, 0x64, 0x77)
+	o = msgp.AppendInt64(o, z.DedupMs)
+	// string "dk"
+	o = append(o, 0xa2, 0x64, 0x6b)
+	o = msgp.AppendInt(o, z.DedupKeys)
 	return
 }
 
@@ -873,6 +882,24 @@
 				err = msgp.WrapError(err, "Suspect")
 				return
 			}
+		case "fp":
+			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		case "dw":
+			z.DedupMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DedupMs")
+				return
+			}
+		case "dk":
+			z.DedupKeys, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DedupKeys")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -887,10 +914,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 3 + msgp.StringPrefixSize + len(z.Team) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.Method) + 3 + msgp.StringPrefixSize + len(z.Path) + 3 + msgp.ArrayHeaderSize
+	s = 3 + 3 + msgp.StringPrefixSize + len(z.ID) + 3 + msgp.StringPrefixSize + len(z.Team) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.Method) + 3 + msgp.StringPrefixSize + len(z.Path) + 3 + msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.IntSize
 	return
 }
