Outcomes: recorded runs under faults, and three faults that they found

Done: no result unwraps to io.EOF; the last doubt outlives a later 'not run'; agents announce themselves on the log and entries go to no overtaken agent; a leaving entry leaves its book on the log.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,12 +88,13 @@
 		peers:  make(map[*wire.Conn]*peerState),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
-	a.witness = newWitness(o.Settings.Target, o.Log)
+	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
 	a.crashes = newCrashWatch(a)
 	a.ledger.forgetful = o.Off.Ledger
 	a.witness.trusting = o.Off.Witness
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
+	a.duties.Go(a.announce)
 	a.log.Info("started", "listen", a.Addr(), "incarnation", o.Incarnation)
 	return a, nil
 }
--- a/agent/vouch.go
+++ b/agent/vouch.go
@@ -60,24 +60,25 @@
 	if at, ok := w.doubts[route.KeyHash(k.home())]; ok && now.Sub(at) <= window {
 		return nil, result.New(result.KeyInDoubt, "it was sent to an earlier home or incarnation")
 	}
-	since, ours := w.ours(k.home())
+	since, from, ours := w.ours(k.home())
 	if !ours {
 		return nil, result.New(result.StaleVersion, "the key's home has moved")
 	}
-	if !since.IsZero() && now.Sub(since) > window {
+	if from > 0 && now.Sub(since) > window {
 		return nil, nil
 	}
-	return w.unsettled(req, now, window)
+	return w.unsettled(max(from, 1), now, window)
 }
 
-// unsettled checks that every entry of the window has attested; mu is held.
-func (w *witness) unsettled(req *wire.Request, now time.Time, window time.Duration) (missing []uint64, err error) {
-	if w.log != nil && (!w.read || w.rosterAt < req.ConfigVersion) {
+// unsettled checks that every entry of the window has attested under version from
+// or a later one, since which the key has been at home here; mu is held.
+func (w *witness) unsettled(from uint64, now time.Time, window time.Duration) (missing []uint64, err error) {
+	if w.log != nil && (!w.read || w.rosterAt < from) {
 		return []uint64{unread}, result.New(result.KeyInDoubt, "the entries that may have sent it are not known yet")
 	}
 	silent := 0
 	for entry, at := range w.roster {
-		if now.Sub(at) > window+presenceSlack || w.attested[entry] >= req.ConfigVersion {
+		if now.Sub(at) > window+presenceSlack || w.attested[entry] >= from {
 			continue
 		}
 		silent++
@@ -104,28 +105,38 @@
 }
 
 // ours tells whether the agent is the key's home under the newest version, and
-// since when without a gap; mu is held.
-func (w *witness) ours(homeKey string) (since time.Time, ours bool) {
+// since when and from which version on without a gap; mu is held.
+func (w *witness) ours(homeKey string) (since time.Time, from uint64, ours bool) {
+	if len(w.homes) == 0 {
+		return since, 0, true // no entry has attested yet, so nothing will run
+	}
 	for i := len(w.homes) - 1; i >= 0; i-- {
 		names := w.homes[i].names
 		at := route.Home(homeKey, names)
 		if at < 0 || names[at] != w.target {
-			return since, i < len(w.homes)-1
+			break
 		}
-		since = w.homes[i].since
+		since, from, ours = w.homes[i].since, w.homes[i].from, true
 	}
-	return since, true
+	return since, from, ours
 }
 
 // readRoster reads the presence records that the log got since the last reading.
 func (w *witness) readRoster(ctx context.Context, version uint64) error {
-	w.logMu.Lock()
-	defer w.logMu.Unlock()
+	select {
+	case w.reading <- struct{}{}:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	defer func() { <-w.reading }()
 	if w.log == nil || w.upToDate(version) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, rosterLimit)
 	defer cancel()
+	if err := w.announce(ctx); err != nil {
+		return err
+	}
 	for {
 		page, err := w.log.Read(ctx, w.next, rosterPage, rosterWait)
 		if errors.Is(err, platform.ErrTrimmed) && page.First > w.next {
@@ -161,6 +172,73 @@
 		if err != nil || p == nil {
 			continue // what it means is the fold's matter
 		}
-		w.roster[p.Incarnation] = time.UnixMilli(p.AtMs)
+		if p.Role == config.PresenceEntry {
+			w.enterEntry(p)
+		}
+	}
+}
+
+// enterEntry takes an entry's presence; one that is gone has left its book. mu is
+// held.
+func (w *witness) enterEntry(p *config.Presence) {
+	for _, d := range p.Dispatched {
+		if d.Target != w.target || d.Incarnation != w.inc {
+			w.doubts[d.Key] = p.At()
+		}
+	}
+	if p.Gone {
+		delete(w.roster, p.Incarnation)
+		return
+	}
+	w.roster[p.Incarnation] = p.At()
+}
+
+// announce puts this agent on the log, once; the reader's token is held.
+func (w *witness) announce(ctx context.Context) error {
+	if w.present {
+		return nil
+	}
+	if err := w.appendPresence(ctx); err != nil {
+		return err
+	}
+	w.present = true
+	return nil
+}
+
+func (w *witness) appendPresence(ctx context.Context) error {
+	p := config.Presence{Role: config.PresenceAgent, Name: w.target, Incarnation: w.inc, AtMs: w.now().UnixMilli()}
+	raw, err := p.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = w.log.Append(ctx, [][]byte{raw})
+	return err
+}
+
+// presenceEvery keeps the agent's presence inside the log's retention.
+const presenceEvery = 10 * time.Minute
+
+// announce keeps this agent on the log. The first record is written when a key
+// needs it, or here; an outage of the log delays only keys that are not settled.
+func (a *Agent) announce() {
+	w := a.witness
+	if w.log == nil {
+		return
+	}
+	// An unread roster costs its first request the time of reading.
+	_ = w.readRoster(a.ctx, 0)
+	ticker := time.NewTicker(presenceEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			ctx, cancel := context.WithTimeout(a.ctx, rosterLimit)
+			if err := w.appendPresence(ctx); err != nil {
+				a.opts.Metrics.Count("presence_errors_total", 1)
+			}
+			cancel()
+		case <-a.ctx.Done():
+			return
+		}
 	}
 }
--- a/agent/witness.go
+++ b/agent/witness.go
@@ -25,11 +25,13 @@
 // Failure: the agent restarts, or the key's home moves here with a new
 // configuration, and the caller repeats a request that ran before. Symptom: an
 // oven starts twice. Enough, because each dispatch is booked by its entry before
-// it is sent, all entries that could dispatch are on the log, and the key runs
-// only after each of them has said that it sent it nowhere else and will not
-// do so under an older version.
+// it is sent; this agent is on the log before it reads there which entries exist,
+// so an entry that it does not find will find it and go to no older agent; and
+// the key runs only after each entry found has said that it sent it nowhere else
+// and will not do so under an older version.
 type witness struct {
 	target string
+	inc    uint64
 	log    platform.Log // nil: the roster is the linked entries
 	now    func() time.Time
 
@@ -40,12 +42,13 @@
 	homes    []homeList           // contiguous versions, oldest first
 	trusting bool                 // a test's switch: run unknown keys at once
 
-	roster   map[uint64]time.Time // entry incarnation -> last presence
+	roster   map[uint64]time.Time // entry incarnation -> last presence, without those gone
 	rosterAt uint64               // version known when the roster was read
 	read     bool                 // the roster was read at all
+	present  bool                 // this agent is on the log
 
-	logMu sync.Mutex // held while the log is read
-	next  uint64     // log offset to read from
+	reading chan struct{} // holds a token while the log is read
+	next    uint64        // log offset to read from
 }
 
 // homeList is the fleet's declared targets over a run of versions.
@@ -55,12 +58,14 @@
 	since    time.Time
 }
 
-func newWitness(target string, log platform.Log) *witness {
+func newWitness(target string, incarnation uint64, log platform.Log) *witness {
 	return &witness{
 		target:   target,
+		inc:      incarnation,
 		log:      log,
 		now:      time.Now,
 		attested: make(map[uint64]uint64),
+		reading:  make(chan struct{}, 1),
 		absent:   make(map[uint64]bool),
 		doubts:   make(map[uint64]time.Time),
 		roster:   make(map[uint64]time.Time),
--- a/config/presence.go
+++ b/config/presence.go
@@ -10,17 +10,35 @@
 // RecordPresence holds a Presence. It changes no configuration.
 const RecordPresence = "presence"
 
-// Presence says that an entry exists and may dispatch requests that must not run
-// twice. Agents read it to know whom to ask about keys that they don't know.
+// Presence says that a process exists which takes part in requests that must not
+// run twice. Agents read it to know which entries to ask about a key; entries, to
+// know that a target has a newer agent than the one they reach.
 type Presence struct {
-	Entry       string `msg:"e"`
-	Incarnation uint64 `msg:"i"`
-	AtMs        int64  `msg:"a"` // Unix milliseconds by the entry's clock
+	Role        string       `msg:"r"` // PresenceEntry or PresenceAgent
+	Name        string       `msg:"n"` // of the entry or the target
+	Incarnation uint64       `msg:"i"`
+	AtMs        int64        `msg:"a"` // Unix milliseconds by the process's clock
+	Gone        bool         `msg:"g"` // an entry that dispatches nothing more
+	Dispatched  []Dispatched `msg:"d"` // with Gone: what it dispatched within the window
 }
 
-// NewPresence encodes a presence record for the log.
-func NewPresence(entry string, incarnation uint64, at time.Time) ([]byte, error) {
-	p := Presence{Entry: entry, Incarnation: incarnation, AtMs: at.UnixMilli()}
+// Dispatched is one key that an entry sent to an agent.
+//
+//msgp:tuple Dispatched
+type Dispatched struct {
+	Key         uint64 // route.KeyHash
+	Target      string
+	Incarnation uint64 // of the agent
+}
+
+// Roles in Presence.
+const (
+	PresenceEntry = "entry"
+	PresenceAgent = "agent"
+)
+
+// Encode returns the log record of a presence.
+func (p *Presence) Encode() ([]byte, error) {
 	body, err := p.MarshalMsg(nil)
 	if err != nil {
 		return nil, fmt.Errorf("encode presence: %w", err)
@@ -33,6 +51,9 @@
 	return raw, nil
 }
 
+// At returns when the presence was written, by its writer's clock.
+func (p *Presence) At() time.Time { return time.UnixMilli(p.AtMs) }
+
 // ReadPresence returns the presence that a log record holds, nil if it holds
 // something else.
 func ReadPresence(raw []byte) (*Presence, error) {
--- a/config/presence_gen.go
+++ b/config/presence_gen.go
@@ -7,18 +7,82 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z Presence) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Dispatched) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendString(o, z.Entry)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Dispatched) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Dispatched) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Target) + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "r"
+	o = append(o, 0x86, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Role)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.AtMs)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Gone)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Dispatched)))
+	for za0001 := range z.Dispatched {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Dispatched[za0001].Key)
+		o = msgp.AppendString(o, z.Dispatched[za0001].Target)
+		o = msgp.AppendUint64(o, z.Dispatched[za0001].Incarnation)
+	}
 	return
 }
 
@@ -40,10 +104,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "e":
-			z.Entry, bts, err = msgp.ReadStringBytes(bts)
+		case "r":
+			z.Role, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Role")
+				return
+			}
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Entry")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
 		case "i":
@@ -58,6 +128,51 @@
 				err = msgp.WrapError(err, "AtMs")
 				return
 			}
+		case "g":
+			z.Gone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Dispatched")
+				return
+			}
+			if cap(z.Dispatched) >= int(zb0002) {
+				z.Dispatched = (z.Dispatched)[:zb0002]
+			} else {
+				z.Dispatched = make([]Dispatched, zb0002)
+			}
+			for za0001 := range z.Dispatched {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Dispatched", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Dispatched[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Dispatched", za0001, "Key")
+					return
+				}
+				z.Dispatched[za0001].Target, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Dispatched", za0001, "Target")
+					return
+				}
+				z.Dispatched[za0001].Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Dispatched", za0001, "Incarnation")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -71,7 +186,10 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Presence) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Entry) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+func (z *Presence) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Dispatched {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Dispatched[za0001].Target) + msgp.Uint64Size
+	}
 	return
 }
--- a/entry/book.go
+++ b/entry/book.go
@@ -31,6 +31,7 @@
 	version   uint64 // nothing is dispatched under an older one
 	keys      map[string]*booking
 	nextSweep time.Time
+	closed    bool
 	off       bool
 }
 
@@ -53,6 +54,9 @@
 	if b.off {
 		return nil
 	}
+	if b.closed {
+		return result.New(result.EntryLeaving, "the entry dispatches nothing more")
+	}
 	if version < b.version {
 		return result.New(result.StaleVersion, "version %d was overtaken by %d", version, b.version)
 	}
@@ -88,6 +92,21 @@
 	}
 }
 
+// close ends dispatching and returns all that was booked.
+func (b *book) close() []config.Dispatched {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.sweep(time.Now())
+	var all []config.Dispatched
+	for homeKey, k := range b.keys {
+		for p := range k.places {
+			all = append(all, config.Dispatched{Key: route.KeyHash(homeKey), Target: p.target, Incarnation: p.incarnation})
+		}
+	}
+	return all
+}
+
 // has tells whether some try of the key may have run.
 func (b *book) has(homeKey string) bool {
 	b.mu.Lock()
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -77,13 +77,28 @@
 	for _, t := range snap.Config.Targets {
 		declared[t.Name] = true
 	}
-	for _, vm := range *vms {
-		if vm.Role == platform.RoleTarget && declared[vm.Name] {
+	for _, vm := range targetVMs(*vms) {
+		if declared[vm.Name] {
 			e.ensureLink(vm)
 		}
 	}
 }
 
+// targetVMs returns one VM for each target: while a VM is replaced the list may
+// show the leaving one beside its successor.
+func targetVMs(vms []platform.VM) map[string]platform.VM {
+	chosen := make(map[string]platform.VM)
+	for _, vm := range vms {
+		if vm.Role != platform.RoleTarget {
+			continue
+		}
+		if other, ok := chosen[vm.Name]; !ok || other.State != platform.StateLive || vm.State == platform.StateLive {
+			chosen[vm.Name] = vm
+		}
+	}
+	return chosen
+}
+
 func (e *Entry) ensureLink(vm platform.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,6 +142,7 @@
 			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
 		}
 	}
+	e.farewell()
 	e.Close()
 	return err
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -83,6 +83,11 @@
 		conn.Close()
 		return nil
 	}
+	if !l.entry.out.supersede(l.target, conn.Peer().Incarnation, time.Now()) {
+		l.entry.log.Info("an overtaken agent answers", "target", l.target, "incarnation", conn.Peer().Incarnation)
+		conn.Close()
+		return nil
+	}
 	l.adopt(conn)
 	return conn
 }
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -19,6 +19,7 @@
 	foldedTo  atomic.Uint64 // log offset up to which versions are known here
 
 	mu         sync.Mutex
+	agents     map[string]agentSeen          // newest agent known of each target
 	budgets    map[string]*route.RetryBudget // by service
 	ejector    *route.Ejector
 	quarantine *route.Quarantine
@@ -27,12 +28,36 @@
 func newOutcomes(o *Options) *outcomes {
 	return &outcomes{
 		book:       newBook(o.Off.Book),
+		agents:     make(map[string]agentSeen),
 		budgets:    make(map[string]*route.RetryBudget),
 		ejector:    route.NewEjector(),
 		quarantine: route.NewQuarantine(),
 	}
 }
 
+// agentSeen is the newest agent of a target that the entry knows of.
+type agentSeen struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// agentMemory is how long an older agent of a target is refused. It exceeds every
+// dedup window's remainder that such an agent could still serve.
+const agentMemory = 24 * time.Hour
+
+// supersede books an agent of a target. It returns false if a newer one is known:
+// the older one must get nothing more.
+func (o *outcomes) supersede(target string, incarnation uint64, at time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := o.agents[target]
+	if incarnation < seen.incarnation && time.Since(seen.at) < agentMemory {
+		return false
+	}
+	o.agents[target] = agentSeen{incarnation: incarnation, at: at}
+	return true
+}
+
 func (o *outcomes) budget(service string) *route.RetryBudget {
 	b := o.budgets[service]
 	if b == nil {
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -27,7 +27,8 @@
 	homeKey     string
 	avoid       map[string]bool
 	failures    int
-	denied      bool // by the retry budget
+	denied      bool  // by the retry budget
+	doubt       error // of the last try that may have run
 }
 
 // attempt is a try whose answer has begun.
@@ -204,6 +205,9 @@
 // failed books a failed try in what the entry remembers.
 func (t *tries) failed(target string, err error) {
 	t.failures++
+	if result.From(err).Run() == result.RunMaybe {
+		t.doubt = err
+	}
 	if target != "" {
 		t.entry.out.ended(target, err)
 	}
@@ -246,13 +250,16 @@
 	}
 }
 
-// final turns the last failure into the caller's result. "Not run" is said of a
-// key only if no try of it through this entry may have run.
+// final turns the last failure into the caller's result. "Not run" is said only
+// if no try of the request may have run, nor any of its key through this entry.
 func (t *tries) final(err error) error {
 	r := result.From(err)
 	if r.Run() != result.RunNot {
 		return r
 	}
+	if t.doubt != nil {
+		return result.From(t.doubt)
+	}
 	if !t.call.Repeatable && r.Code != result.KeyReused && t.entry.out.book.has(t.homeKey) {
 		return result.New(result.KeyInDoubt, "an earlier try may have run; the last one did not: %w", r)
 	}
--- /dev/null
+++ b/outcomes/history.go
@@ -0,0 +1,123 @@
+// Package outcomes runs a whole small system in one process under faults, records
+// what callers were told and what targets really ran, and checks one against the
+// other. Tests run it in virtual time, the bench in real time.
+package outcomes
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
+)
+
+// Invocation is one request of a caller and what it was told.
+type Invocation struct {
+	ID         string // new for each try of the caller
+	Key        string // empty: repeatable
+	Service    string
+	Entry      string
+	Began      time.Time
+	Ended      time.Time // zero: it never ended
+	Deadline   time.Time
+	Code       result.Code // OK: a whole answer
+	Answer     string      // what the caller read
+	Want       string      // the whole answer, where it can be told in advance
+	Streamed   bool
+	FirstByte  time.Time
+	Continued  int
+	CrashBody  bool
+	CallerTry  int
+	EntryStops bool // the entry was killed while it ran
+}
+
+// Execution is one request that reached a target.
+type Execution struct {
+	ID     string // of the invocation
+	Key    string
+	Target string
+	Body   string
+	Output string // what the target produced, as far as it was read
+	At     time.Time
+}
+
+// History is a recorded run.
+type History struct {
+	mu          sync.Mutex
+	Invocations []*Invocation
+	Executions  []*Execution
+}
+
+func (h *History) begin(i *Invocation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Invocations = append(h.Invocations, i)
+}
+
+func (h *History) ran(e *Execution) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Executions = append(h.Executions, e)
+}
+
+// executionsOf counts what ran under an invocation's id.
+func (h *History) executionsOf() map[string]int {
+	n := make(map[string]int)
+	for _, e := range h.Executions {
+		n[e.ID]++
+	}
+	return n
+}
+
+// recordingBackend records what its target runs. A request whose body holds
+// CrashMark kills the target soon after it began.
+type recordingBackend struct {
+	platform.Backend
+	target  string
+	history *History
+	onCrash func()
+}
+
+// CrashMark is in the body of a request that crashes its target.
+const CrashMark = "crash-me"
+
+// Run implements platform.Backend.
+func (b *recordingBackend) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+	reply, err := b.Backend.Run(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	e := &Execution{Target: b.target, Body: string(call.Body), At: time.Now()}
+	for _, h := range call.Headers {
+		switch h[0] {
+		case "Heatherrail-Request-Id":
+			e.ID = h[1]
+		case "Idempotency-Key":
+			e.Key = h[1]
+		}
+	}
+	b.history.ran(e)
+	if strings.Contains(e.Body, CrashMark) && b.onCrash != nil {
+		b.onCrash()
+	}
+	reply.Body = &recordingBody{ReadCloser: reply.Body, history: b.history, execution: e}
+	return reply, nil
+}
+
+type recordingBody struct {
+	io.ReadCloser
+	history   *History
+	execution *Execution
+}
+
+// Read implements io.Reader.
+func (b *recordingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.history.mu.Lock()
+	b.execution.Output += string(p[:n])
+	b.history.mu.Unlock()
+	return n, err
+}
--- /dev/null
+++ b/outcomes/run.go
@@ -0,0 +1,68 @@
+package outcomes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heatherrail/heatherrail/internal/safeguard"
+)
+
+// Plan is one run: what fails, and how callers load the system.
+type Plan struct {
+	Seed    uint64
+	Faults  []Fault // at the same time
+	Callers int
+	For     time.Duration
+	Off     safeguard.Off
+	Logger  logr.Logger
+}
+
+// PlanOf returns the plan of a seed: a single fault or a pair.
+func PlanOf(seed uint64) Plan {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	p := Plan{Seed: seed, Callers: 5, For: 6 * time.Second, Logger: logr.Discard()}
+	p.Faults = append(p.Faults, Faults[seed%uint64(len(Faults))])
+	if rng.IntN(3) > 0 {
+		p.Faults = append(p.Faults, Faults[rng.IntN(len(Faults))])
+	}
+	return p
+}
+
+// settleTime is how long a run goes on after its faults.
+const settleTime = callerDeadline + time.Second
+
+// Run carries a plan out and returns the recorded history.
+func Run(p Plan) (*World, error) {
+	w, err := NewWorld(Options{Engines: 3, Plains: 3, Entries: 3, Latency: time.Millisecond / 2, Off: p.Off, Logger: p.Logger})
+	if err != nil {
+		return nil, err
+	}
+	var callers, faults sync.WaitGroup
+	until := time.Now().Add(p.For)
+	for n := range p.Callers {
+		c := &caller{world: w, team: fmt.Sprintf("team-%d", n), rng: rand.New(rand.NewPCG(p.Seed, uint64(n)))}
+		callers.Go(func() { c.run(until) })
+	}
+	for n, f := range p.Faults {
+		rng := rand.New(rand.NewPCG(p.Seed, uint64(1000+n)))
+		if f == FaultCrashRequest {
+			c := &caller{world: w, team: "crasher", rng: rng, crash: true}
+			callers.Go(func() { c.run(until) })
+			continue
+		}
+		faults.Go(func() {
+			for time.Now().Before(until.Add(-2 * time.Second)) {
+				time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+				w.inject(f, rng)
+			}
+		})
+	}
+	callers.Wait()
+	faults.Wait()
+	w.Close()
+	return w, nil
+}
--- /dev/null
+++ b/outcomes/world.go
@@ -0,0 +1,306 @@
+package outcomes
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heatherrail/heatherrail/agent"
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/entry"
+	"github.com/heatherrail/heatherrail/internal/fake"
+	"github.com/heatherrail/heatherrail/internal/safeguard"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/settings"
+)
+
+// Sizes of the small system.
+const (
+	stepTime   = 5 * time.Millisecond
+	slots      = 16
+	agentQueue = 64
+	vmLag      = time.Second
+	answerLife = 200 * time.Millisecond
+)
+
+// Services of the small system.
+const (
+	ServicePlain  = "oven-api"
+	ServiceEngine = "prog-llm"
+)
+
+// World is a running system.
+type World struct {
+	History *History
+	Log     *fake.Log
+	Metrics *metrics.Set
+
+	off    safeguard.Off
+	logger logr.Logger
+	net    *network
+	vms    *fake.VMList
+
+	mu      sync.Mutex
+	nextInc uint64
+	version uint64
+	extra   bool // the configuration holds the spare target
+	targets map[string]*target
+	entries []*entryProcess
+	held    map[string]bool // processes that a fault works on
+	stopped bool
+	wait    sync.WaitGroup
+}
+
+// target is one engine or plain service with its agent.
+type target struct {
+	name    string
+	fleet   string
+	engine  *fake.Engine
+	plain   *fake.Plain
+	group   *fake.RankGroup
+	backend platform.Backend
+	agent   *agent.Agent
+	addr    string
+	moves   int
+}
+
+type entryProcess struct {
+	name  string
+	entry *entry.Entry
+}
+
+// Options of a World.
+type Options struct {
+	Engines int
+	Plains  int
+	Entries int
+	Latency time.Duration
+	Off     safeguard.Off
+	Logger  logr.Logger
+}
+
+// NewWorld starts a system and returns when its entries can serve.
+func NewWorld(o Options) (*World, error) {
+	w := &World{
+		History: new(History),
+		Log:     fake.NewLog(),
+		Metrics: metrics.New(),
+		off:     o.Off,
+		logger:  o.Logger,
+		net:     newNetwork(o.Latency),
+		vms:     fake.NewVMList(0),
+		targets: make(map[string]*target),
+		held:    make(map[string]bool),
+	}
+	for i := range o.Engines {
+		w.addTarget(fmt.Sprintf("%s-%d", ServiceEngine, i+1), ServiceEngine)
+	}
+	for i := range o.Plains + 1 { // the last one is the spare
+		w.addTarget(fmt.Sprintf("%s-%d", ServicePlain, i+1), ServicePlain)
+	}
+	for _, name := range w.targetNames() {
+		if err := w.startAgent(name); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.apply(false); err != nil {
+		return nil, err
+	}
+	for i := range o.Entries {
+		w.entries = append(w.entries, &entryProcess{name: fmt.Sprintf("entry-%d", i+1)})
+		if err := w.startEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	return w, w.ready()
+}
+
+// readyWait bounds the start of a system.
+const readyWait = 10 * time.Second
+
+func (w *World) ready() error {
+	deadline := time.Now().Add(readyWait)
+	for _, p := range w.entries {
+		for p.entry.Linked() < len(w.targets)-1 {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s has linked %d of %d targets", p.name, p.entry.Linked(), len(w.targets)-1)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (w *World) targetNames() []string {
+	var names []string
+	for i := 1; w.targets[fmt.Sprintf("%s-%d", ServiceEngine, i)] != nil; i++ {
+		names = append(names, fmt.Sprintf("%s-%d", ServiceEngine, i))
+	}
+	for i := 1; w.targets[fmt.Sprintf("%s-%d", ServicePlain, i)] != nil; i++ {
+		names = append(names, fmt.Sprintf("%s-%d", ServicePlain, i))
+	}
+	return names
+}
+
+func (w *World) addTarget(name, fleet string) {
+	t := &target{name: name, fleet: fleet}
+	rec := &recordingBackend{target: name, history: w.History}
+	if fleet == ServiceEngine {
+		t.engine = fake.NewEngine(name, "model-"+name, slots)
+		t.group = fake.NewRankGroup(stepTime, t.engine)
+		rec.Backend = t.engine
+		rec.onCrash = func() { w.after(4*stepTime, func() { w.crashEngine(t) }) }
+	} else {
+		t.plain = fake.NewPlain(name)
+		t.plain.SetDelay(4 * stepTime)
+		rec.Backend = t.plain
+	}
+	t.backend = rec
+	w.targets[name] = t
+}
+
+// engineRestart is how long a crashed engine stays down.
+const engineRestart = 2 * time.Second
+
+func (w *World) crashEngine(t *target) {
+	t.engine.Kill()
+	w.after(engineRestart, t.engine.Restart)
+}
+
+// after runs f later, unless the world has stopped by then.
+func (w *World) after(d time.Duration, f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.wait.Add(1)
+	go func() {
+		defer w.wait.Done()
+		time.Sleep(d)
+		f()
+	}()
+}
+
+func (w *World) incarnation() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nextInc++
+	return w.nextInc
+}
+
+// startAgent starts a new agent process for a target, at its address.
+func (w *World) startAgent(name string) error {
+	t := w.targets[name]
+	addr := fmt.Sprintf("%s/%d", name, t.moves)
+	inc := w.incarnation()
+	a, err := agent.Start(agent.Options{
+		Settings:    settings.Agent{Target: name, Queue: agentQueue},
+		Backend:     t.backend,
+		Logger:      w.logger,
+		Metrics:     w.Metrics,
+		Incarnation: inc,
+		Log:         w.Log,
+		Listener:    w.net.listen(addr, name),
+		Off:         w.off,
+	})
+	if err != nil {
+		return fmt.Errorf("agent of %s: %w", name, err)
+	}
+	w.mu.Lock()
+	t.agent, t.addr = a, addr
+	w.mu.Unlock()
+	w.vms.Put(platform.VM{ID: name, Name: name, Role: platform.RoleTarget, Address: addr, State: platform.StateLive})
+	return nil
+}
+
+func (w *World) startEntry(i int) error {
+	p := w.entries[i]
+	e, err := entry.Start(entry.Options{
+		Settings:    settings.Entry{Name: p.name, AnswerLife: answerLife},
+		Log:         w.Log,
+		VMs:         w.vms,
+		Logger:      w.logger,
+		Metrics:     w.Metrics,
+		Incarnation: w.incarnation(),
+		Dial:        w.net.dialer(p.name),
+		NoCallers:   true,
+		Off:         w.off,
+	})
+	if err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	w.mu.Lock()
+	p.entry = e
+	w.mu.Unlock()
+	return nil
+}
+
+func (w *World) entry(i int) *entry.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[i].entry
+}
+
+func (w *World) agentOf(name string) *agent.Agent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.targets[name].agent
+}
+
+// apply puts a configuration on the log, with or without the spare target.
+func (w *World) apply(spare bool) error {
+	c := &config.Config{
+		Fleets:   []config.Fleet{{Name: ServicePlain, Kind: "plain"}, {Name: ServiceEngine, Kind: "engine"}},
+		Services: []config.Service{{Name: ServicePlain, Fleet: ServicePlain, Policy: "p"}, {Name: ServiceEngine, Fleet: ServiceEngine, Policy: "p"}},
+		Policies: []config.Policy{{Name: "p", Deadline: time.Minute, RetryShare: 0.1, DedupWindow: 10 * time.Minute, DedupKeys: 1 << 16}},
+	}
+	names := w.targetNames()
+	if !spare {
+		names = names[:len(names)-1]
+	}
+	for _, name := range names {
+		c.Targets = append(c.Targets, config.Target{Name: name, Fleet: w.targets[name].fleet, DataCentre: "a"})
+	}
+	w.mu.Lock()
+	base := w.version
+	w.version++
+	w.extra = spare
+	w.mu.Unlock()
+	raw, err := config.NewChange(fmt.Sprintf("change-%d", base+1), base, c)
+	if err != nil {
+		return err
+	}
+	for {
+		_, err = w.Log.Append(context.Background(), [][]byte{raw})
+		if err == nil {
+			return nil
+		}
+		time.Sleep(logRetry)
+	}
+}
+
+const logRetry = 100 * time.Millisecond
+
+// Close stops everything and waits for it.
+func (w *World) Close() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	w.wait.Wait()
+	for i := range w.entries {
+		if e := w.entry(i); e != nil {
+			e.Close()
+		}
+	}
+	for _, t := range w.targets {
+		w.agentOf(t.name).Close()
+		if t.group != nil {
+			t.group.Close()
+		}
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"time"
 )
 
@@ -58,10 +59,20 @@
 	Cause      error
 }
 
-// New returns an Error with a formatted detail; %w records the cause.
+// New returns an Error with a formatted detail; %w records the cause, unless it
+// is an io.EOF.
+//
+// Failure: a connection is lost in mid-answer, and the loss wraps the io.EOF of
+// its socket. Symptom: a reader that asks errors.Is(err, io.EOF) for the end of
+// the answer takes the loss for it, and the caller gets half an answer that
+// looks whole. No result is an io.EOF, so none can be taken for one.
 func New(c Code, format string, args ...any) *Error {
 	wrapped := fmt.Errorf(format, args...)
-	return &Error{Code: c, Detail: wrapped.Error(), Cause: errors.Unwrap(wrapped)}
+	e := &Error{Code: c, Detail: wrapped.Error(), Cause: errors.Unwrap(wrapped)}
+	if errors.Is(e.Cause, io.EOF) {
+		e.Cause = nil
+	}
+	return e
 }
 
 // Error implements error.
