--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -108,6 +108,7 @@
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
+		Log:         &platform.HTTPLog{Addr: f.Platform},
 	})
 	if err != nil {
 		return fmt.Errorf("start agent: %w", err)
