--- a/result/codes.go
+++ b/result/codes.go
@@ -42,6 +42,9 @@
 	SuspectHeld    Code = 214
 	WireStreams    Code = 260
 	ConnsFull      Code = 261
+
+	EntryUnregistered Code = 220
+	TargetIsolated    Code = 221
 )
 
 // 3xx: honest doubt; the request may have run.
@@ -102,6 +105,8 @@
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
 	{WireStreams, "wire_streams", http.StatusServiceUnavailable, RunNot, shortWait, "A connection between two processes has as many streams as it may.", "Spread the load over more entries, or look for requests that never end."},
 	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
+	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
+	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
