Wire: a small frame on an idle connection is written by its sender

Cause: each hop handed every frame to the writer's goroutine; on an idle connection the time until that goroutine ran was most of what the hop cost. The read deadline was also renewed at each frame.

Done: a sender writes a frame of up to 2 KB itself if nothing else waits; a frame never overtakes an earlier one of its sender. Notes and hellos stay with the writer: a handler may answer a note within the reader, and over a transport without buffers two sides that write hellos before they read wait for each other (first try: four tests of net.Pipe ended by write timeout). The read deadline is renewed 16 times within the silence that is allowed.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -51,6 +52,8 @@
 	handler Handler
 	peer    Hello
 	out     chan *[]byte
+	queued  atomic.Int64 // frames in out, or taken from it and not yet written
+	writing sync.Mutex   // held while bytes are written to nc
 	done    chan struct{}
 	cause   error // set before done is closed
 
@@ -111,7 +114,13 @@
 	if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.HelloTimeout)); err != nil {
 		return nil, fmt.Errorf("hello: %w", err)
 	}
-	if err := c.send(KindHello, 0, nil, hello); err != nil {
+	// Not by this goroutine: over a transport without buffers, two sides that both
+	// write before they read would wait for each other.
+	bp, err := c.encode(KindHello, 0, nil, hello)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.enqueue(bp); err != nil {
 		return nil, err
 	}
 	fr := &frameReader{r: bufio.NewReaderSize(c.nc, readBuffer), max: maxHello}
@@ -189,19 +198,24 @@
 	return s, nil
 }
 
-// SendNote sends a one-way message.
+// SendNote sends a one-way message. It leaves the writing to the writer, so that
+// a handler may answer a note from within the reader.
 func (c *Conn) SendNote(n Note, msg msgp.Marshaler) error {
-	return c.send(KindNote, 0, []byte{byte(n)}, msg)
+	bp, err := c.encode(KindNote, 0, []byte{byte(n)}, msg)
+	if err != nil {
+		return err
+	}
+	return c.enqueue(bp)
 }
 
-// send encodes one frame and hands it to the writer; it waits while the ring is
-// full, which is how a slow peer slows its senders.
+// send encodes one frame and writes it, or hands it to the writer; it waits
+// while the ring is full, which is how a slow peer slows its senders.
 func (c *Conn) send(kind Kind, stream uint64, prefix []byte, msg msgp.Marshaler) error {
 	bp, err := c.encode(kind, stream, prefix, msg)
 	if err != nil {
 		return err
 	}
-	return c.enqueue(bp)
+	return c.write(bp)
 }
 
 func (c *Conn) encode(kind Kind, stream uint64, prefix []byte, msg msgp.Marshaler) (*[]byte, error) {
@@ -221,20 +235,56 @@
 	return bp, nil
 }
 
+// directWriteMax is the largest frame that its sender may write by itself. A
+// token fits; larger ones gain more from being gathered.
+const directWriteMax = 2 << 10
+
+// write writes a frame at once if nobody else writes or waits, and else leaves
+// it to the writer. On an idle connection that saves the time until another
+// goroutine runs, which is most of what a hop costs; on a busy one the writer
+// gathers many frames in a system call. A frame never overtakes an earlier one
+// of its sender: queued counts until it was written.
+func (c *Conn) write(bp *[]byte) error {
+	if len(*bp) > directWriteMax || c.queued.Load() != 0 || !c.writing.TryLock() {
+		return c.enqueue(bp)
+	}
+	if c.queued.Load() != 0 {
+		c.writing.Unlock()
+		return c.enqueue(bp)
+	}
+	err := c.limitWrite()
+	if err == nil {
+		_, err = c.nc.Write(*bp)
+	}
+	c.writing.Unlock()
+	framePool.Put(bp)
+	if err != nil {
+		c.close(fmt.Errorf("write: %w", err))
+		return c.ended()
+	}
+	return nil
+}
+
 func (c *Conn) enqueue(bp *[]byte) error {
 	select {
 	case <-c.done:
-		return result.New(result.WireClosed, "connection to %s ended: %w", c.peer.Name, c.cause)
+		return c.ended()
 	default:
 	}
+	c.queued.Add(1)
 	select {
 	case c.out <- bp:
 		return nil
 	case <-c.done:
-		return result.New(result.WireClosed, "connection to %s ended: %w", c.peer.Name, c.cause)
+		return c.ended()
 	}
 }
 
+func (c *Conn) ended() error {
+	<-c.done // the cause is set before it is closed
+	return result.New(result.WireClosed, "connection to %s ended: %w", c.peer.Name, c.cause)
+}
+
 func (c *Conn) writeLoop() {
 	w := bufio.NewWriterSize(c.nc, writeBuffer)
 	ping := time.NewTicker(c.opts.PingEvery)
@@ -244,16 +294,9 @@
 		var err error
 		select {
 		case bp := <-c.out:
-			if err = c.limitWrite(); err == nil {
-				err = c.writeBatch(w, bp)
-			}
+			err = c.writeBatch(w, bp)
 		case <-ping.C:
-			if err = c.limitWrite(); err == nil {
-				_, err = w.Write(pingFrame)
-			}
-			if err == nil {
-				err = w.Flush()
-			}
+			err = c.writePing(pingFrame)
 		case <-c.done:
 			return
 		}
@@ -270,10 +313,27 @@
 	return c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence))
 }
 
+func (c *Conn) writePing(frame []byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if err := c.limitWrite(); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(frame)
+	return err
+}
+
 // writeBatch writes frames until the ring is empty, then flushes: one system
 // call for all that has gathered.
 func (c *Conn) writeBatch(w *bufio.Writer, bp *[]byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if err := c.limitWrite(); err != nil {
+		return err
+	}
+	taken := int64(0)
 	for {
+		taken++
 		_, err := w.Write(*bp)
 		if cap(*bp) <= pooledFrameMax {
 			framePool.Put(bp)
@@ -283,19 +343,32 @@
 		}
 		select {
 		case bp = <-c.out:
+			continue
 		default:
-			return w.Flush()
 		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		c.queued.Add(-taken)
+		return nil
 	}
 }
 
+// readLoop renews the deadline now and then: at each frame it would cost more
+// than the frame.
 func (c *Conn) readLoop(fr *frameReader) {
+	var renewed time.Time
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.Silence)); err != nil {
-			c.close(fmt.Errorf("read: %w", err))
-			return
+		now := time.Now()
+		var err error
+		if now.Sub(renewed) > c.opts.Silence/renewals {
+			renewed = now
+			err = c.nc.SetReadDeadline(now.Add(c.opts.Silence))
+		}
+		var f Frame
+		if err == nil {
+			f, err = fr.next()
 		}
-		f, err := fr.next()
 		if err == nil {
 			err = c.dispatch(f)
 		}
@@ -308,3 +381,6 @@
 		}
 	}
 }
+
+// renewals of the read deadline within the time of silence that is allowed.
+const renewals = 16
--- a/wire/receive.go
+++ b/wire/receive.go
@@ -86,6 +86,7 @@
 	if encodeErr != nil {
 		return encodeErr
 	}
+	c.queued.Add(1)
 	select {
 	case c.out <- bp:
 		return nil
--- a/wire/send.go
+++ b/wire/send.go
@@ -61,7 +61,7 @@
 	b = msgp.AppendBytes(b, p)
 	s.sendSeq++
 	*bp = endFrame(b, 0)
-	return s.conn.enqueue(bp)
+	return s.conn.write(bp)
 }
 
 // Finish ends a complete answer.
