Graceful replacement cuts nothing off; rosters are read ahead

Cause, found by the new scenario that replaces every VM under load: of 14,884 requests one was in doubt because an entry closed its link as soon as the VM list named the successor, and after that was mended three more because an idle agent closed while a request was under way to it. Ruled out: the engines (all answers were whole) and the stand-ins' list. The scenario of a log outage found a third fault: an agent that nobody had used since the change first read the roster when the log was down and answered may-have-run for 6 of 12 oven calls.

Change: an entry retires a connection and closes it once nothing waits on it; an agent says goodbye and waits for that before it stops; agents read the roster when they hear of a version.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -213,6 +213,9 @@
 			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
 		}
 	}
+	if err == nil {
+		a.sayGoodbye(ctx)
+	}
 	a.Close()
 	return err
 }
--- a/agent/vouch.go
+++ b/agent/vouch.go
@@ -218,8 +218,14 @@
 // presenceEvery keeps the agent's presence inside the log's retention.
 const presenceEvery = 10 * time.Minute
 
-// announce keeps this agent on the log. The first record is written when a key
-// needs it, or here; an outage of the log delays only keys that are not settled.
+// announce keeps this agent on the log and its roster as new as the versions it
+// hears of.
+//
+// Failure: the roster is first read when a key needs it, and the log is down by
+// then. Symptom: an agent that nobody has used since the last change answers "may
+// have run" for as long as the outage lasts. Enough, because the roster is read
+// when a version is heard; only a version accepted just before an outage is not
+// covered, and its keys are in doubt.
 func (a *Agent) announce() {
 	w := a.witness
 	if w.log == nil {
@@ -231,6 +237,8 @@
 	defer ticker.Stop()
 	for {
 		select {
+		case <-w.news:
+			a.refreshRoster()
 		case <-ticker.C:
 			ctx, cancel := context.WithTimeout(a.ctx, rosterLimit)
 			if err := w.appendPresence(ctx); err != nil {
@@ -242,3 +250,24 @@
 		}
 	}
 }
+
+// rosterBackoff is how long a failed reading of the log waits for the next one.
+const rosterBackoff = time.Second
+
+// refreshRoster reads the roster for the newest version; a failure is tried again
+// later.
+func (a *Agent) refreshRoster() {
+	w := a.witness
+	if err := w.readRoster(a.ctx, w.newest()); err == nil {
+		return
+	}
+	a.opts.Metrics.Count("roster_errors_total", 1)
+	select {
+	case <-time.After(rosterBackoff):
+	case <-a.ctx.Done():
+	}
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
+}
--- a/agent/witness.go
+++ b/agent/witness.go
@@ -48,6 +48,7 @@
 	present  bool                 // this agent is on the log
 
 	reading chan struct{} // holds a token while the log is read
+	news    chan struct{} // signalled when a version is heard that the roster is older than
 	next    uint64        // log offset to read from
 }
 
@@ -66,6 +67,7 @@
 		now:      time.Now,
 		attested: make(map[uint64]uint64),
 		reading:  make(chan struct{}, 1),
+		news:     make(chan struct{}, 1),
 		absent:   make(map[uint64]bool),
 		doubts:   make(map[uint64]time.Time),
 		roster:   make(map[uint64]time.Time),
@@ -78,6 +80,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.attested[entry] = max(w.attested[entry], at.Version)
+	if at.Version > w.rosterAt {
+		select {
+		case w.news <- struct{}{}:
+		default:
+		}
+	}
 	delete(w.absent, entry)
 	for _, k := range at.Keys {
 		w.doubts[k] = now
@@ -85,6 +93,16 @@
 	w.learnHomes(at, now)
 }
 
+// newest returns the newest version that an entry has attested.
+func (w *witness) newest() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.homes) == 0 {
+		return 0
+	}
+	return w.homes[len(w.homes)-1].to
+}
+
 // learnHomes extends the history of target lists. A version that was missed
 // starts it anew: the home may have been elsewhere meanwhile.
 func (w *witness) learnHomes(at *wire.Attest, now time.Time) {
--- a/entry/link.go
+++ b/entry/link.go
@@ -29,10 +29,21 @@
 	load     wire.Load
 	hasLoad  bool
 	dispatch uint64 // number of the latest dispatch on this connection
+
+	moved   chan struct{}       // signalled when the VM list names another address
+	goodbye chan struct{}       // signalled when the agent is about to stop
+	retired map[*wire.Conn]bool // connections to earlier VMs whose requests still run
 }
 
 func newLink(e *Entry, target, addr string) *link {
-	return &link{entry: e, target: target, addr: addr}
+	return &link{
+		entry:   e,
+		target:  target,
+		addr:    addr,
+		moved:   make(chan struct{}, 1),
+		goodbye: make(chan struct{}, 1),
+		retired: make(map[*wire.Conn]bool),
+	}
 }
 
 // update takes what the VM list says of the target. A new address means that
@@ -41,10 +52,18 @@
 	l.mu.Lock()
 	moved := vm.Address != l.addr
 	l.addr, l.vmState = vm.Address, vm.State
-	conn := l.conn
 	l.mu.Unlock()
-	if moved && conn != nil {
-		go conn.Close() // waits for the reader, which may be waiting for this lock
+	if !moved {
+		return
+	}
+	raiseFlag(l.moved)
+}
+
+// raiseFlag signals a channel with one place; a signal that waits already suffices.
+func raiseFlag(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
@@ -54,6 +73,10 @@
 		if conn := l.connect(); conn != nil {
 			select {
 			case <-conn.Done():
+			case <-l.moved:
+				l.retire(conn)
+			case <-l.goodbye:
+				l.retire(conn)
 			case <-l.entry.ctx.Done():
 				conn.Close()
 			}
@@ -63,10 +86,60 @@
 	}
 }
 
-func (l *link) connect() *wire.Conn {
+// retirePoll is how often a retired connection is looked at.
+const retirePoll = 20 * time.Millisecond
+
+// retire gives a connection no new work and closes it when its requests have
+// ended.
+//
+// Failure: the VM list names the successor of a VM that is shutting down
+// gracefully. Symptom: answers in flight are cut off. Enough, because the old
+// agent ends its connections itself once it has nothing left to do.
+func (l *link) retire(conn *wire.Conn) {
 	l.mu.Lock()
-	addr := l.addr
+	l.retired[conn] = true
 	l.mu.Unlock()
+	l.entry.duties.Go(func() {
+		l.closeWhenIdle(conn)
+		l.mu.Lock()
+		delete(l.retired, conn)
+		l.mu.Unlock()
+	})
+}
+
+// closeWhenIdle closes the connection once no request waits on it.
+func (l *link) closeWhenIdle(conn *wire.Conn) {
+	for !conn.CloseIfIdle() {
+		select {
+		case <-conn.Done():
+			return
+		case <-time.After(retirePoll):
+		case <-l.entry.ctx.Done():
+			conn.Close()
+			return
+		}
+	}
+}
+
+// nextAddr returns where to connect to; flags that were raised for an earlier
+// connection fall.
+func (l *link) nextAddr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropFlag(l.moved)
+	dropFlag(l.goodbye)
+	return l.addr
+}
+
+func dropFlag(ch chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
+func (l *link) connect() *wire.Conn {
+	addr := l.nextAddr()
 	ctx, cancel := context.WithTimeout(l.entry.ctx, linkDialTimeout)
 	defer cancel()
 	nc, err := l.entry.opts.Dial(ctx, addr)
@@ -157,6 +230,9 @@
 	case wire.NoteCrash:
 		l.entry.serveCrash(payload)
 		return
+	case wire.NoteGoodbye:
+		l.heardGoodbye(c)
+		return
 	default:
 		return
 	}
@@ -168,11 +244,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// The first report may overtake adopt, so the hand-over of conn is not awaited.
-	if l.conn == nil || l.conn == c {
+	if l.conn == c || (l.conn == nil && !l.retired[c]) {
 		l.load, l.hasLoad = load, true
 	}
 }
 
+func (l *link) heardGoodbye(c *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == c {
+		raiseFlag(l.goodbye)
+	}
+}
+
 // view returns what placement may know of the target.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -54,6 +54,8 @@
 			"send":     command((*world).send),
 			"begin":    command((*world).begin),
 			"end":      command((*world).end),
+			"load":     command((*world).load),
+			"replace":  command((*world).replace),
 			"promises": command((*world).promises),
 			"counter":  command((*world).counter),
 		},
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,8 @@
 type batch struct {
 	first sync.WaitGroup // each has its first bytes, or its outcome
 	all   sync.WaitGroup
+	stop  chan struct{} // ends a load; nil for requests sent once
+	mu    sync.Mutex
 	sent  []sent
 }
 
@@ -92,11 +96,8 @@
 }
 
 func (w *world) anyTeamKey(i int) string {
-	keys := make([]string, 0, len(w.desc.Teams))
-	for _, k := range w.desc.Teams {
-		keys = append(keys, k)
-	}
-	return keys[i%len(keys)]
+	teams := slices.Sorted(maps.Keys(w.desc.Teams))
+	return w.desc.Teams[teams[i%len(teams)]]
 }
 
 // end NAME waits for all answers and prints how many ended in which way.
@@ -105,6 +106,9 @@
 	if b == nil {
 		return "", fmt.Errorf("nothing was begun as %s", args[0])
 	}
+	if b.stop != nil {
+		close(b.stop)
+	}
 	b.all.Wait()
 	w.sent = append(w.sent, b.sent...)
 	counts := make(map[outcome]int)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -32,6 +32,9 @@
 const (
 	NoteLoad   Note = 1 // Load
 	NoteConfig Note = 2 // ConfigNotice
+	// NoteGoodbye is empty: the sender is about to stop; the receiver closes the
+	// connection once it waits for nothing on it.
+	NoteGoodbye Note = 3
 )
 
 // Handler receives what a peer starts.
@@ -58,6 +61,7 @@
 	mu        sync.Mutex
 	streams   map[uint64]*Stream
 	nextID    uint64
+	retired   bool   // no stream may be opened any more
 	accepted  int    // streams that the peer opened and that are still served
 	parity    uint64 // of this side's stream ids
 	duties    conc.WaitGroup
@@ -146,6 +150,19 @@
 // Peer returns what the other side said in its hello.
 func (c *Conn) Peer() Hello { return c.peer }
 
+// CloseIfIdle closes the connection if no stream is open, and reports whether it
+// did. A stream that is being opened either counts as open or is refused.
+func (c *Conn) CloseIfIdle() bool {
+	c.mu.Lock()
+	idle := len(c.streams) == 0
+	c.retired = c.retired || idle
+	c.mu.Unlock()
+	if idle {
+		c.Close()
+	}
+	return idle
+}
+
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -177,6 +194,10 @@
 // connection; afterwards only the peer knows how far it came.
 func (c *Conn) Open(m Method, msg msgp.Marshaler) (*Stream, error) {
 	c.mu.Lock()
+	if c.retired {
+		c.mu.Unlock()
+		return nil, result.New(result.WireClosed, "connection to %s takes no new streams", c.peer.Name)
+	}
 	id := c.nextID
 	c.nextID += idStep
 	s := newStream(c, id)
