--- a/result/codes.go
+++ b/result/codes.go
@@ -37,6 +37,21 @@
 	SuspectHeld    Code = 214
 )
 
+// 23x: orders and configuration; nothing was done.
+const (
+	FenceStale    Code = 230
+	FenceUnknown  Code = 231
+	LeaseLost     Code = 232
+	OrderLimited  Code = 233
+	ChangeRefused Code = 234
+)
+
+// 33x: orders and configuration; ask again with the same id.
+const (
+	OrderUnknown  Code = 330
+	ChangeUnknown Code = 331
+)
+
 // 3xx: honest doubt; the request may have run.
 const (
 	TargetLost   Code = 301
@@ -87,6 +102,13 @@
 	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
 	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{FenceStale, "fence_stale", http.StatusConflict, RunNot, 0, "An order carries an overtaken fencing number.", "Its sender lost the lease; nothing to do unless it repeats."},
+	{FenceUnknown, "fence_unknown", http.StatusServiceUnavailable, RunNot, shortWait, "The agent does not know the fencing floor yet.", "Look at the links between entries and this agent."},
+	{LeaseLost, "lease_lost", http.StatusConflict, RunNot, 0, "The sender no longer holds the lease.", "Nothing; the next holder goes on."},
+	{OrderLimited, "order_limited", http.StatusTooManyRequests, RunNot, shortWait, "The weight store's rate is used up.", "Orders wait; raise the store's rate if it is often full."},
+	{ChangeRefused, "change_refused", http.StatusConflict, RunNot, 0, "A configuration change was refused.", "The detail names the change that won; diff again and apply on top of it."},
+	{OrderUnknown, "order_unknown", http.StatusBadGateway, RunMaybe, 0, "The answer to an order was lost.", "The agent reads the engine's state back and settles it."},
+	{ChangeUnknown, "change_unknown", http.StatusGatewayTimeout, RunMaybe, 0, "It is not known whether a change was accepted.", "Run apply --resume with the id."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
