Configuration by delta, folded from any start, followed through peers

Cause: a change held the whole configuration in one record (about 6 MB at 38,000 teams, on paper), every entry read the log, and entries had no listener for peers.

entries listen for peers; two of a data centre read the log, the rest follow them; heartbeats, membership with two witnesses; lease table, claimer and node; agents get version, policies and fencing floors and refuse overtaken versions after a grace.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,7 +41,7 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
-	version atomic.Uint64 // newest configuration version heard of
+	config  configState
 	stop    chan struct{}
 	duties  conc.WaitGroup
 
@@ -72,6 +72,7 @@
 		ln:     ln,
 		idle:   make(chan struct{}, 1),
 		ledger: newLedger(),
+		config: newConfigState(),
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
@@ -136,7 +137,11 @@
 }
 
 // ServeNote implements wire.Handler.
-func (a *Agent) ServeNote(_ *wire.Conn, n wire.Note, payload []byte) {
+func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
+	if n == wire.NoteAgentConfig {
+		a.heardConfig(c, payload)
+		return
+	}
 	if n != wire.NoteConfig {
 		return
 	}
@@ -145,7 +150,7 @@
 		a.log.Error(err, "bad configuration notice")
 		return
 	}
-	raise(&a.version, notice.Version)
+	a.heardVersion(notice.Version, time.Now())
 }
 
 // raise sets v to n unless it is already higher: versions never go back.
--- a/agent/run.go
+++ b/agent/run.go
@@ -16,6 +16,9 @@
 
 // ServeStream implements wire.Handler.
 func (a *Agent) ServeStream(ctx context.Context, s *wire.Stream, m wire.Method, payload []byte) {
+	if a.serveControl(ctx, s, m, payload) {
+		return
+	}
 	if m != wire.MethodRequest {
 		a.refuse(s, "", result.New(result.WireUnknownKind, "method %d", m))
 		return
@@ -52,6 +55,8 @@
 	switch {
 	case req.AgentInc != a.opts.Incarnation:
 		return result.New(result.StaleAgent, "meant for incarnation %d, this is %d", req.AgentInc, a.opts.Incarnation)
+	case a.overtaken(req.ConfigVersion, time.Now()):
+		return result.New(result.StaleVersion, "version %d was overtaken by %d", req.ConfigVersion, a.config.newest())
 	case a.leaving.Load():
 		return result.New(result.TargetLeaving, "%s is leaving", a.opts.Settings.Target)
 	case running > a.opts.Settings.Queue:
--- a/cmd/heatherrail-entry/main.go
+++ b/cmd/heatherrail-entry/main.go
@@ -33,6 +33,7 @@
 		Logger:      logging.New(os.Stderr, file.Entry.Verbosity),
 		Metrics:     metrics.New(),
 		Incarnation: daemon.Incarnation(),
+		Snapshots:   file.Platform.Snapshots,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/heatherrail/check.go
+++ b/cmd/heatherrail/check.go
@@ -18,11 +18,7 @@
 	if err != nil {
 		return err
 	}
-	_, digest, err := config.Encode(cfg)
-	if err != nil {
-		return err
-	}
 	fmt.Printf("ok: %d fleets, %d targets, %d services, %d teams, digest %016x\n",
-		len(cfg.Fleets), len(cfg.Targets), len(cfg.Services), len(cfg.Teams), digest)
+		len(cfg.Fleets), len(cfg.Targets), len(cfg.Services), len(cfg.Teams), config.Digest(cfg))
 	return nil
 }
--- a/config/schema.go
+++ b/config/schema.go
@@ -72,24 +72,3 @@
 	SkewWeight  float64       `msg:"s" ini:"skew-weight" default:"1" min:"0" doc:"price of step-time skew when experts are placed"`
 	MoveWeight  float64       `msg:"m" ini:"move-weight" default:"1" min:"0" doc:"price of a gigabyte of expert weights moved"`
 }
-
-// Change is one record on the log: a whole configuration that replaces a base.
-type Change struct {
-	ID     string `msg:"id"`
-	Base   uint64 `msg:"b"` // version that it replaces
-	Digest uint64 `msg:"d"` // of the encoded Config
-	Config []byte `msg:"c"` // encoded Config
-}
-
-// Record is what the log holds.
-type Record struct {
-	Schema uint32 `msg:"s"`
-	Kind   string `msg:"k"` // RecordChange
-	Body   []byte `msg:"b"`
-}
-
-// RecordSchema is the newest record schema that this build understands.
-const RecordSchema = 1
-
-// RecordChange holds a Change.
-const RecordChange = "change"
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -4,9 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"fmt"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const hashHexLen = sha256.Size * 2
@@ -34,17 +31,43 @@
 
 // NewSnapshot indexes a configuration.
 func NewSnapshot(version uint64, id string, digest uint64, c *Config) *Snapshot {
-	s := &Snapshot{
-		Version:  version,
-		ID:       id,
-		Digest:   digest,
-		Config:   c,
-		services: make(map[string]*Service, len(c.Services)),
-		policies: make(map[string]*Policy, len(c.Policies)),
-		fleets:   make(map[string]*Fleet, len(c.Fleets)),
-		byFleet:  make(map[string][]Target, len(c.Fleets)),
-		byKey:    make(map[string]*Team, len(c.Teams)),
+	s := &Snapshot{Version: version, ID: id, Digest: digest, Config: c}
+	s.indexAll()
+	return s
+}
+
+// successor indexes the next version. What did not change is shared: at 38,000
+// teams the index of keys is the largest part, and most changes leave it alone.
+func (s *Snapshot) successor(version uint64, id string, digest uint64, c *Config) *Snapshot {
+	if s == nil || !sameTeams(s.Config.Teams, c.Teams) {
+		return NewSnapshot(version, id, digest, c)
+	}
+	next := &Snapshot{Version: version, ID: id, Digest: digest, Config: c, byKey: s.byKey}
+	next.indexSmall()
+	return next
+}
+
+// sameTeams reports whether two versions share one list.
+func sameTeams(a, b []Team) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (s *Snapshot) indexAll() {
+	s.indexSmall()
+	s.byKey = make(map[string]*Team, len(s.Config.Teams))
+	for i := range s.Config.Teams {
+		for _, h := range s.Config.Teams[i].KeyHashes {
+			s.byKey[h] = &s.Config.Teams[i]
+		}
 	}
+}
+
+func (s *Snapshot) indexSmall() {
+	c := s.Config
+	s.services = make(map[string]*Service, len(c.Services))
+	s.policies = make(map[string]*Policy, len(c.Policies))
+	s.fleets = make(map[string]*Fleet, len(c.Fleets))
+	s.byFleet = make(map[string][]Target, len(c.Fleets))
 	for i := range c.Services {
 		s.services[c.Services[i].Name] = &c.Services[i]
 	}
@@ -57,12 +80,6 @@
 	for _, t := range c.Targets {
 		s.byFleet[t.Fleet] = append(s.byFleet[t.Fleet], t)
 	}
-	for i := range c.Teams {
-		for _, h := range c.Teams[i].KeyHashes {
-			s.byKey[h] = &c.Teams[i]
-		}
-	}
-	return s
 }
 
 // Service returns a service by name, nil if there is none.
@@ -93,12 +110,3 @@
 	}
 	return nil
 }
-
-// Encode returns the one encoding of a configuration and its digest.
-func Encode(c *Config) ([]byte, uint64, error) {
-	b, err := c.MarshalMsg(nil)
-	if err != nil {
-		return nil, 0, fmt.Errorf("encode configuration: %w", err)
-	}
-	return b, xxhash.Sum64(b), nil
-}
--- /dev/null
+++ b/control/beat.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+const peerDialTimeout = time.Second
+
+// peerConn is the connection that this process opened to a peer.
+type peerConn struct {
+	conn    *wire.Conn
+	address string
+}
+
+// connect returns the connection to a peer, opened if needed.
+func (n *Node) connect(name string) (*wire.Conn, error) {
+	n.mu.Lock()
+	peer, known := n.topology.Peers[name]
+	have := n.conns[name]
+	n.mu.Unlock()
+	if !known {
+		return nil, result.New(result.Unreachable, "%s is not listed", name)
+	}
+	if have != nil && have.address == peer.Address {
+		select {
+		case <-have.conn.Done():
+		default:
+			return have.conn, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, peerDialTimeout)
+	defer cancel()
+	nc, err := n.opts.Dial(ctx, peer.Address)
+	if err != nil {
+		return nil, result.New(result.Unreachable, "dial %s: %w", name, err)
+	}
+	conn, err := wire.Client(nc, n.hello(), n, wire.Options{})
+	if err != nil {
+		return nil, result.New(result.Unreachable, "hello of %s: %w", name, err)
+	}
+	if conn.Peer().Name != name {
+		conn.Close()
+		return nil, result.New(result.Unreachable, "%s answers where %s is listed", conn.Peer().Name, name)
+	}
+	return n.keep(name, &peerConn{conn: conn, address: peer.Address})
+}
+
+// keep books a new connection. Two duties may have opened one at once: the later
+// one stays, the earlier ends when its last use does.
+func (n *Node) keep(name string, p *peerConn) (*wire.Conn, error) {
+	n.mu.Lock()
+	old := n.conns[name]
+	n.conns[name] = p
+	n.mu.Unlock()
+	if old != nil {
+		go old.conn.Close()
+	}
+	if n.ctx.Err() != nil {
+		p.conn.Close()
+		return nil, n.ctx.Err()
+	}
+	return p.conn, nil
+}
+
+// beat sends heartbeats to the few, and, as one of the few, who is silent.
+func (n *Node) beat() {
+	last := time.Time{}
+	for n.sleep(n.opts.Timing.Beat) {
+		n.mu.Lock()
+		local, remote := n.topology.Local(), n.topology.Remote()
+		n.mu.Unlock()
+		n.sendAll(local, wire.NoteBeat, n.beatNote())
+		n.sendSilent()
+		if time.Since(last) >= n.opts.Timing.Summaries {
+			last = time.Now()
+			n.sendAll(remote, wire.NoteSummary, n.summary())
+		}
+	}
+}
+
+func (n *Node) beatNote() *wire.Beat {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := &wire.Beat{Leaving: n.leaving.Load()}
+	if s := n.fold.Current(); s != nil {
+		b.Version = s.Version
+	}
+	return b
+}
+
+// note is a message that encodes itself.
+type note interface{ MarshalMsg([]byte) ([]byte, error) }
+
+// sendAll sends to each in a goroutine of its own: a peer that does not answer the
+// dial must not delay the heartbeats to the others.
+func (n *Node) sendAll(names []string, kind wire.Note, msg note) {
+	for _, name := range names {
+		n.duties.Go(func() {
+			conn, err := n.connect(name)
+			if err != nil {
+				n.log.V(1).Info("peer not reached", "peer", name, "detail", err.Error())
+				return
+			}
+			_ = conn.SendNote(kind, msg) // the next heartbeat opens a new connection
+		})
+	}
+}
+
+// sendSilent tells the entries that beat to this one whom it misses.
+func (n *Node) sendSilent() {
+	n.mu.Lock()
+	now := time.Now()
+	var silent wire.Silent
+	for _, s := range n.members.Sightings(now) {
+		if s.Age >= n.opts.Timing.Silence || s.Leaving {
+			silent.Rows = append(silent.Rows, wire.SilentRow{Name: s.Name, Incarnation: s.Incarnation,
+				Version: s.Version, AgeMs: s.Age.Milliseconds(), Leaving: s.Leaving})
+		}
+	}
+	var conns []*wire.Conn
+	for c := range n.incoming {
+		if p := c.Peer(); p.Role == wire.RoleEntry && p.DataCentre == n.opts.Self.DataCentre {
+			conns = append(conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		n.duties.Go(func() { _ = c.SendNote(wire.NoteSilent, &silent) }) // a lost peer comes back by itself
+	}
+}
+
+func (n *Node) summary() *wire.Summary {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	sum := &wire.Summary{DataCentre: n.opts.Self.DataCentre, Region: n.opts.Self.Region, Entries: len(n.topology.Ranked)}
+	if s := n.fold.Current(); s != nil {
+		sum.Oldest, sum.Newest = s.Version, s.Version
+	}
+	for name, v := range n.members.Versions() {
+		if n.members.Down(name, now) {
+			sum.Down++
+			continue
+		}
+		sum.Oldest, sum.Newest = min(sum.Oldest, v), max(sum.Newest, v)
+	}
+	return sum
+}
+
+// ServeNote implements wire.Handler.
+func (n *Node) ServeNote(c *wire.Conn, kind wire.Note, payload []byte) {
+	var err error
+	switch kind {
+	case wire.NoteBeat:
+		err = n.heardBeat(c, payload)
+	case wire.NoteSilent:
+		err = n.heardSilent(c, payload)
+	case wire.NoteSummary:
+		err = n.heardSummary(payload)
+	}
+	if err != nil {
+		n.log.Error(err, "bad note", "peer", c.Peer().Name, "note", kind)
+	}
+}
+
+func (n *Node) heardBeat(c *wire.Conn, payload []byte) error {
+	var b wire.Beat
+	if _, err := b.UnmarshalMsg(payload); err != nil {
+		return err
+	}
+	p := c.Peer()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.Report(n.opts.Self.Name, Sighted{Name: p.Name, Incarnation: p.Incarnation, Version: b.Version, Leaving: b.Leaving}, time.Now())
+	return nil
+}
+
+func (n *Node) heardSilent(c *wire.Conn, payload []byte) error {
+	var silent wire.Silent
+	if _, err := silent.UnmarshalMsg(payload); err != nil {
+		return err
+	}
+	witness := c.Peer().Name
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	missed := make(map[string]bool, len(silent.Rows))
+	for _, r := range silent.Rows {
+		missed[r.Name] = true
+		n.members.Report(witness, Sighted{Name: r.Name, Incarnation: r.Incarnation, Version: r.Version,
+			Age: time.Duration(r.AgeMs) * time.Millisecond, Leaving: r.Leaving}, now)
+	}
+	n.members.HeardAgain(witness, missed, now)
+	return nil
+}
+
+func (n *Node) heardSummary(payload []byte) error {
+	var sum wire.Summary
+	if _, err := sum.UnmarshalMsg(payload); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.summaries[sum.DataCentre] = sum
+	return nil
+}
--- a/control/fence.go
+++ b/control/fence.go
@@ -22,7 +22,7 @@
 // have told it the floor that the log gave them.
 type Fence struct {
 	mu      sync.Mutex
-	need    int
+	entries int // as many as a source said there are
 	sources map[string]bool
 	highest map[string]uint64
 }
@@ -32,16 +32,18 @@
 // floor.
 const FenceSources = 2
 
-// NewFence returns an empty memory that waits for need sources.
-func NewFence(need int) *Fence {
-	return &Fence{need: need, sources: make(map[string]bool), highest: make(map[string]uint64)}
+// NewFence returns an empty memory.
+func NewFence() *Fence {
+	return &Fence{sources: make(map[string]bool), highest: make(map[string]uint64)}
 }
 
-// Learn takes the floors that one entry knows from the log.
-func (f *Fence) Learn(source string, floors []Floor) {
+// Learn takes the floors that one entry knows from the log, and how many entries
+// it sees in the VM list: in a system of one entry, one source must do.
+func (f *Fence) Learn(source string, entries int, floors []Floor) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources[source] = true
+	f.entries = max(f.entries, entries)
 	for _, fl := range floors {
 		f.highest[fl.Resource] = max(f.highest[fl.Resource], fl.Fence)
 	}
@@ -52,8 +54,8 @@
 func (f *Fence) Check(resource string, number uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.sources) < f.need {
-		return result.New(result.FenceUnknown, "%d of %d entries told their floors", len(f.sources), f.need)
+	if need := max(1, min(FenceSources, f.entries)); len(f.sources) < need {
+		return result.New(result.FenceUnknown, "%d of %d entries told their floors", len(f.sources), need)
 	}
 	if high := f.highest[resource]; number < high {
 		return result.New(result.FenceStale, "%s: number %d, highest seen %d", resource, number, high)
--- a/control/fence_test.go
+++ b/control/fence_test.go
@@ -15,7 +15,7 @@
 func TestFenceAfterRestart(t *testing.T) {
 	g := NewWithT(t)
 	res := GroupResource("a")
-	f := NewFence(FenceSources)
+	f := NewFence()
 	code := func(n uint64) result.Code {
 		if err := f.Check(res, n); err != nil {
 			return result.From(err).Code
@@ -23,12 +23,12 @@
 		return result.OK
 	}
 	g.Expect(code(7)).To(Equal(result.FenceUnknown))
-	f.Learn("entry-1", []Floor{{res, 6}}) // cut off from the log, behind
-	f.Learn("entry-1", []Floor{{res, 6}})
+	f.Learn("entry-1", 3, []Floor{{res, 6}}) // cut off from the log, behind
+	f.Learn("entry-1", 3, []Floor{{res, 6}})
 	g.Expect(code(7)).To(Equal(result.FenceUnknown))
-	f.Learn("entry-2", []Floor{{res, 8}})
+	f.Learn("entry-2", 3, []Floor{{res, 8}})
 	g.Expect(code(7)).To(Equal(result.FenceStale))
 	g.Expect(code(8)).To(Equal(result.OK))
-	f.Learn("entry-1", []Floor{{res, 6}})
+	f.Learn("entry-1", 3, []Floor{{res, 6}})
 	g.Expect(code(7)).To(Equal(result.FenceStale))
 }
--- /dev/null
+++ b/control/follow.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// sourceLog stands for the log service among sources.
+const sourceLog = ""
+
+const (
+	pageRecords    = 256
+	fallbackPeers  = 3 // peers beyond the few that are tried
+	maxSavedBytes  = 64 << 20
+	pullGrace      = 2 * time.Second // added to the long poll for the way and back
+	appendDeadline = 5 * time.Second
+)
+
+var errNotFresh = errors.New("source has not read the log for long")
+
+// follow keeps the fold up to date from the log or from peers.
+func (n *Node) follow() {
+	at, failures := 0, 0
+	var since time.Time // when the present source was chosen
+	for n.ctx.Err() == nil {
+		sources := n.sources()
+		if at >= len(sources) || (at > 0 && time.Since(since) > n.opts.Timing.Retry) {
+			at, since = 0, time.Now()
+		}
+		err := n.pull(sources[at])
+		if err == nil {
+			failures = 0
+			n.sleep(n.opts.Timing.Coalesce)
+			continue
+		}
+		n.log.V(1).Info("source failed", "source", sources[at], "detail", err.Error())
+		n.opts.Metrics.Count("control_source_errors_total", 1)
+		at, since = at+1, time.Now()
+		failures++
+		n.sleep(min(n.opts.Timing.Backoff<<min(failures-1, 5), n.opts.Timing.LogWait))
+	}
+}
+
+// sources returns where records may come from, best first. Without a list of peers
+// only the log is known.
+func (n *Node) sources() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := n.topology.Sources()
+	few := len(n.topology.Local())
+	rest := peers[few:min(few+fallbackPeers, len(peers))]
+	var sources []string
+	if n.topology.Tails() {
+		sources = append(sources, sourceLog)
+		sources = append(sources, peers[:few]...)
+	} else {
+		sources = append(sources, peers[:few]...)
+		sources = append(sources, sourceLog)
+	}
+	return append(sources, rest...)
+}
+
+// pull reads once from a source.
+func (n *Node) pull(source string) error {
+	if source == sourceLog {
+		return n.pullLog()
+	}
+	return n.pullPeer(source)
+}
+
+func (n *Node) pullLog() error {
+	n.mu.Lock()
+	from := n.fold.Next()
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pullGrace)
+	defer cancel()
+	page, err := n.opts.Log.Read(ctx, from, pageRecords, n.opts.Timing.LogWait)
+	if errors.Is(err, platform.ErrTrimmed) && page.First > from {
+		n.opts.Metrics.Count("control_trimmed_total", 1)
+		n.log.Info("log was trimmed past this reader", "next", from, "first", page.First)
+		n.mu.Lock()
+		n.fold.SkipTo(page.First)
+		n.mu.Unlock()
+		// Only a snapshot on the log or a peer's state helps now; peers are quicker.
+		return err
+	}
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	n.mu.Lock()
+	n.snapshot.first = page.First
+	n.mu.Unlock()
+	return n.take(page.Next-uint64(len(page.Records)), page.Records, time.Now())
+}
+
+// take folds consecutive records that begin at first and were fresh at an instant.
+func (n *Node) take(first uint64, records [][]byte, fresh time.Time) error {
+	n.mu.Lock()
+	for i, raw := range records {
+		offset := first + uint64(i)
+		before := n.fold.Next()
+		err := n.fold.Apply(offset, raw)
+		if errors.Is(err, config.ErrGap) {
+			break // a snapshot set the position back: read on from there
+		}
+		if err != nil {
+			n.mu.Unlock()
+			n.opts.Metrics.Gauge("control_fold_stopped", 1)
+			n.log.Error(err, "configuration stopped")
+			return err
+		}
+		if before == offset {
+			n.relay.add(offset, raw)
+		}
+	}
+	if fresh.After(n.freshAt) {
+		n.freshAt = fresh
+	}
+	n.mu.Unlock()
+	n.folded()
+	return nil
+}
+
+// folded hands what the fold found to those who wait for it.
+func (n *Node) folded() {
+	n.mu.Lock()
+	now := time.Now()
+	current := n.fold.Current()
+	n.claimer.Observe(n.table, now)
+	n.snapshot.observe(n.fold.SnapshotAt(), now)
+	moved := n.table.highest != n.fences
+	n.fences = n.table.highest
+	close(n.wake)
+	n.wake = make(chan struct{})
+	n.mu.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+	if current != nil && n.opts.Install != nil {
+		n.opts.Install(current)
+	}
+	if moved && n.opts.Leases != nil {
+		n.opts.Leases()
+	}
+}
+
+// pullPeer follows a peer by long polls.
+func (n *Node) pullPeer(name string) error {
+	conn, err := n.connect(name)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	cold := n.fold.Seeking() || (n.fold.Next() == 0 && n.fold.Current() == nil)
+	req := wire.TailRequest{From: n.fold.Next(), Cold: cold, WaitMs: n.opts.Timing.LogWait.Milliseconds()}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pullGrace)
+	defer cancel()
+	reply, state, err := Tail(ctx, conn, &req)
+	if err != nil {
+		return err
+	}
+	age := time.Duration(reply.AgeMs) * time.Millisecond
+	if reply.State {
+		n.mu.Lock()
+		err = n.fold.Restore(state)
+		n.mu.Unlock()
+		if err != nil {
+			return fmt.Errorf("state of %s: %w", name, err)
+		}
+	}
+	if err := n.take(reply.First, reply.Records, time.Now().Add(-age)); err != nil {
+		return err
+	}
+	if age > n.opts.Timing.Fresh {
+		return errNotFresh
+	}
+	return nil
+}
+
+// Tail asks a peer for records or its state.
+func Tail(ctx context.Context, conn *wire.Conn, req *wire.TailRequest) (*wire.TailReply, []byte, error) {
+	s, err := conn.Open(wire.MethodTail, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer s.Close()
+	ev, err := s.Recv(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	reply := new(wire.TailReply)
+	if _, err := reply.UnmarshalMsg(ev.Data); err != nil || ev.Message != wire.MessageTail {
+		return nil, nil, result.New(result.WireMalformed, "tail reply of %s", conn.Peer().Name)
+	}
+	var state []byte
+	for {
+		ev, err := s.Recv(ctx)
+		if errors.Is(err, io.EOF) {
+			return reply, state, nil
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		if state = append(state, ev.Data...); len(state) > maxSavedBytes {
+			return nil, nil, result.New(result.WireMalformed, "state of %s is too large", conn.Peer().Name)
+		}
+	}
+}
--- a/control/lease.go
+++ b/control/lease.go
@@ -20,6 +20,9 @@
 // GroupResource names the ownership of a rank group.
 func GroupResource(group string) string { return "group/" + group }
 
+// TargetResource names the right to give orders to a target outside of a group.
+func TargetResource(target string) string { return "target/" + target }
+
 // Leaser claims and renews leases for one process.
 type Leaser interface {
 	// Want starts to claim a resource, and to renew it once held.
--- /dev/null
+++ b/control/leases.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// maxResources bounds the table: a claim on one more is refused.
+const maxResources = 4096
+
+// LeaseTable folds lease records. It knows no clock: whether a lease has lapsed is
+// judged by those who claim it, and the log's order picks one of them. It
+// implements config.Extension.
+type LeaseTable struct {
+	highest uint64
+	rows    map[string]LeaseRow
+}
+
+// NewLeaseTable returns an empty table.
+func NewLeaseTable() *LeaseTable {
+	return &LeaseTable{rows: make(map[string]LeaseRow)}
+}
+
+// Kind implements config.Extension.
+func (t *LeaseTable) Kind() string { return RecordLease }
+
+// Fold implements config.Extension.
+func (t *LeaseTable) Fold(_ uint64, body []byte) error {
+	var b LeaseBatch
+	if _, err := b.UnmarshalMsg(body); err != nil {
+		return fmt.Errorf("lease batch: %w", err)
+	}
+	for i := range b.Claims {
+		t.claim(&b, &b.Claims[i])
+	}
+	return nil
+}
+
+func (t *LeaseTable) claim(b *LeaseBatch, c *LeaseClaim) {
+	row, known := t.rows[c.Resource]
+	if row.Fence != c.Fence || row.Term != c.Term {
+		return // somebody was faster
+	}
+	if !known && len(t.rows) >= maxResources {
+		return
+	}
+	mine := row.Holder == b.Holder && row.Incarnation == b.Incarnation
+	switch {
+	case c.Release && !mine:
+		return
+	case c.Release:
+		row.Term++
+		row.Holder = ""
+	case mine:
+		row.Term++
+	default:
+		t.highest++
+		row = LeaseRow{Resource: c.Resource, Holder: b.Holder, Incarnation: b.Incarnation, Fence: t.highest}
+	}
+	row.SpanMs, row.Nonce = b.SpanMs, b.Nonce
+	t.rows[c.Resource] = row
+}
+
+// Row returns the state of a resource; the zero row if nobody ever claimed it.
+func (t *LeaseTable) Row(resource string) LeaseRow { return t.rows[resource] }
+
+// Rows returns all resources, sorted.
+func (t *LeaseTable) Rows() []LeaseRow {
+	return slices.SortedFunc(maps.Values(t.rows), func(a, b LeaseRow) int { return cmp.Compare(a.Resource, b.Resource) })
+}
+
+// Save implements config.Extension.
+func (t *LeaseTable) Save() ([]byte, error) {
+	st := LeaseState{Highest: t.highest, Rows: t.Rows()}
+	return st.MarshalMsg(nil)
+}
+
+// Restore implements config.Extension.
+func (t *LeaseTable) Restore(saved []byte) error {
+	var st LeaseState
+	if _, err := st.UnmarshalMsg(saved); err != nil {
+		return fmt.Errorf("lease table: %w", err)
+	}
+	t.highest = st.Highest
+	t.rows = make(map[string]LeaseRow, len(st.Rows))
+	for _, row := range st.Rows {
+		t.rows[row.Resource] = row
+	}
+	return nil
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// Timing holds the periods of control.
+type Timing struct {
+	Beat      time.Duration // between heartbeats
+	Silence   time.Duration // after which a witness misses a process
+	LogWait   time.Duration // long poll of the log and of peers
+	Coalesce  time.Duration // pause after a read, so that many records cost one read
+	Backoff   time.Duration // after a failed source, doubled up to LogWait
+	Fresh     time.Duration // a source that read the log longer ago is left
+	Retry     time.Duration // how long a fallback source is kept
+	Snapshots time.Duration // between published snapshots; a fraction of the retention
+	Summaries time.Duration // between summaries to other data centres
+	Lease     LeaseTiming
+}
+
+// DefaultTiming is what the daemons use.
+var DefaultTiming = Timing{
+	Beat:      time.Second,
+	Silence:   DefaultSilence,
+	LogWait:   5 * time.Second,
+	Coalesce:  200 * time.Millisecond,
+	Backoff:   200 * time.Millisecond,
+	Fresh:     12 * time.Second,
+	Retry:     20 * time.Second,
+	Snapshots: 30 * time.Minute,
+	Summaries: 5 * time.Second,
+	Lease:     DefaultLeaseTiming,
+}
+
+// Options are what a Node needs.
+type Options struct {
+	Self        Peer
+	Incarnation uint64
+	Log         platform.Log
+	Dial        func(ctx context.Context, addr string) (net.Conn, error)
+	Logger      logr.Logger
+	Metrics     *metrics.Set
+	Timing      Timing
+	// Install is called with each new version, in order, never with an older one.
+	Install func(*config.Snapshot)
+	// Leases is called after the lease table changed hands.
+	Leases func()
+	// Status fills in what the owner of the node knows.
+	Status func(full bool, into *wire.StatusReply)
+	// Drain takes the process out of service.
+	Drain func(undo bool)
+}
+
+// Node keeps one entry's configuration, leases and membership up to date.
+type Node struct {
+	opts    Options
+	log     logr.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	duties  conc.WaitGroup
+	leaving atomic.Bool
+	changed chan struct{} // signals the leaser
+
+	mu        sync.Mutex
+	fold      *config.Fold
+	table     *LeaseTable
+	relay     relay
+	saved     savedState
+	wake      chan struct{} // closed when records were folded
+	freshAt   time.Time     // when this process or its source last read the log
+	fences    uint64        // highest fence that Leases was called for
+	claimer   *Claimer
+	members   *Members
+	topology  *Topology
+	listed    bool // a VM list was seen
+	conns     map[string]*peerConn
+	incoming  map[*wire.Conn]struct{}
+	summaries map[string]wire.Summary // by data centre
+	snapshot  snapshotClock
+}
+
+// savedState is a saved fold that newcomers share.
+type savedState struct {
+	next uint64
+	data []byte
+}
+
+// NewFold returns a fold with all extensions of this build, and its lease table.
+func NewFold() (*config.Fold, *LeaseTable) {
+	t := NewLeaseTable()
+	return config.NewFold(t), t
+}
+
+// New returns a node that knows nothing yet; Start makes it follow.
+func New(o Options) *Node {
+	if o.Timing == (Timing{}) {
+		o.Timing = DefaultTiming
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	n := &Node{
+		opts:      o,
+		log:       o.Logger.WithName("control"),
+		ctx:       ctx,
+		cancel:    cancel,
+		changed:   make(chan struct{}, 1),
+		wake:      make(chan struct{}),
+		claimer:   NewClaimer(o.Self.Name, o.Incarnation, o.Timing.Lease),
+		members:   NewMembers(o.Self.Name, o.Timing.Silence),
+		topology:  NewTopology(o.Self, nil),
+		conns:     make(map[string]*peerConn),
+		incoming:  make(map[*wire.Conn]struct{}),
+		summaries: make(map[string]wire.Summary),
+		snapshot:  snapshotClock{seenAt: now},
+	}
+	n.fold, n.table = NewFold()
+	return n
+}
+
+// Start begins to follow and returns at once.
+func (n *Node) Start() {
+	n.duties.Go(n.follow)
+	n.duties.Go(n.beat)
+	n.duties.Go(n.publish)
+	n.duties.Go(n.lease)
+}
+
+// Close stops all duties.
+func (n *Node) Close() {
+	n.cancel()
+	n.mu.Lock()
+	var conns []*wire.Conn
+	for _, p := range n.conns {
+		if p.conn != nil {
+			conns = append(conns, p.conn)
+		}
+	}
+	for c := range n.incoming {
+		conns = append(conns, c)
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+	n.duties.Wait()
+}
+
+// SetPeers takes the entries of the platform's list.
+func (n *Node) SetPeers(entries []Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.topology = NewTopology(n.opts.Self, entries)
+	n.listed = true
+	listed := make(map[string]bool, len(entries))
+	for _, p := range entries {
+		listed[p.Name] = true
+	}
+	n.members.Forget(listed, time.Now())
+}
+
+// SetLeaving says in heartbeats that this process leaves.
+func (n *Node) SetLeaving(leaving bool) { n.leaving.Store(leaving) }
+
+// Usable reports whether an entry may be named to callers, as far as is known here.
+func (n *Node) Usable(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.members.Leaving(name) && !n.members.Down(name, time.Now())
+}
+
+// Outcome returns what became of a change.
+func (n *Node) Outcome(id string) (config.Outcome, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fold.Outcome(id)
+}
+
+// Floors returns the fencing floors of resources.
+func (n *Node) Floors(resources []string) []Floor {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	floors := make([]Floor, len(resources))
+	for i, r := range resources {
+		floors[i] = Floor{Resource: r, Fence: n.table.Row(r).Fence}
+	}
+	return floors
+}
+
+// Leases returns the folded lease table, sorted by resource.
+func (n *Node) Leases() []LeaseRow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Rows()
+}
+
+// Entries returns how many entries the VM list shows, this one included.
+func (n *Node) Entries() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.topology.Peers) + 1
+}
+
+func (n *Node) hello() wire.Hello {
+	return wire.Hello{
+		Name:        n.opts.Self.Name,
+		Role:        wire.RoleEntry,
+		Incarnation: n.opts.Incarnation,
+		DataCentre:  n.opts.Self.DataCentre,
+	}
+}
+
+// sleep waits for d; false means that the node stops.
+func (n *Node) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -202,7 +202,7 @@
 		ID:         ulid.Make().String(),
 		Name:       name,
 		Role:       platform.RoleEntry,
-		Address:    e.Addr(),
+		Address:    e.PeerAddr(),
 		Callers:    e.Addr(),
 		DataCentre: dc,
 		State:      platform.StateLive,
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// startControl begins to follow the configuration and to listen for peers.
+func (e *Entry) startControl() error {
+	e.peerLn = e.opts.PeerListener
+	if e.peerLn == nil && e.opts.Settings.Listen != "" {
+		ln, err := net.Listen("tcp", e.opts.Settings.Listen)
+		if err != nil {
+			return fmt.Errorf("entry %s: listen for peers: %w", e.opts.Settings.Name, err)
+		}
+		e.peerLn = ln
+	}
+	timing := e.opts.Control
+	if timing == (control.Timing{}) {
+		timing = control.DefaultTiming
+	}
+	if e.opts.Snapshots > 0 {
+		timing.Snapshots = e.opts.Snapshots
+	}
+	s := &e.opts.Settings
+	e.node = control.New(control.Options{
+		Self:        control.Peer{Name: s.Name, Address: e.PeerAddr(), DataCentre: s.DataCentre, Region: s.Region},
+		Incarnation: e.opts.Incarnation,
+		Log:         e.opts.Log,
+		Dial:        e.opts.Dial,
+		Logger:      e.log,
+		Metrics:     e.opts.Metrics,
+		Timing:      timing,
+		Install:     e.install,
+		Leases:      e.notifyAgents,
+		Status:      e.status,
+		Drain:       e.setDrain,
+	})
+	e.node.Start()
+	if e.peerLn != nil {
+		e.duties.Go(e.acceptPeers)
+	}
+	return nil
+}
+
+// PeerAddr returns the address that other heatherrail processes connect to.
+func (e *Entry) PeerAddr() string {
+	if e.peerLn == nil {
+		return ""
+	}
+	return e.peerLn.Addr().String()
+}
+
+// Leaser returns the leases of this process.
+func (e *Entry) Leaser() control.Leaser { return e.node }
+
+func (e *Entry) acceptPeers() {
+	for {
+		nc, err := e.peerLn.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		e.duties.Go(func() { e.servePeer(nc) })
+	}
+}
+
+func (e *Entry) servePeer(nc net.Conn) {
+	c, err := wire.Server(nc, e.hello(), e.node, wire.Options{})
+	if err != nil {
+		e.log.Error(err, "peer refused", "peer", nc.RemoteAddr().String())
+		return
+	}
+	e.node.Accept(c)
+}
+
+// peers returns the entries of the VM list.
+func peers(vms []platform.VM) []control.Peer {
+	var list []control.Peer
+	for _, vm := range vms {
+		if vm.Role == platform.RoleEntry {
+			list = append(list, control.Peer{
+				Name:       vm.Name,
+				Address:    vm.Address,
+				DataCentre: vm.DataCentre,
+				Region:     vm.Region,
+				Leaving:    vm.State == platform.StateLeaving,
+			})
+		}
+	}
+	return list
+}
+
+// notifyAgents tells every linked agent the version and the fencing floors.
+func (e *Entry) notifyAgents() {
+	configs := e.agentConfigs()
+	for _, l := range e.allLinks() {
+		l.notify(configs)
+	}
+}
+
+// agentConfigs is the configuration in force as agents need it, with what many of
+// them share built once.
+type agentConfigs struct {
+	base      wire.AgentConfig
+	fleets    map[string]string               // by target
+	policies  map[string][]wire.ServicePolicy // by fleet
+	resources map[string][]string             // by target
+	floors    map[string]uint64               // by resource
+}
+
+// agentConfigs returns nil before the first version.
+func (e *Entry) agentConfigs() *agentConfigs {
+	s := e.current.Load()
+	if s == nil {
+		return nil
+	}
+	a := &agentConfigs{
+		base:      wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries()},
+		fleets:    make(map[string]string, len(s.Config.Targets)),
+		policies:  make(map[string][]wire.ServicePolicy),
+		resources: make(map[string][]string),
+		floors:    make(map[string]uint64),
+	}
+	for _, t := range s.Config.Targets {
+		a.fleets[t.Name] = t.Fleet
+		a.resources[t.Name] = []string{control.TargetResource(t.Name)}
+	}
+	for i := range s.Config.Services {
+		a.addPolicy(s, &s.Config.Services[i])
+	}
+	for _, g := range s.Config.Groups {
+		for _, rank := range g.Ranks {
+			a.resources[rank] = append(a.resources[rank], control.GroupResource(g.Name))
+		}
+	}
+	for _, row := range e.node.Leases() {
+		a.floors[row.Resource] = row.Fence
+	}
+	return a
+}
+
+func (a *agentConfigs) addPolicy(s *config.Snapshot, svc *config.Service) {
+	p := s.Policy(svc)
+	if p == nil {
+		return
+	}
+	raw, err := p.MarshalMsg(nil)
+	if err != nil {
+		return // plain structs always encode
+	}
+	a.policies[svc.Fleet] = append(a.policies[svc.Fleet], wire.ServicePolicy{Service: svc.Name, Policy: raw})
+}
+
+// of returns one agent's part. Resources that nobody ever owned have no floor.
+func (a *agentConfigs) of(target string) *wire.AgentConfig {
+	c := a.base
+	c.Policies = a.policies[a.fleets[target]]
+	for _, r := range a.resources[target] {
+		if fence := a.floors[r]; fence > 0 {
+			c.Floors = append(c.Floors, wire.FenceFloor{Resource: r, Fence: fence})
+		}
+	}
+	return &c
+}
+
+// status fills in what the operators' tool asks of this entry.
+func (e *Entry) status(full bool, r *wire.StatusReply) {
+	r.InFlight = int(e.inFlight.Load())
+	if !full {
+		return
+	}
+	for _, l := range e.allLinks() {
+		if load, ok := l.reported(); ok {
+			r.Targets = append(r.Targets, load)
+		}
+	}
+}
+
+// setDrain takes this entry out of the answers that callers get, or back in.
+func (e *Entry) setDrain(undo bool) {
+	if !undo {
+		e.Drain()
+		return
+	}
+	e.leaving.Store(false)
+	e.node.SetLeaving(false)
+	e.log.Info("back in service")
+}
+
+// reported returns the agent's latest report.
+func (l *link) reported() (wire.Load, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load, l.conn != nil && l.hasLoad
+}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -5,37 +5,9 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
-	"github.com/heatherrail/heatherrail/wire"
 )
 
-const (
-	logPage    = 256
-	logWait    = 5 * time.Second
-	logBackoff = 200 * time.Millisecond
-	vmPoll     = 500 * time.Millisecond
-)
-
-// tailLog folds the log into configuration versions.
-func (e *Entry) tailLog() {
-	fold := config.NewFold()
-	next := uint64(0)
-	for e.ctx.Err() == nil {
-		page, err := e.opts.Log.Read(e.ctx, next, logPage, logWait)
-		if err != nil {
-			e.opts.Metrics.Count("log_read_errors_total", 1)
-			e.sleep(logBackoff)
-			continue
-		}
-		next = page.Next
-		for _, raw := range page.Records {
-			if err := fold.Apply(raw); err != nil {
-				e.log.Error(err, "configuration stopped")
-				return
-			}
-		}
-		e.install(fold.Current())
-	}
-}
+const vmPoll = 500 * time.Millisecond
 
 // install puts a version in force; an older one than held is never taken.
 func (e *Entry) install(s *config.Snapshot) {
@@ -46,9 +18,7 @@
 	e.current.Store(s)
 	e.log.Info("configuration in force", "version", s.Version, "change", s.ID)
 	e.syncLinks()
-	for _, l := range e.allLinks() {
-		l.notify(s)
-	}
+	e.notifyAgents()
 }
 
 func (e *Entry) watchVMs() {
@@ -58,6 +28,7 @@
 			e.opts.Metrics.Count("vm_list_errors_total", 1)
 		} else {
 			e.vms.Store(&vms)
+			e.node.SetPeers(peers(vms))
 			e.syncLinks()
 		}
 		e.sleep(vmPoll)
@@ -113,7 +84,3 @@
 	}
 	return links
 }
-
-func notice(s *config.Snapshot) *wire.ConfigNotice {
-	return &wire.ConfigNotice{Version: s.Version, Digest: s.Digest}
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/route"
@@ -31,6 +32,12 @@
 	Incarnation uint64
 	// Dial connects to other processes; nil: TCP. Tests put a network of their own.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// PeerListener takes the place of a TCP listener on Settings.Listen.
+	PeerListener net.Listener
+	// Snapshots is how often the configuration is published again; zero: the default.
+	Snapshots time.Duration
+	// Control replaces the periods of control; zero: control.DefaultTiming.
+	Control control.Timing
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
 }
@@ -50,6 +57,8 @@
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
 	placer   *route.Placer
+	node     *control.Node
+	peerLn   net.Listener
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -77,7 +86,10 @@
 			return nil, err
 		}
 	}
-	e.duties.Go(e.tailLog)
+	if err := e.startControl(); err != nil {
+		e.Close()
+		return nil, err
+	}
 	e.duties.Go(e.watchVMs)
 	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
 	return e, nil
@@ -115,6 +127,7 @@
 // Drain takes the entry out of the answers that callers get. It goes on to
 // serve: callers keep earlier answers for a while.
 func (e *Entry) Drain() {
+	e.node.SetLeaving(true)
 	if !e.leaving.Swap(true) {
 		e.log.Info("leaving", "in_flight", e.inFlight.Load())
 	}
@@ -146,6 +159,12 @@
 	if e.ln != nil {
 		_ = e.ln.Close()
 	}
+	if e.peerLn != nil {
+		_ = e.peerLn.Close()
+	}
+	if e.node != nil {
+		e.node.Close()
+	}
 	e.mu.Lock()
 	links := e.links
 	e.links = make(map[string]*link)
--- a/entry/http.go
+++ b/entry/http.go
@@ -106,7 +106,7 @@
 			if !e.leaving.Load() {
 				answer.Entries = append(answer.Entries, vm.Callers)
 			}
-		default:
+		case e.node.Usable(vm.Name):
 			others = append(others, vm.Callers)
 		}
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
@@ -92,9 +91,7 @@
 	l.conn = conn
 	l.dispatch = 0
 	l.mu.Unlock()
-	if s := l.entry.current.Load(); s != nil {
-		l.notify(s)
-	}
+	l.notify(l.entry.agentConfigs())
 	l.entry.log.V(1).Info("linked", "target", l.target, "incarnation", conn.Peer().Incarnation)
 }
 
@@ -114,14 +111,15 @@
 	}
 }
 
-// notify tells the agent which configuration is in force here.
-func (l *link) notify(s *config.Snapshot) {
+// notify tells the agent what it needs of the configuration in force here.
+func (l *link) notify(configs *agentConfigs) {
 	l.mu.Lock()
 	conn := l.conn
 	l.mu.Unlock()
-	if conn != nil {
-		_ = conn.SendNote(wire.NoteConfig, notice(s)) // a lost link sends it again when it is back
+	if conn == nil || configs == nil {
+		return
 	}
+	_ = conn.SendNote(wire.NoteAgentConfig, configs.of(l.target)) // a lost link sends it again when it is back
 }
 
 // ServeStream implements wire.Handler; agents open no streams.
--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -108,7 +108,8 @@
 func answer(w http.ResponseWriter, v any, err error) {
 	switch {
 	case errors.Is(err, platform.ErrTrimmed):
-		http.Error(w, err.Error(), http.StatusGone)
+		w.WriteHeader(http.StatusGone)
+		_ = json.NewEncoder(w).Encode(v) // says which offset is the oldest
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,7 @@
 type Entry struct {
 	Name       string        `ini:"name" required:"true" doc:"name of this entry, unique"`
 	DataCentre string        `ini:"data-centre" required:"true" doc:"data centre of this VM"`
+	Region     string        `ini:"region" doc:"region of the data centre; empty: there is only one"`
 	Callers    string        `ini:"callers" required:"true" format:"address" doc:"address that callers connect to"`
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	MaxBody    ini.Bytes     `ini:"max-body" default:"4MB" min:"1KB" max:"7MB" doc:"largest request body"`
@@ -29,6 +30,7 @@
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	Backend    string        `ini:"backend" required:"true" format:"address" doc:"address of the engine or service"`
 	Kind       string        `ini:"kind" required:"true" oneof:"engine plain" doc:"kind of the target"`
+	StaleGrace time.Duration `ini:"stale-grace" default:"10s" min:"1s" max:"10m" doc:"how long work under an overtaken configuration is still taken"`
 	Queue      int           `ini:"queue-limit" default:"64" min:"1" max:"65536" doc:"requests at once, running and queued in the target"`
 	Grace      time.Duration `ini:"shutdown-deadline" default:"10m" min:"1s" max:"24h" doc:"when a graceful shutdown gives up waiting"`
 	Verbosity  int           `ini:"verbosity" default:"0" min:"0" max:"4" doc:"detail of the log"`
@@ -38,6 +40,8 @@
 type Platform struct {
 	Log string `ini:"log" required:"true" format:"address" doc:"address of the log service"`
 	VMs string `ini:"vms" required:"true" format:"address" doc:"address of the VM list"`
+	// Snapshots bounds how old the newest snapshot on the log may be.
+	Snapshots time.Duration `ini:"snapshot-every" default:"30m" min:"1m" max:"24h" doc:"how often the configuration is published again; at most a quarter of the log's retention"`
 }
 
 // EntryFile is a whole settings file of heatherrail-entry.
