Fold: properties, failures and fuzz targets

Cause: the fold had no test of its own. The reader's limit of 131,072 refused a part of MaxRecord bytes: found by TestLargeChangeGoesInParts, raised.

--- /dev/null
+++ b/config/fold_test.go
@@ -0,0 +1,279 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func teamHash(i int) string { return HashKey(fmt.Sprint("key-", i)) }
+
+// teams returns a configuration of n teams; the seed changes their weights.
+func teams(n, seed int) *Config {
+	c := &Config{
+		Fleets:   []Fleet{{Name: "f", Kind: "plain"}},
+		Targets:  []Target{{Name: "t", Fleet: "f", DataCentre: "a"}},
+		Services: []Service{{Name: "s", Fleet: "f", Policy: DefaultPolicy}},
+	}
+	for i := range n {
+		c.Teams = append(c.Teams, Team{Name: fmt.Sprintf("team-%05d", i), KeyHashes: []string{teamHash(i)}, Services: []string{"s"}, Weight: 100 + seed + i%7})
+	}
+	c.addDefaults()
+	c.sort()
+	return c
+}
+
+// counter is an extension that shows a record folded twice or not at all.
+type counter struct{ n byte }
+
+func (c *counter) Kind() string               { return "count" }
+func (c *counter) Fold(uint64, []byte) error  { c.n++; return nil }
+func (c *counter) Save() ([]byte, error)      { return []byte{c.n}, nil }
+func (c *counter) Restore(saved []byte) error { c.n = saved[0]; return nil }
+
+func mustRecords(ch *Change) [][]byte {
+	records, err := ChangeRecords(ch)
+	if err != nil {
+		panic(err)
+	}
+	return records
+}
+
+func changeTo(id string, base uint64, old, c *Config) *Change {
+	return &Change{ID: id, Base: base, Digest: Digest(c), Delta: NewDelta(old, c)}
+}
+
+// history is a random log: changes on right and wrong bases, doubled records,
+// changes in parts with and without commit, and snapshots of earlier states.
+func history(t *rapid.T) [][]byte {
+	var log [][]byte
+	reader := NewFold(new(counter))
+	read := func() {
+		for reader.Next() < uint64(len(log)) {
+			if err := reader.Apply(reader.Next(), log[reader.Next()]); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	var held []byte // a saved state that waits to be published
+	var upto uint64
+	for i := range rapid.IntRange(1, 25).Draw(t, "steps") {
+		read()
+		id := fmt.Sprint("c", i)
+		var old *Config
+		var version uint64
+		if s := reader.Current(); s != nil {
+			old, version = s.Config, s.Version
+		}
+		next := teams(rapid.IntRange(1, 6).Draw(t, "teams"), rapid.IntRange(0, 3).Draw(t, "seed"))
+		switch rapid.IntRange(0, 7).Draw(t, "kind") {
+		case 0, 1:
+			log = append(log, mustRecords(changeTo(id, version, old, next))...)
+		case 2: // overtaken or future base
+			log = append(log, mustRecords(changeTo(id, version+uint64(rapid.IntRange(1, 2).Draw(t, "ahead")), old, next))...)
+		case 3: // a doubled record
+			if len(log) > 0 {
+				log = append(log, log[rapid.IntRange(0, len(log)-1).Draw(t, "double")])
+			}
+		case 4: // in parts, some lost or doubled
+			log = append(log, parts(t, changeTo(id, version, old, next))...)
+		case 7:
+			raw, _ := NewRecord("count", &Part{})
+			log = append(log, raw)
+		case 5:
+			var err error
+			if held, err = reader.Save(); err != nil {
+				t.Fatal(err)
+			}
+			upto = reader.Next()
+		case 6:
+			if held != nil {
+				records, err := SnapshotRecords(id, held, upto)
+				if err != nil {
+					t.Fatal(err)
+				}
+				log = append(log, records...)
+			}
+		}
+	}
+	return log
+}
+
+func parts(t *rapid.T, ch *Change) [][]byte {
+	body, _ := ch.MarshalMsg(nil)
+	half := len(body) / 2
+	var out [][]byte
+	for i, data := range [][]byte{body[:half], body[half:]} {
+		raw, _ := NewRecord(RecordPart, &Part{ID: ch.ID, Index: i, Data: data})
+		for range rapid.IntRange(0, 2).Draw(t, "copies") {
+			out = append(out, raw)
+		}
+	}
+	if rapid.Bool().Draw(t, "commit") {
+		raw, _ := NewRecord(RecordCommit, &Commit{ID: ch.ID, Parts: 2, Digest: digestOf(body)})
+		out = append(out, raw)
+	}
+	return out
+}
+
+// feed folds the log as a real reader meets it: in pages that overlap what it has,
+// from the offset that the log still keeps.
+func feed(t *rapid.T, f *Fold, log [][]byte, first uint64) {
+	version := uint64(0)
+	for f.Next() < uint64(len(log)) {
+		from := f.Next() - min(f.Next()-first, uint64(rapid.IntRange(0, 3).Draw(t, "overlap")))
+		to := min(uint64(len(log)), f.Next()+uint64(rapid.IntRange(1, 5).Draw(t, "page")))
+		for o := from; o < to; o++ {
+			if err := f.Apply(o, log[o]); err == ErrGap {
+				break
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if s := f.Current(); s != nil {
+				if s.Version < version {
+					t.Fatalf("version fell from %d to %d", version, s.Version)
+				}
+				version = s.Version
+			}
+		}
+	}
+}
+
+func TestFoldReachesOneState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := history(t)
+		whole := NewFold(new(counter))
+		feed(t, whole, log, 0)
+		want, err := whole.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := whole.Current(); s != nil && s.Digest != Digest(s.Config) {
+			t.Fatal("digest was not kept up to date")
+		}
+		first := uint64(rapid.IntRange(0, len(log)).Draw(t, "first"))
+		late := NewFold(new(counter))
+		if rapid.Bool().Draw(t, "slow") { // a reader that fell behind the trimming
+			for o := uint64(0); o < first/2; o++ {
+				if err := late.Apply(o, log[o]); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		late.SkipTo(first)
+		feed(t, late, log, first)
+		if late.Seeking() {
+			if err := late.Restore(want); err != nil { // no snapshot was left: a peer helps
+				t.Fatal(err)
+			}
+		}
+		got, err := late.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got) != string(want) {
+			t.Fatalf("reader from %d of %d reached another state", first, len(log))
+		}
+	})
+}
+
+// The caller sees: an old policy comes back. In order: a reader has version 2, a
+// peer that was paused since version 1 sends its state. It must be passed over.
+func TestRestoreNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	g.Expect(f.Apply(0, mustRecords(changeTo("a", 0, nil, teams(2, 0)))[0])).To(Succeed())
+	old, err := f.Save()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.Apply(1, mustRecords(changeTo("b", 1, teams(2, 0), teams(3, 1)))[0])).To(Succeed())
+	g.Expect(f.Restore(old)).To(Succeed())
+	g.Expect(f.Current().Version).To(Equal(uint64(2)))
+	f.SkipTo(9)
+	g.Expect(f.Restore(old)).To(Succeed())
+	g.Expect(f.Current().Version).To(Equal(uint64(2)))
+}
+
+// The operator sees: one node stops with an error while its peers go on. In order:
+// a newer build puts a record of schema 2, or of a new kind, on the log. A reader
+// that passed it over would hold another state than its peers from there on.
+func TestUnknownRecordStopsTheFold(t *testing.T) {
+	newer := Record{Schema: RecordSchema + 1, Kind: RecordChange}
+	newerRaw, _ := newer.MarshalMsg(nil)
+	otherRaw, _ := NewRecord("other", &Part{})
+	for name, raw := range map[string][]byte{"schema": newerRaw, "kind": otherRaw, "garbage": {0xc1}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := NewFold()
+			change := mustRecords(changeTo("a", 0, nil, teams(1, 0)))[0]
+			g.Expect(f.Apply(0, raw)).NotTo(Succeed())
+			g.Expect(f.Apply(1, change)).NotTo(Succeed())
+			g.Expect(f.Current()).To(BeNil())
+			_, err := f.Save()
+			g.Expect(err).To(HaveOccurred(), "a stopped reader must not hand its state on")
+		})
+	}
+}
+
+func TestLargeChangeGoesInParts(t *testing.T) {
+	g := NewWithT(t)
+	big := teams(5000, 0)
+	records := mustRecords(changeTo("big", 0, nil, big))
+	g.Expect(len(records)).To(BeNumerically(">", 3))
+	f := NewFold()
+	for i, raw := range records {
+		g.Expect(len(raw)).To(BeNumerically("<=", MaxRecord+256))
+		g.Expect(f.Current()).To(BeNil(), "parts without their commit mean nothing")
+		g.Expect(f.Apply(uint64(i), raw)).To(Succeed())
+	}
+	g.Expect(f.Current().Config.Teams).To(HaveLen(5000))
+	small := mustRecords(changeTo("small", 1, big, teams(5001, 0)))
+	g.Expect(small).To(HaveLen(1))
+	g.Expect(len(small[0])).To(BeNumerically("<", 1024), "a change is as large as its difference")
+	g.Expect(f.Apply(uint64(len(records)), small[0])).To(Succeed())
+	g.Expect(f.Current().TeamByKey("key-5000").Name).To(Equal("team-05000"))
+}
+
+func TestOutcomesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	for i := range uint64(keptOutcomes + 10) {
+		raw := mustRecords(&Change{ID: fmt.Sprint("c", i), Base: 99})[0]
+		g.Expect(f.Apply(i, raw)).To(Succeed())
+	}
+	g.Expect(f.outcomes).To(HaveLen(keptOutcomes))
+	_, known := f.Outcome("c0")
+	g.Expect(known).To(BeFalse())
+	_, known = f.Outcome("c20")
+	g.Expect(known).To(BeTrue())
+}
+
+func FuzzFold(f *testing.F) {
+	f.Add(mustRecords(changeTo("a", 0, nil, teams(2, 0)))[0], []byte{})
+	part, _ := NewRecord(RecordPart, &Part{ID: "p", Index: 1, Data: []byte("x")})
+	commit, _ := NewRecord(RecordCommit, &Commit{ID: "p", Parts: 2})
+	f.Add(part, commit)
+	state, _ := NewFold().Save()
+	snapshots, _ := SnapshotRecords("s", state, 0)
+	f.Add(snapshots[0], snapshots[1])
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		for _, skip := range []uint64{0, 1} {
+			one, two := NewFold(), NewFold()
+			for _, fold := range []*Fold{one, two} {
+				fold.SkipTo(skip)
+				_ = fold.Apply(fold.Next(), a)
+				_ = fold.Apply(fold.Next(), b)
+				_ = fold.Restore(b)
+			}
+			x, errX := one.Save()
+			y, errY := two.Save()
+			if (errX == nil) != (errY == nil) || string(x) != string(y) {
+				t.Fatal("two readers differ")
+			}
+		}
+	})
+}
+
+func digestOf(body []byte) uint64 { return xxhash.Sum64(body) }
--- a/config/record.go
+++ b/config/record.go
@@ -8,7 +8,8 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o record_gen.go
 
-//msgp:limit arrays:131072 maps:131072
+// The limit also holds for byte strings: a record's body is larger than MaxRecord.
+//msgp:limit arrays:1048576 maps:131072
 
 // RecordSchema is the newest record schema that this build understands.
 const RecordSchema = 1
--- a/config/record_gen.go
+++ b/config/record_gen.go
@@ -8,7 +8,7 @@
 
 // Size limits for msgp deserialization
 const (
-	z89264a71limitArrays = 131072
+	z89264a71limitArrays = 1048576
 	z89264a71limitMaps   = 131072
 )
 
--- a/control/schema.go
+++ b/control/schema.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_gen.go
 
-//msgp:limit arrays:131072 maps:131072
+//msgp:limit arrays:1048576 maps:131072
 
 // RecordLease is the kind of log records that hold a LeaseBatch.
 const RecordLease = "lease"
--- a/control/schema_gen.go
+++ b/control/schema_gen.go
@@ -8,7 +8,7 @@
 
 // Size limits for msgp deserialization
 const (
-	zb417a25dlimitArrays = 131072
+	zb417a25dlimitArrays = 1048576
 	zb417a25dlimitMaps   = 131072
 )
 
--- a/wire/schema_control.go
+++ b/wire/schema_control.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_control_gen.go
 
-//msgp:limit arrays:131072 maps:131072
+//msgp:limit arrays:1048576 maps:131072
 
 // Methods of configuration and control.
 const (
--- a/wire/schema_control_gen.go
+++ b/wire/schema_control_gen.go
@@ -8,7 +8,7 @@
 
 // Size limits for msgp deserialization
 const (
-	zf0a5c0f9limitArrays = 131072
+	zf0a5c0f9limitArrays = 1048576
 	zf0a5c0f9limitMaps   = 131072
 )
 
