--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,8 +12,10 @@
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -26,8 +28,15 @@
 	Metrics     *metrics.Set
 	Incarnation uint64 // differs at each start of the process
 	ReportEvery time.Duration
-	// Listener takes the place of a TCP listener on Settings.Listen.
+	// Log tells which entries exist. Without it the agent goes by the entries that
+	// are linked to it, which is not enough after a restart: for tests alone.
+	Log platform.Log
+	// Listener takes the place of a plain TCP listener on Settings.Listen, which
+	// works on loopback only.
 	Listener net.Listener
+
+	// Off is for tests of the checkers.
+	Off safeguard.Off
 }
 
 const defaultReportEvery = 100 * time.Millisecond
@@ -42,6 +51,10 @@
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
 	config  configState
+	witness *witness
+	crashes *crashWatch
+	ctx     context.Context // ends when the agent stops
+	cancel  context.CancelCauseFunc
 	stop    chan struct{}
 	duties  conc.WaitGroup
 
@@ -59,7 +72,7 @@
 	ln := o.Listener
 	if ln == nil {
 		var err error
-		if ln, err = net.Listen("tcp", o.Settings.Listen); err != nil {
+		if ln, err = new(wire.Network).Listen(o.Settings.Listen); err != nil {
 			return nil, fmt.Errorf("agent of %s: %w", o.Settings.Target, err)
 		}
 	}
@@ -76,8 +89,14 @@
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
+	a.ctx, a.cancel = context.WithCancelCause(context.Background())
+	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
+	a.crashes = newCrashWatch(a)
+	a.ledger.forgetful = o.Off.Ledger
+	a.witness.trusting = o.Off.Witness
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
+	a.duties.Go(a.announce)
 	a.log.Info("started", "listen", a.Addr(), "incarnation", o.Incarnation)
 	return a, nil
 }
@@ -95,21 +114,20 @@
 }
 
 func (a *Agent) acceptLoop() {
-	for {
-		nc, err := a.ln.Accept()
-		if err != nil {
-			return // the listener was closed
-		}
-		go a.servePeer(nc)
-	}
+	acceptor := wire.Acceptor{
+		Listener: a.ln,
+		Hello:    a.hello(),
+		Handler:  a,
+		Serve:    a.servePeer,
+		Refused: func(remote net.Addr, err error) {
+			a.opts.Metrics.Result(result.From(err).Code)
+			a.log.Error(err, "peer refused", "peer", remote.String())
+		},
+	}
+	acceptor.Run()
 }
 
-func (a *Agent) servePeer(nc net.Conn) {
-	c, err := wire.Server(nc, a.hello(), a, wire.Options{})
-	if err != nil {
-		a.log.Error(err, "peer refused", "peer", nc.RemoteAddr().String())
-		return
-	}
+func (a *Agent) servePeer(c *wire.Conn) {
 	a.mu.Lock()
 	a.peers[c] = new(peerState)
 	a.mu.Unlock()
@@ -138,11 +156,15 @@
 
 // ServeNote implements wire.Handler.
 func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
-	if n == wire.NoteAgentConfig {
+	switch n {
+	case wire.NoteConfig:
+	case wire.NoteAgentConfig:
 		a.heardConfig(c, payload)
 		return
-	}
-	if n != wire.NoteConfig {
+	case wire.NoteAttest:
+		a.serveAttest(c, payload)
+		return
+	default:
 		return
 	}
 	var notice wire.ConfigNotice
@@ -153,6 +175,15 @@
 	a.heardVersion(notice.Version, time.Now())
 }
 
+func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
+	var at wire.Attest
+	if _, err := at.UnmarshalMsg(payload); err != nil {
+		a.log.Error(err, "bad attestation")
+		return
+	}
+	a.witness.attest(c.Peer().Incarnation, &at)
+}
+
 // raise sets v to n unless it is already higher: versions never go back.
 func raise(v *atomic.Uint64, n uint64) {
 	for {
@@ -198,6 +229,7 @@
 	default:
 	}
 	close(a.stop)
+	a.cancel(result.New(result.TargetLost, "the agent stops"))
 	_ = a.ln.Close()
 	for _, c := range a.conns() {
 		c.Close()
--- a/agent/control.go
+++ b/agent/control.go
@@ -166,6 +166,9 @@
 	if _, err := req.UnmarshalMsg(payload); err != nil {
 		return result.New(result.WireMalformed, "drain request: %w", err)
 	}
+	if role := s.Conn().Peer().Role; role != wire.RoleTool {
+		return result.New(result.WireRole, "role %q may not drain", role)
+	}
 	if req.Undo {
 		a.leaving.Store(false)
 		a.log.Info("back in service")
--- a/cmd/heatherrail/platform.go
+++ b/cmd/heatherrail/platform.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"net"
 	"time"
 
 	"github.com/heatherrail/heatherrail/control"
@@ -23,10 +21,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	var d net.Dialer
 	client := &control.Client{
 		VMs:  &platform.HTTPVMList{Addr: file.Platform.VMs},
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		Dial: file.Network.Dial,
 	}
 	op := &control.Operator{Log: &platform.HTTPLog{Addr: file.Platform.Log}, State: client.State}
 	return op, client, nil
--- a/config/fold.go
+++ b/config/fold.go
@@ -109,6 +109,9 @@
 	if rec.Schema > RecordSchema {
 		return fmt.Errorf("record of schema %d, this build knows %d", rec.Schema, RecordSchema)
 	}
+	if rec.Kind == RecordPresence {
+		return nil // read by agents, see Presence
+	}
 	if rec.Kind == RecordSnapshotPart || rec.Kind == RecordSnapshotCommit {
 		return f.snapshot(offset, &rec)
 	}
@@ -191,6 +194,9 @@
 	if f.current != nil {
 		version, digest, base = f.current.Version, f.current.Digest, f.current.Config
 	}
+	if ch.Base == SettleBase {
+		return f.refuse("%s", ReasonSettled)
+	}
 	if ch.Base != version {
 		return f.refuse("base is version %d, in force is %d", ch.Base, version)
 	}
--- a/config/record.go
+++ b/config/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,6 +30,13 @@
 	MaxParts  = 256       // of one change or snapshot
 )
 
+// SettleBase is a base that no version ever has. A change on it settles its id: if
+// the change of that id is not on the log yet, it never takes effect.
+const SettleBase = math.MaxUint64
+
+// ReasonSettled is the outcome's reason then.
+const ReasonSettled = "it had not reached the log, and never takes effect now"
+
 // Record is what the log holds.
 type Record struct {
 	Schema uint32 `msg:"s"`
--- a/control/apply.go
+++ b/control/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -27,8 +26,6 @@
 const (
 	operatorPage  = 1024
 	operatorPause = 200 * time.Millisecond
-	// settleBase is a base that no version ever has; see Resume.
-	settleBase = math.MaxUint64
 )
 
 // Sync folds the log up to its present end.
@@ -113,7 +110,7 @@
 	if oldest, full := o.fold.OldestOutcome(); full && id < oldest {
 		return config.Outcome{}, result.New(result.ChangeUnknown, "%s is too old, outcomes before %s are forgotten", id, oldest)
 	}
-	records, err := config.ChangeRecords(&config.Change{ID: id, Base: settleBase})
+	records, err := config.ChangeRecords(&config.Change{ID: id, Base: config.SettleBase})
 	if err != nil {
 		return config.Outcome{}, err
 	}
--- a/control/follow.go
+++ b/control/follow.go
@@ -163,7 +163,10 @@
 	defer n.installing.Unlock()
 	n.mu.Lock()
 	now := time.Now()
-	current := n.fold.Current()
+	current, next := n.fold.Current(), n.fold.Next()
+	if n.fold.Seeking() {
+		next = 0 // records before it may be missing
+	}
 	n.claimer.Observe(n.table, now)
 	n.snapshot.observe(n.fold.SnapshotAt(), now)
 	moved := n.table.highest != n.fences
@@ -174,6 +177,9 @@
 	if current != nil && n.opts.Install != nil {
 		n.opts.Install(current)
 	}
+	if n.opts.Folded != nil {
+		n.opts.Folded(next)
+	}
 	if moved && n.opts.Leases != nil {
 		n.opts.Leases()
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -59,6 +59,8 @@
 	Timing      Timing
 	// Install is called with each new version, in order, never with an older one.
 	Install func(*config.Snapshot)
+	// Folded is called with the offset up to which records were folded, after Install.
+	Folded func(next uint64)
 	// Leases is called after the lease table changed hands.
 	Leases func()
 	// Status fills in what the owner of the node knows.
--- a/control/relay.go
+++ b/control/relay.go
@@ -18,14 +18,15 @@
 	bytes   int
 }
 
-// add keeps the record at an offset. Parts of snapshots are kept without their
-// data: who follows a peer gets a whole state in another way, and 38,000 teams'
-// worth of parts would use up the budget of every node.
+// add keeps the record at an offset. Parts of snapshots and presences are kept
+// without their data: who follows a peer gets a whole state in another way and reads
+// presences from the log; 38,000 teams' worth of parts, and a presence of each of
+// 1,500 processes every two minutes, would use up the budget of every node.
 func (r *relay) add(offset uint64, raw []byte) {
 	if offset != r.next() {
 		*r = relay{first: offset}
 	}
-	raw = withoutSnapshot(raw)
+	raw = slim(raw)
 	r.records = append(r.records, raw)
 	r.bytes += len(raw)
 	for len(r.records) > relayRecords || (r.bytes > relayBytes && len(r.records) > 1) {
@@ -56,14 +57,18 @@
 	return rest
 }
 
-func withoutSnapshot(raw []byte) []byte {
+// slim returns a record without what followers of a peer don't fold.
+func slim(raw []byte) []byte {
 	var rec config.Record
-	if _, err := rec.UnmarshalMsg(raw); err != nil || rec.Kind != config.RecordSnapshotPart {
+	if _, err := rec.UnmarshalMsg(raw); err != nil {
 		return raw
 	}
-	stripped, err := config.NewRecord(config.RecordSnapshotPart, &config.Part{})
+	if rec.Kind != config.RecordSnapshotPart && rec.Kind != config.RecordPresence {
+		return raw
+	}
+	slimmed, err := config.NewRecord(rec.Kind, &config.Part{})
 	if err != nil {
 		return raw
 	}
-	return stripped
+	return slimmed
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -135,6 +135,9 @@
 	if _, err := req.UnmarshalMsg(payload); err != nil {
 		return result.New(result.WireMalformed, "drain request: %w", err)
 	}
+	if role := s.Conn().Peer().Role; role != wire.RoleTool {
+		return result.New(result.WireRole, "role %q may not drain", role)
+	}
 	if n.opts.Drain != nil {
 		n.opts.Drain(req.Undo)
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"net"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -14,7 +17,7 @@
 func (e *Entry) startControl() error {
 	e.peerLn = e.opts.PeerListener
 	if e.peerLn == nil && e.opts.Settings.Listen != "" {
-		ln, err := net.Listen("tcp", e.opts.Settings.Listen)
+		ln, err := new(wire.Network).Listen(e.opts.Settings.Listen)
 		if err != nil {
 			return fmt.Errorf("entry %s: listen for peers: %w", e.opts.Settings.Name, err)
 		}
@@ -37,10 +40,12 @@
 		Metrics:     e.opts.Metrics,
 		Timing:      timing,
 		Install:     e.install,
+		Folded:      e.out.foldedTo.Store,
 		Leases:      e.notifyAgents,
 		Status:      e.status,
 		Drain:       e.setDrain,
 	})
+	e.duties.Go(e.notifyLoop)
 	e.node.Start()
 	if e.peerLn != nil {
 		e.duties.Go(e.acceptPeers)
@@ -60,22 +65,17 @@
 func (e *Entry) Leaser() control.Leaser { return e.node }
 
 func (e *Entry) acceptPeers() {
-	for {
-		nc, err := e.peerLn.Accept()
-		if err != nil {
-			return // the listener was closed
-		}
-		e.duties.Go(func() { e.servePeer(nc) })
-	}
-}
-
-func (e *Entry) servePeer(nc net.Conn) {
-	c, err := wire.Server(nc, e.hello(), e.node, wire.Options{})
-	if err != nil {
-		e.log.Error(err, "peer refused", "peer", nc.RemoteAddr().String())
-		return
-	}
-	e.node.Accept(c)
+	acceptor := wire.Acceptor{
+		Listener: e.peerLn,
+		Hello:    e.hello(),
+		Handler:  e.node,
+		Serve:    e.node.Accept,
+		Refused: func(remote net.Addr, err error) {
+			e.opts.Metrics.Result(result.From(err).Code)
+			e.log.Error(err, "peer refused", "peer", remote.String())
+		},
+	}
+	acceptor.Run()
 }
 
 // peers returns the entries of the VM list.
@@ -95,17 +95,39 @@
 	return list
 }
 
-// notifyAgents tells every linked agent the version and the fencing floors.
+// notifyAgents asks for every linked agent to be told the version and the fencing
+// floors. It does not wait: an agent that does not read must not hold up the
+// versions of this entry.
 func (e *Entry) notifyAgents() {
-	configs := e.agentConfigs()
-	for _, l := range e.allLinks() {
-		l.notify(configs)
+	select {
+	case e.notices <- struct{}{}:
+	default: // what is asked for already covers it
+	}
+}
+
+// notifyParallel bounds how many agents are told at once.
+const notifyParallel = 32
+
+func (e *Entry) notifyLoop() {
+	for {
+		select {
+		case <-e.notices:
+		case <-e.ctx.Done():
+			return
+		}
+		configs := e.agentConfigs()
+		p := pool.New().WithMaxGoroutines(notifyParallel)
+		for _, l := range e.allLinks() {
+			p.Go(func() { l.notify(configs) })
+		}
+		p.Wait()
 	}
 }
 
 // agentConfigs is the configuration in force as agents need it, with what many of
 // them share built once.
 type agentConfigs struct {
+	snap      *config.Snapshot
 	base      wire.AgentConfig
 	fleets    map[string]string               // by target
 	policies  map[string][]wire.ServicePolicy // by fleet
@@ -120,14 +142,13 @@
 		return nil
 	}
 	a := &agentConfigs{
+		snap:      s,
 		base:      wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries()},
-		fleets:    make(map[string]string, len(s.Config.Targets)),
 		policies:  make(map[string][]wire.ServicePolicy),
 		resources: make(map[string][]string),
 		floors:    make(map[string]uint64),
 	}
 	for _, t := range s.Config.Targets {
-		a.fleets[t.Name] = t.Fleet
 		a.resources[t.Name] = []string{control.TargetResource(t.Name)}
 	}
 	for i := range s.Config.Services {
@@ -159,7 +180,7 @@
 // of returns one agent's part. Resources that nobody ever owned have no floor.
 func (a *agentConfigs) of(target string) *wire.AgentConfig {
 	c := a.base
-	c.Policies = a.policies[a.fleets[target]]
+	c.Policies = a.policies[a.snap.FleetOf(target)]
 	for _, r := range a.resources[target] {
 		if fence := a.floors[r]; fence > 0 {
 			c.Floors = append(c.Floors, wire.FenceFloor{Resource: r, Fence: fence})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,10 +16,13 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/control"
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Options are what an entry needs besides its settings.
@@ -30,9 +33,11 @@
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64
-	// Dial connects to other processes; nil: TCP. Tests put a network of their own.
+	// Dial connects to other processes; nil: plain TCP, on loopback only. Tests put
+	// a network of their own.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// PeerListener takes the place of a TCP listener on Settings.Listen.
+	// PeerListener takes the place of a plain TCP listener on Settings.Listen, which
+	// is for loopback only.
 	PeerListener net.Listener
 	// Snapshots is how often the configuration is published again; zero: the default.
 	Snapshots time.Duration
@@ -40,6 +45,8 @@
 	Control control.Timing
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
+	// Off is for tests of the checkers.
+	Off safeguard.Off
 }
 
 // Entry is one running entry.
@@ -59,6 +66,8 @@
 	placer   *route.Placer
 	node     *control.Node
 	peerLn   net.Listener
+	notices  chan struct{} // agents are to be told of a version or floor
+	out      *outcomes
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -67,18 +76,19 @@
 // Start begins to serve and returns at once.
 func Start(o Options) (*Entry, error) {
 	if o.Dial == nil {
-		var d net.Dialer
-		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+		o.Dial = new(wire.Network).Dial
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		opts:   o,
-		log:    o.Logger.WithName("entry").WithValues("entry", o.Settings.Name),
-		idle:   make(chan struct{}, 1),
-		ctx:    ctx,
-		cancel: cancel,
-		placer: route.DefaultPlacer(),
-		links:  make(map[string]*link),
+		opts:    o,
+		log:     o.Logger.WithName("entry").WithValues("entry", o.Settings.Name),
+		idle:    make(chan struct{}, 1),
+		notices: make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
+		placer:  route.DefaultPlacer(),
+		out:     newOutcomes(&o),
+		links:   make(map[string]*link),
 	}
 	if !o.NoCallers {
 		if err := e.listenCallers(); err != nil {
@@ -91,6 +101,7 @@
 		return nil, err
 	}
 	e.duties.Go(e.watchVMs)
+	e.duties.Go(e.announce)
 	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
 	return e, nil
 }
@@ -118,12 +129,18 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	err := e.app.Listener(&watchedListener{e.ln}, fiber.ListenConfig{DisableStartupMessage: true})
+	ln := newWatchedListener(e.ln, e.opts.Settings.MaxCallers, e.refuseConn)
+	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && e.ctx.Err() == nil {
 		e.log.Error(err, "caller side stopped")
 	}
 }
 
+func (e *Entry) refuseConn(remote net.Addr) {
+	e.opts.Metrics.Result(result.ConnsFull)
+	e.log.V(1).Info("connection refused", "remote", remote.String(), "code", int(result.ConnsFull))
+}
+
 // Drain takes the entry out of the answers that callers get. It goes on to
 // serve: callers keep earlier answers for a while.
 func (e *Entry) Drain() {
@@ -149,6 +166,7 @@
 			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
 		}
 	}
+	e.farewell()
 	e.Close()
 	return err
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
@@ -82,11 +83,21 @@
 		conn.Close()
 		return nil
 	}
+	if !l.entry.out.supersede(l.target, conn.Peer().Incarnation, time.Now()) {
+		l.entry.log.Info("an overtaken agent answers", "target", l.target, "incarnation", conn.Peer().Incarnation)
+		conn.Close()
+		return nil
+	}
 	l.adopt(conn)
 	return conn
 }
 
+// adopt takes a new connection into use. The attestation goes first: the agent
+// must have it before any request of this entry.
 func (l *link) adopt(conn *wire.Conn) {
+	if s := l.entry.current.Load(); s != nil {
+		l.attest(conn, s)
+	}
 	l.mu.Lock()
 	l.conn = conn
 	l.dispatch = 0
@@ -120,6 +131,17 @@
 		return
 	}
 	_ = conn.SendNote(wire.NoteAgentConfig, configs.of(l.target)) // a lost link sends it again when it is back
+	l.attest(conn, configs.snap)
+}
+
+// attest tells the agent which requests that must not run twice went elsewhere.
+func (l *link) attest(conn *wire.Conn, s *config.Snapshot) {
+	fleet := s.FleetOf(l.target)
+	if fleet == "" {
+		return
+	}
+	p := place{target: l.target, incarnation: conn.Peer().Incarnation}
+	_ = conn.SendNote(wire.NoteAttest, l.entry.out.book.attest(s, p, fleet)) // sent again with the next link
 }
 
 // ServeStream implements wire.Handler; agents open no streams.
@@ -129,7 +151,12 @@
 
 // ServeNote implements wire.Handler.
 func (l *link) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
-	if n != wire.NoteLoad {
+	switch n {
+	case wire.NoteLoad:
+	case wire.NoteCrash:
+		l.entry.serveCrash(payload)
+		return
+	default:
 		return
 	}
 	var load wire.Load
@@ -157,8 +184,9 @@
 	t.Unreported = int(l.dispatch - min(l.load.CountedTo, l.dispatch))
 }
 
-// open sends a request to the agent.
-func (l *link) open(req *wire.Request) (*wire.Stream, error) {
+// open sends a request to the agent. before is called with the agent's
+// incarnation before any byte is handed to the connection; its error stops the try.
+func (l *link) open(req *wire.Request, before func(incarnation uint64) error) (*wire.Stream, error) {
 	l.mu.Lock()
 	conn := l.conn
 	if conn == nil {
@@ -169,6 +197,9 @@
 	req.Dispatch = l.dispatch
 	l.mu.Unlock()
 	req.AgentInc = conn.Peer().Incarnation
+	if err := before(req.AgentInc); err != nil {
+		return nil, err
+	}
 	s, err := conn.Open(wire.MethodRequest, req)
 	if err != nil {
 		return nil, result.New(result.Unreachable, "open stream to %s: %w", l.target, err)
