--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,11 +50,11 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
+	config  configState
 	witness *witness
 	crashes *crashWatch
 	ctx     context.Context // ends when the agent stops
 	cancel  context.CancelCauseFunc
-	version atomic.Uint64 // newest configuration version heard of
 	stop    chan struct{}
 	duties  conc.WaitGroup
 
@@ -85,6 +85,7 @@
 		ln:     ln,
 		idle:   make(chan struct{}, 1),
 		ledger: newLedger(),
+		config: newConfigState(),
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
@@ -157,6 +158,9 @@
 func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
 	switch n {
 	case wire.NoteConfig:
+	case wire.NoteAgentConfig:
+		a.heardConfig(c, payload)
+		return
 	case wire.NoteAttest:
 		a.serveAttest(c, payload)
 		return
@@ -168,7 +172,7 @@
 		a.log.Error(err, "bad configuration notice")
 		return
 	}
-	raise(&a.version, notice.Version)
+	a.heardVersion(notice.Version, time.Now())
 }
 
 func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
