--- a/agent/agent.go
+++ b/agent/agent.go
@@ -92,6 +92,9 @@
 	a.crashes = newCrashWatch(a)
 	a.ledger.forgetful = o.Off.Ledger
 	a.witness.trusting = o.Off.Witness
+	if o.Off.Roster {
+		a.witness.log = nil
+	}
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.duties.Go(a.announce)
--- a/agent/vouch.go
+++ b/agent/vouch.go
@@ -218,17 +218,20 @@
 // presenceEvery keeps the agent's presence inside the log's retention.
 const presenceEvery = 10 * time.Minute
 
-// announce keeps this agent on the log. The first record is written when a key
-// needs it, or here; an outage of the log delays only keys that are not settled.
+// rosterRetry is the pause between readings while the log is down.
+const rosterRetry = time.Second
+
+// announce keeps this agent on the log, and reads the roster there as soon as the
+// homes have changed: an outage of the log must not find it unread.
 func (a *Agent) announce() {
 	w := a.witness
 	if w.log == nil {
 		return
 	}
-	// An unread roster costs its first request the time of reading.
-	_ = w.readRoster(a.ctx, 0)
 	ticker := time.NewTicker(presenceEvery)
 	defer ticker.Stop()
+	retry := time.NewTimer(0)
+	defer retry.Stop()
 	for {
 		select {
 		case <-ticker.C:
@@ -237,8 +240,25 @@
 				a.opts.Metrics.Count("presence_errors_total", 1)
 			}
 			cancel()
+			continue
+		case <-w.moved:
+		case <-retry.C:
 		case <-a.ctx.Done():
 			return
 		}
+		if err := w.readRoster(a.ctx, w.newest()); err != nil {
+			a.opts.Metrics.Count("presence_errors_total", 1)
+			retry.Reset(rosterRetry)
+		}
+	}
+}
+
+// newest returns the newest version that an entry has attested under.
+func (w *witness) newest() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.homes) == 0 {
+		return 0
 	}
+	return w.homes[len(w.homes)-1].to
 }
--- a/agent/witness.go
+++ b/agent/witness.go
@@ -47,6 +47,7 @@
 	read     bool                 // the roster was read at all
 	present  bool                 // this agent is on the log
 
+	moved   chan struct{} // signalled when the homes have changed
 	reading chan struct{} // holds a token while the log is read
 	next    uint64        // log offset to read from
 }
@@ -65,6 +66,7 @@
 		log:      log,
 		now:      time.Now,
 		attested: make(map[uint64]uint64),
+		moved:    make(chan struct{}, 1),
 		reading:  make(chan struct{}, 1),
 		absent:   make(map[uint64]bool),
 		doubts:   make(map[uint64]time.Time),
@@ -89,18 +91,20 @@
 // starts it anew: the home may have been elsewhere meanwhile.
 func (w *witness) learnHomes(at *wire.Attest, now time.Time) {
 	next := homeList{from: at.Version, to: at.Version, names: at.Targets, since: now}
-	if len(w.homes) == 0 {
-		w.homes = []homeList{next}
-		return
-	}
-	last := &w.homes[len(w.homes)-1]
+	last := len(w.homes) - 1
 	switch {
-	case at.Version <= last.to:
-	case at.Version > last.to+1:
+	case last < 0 || at.Version > w.homes[last].to+1:
 		w.homes = []homeList{next}
-	case slices.Equal(last.names, at.Targets):
-		last.to = at.Version
+	case at.Version <= w.homes[last].to:
+		return
+	case slices.Equal(w.homes[last].names, at.Targets):
+		w.homes[last].to = at.Version
+		return
 	default:
 		w.homes = append(w.homes, next)
 	}
+	select {
+	case w.moved <- struct{}{}:
+	default:
+	}
 }
--- a/entry/book.go
+++ b/entry/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -32,7 +33,7 @@
 	keys      map[string]*booking
 	nextSweep time.Time
 	closed    bool
-	off       bool
+	off       safeguard.Off
 }
 
 type booking struct {
@@ -41,7 +42,7 @@
 	until  time.Time
 }
 
-func newBook(off bool) *book {
+func newBook(off safeguard.Off) *book {
 	return &book{keys: make(map[string]*booking), off: off}
 }
 
@@ -51,13 +52,13 @@
 func (b *book) record(homeKey, fleet string, p place, version uint64, until, now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.off {
+	if b.off.Book {
 		return nil
 	}
 	if b.closed {
 		return result.New(result.EntryLeaving, "the entry dispatches nothing more")
 	}
-	if version < b.version {
+	if version < b.version && !b.off.Version {
 		return result.New(result.StaleVersion, "version %d was overtaken by %d", version, b.version)
 	}
 	b.sweep(now)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -54,9 +54,11 @@
 	policy := snap.Policy(snap.Service(c.Service))
 	e.out.request(c.Service, policy.RetryShare)
 	t := newTries(e, snap, c, policy)
+	e.begin()
 	a, err := t.next(ctx, c.Body)
 	if err != nil {
 		cancel()
+		e.end()
 		return nil, err
 	}
 	x := &Exchange{tries: t, ctx: ctx, cancel: cancel}
@@ -117,10 +119,11 @@
 	return data, nil
 }
 
-// Close frees the target if the answer has not ended.
+// Close frees the target if the answer has not ended. It is called once.
 func (x *Exchange) Close() {
 	x.stream.Close()
 	x.cancel()
+	x.tries.entry.end()
 }
 
 // recover goes on with an answer whose target was lost. Where it can't, the
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -23,15 +24,17 @@
 	budgets    map[string]*route.RetryBudget // by service
 	ejector    *route.Ejector
 	quarantine *route.Quarantine
+	off        safeguard.Off
 }
 
 func newOutcomes(o *Options) *outcomes {
 	return &outcomes{
-		book:       newBook(o.Off.Book),
+		book:       newBook(o.Off),
 		agents:     make(map[string]agentSeen),
 		budgets:    make(map[string]*route.RetryBudget),
 		ejector:    route.NewEjector(),
 		quarantine: route.NewQuarantine(),
+		off:        o.Off,
 	}
 }
 
@@ -51,6 +54,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	seen := o.agents[target]
+	if o.off.Supersede {
+		return true
+	}
 	if incarnation < seen.incarnation && time.Since(seen.at) < agentMemory {
 		return false
 	}
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -223,9 +223,6 @@
 func (t *tries) again(ctx context.Context, target string, err error) bool {
 	code := result.From(err).Code
 	rule := route.Retryable(code, t.call.Repeatable)
-	if t.entry.opts.Off.Proof {
-		rule = route.RetryBudgeted
-	}
 	if rule == route.RetryNever || t.failures >= maxTries || ctx.Err() != nil {
 		return false
 	}
@@ -257,7 +254,7 @@
 	if r.Run() != result.RunNot {
 		return r
 	}
-	if t.doubt != nil {
+	if t.doubt != nil && !t.entry.opts.Off.Doubt {
 		return result.From(t.doubt)
 	}
 	if !t.call.Repeatable && r.Code != result.KeyReused && t.entry.out.book.has(t.homeKey) {
--- a/internal/safeguard/safeguard.go
+++ b/internal/safeguard/safeguard.go
@@ -6,9 +6,12 @@
 type Off struct {
 	Ledger      bool // agent: remember keys
 	Witness     bool // agent: ask who may have run an unknown key
+	Roster      bool // agent: ask entries that are not linked
 	Incarnation bool // agent: refuse what was sent to an earlier process
 	Book        bool // entry: book dispatches and attest them
-	Proof       bool // entry: retry only what provably did not run
+	Version     bool // entry: dispatch nothing under an overtaken version
+	Supersede   bool // entry: go to no overtaken agent
+	Doubt       bool // entry: a later "not run" does not undo an earlier doubt
 	Home        bool // entry: one home for each key
 	Deadline    bool // entry: end a request at its deadline
 	Continue    bool // entry: continue a text where it was cut
--- a/outcomes/callers.go
+++ b/outcomes/callers.go
@@ -123,6 +123,7 @@
 
 // send makes one invocation and records it.
 func (w *World) send(team string, at int, j job, try int) *Invocation {
+	at = w.callable(at)
 	now := time.Now()
 	i := &Invocation{
 		Key:       j.key,
@@ -142,7 +143,7 @@
 	defer w.History.mu.Unlock()
 	i.Answer, i.Ended = answer, time.Now()
 	if err != nil {
-		i.Code = result.From(err).Code
+		i.Code, i.Detail = result.From(err).Code, err.Error()
 	}
 	return i
 }
--- a/outcomes/faults.go
+++ b/outcomes/faults.go
@@ -27,6 +27,7 @@
 	FaultLogLost      Fault = "answers of the log lost"
 	FaultVMReplaced   Fault = "target VM replaced"
 	FaultDrain        Fault = "target drained and replaced"
+	FaultEntryDrain   Fault = "entry drained and replaced"
 	FaultTargetChange Fault = "configuration changes the targets"
 	FaultCrashRequest Fault = "a request crashes its targets"
 )
@@ -35,6 +36,7 @@
 var Faults = []Fault{
 	FaultNone, FaultAgentKill, FaultAgentPause, FaultEngineKill, FaultEngineStall, FaultEntryKill, FaultEntryPause,
 	FaultCut, FaultLate, FaultLogDown, FaultLogLost, FaultVMReplaced, FaultDrain, FaultTargetChange, FaultCrashRequest,
+	FaultEntryDrain,
 }
 
 // inject makes a fault happen once and returns when it is over.
@@ -62,6 +64,8 @@
 		w.entry(who).Close()
 		time.Sleep(spell / 4)
 		w.must(w.startEntry(who))
+	case FaultEntryDrain:
+		w.drainEntry(who)
 	case FaultEngineKill, FaultEngineStall:
 		w.breakEngine(f, spell, rng)
 	case FaultCut:
@@ -157,6 +161,16 @@
 	w.must(w.startAgent(name))
 }
 
+func (w *World) drainEntry(i int) {
+	w.mu.Lock()
+	w.entries[i].leaving = true
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	w.must(w.entry(i).Shutdown(ctx))
+	w.must(w.startEntry(i))
+}
+
 func (w *World) breakEngine(f Fault, spell time.Duration, rng *rand.Rand) {
 	var engines []*target
 	for _, name := range w.targetNames() {
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -24,6 +24,7 @@
 	Ended      time.Time // zero: it never ended
 	Deadline   time.Time
 	Code       result.Code // OK: a whole answer
+	Detail     string      // of a refusal
 	Answer     string      // what the caller read
 	Want       string      // the whole answer, where it can be told in advance
 	Streamed   bool
--- a/outcomes/network.go
+++ b/outcomes/network.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
 )
 
 // network connects processes in memory and breaks connections on demand.
@@ -157,6 +159,27 @@
 	return n.latency + n.slow[process]
 }
 
+// processLog is the log as one process reaches it: not at all while it is paused.
+type processLog struct {
+	platform.Log
+	net     *network
+	process string
+}
+
+// Append implements platform.Log.
+func (l *processLog) Append(ctx context.Context, records [][]byte) (uint64, error) {
+	l.net.wait(l.process)
+	return l.Log.Append(ctx, records)
+}
+
+// Read implements platform.Log.
+func (l *processLog) Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Page, error) {
+	l.net.wait(l.process)
+	page, err := l.Log.Read(ctx, from, max, wait)
+	l.net.wait(l.process)
+	return page, err
+}
+
 // faultyConn is one end of a connection.
 type faultyConn struct {
 	net.Conn
--- a/outcomes/run.go
+++ b/outcomes/run.go
@@ -23,7 +23,7 @@
 
 // PlanOf returns the plan of a seed: a single fault or a pair.
 func PlanOf(seed uint64) Plan {
-	rng := rand.New(rand.NewPCG(seed, seed))
+	rng := newRand(seed, seed)
 	p := Plan{Seed: seed, Callers: 5, For: 6 * time.Second, Logger: logr.Discard()}
 	p.Faults = append(p.Faults, Faults[seed%uint64(len(Faults))])
 	if rng.IntN(3) > 0 {
@@ -32,9 +32,6 @@
 	return p
 }
 
-// settleTime is how long a run goes on after its faults.
-const settleTime = callerDeadline + time.Second
-
 // Run carries a plan out and returns the recorded history.
 func Run(p Plan) (*World, error) {
 	w, err := NewWorld(Options{Engines: 3, Plains: 3, Entries: 3, Latency: time.Millisecond / 2, Off: p.Off, Logger: p.Logger})
@@ -44,11 +41,11 @@
 	var callers, faults sync.WaitGroup
 	until := time.Now().Add(p.For)
 	for n := range p.Callers {
-		c := &caller{world: w, team: fmt.Sprintf("team-%d", n), rng: rand.New(rand.NewPCG(p.Seed, uint64(n)))}
+		c := &caller{world: w, team: fmt.Sprintf("team-%d", n), rng: newRand(p.Seed, uint64(n))}
 		callers.Go(func() { c.run(until) })
 	}
 	for n, f := range p.Faults {
-		rng := rand.New(rand.NewPCG(p.Seed, uint64(1000+n)))
+		rng := newRand(p.Seed, uint64(1000+n))
 		if f == FaultCrashRequest {
 			c := &caller{world: w, team: "crasher", rng: rng, crash: true}
 			callers.Go(func() { c.run(until) })
@@ -66,3 +63,5 @@
 	w.Close()
 	return w, nil
 }
+
+func newRand(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -69,8 +69,9 @@
 }
 
 type entryProcess struct {
-	name  string
-	entry *entry.Entry
+	name    string
+	entry   *entry.Entry
+	leaving bool // callers are not sent here any more
 }
 
 // Options of a World.
@@ -204,7 +205,7 @@
 		Logger:      w.logger,
 		Metrics:     w.Metrics,
 		Incarnation: inc,
-		Log:         w.Log,
+		Log:         &processLog{Log: w.Log, net: w.net, process: name},
 		Listener:    w.net.listen(addr, name),
 		Off:         w.off,
 	})
@@ -222,7 +223,7 @@
 	p := w.entries[i]
 	e, err := entry.Start(entry.Options{
 		Settings:    settings.Entry{Name: p.name, AnswerLife: answerLife},
-		Log:         w.Log,
+		Log:         &processLog{Log: w.Log, net: w.net, process: p.name},
 		VMs:         w.vms,
 		Logger:      w.logger,
 		Metrics:     w.Metrics,
@@ -235,7 +236,7 @@
 		return fmt.Errorf("%s: %w", p.name, err)
 	}
 	w.mu.Lock()
-	p.entry = e
+	p.entry, p.leaving = e, false
 	w.mu.Unlock()
 	return nil
 }
@@ -246,6 +247,18 @@
 	return w.entries[i].entry
 }
 
+// callable returns the first entry from at on that callers may use.
+func (w *World) callable(at int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n := range w.entries {
+		if i := (at + n) % len(w.entries); !w.entries[i].leaving {
+			return i
+		}
+	}
+	return at
+}
+
 func (w *World) agentOf(name string) *agent.Agent {
 	w.mu.Lock()
 	defer w.mu.Unlock()
