--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,8 +18,10 @@
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Options are what an entry needs besides its settings.
@@ -30,7 +32,8 @@
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64
-	// Dial connects to other processes; nil: TCP. Tests put a network of their own.
+	// Dial connects to other processes; nil: plain TCP, on loopback only. Tests put
+	// a network of their own.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
@@ -62,8 +65,7 @@
 // Start begins to serve and returns at once.
 func Start(o Options) (*Entry, error) {
 	if o.Dial == nil {
-		var d net.Dialer
-		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+		o.Dial = new(wire.Network).Dial
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
@@ -112,12 +114,18 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	err := e.app.Listener(&watchedListener{e.ln}, fiber.ListenConfig{DisableStartupMessage: true})
+	ln := newWatchedListener(e.ln, e.opts.Settings.MaxCallers, e.refuseConn)
+	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && e.ctx.Err() == nil {
 		e.log.Error(err, "caller side stopped")
 	}
 }
 
+func (e *Entry) refuseConn(remote net.Addr) {
+	e.opts.Metrics.Result(result.ConnsFull)
+	e.log.V(1).Info("connection refused", "remote", remote.String(), "code", int(result.ConnsFull))
+}
+
 // Drain takes the entry out of the answers that callers get. It goes on to
 // serve: callers keep earlier answers for a while.
 func (e *Entry) Drain() {
--- a/result/codes.go
+++ b/result/codes.go
@@ -17,6 +17,11 @@
 	ServiceDenied   Code = 107
 	CrashSuspect    Code = 108
 	MalformedHeader Code = 109
+
+	UnknownPath      Code = 110
+	MethodNotAllowed Code = 111
+	HeadersTooLarge  Code = 112
+	RequestTimeout   Code = 113
 )
 
 // 2xx: the system refuses the request now; it did not run.
@@ -35,6 +40,8 @@
 	DedupFull      Code = 212
 	RetryExhausted Code = 213
 	SuspectHeld    Code = 214
+	WireStreams    Code = 260
+	ConnsFull      Code = 261
 
 	EntryUnregistered Code = 220
 	TargetIsolated    Code = 221
@@ -61,6 +68,8 @@
 	WireClosed        Code = 406
 	WireSequence      Code = 407
 	WireDigest        Code = 408
+	WireRole          Code = 409
+	WirePlain         Code = 410
 )
 
 const shortWait = time.Second
@@ -76,6 +85,10 @@
 	{ServiceDenied, "service_denied", http.StatusForbidden, RunNot, 0, "The team may not use this service.", "Check the team's services in teams.ini."},
 	{CrashSuspect, "crash_suspect", http.StatusUnprocessableEntity, RunNot, 5 * time.Minute, "This request crashed the targets that ran it and is refused for a time.", "Look at the targets' logs around the quarantine event."},
 	{MalformedHeader, "malformed_header", http.StatusBadRequest, RunNot, 0, "A Heatherrail header has a value that is not allowed.", "See the detail in the caller's answer."},
+	{UnknownPath, "unknown_path", http.StatusNotFound, RunNot, 0, "The callers' interface has no such path.", "Tell the team."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RunNot, 0, "The path does not take this method.", "Tell the team."},
+	{HeadersTooLarge, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNot, 0, "The request's headers are larger than the limit.", "Tell the team."},
+	{RequestTimeout, "request_timeout", http.StatusRequestTimeout, RunNot, 0, "The request did not arrive whole in time.", "A slow network, or a caller that holds connections open on purpose."},
 	{NoConfig, "no_config", http.StatusServiceUnavailable, RunNot, shortWait, "This process knows no configuration yet.", "Check that the log service or a peer can be reached."},
 	{NoTarget, "no_target", http.StatusServiceUnavailable, RunNot, shortWait, "No target of the service can take work.", "Look at status: targets leaving, ejected or lost."},
 	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, RunNot, shortWait, "The target is leaving.", "Expected during a drain; entries retry elsewhere."},
@@ -90,6 +103,8 @@
 	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
 	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{WireStreams, "wire_streams", http.StatusServiceUnavailable, RunNot, shortWait, "A connection between two processes has as many streams as it may.", "Spread the load over more entries, or look for requests that never end."},
+	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
 	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
 	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
@@ -107,6 +122,8 @@
 	{WireClosed, "wire_closed", http.StatusBadGateway, RunMaybe, 0, "The connection between two processes ended.", "Look at the peer's log."},
 	{WireSequence, "wire_sequence", http.StatusBadGateway, RunMaybe, 0, "A chunk was lost, doubled or reordered.", "Report it."},
 	{WireDigest, "wire_digest", http.StatusBadGateway, RunMaybe, 0, "An answer does not match its digest.", "Report it."},
+	{WirePlain, "wire_plain", http.StatusBadGateway, RunNot, 0, "Plain TCP is allowed on loopback only.", "Set the keys in [tls]."},
+	{WireRole, "wire_role", http.StatusBadGateway, RunNot, 0, "The peer's certificate does not allow the role that it claims.", "Compare the certificate's names with SECURITY.md."},
 }
 
 var byCode = func() map[Code]Info {
