Entry waits a moment for its own presence; a cancelled dial is no dead engine

Cause: right after its start an entry refused non-repeatable calls (220) until it had read its presence back: 2 of 8 runs of TestCallersNeverSeeEachOthersBytes under -race failed. And a caller that left during the dial made the agent call its engine down: TestHiddenRequestsNeverRun got 503.

--- a/agent/health.go
+++ b/agent/health.go
@@ -43,19 +43,16 @@
 func (h *engineHealth) probe() {
 	ticker := time.NewTicker(probeEvery)
 	defer ticker.Stop()
-	for {
+	for !h.answers() {
 		select {
 		case <-ticker.C:
 		case <-h.agent.ctx.Done():
 			return
 		}
-		if h.answers() {
-			h.down.Store(false)
-			h.agent.log.Info("engine up")
-			h.tell()
-			return
-		}
 	}
+	h.down.Store(false)
+	h.agent.log.Info("engine up")
+	h.tell()
 }
 
 func (h *engineHealth) answers() bool {
--- a/agent/run.go
+++ b/agent/run.go
@@ -155,10 +155,11 @@
 // it crashed.
 func (a *Agent) runError(ctx context.Context, run *crashRun, err error) error {
 	err = backendError(ctx, err)
-	switch result.From(err).Code {
-	case result.EngineLost:
+	code := result.From(err).Code
+	switch {
+	case code == result.EngineLost:
 		run.engineLost()
-	case result.Unreachable:
+	case code == result.Unreachable && ctx.Err() == nil: // a cancelled dial says nothing
 		a.health.lost()
 	}
 	return err
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -90,6 +90,23 @@
 	return at > 0 && e.out.foldedTo.Load() >= at
 }
 
+const (
+	registerWait = 250 * time.Millisecond
+	registerPoll = 2 * time.Millisecond
+)
+
+// awaitRegistered waits a moment for an entry that has just started: its presence
+// is on the way, and a refusal would cost the caller more.
+func (e *Entry) awaitRegistered(ctx context.Context) bool {
+	for until := time.Now().Add(registerWait); !e.registered(); {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return false
+		}
+		time.Sleep(registerPoll)
+	}
+	return true
+}
+
 // farewell closes the book and leaves it on the log, so that agents which start
 // later need not count this entry among those that can't be asked.
 func (e *Entry) farewell() {
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -120,7 +120,7 @@
 	if l == nil {
 		return nil, result.New(result.Unreachable, "no link to %s", target)
 	}
-	if !c.Repeatable && !e.registered() {
+	if !c.Repeatable && !e.awaitRegistered(ctx) {
 		return nil, result.New(result.EntryUnregistered, "entry %s is not on the log yet", e.opts.Settings.Name)
 	}
 	req := t.request(body, suspect)
