--- a/wire/conn.go
+++ b/wire/conn.go
@@ -32,9 +32,6 @@
 const (
 	NoteLoad   Note = 1 // Load
 	NoteConfig Note = 2 // ConfigNotice
-	// NoteGoodbye is empty: the sender is about to stop; the receiver closes the
-	// connection once it waits for nothing on it.
-	NoteGoodbye Note = 3
 )
 
 // Handler receives what a peer starts.
