--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,11 +50,12 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
+	config  configState
 	witness *witness
 	crashes *crashWatch
+	health  *engineHealth
 	ctx     context.Context // ends when the agent stops
 	cancel  context.CancelCauseFunc
-	version atomic.Uint64 // newest configuration version heard of
 	stop    chan struct{}
 	duties  conc.WaitGroup
 
@@ -85,14 +86,19 @@
 		ln:     ln,
 		idle:   make(chan struct{}, 1),
 		ledger: newLedger(),
+		config: newConfigState(),
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
 	a.crashes = newCrashWatch(a)
+	a.health = &engineHealth{agent: a}
 	a.ledger.forgetful = o.Off.Ledger
 	a.witness.trusting = o.Off.Witness
+	if o.Off.Roster {
+		a.witness.log = nil
+	}
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.duties.Go(a.announce)
@@ -157,6 +163,9 @@
 func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
 	switch n {
 	case wire.NoteConfig:
+	case wire.NoteAgentConfig:
+		a.heardConfig(c, payload)
+		return
 	case wire.NoteAttest:
 		a.serveAttest(c, payload)
 		return
@@ -168,7 +177,7 @@
 		a.log.Error(err, "bad configuration notice")
 		return
 	}
-	raise(&a.version, notice.Version)
+	a.heardVersion(notice.Version, time.Now())
 }
 
 func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
@@ -213,6 +222,9 @@
 			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
 		}
 	}
+	if err == nil {
+		a.sayGoodbye(ctx)
+	}
 	a.Close()
 	return err
 }
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -81,15 +81,32 @@
 	return nil
 }
 
-// registered tells whether agents can learn of this entry from the log, and
+// Registered tells whether agents can learn of this entry from the log, and
 // whether the entry knows every version that was accepted before its presence.
 // Without the second an entry that starts late could still dispatch under a
 // version whose successor's agents have already counted the entries.
-func (e *Entry) registered() bool {
+func (e *Entry) Registered() bool {
 	at := e.out.presentAt.Load()
 	return at > 0 && e.out.foldedTo.Load() >= at
 }
 
+const (
+	registerWait = 250 * time.Millisecond
+	registerPoll = 2 * time.Millisecond
+)
+
+// awaitRegistered waits a moment for an entry that has just started: its presence
+// is on the way, and a refusal would cost the caller more.
+func (e *Entry) awaitRegistered(ctx context.Context) bool {
+	for until := time.Now().Add(registerWait); !e.Registered(); {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return false
+		}
+		time.Sleep(registerPoll)
+	}
+	return true
+}
+
 // farewell closes the book and leaves it on the log, so that agents which start
 // later need not count this entry among those that can't be asked.
 func (e *Entry) farewell() {
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -24,6 +24,7 @@
 	Ended      time.Time // zero: it never ended
 	Deadline   time.Time
 	Code       result.Code // OK: a whole answer
+	Detail     string      // of a refusal
 	Answer     string      // what the caller read
 	Want       string      // the whole answer, where it can be told in advance
 	Streamed   bool
@@ -87,8 +88,8 @@
 // Run implements platform.Backend.
 func (b *recordingBackend) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
 	reply, err := b.Backend.Run(ctx, call)
-	if err != nil {
-		return nil, err
+	if err != nil || call.Method == "GET" { // a probe
+		return reply, err
 	}
 	e := &Execution{Target: b.target, Body: string(call.Body), At: time.Now()}
 	for _, h := range call.Headers {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 type Entry struct {
 	Name       string        `ini:"name" required:"true" doc:"name of this entry, unique"`
 	DataCentre string        `ini:"data-centre" required:"true" doc:"data centre of this VM"`
+	Region     string        `ini:"region" doc:"region of the data centre; empty: there is only one"`
 	MaxCallers int           `ini:"max-callers" default:"8192" min:"16" max:"262144" doc:"callers' connections at once"`
 	Callers    string        `ini:"callers" required:"true" format:"address" doc:"address that callers connect to"`
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
@@ -35,6 +36,7 @@
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	Backend    string        `ini:"backend" required:"true" format:"address" doc:"address of the engine or service"`
 	Kind       string        `ini:"kind" required:"true" oneof:"engine plain" doc:"kind of the target"`
+	StaleGrace time.Duration `ini:"stale-grace" default:"10s" min:"1s" max:"10m" doc:"how long work under an overtaken configuration is still taken"`
 	Queue      int           `ini:"queue-limit" default:"64" min:"1" max:"65536" doc:"requests at once, running and queued in the target"`
 	Grace      time.Duration `ini:"shutdown-deadline" default:"10m" min:"1s" max:"24h" doc:"when a graceful shutdown gives up waiting"`
 	Verbosity  int           `ini:"verbosity" default:"0" min:"0" max:"4" doc:"detail of the log"`
@@ -50,6 +52,8 @@
 type Platform struct {
 	Log string `ini:"log" required:"true" format:"address" doc:"address of the log service"`
 	VMs string `ini:"vms" required:"true" format:"address" doc:"address of the VM list"`
+	// Snapshots bounds how old the newest snapshot on the log may be.
+	Snapshots time.Duration `ini:"snapshot-every" default:"30m" min:"1m" max:"24h" doc:"how often the configuration is published again; at most a quarter of the log's retention"`
 }
 
 // TLS is the [tls] section of both daemons: the keys for the connections between
@@ -88,6 +92,24 @@
 	Network  *wire.Network // made from TLS
 }
 
+// ToolFile is a settings file of the operators' tool.
+type ToolFile struct {
+	Platform Platform
+	TLS      TLS
+	Network  *wire.Network // made from TLS
+}
+
+// toolAddress stands for the listener that the tool does not have.
+const toolAddress = "127.0.0.1:0"
+
+// LoadTool reads and checks a file; the error lists every fault.
+func LoadTool(path string) (*ToolFile, error) {
+	var f ToolFile
+	l := load(path, map[string]any{"platform": &f.Platform, "tls": &f.TLS})
+	f.Network = l.network(&f.TLS, "platform", toolAddress)
+	return &f, l.err()
+}
+
 // LoadEntry reads and checks a file; the error lists every fault.
 func LoadEntry(path string) (*EntryFile, error) {
 	var f EntryFile
