Followers: burst of reads at once, steady flow paced; settled ids stay settled

Done: a pace of 8 reads at once, then 5 a second; the log is asked again after at most 500 ms; demo waits for Ready. A test for a settled id whose record arrives late.

--- a/config/fold_test.go
+++ b/config/fold_test.go
@@ -217,6 +217,21 @@
 	}
 }
 
+// The operator was told that a change did not happen. In order: its append is
+// delayed, the resumption settles the id, the delayed record arrives while its base
+// is still in force. It must change nothing, or the answer was a guess.
+func TestSettledChangeNeverTakesEffect(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	late := mustRecords(changeTo("a", 0, nil, teams(1, 0)))[0]
+	settle := mustRecords(&Change{ID: "a", Base: SettleBase})[0]
+	g.Expect(f.Apply(0, settle)).To(Succeed())
+	g.Expect(f.Apply(1, late)).To(Succeed())
+	g.Expect(f.Current()).To(BeNil())
+	out, _ := f.Outcome("a")
+	g.Expect(out.Reason).To(Equal(ReasonSettled))
+}
+
 func TestLargeChangeGoesInParts(t *testing.T) {
 	g := NewWithT(t)
 	big := teams(5000, 0)
--- a/control/follow.go
+++ b/control/follow.go
@@ -28,6 +28,7 @@
 // elsewhere while no peer brings news.
 func (n *Node) followLog() {
 	failures := 0
+	pace := n.newPace()
 	for n.ctx.Err() == nil {
 		if !n.needsLog() {
 			n.sleep(n.opts.Timing.Beat)
@@ -35,12 +36,12 @@
 		}
 		if err := n.pullLog(); err != nil {
 			n.sourceFailed("log", err)
-			n.sleep(n.pause(failures))
+			n.sleep(min(n.pause(failures), n.opts.Timing.LogBackoff))
 			failures++
 			continue
 		}
 		failures = 0
-		n.sleep(n.opts.Timing.Coalesce)
+		n.sleep(pace.next(time.Now()))
 	}
 }
 
@@ -48,6 +49,7 @@
 // while the log does not answer.
 func (n *Node) followPeers() {
 	at, rounds := 0, 0
+	pace := n.newPace()
 	var since time.Time // when the present source was chosen
 	for n.ctx.Err() == nil {
 		sources := n.sources()
@@ -69,10 +71,31 @@
 			continue
 		}
 		rounds = 0
-		n.sleep(n.opts.Timing.Coalesce)
+		n.sleep(pace.next(time.Now()))
 	}
 }
 
+// paceBurst is how many reads may follow each other at once.
+const paceBurst = 8
+
+// pace bounds how often a source is asked: a few records in a row are read at once,
+// a steady flow of them costs one read each period.
+type pace struct {
+	every time.Duration
+	full  time.Time // when all reads of a burst are free again
+}
+
+func (n *Node) newPace() pace { return pace{every: n.opts.Timing.Coalesce} }
+
+// next returns how long to wait before the next read.
+func (p *pace) next(now time.Time) time.Duration {
+	if p.full.Before(now) {
+		p.full = now
+	}
+	p.full = p.full.Add(p.every)
+	return max(0, p.full.Sub(now)-paceBurst*p.every)
+}
+
 // pause returns how long to wait after failures in a row.
 func (n *Node) pause(failures int) time.Duration {
 	return min(n.opts.Timing.Backoff<<min(failures, maxDoublings), n.opts.Timing.MaxBackoff)
--- a/control/node.go
+++ b/control/node.go
@@ -23,9 +23,10 @@
 	Beat       time.Duration // between heartbeats
 	Silence    time.Duration // after which a witness misses a process
 	LogWait    time.Duration // long poll of the log and of peers
-	Coalesce   time.Duration // pause after a read, so that many records cost one read
+	Coalesce   time.Duration // between two reads at least, so that many records cost one
 	Backoff    time.Duration // after a failed source, doubled up to MaxBackoff
 	MaxBackoff time.Duration
+	LogBackoff time.Duration // bound for the log: its return should show soon
 	Fresh      time.Duration // a source that read the log longer ago is left
 	Retry      time.Duration // how long a fallback source is kept
 	Snapshots  time.Duration // between published snapshots; a fraction of the retention
@@ -41,6 +42,7 @@
 	Coalesce:   200 * time.Millisecond,
 	Backoff:    200 * time.Millisecond,
 	MaxBackoff: 2 * time.Second,
+	LogBackoff: 500 * time.Millisecond,
 	Fresh:      12 * time.Second,
 	Retry:      20 * time.Second,
 	Snapshots:  30 * time.Minute,
@@ -239,6 +241,9 @@
 
 // sleep waits for about d; false means that the node stops.
 func (n *Node) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return n.ctx.Err() == nil
+	}
 	n.mu.Lock()
 	d += time.Duration(n.rng.Int64N(int64(d)/sleepSpread + 1))
 	n.mu.Unlock()
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -211,7 +211,7 @@
 
 func (f *Fleet) ready() bool {
 	for _, e := range f.Entries {
-		if e.Current() == nil || e.Linked() < len(f.Config.Targets) {
+		if !e.Ready() || e.Linked() < len(f.Config.Targets) {
 			return false
 		}
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -129,7 +129,6 @@
 type agentConfigs struct {
 	snap      *config.Snapshot
 	base      wire.AgentConfig
-	fleets    map[string]string               // by target
 	policies  map[string][]wire.ServicePolicy // by fleet
 	resources map[string][]string             // by target
 	floors    map[string]uint64               // by resource
@@ -219,3 +218,7 @@
 	defer l.mu.Unlock()
 	return l.load, l.conn != nil && l.hasLoad
 }
+
+// Ready reports whether this entry has a configuration and may dispatch all kinds
+// of requests.
+func (e *Entry) Ready() bool { return e.current.Load() != nil && e.registered() }
