Pieces of an answer are gathered; bench all and bench compare

Cause: the HTTP library flushes each 4 KB piece of a body to the caller, and the agent sent each 2 KB chunk of a backend as a frame of its own: system calls and frames dominated the profile of unpaced streams.

Done: callerConn gathers what is written until the answer would have to wait for more; the backend's body returns what has arrived, not one chunk of it. A token that comes alone goes out as before. bench all runs each bench several times into one file; bench compare shows medians and spread of two files and marks spreads that lie apart.

--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -9,7 +9,9 @@
 
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
-	Relay benchRelay `command:"relay" description:"what entry and agent add to a streamed answer"`
+	All     benchAll     `command:"all" description:"run all benches, several times each, and print one file of reports"`
+	Compare benchCompare `command:"compare" description:"medians and spread of two files of bench all"`
+	Relay   benchRelay   `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
@@ -18,8 +20,15 @@
 	Seed   uint64 `long:"seed" default:"1" description:"seed of everything random"`
 }
 
+// collect takes the reports in place of standard output while bench all runs.
+var collect func(*bench.Report)
+
 // print writes a report to standard output.
 func (f *benchFlags) print(r *bench.Report) error {
+	if collect != nil {
+		collect(r)
+		return nil
+	}
 	if err := r.Write(os.Stdout, f.Output); err != nil {
 		return fmt.Errorf("bench %s: %w", r.Bench, err)
 	}
--- a/cmd/heatherrail/main.go
+++ b/cmd/heatherrail/main.go
@@ -29,7 +29,7 @@
 
 func main() {
 	var o options
-	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	parser := newParser(&o)
 	parser.LongDescription = "heatherrail routes requests to groups of expert-parallel model engines and the plain services beside them."
 	os.Exit(run(parser))
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -32,6 +32,10 @@
 	}
 	resp.Header.Set(HeaderTarget, b.x.Target)
 	resp.Header.Set(HeaderRun, result.RunDone.String())
+	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
+		b.conn = conn
+		conn.cork()
+	}
 	resp.SetBodyStream(b, -1)
 }
 
@@ -42,6 +46,7 @@
 	entry  *Entry
 	call   *Call
 	x      *Exchange
+	conn   *callerConn // gathers what is written; nil if it can't
 	done   func()
 	begun  time.Time
 	last   time.Time // arrival of the latest chunk; zero before the first
@@ -56,6 +61,10 @@
 		if b.failed != nil {
 			return 0, b.failed
 		}
+		if err := b.flushBeforeWait(); err != nil {
+			b.end(result.New(result.CallerGone, "write: %w", err))
+			return 0, b.failed
+		}
 		data, err := b.x.Recv()
 		if err != nil {
 			b.end(err)
@@ -69,6 +78,14 @@
 	return n, nil
 }
 
+// flushBeforeWait hands the caller all that it can have before more is awaited.
+func (b *answerBody) flushBeforeWait() error {
+	if b.conn == nil || b.x.stream.Ready() {
+		return nil
+	}
+	return b.conn.flush()
+}
+
 // observe measures event streams: engines send about one event a token.
 func (b *answerBody) observe() {
 	if !b.sse {
@@ -119,6 +136,10 @@
 		b.finished(result.CallerGone, "caller stopped reading")
 	}
 	b.x.Close()
+	var err error
+	if b.conn != nil {
+		err = b.conn.uncork()
+	}
 	b.done()
-	return nil
+	return err
 }
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -87,6 +87,38 @@
 	ahead   [1]byte
 	hasByte bool
 	failed  error
+
+	// Only the goroutine that answers uses these.
+	corked bool
+	out    *[]byte // what was gathered, nil if nothing
+}
+
+// gatherMax bounds what is gathered for one system call.
+const gatherMax = 16 << 10
+
+var gatherPool = sync.Pool{New: func() any { b := make([]byte, 0, gatherMax); return &b }}
+
+// cork makes Write gather until flush. The HTTP library flushes after each piece
+// of a body, which would cost a system call each while more is waiting already.
+func (c *callerConn) cork() { c.corked = true }
+
+// uncork ends the gathering.
+func (c *callerConn) uncork() error {
+	c.corked = false
+	return c.flush()
+}
+
+// flush writes what was gathered.
+func (c *callerConn) flush() error {
+	if c.out == nil {
+		return nil
+	}
+	out := c.out
+	c.out = nil
+	_, err := c.writeNow(*out)
+	*out = (*out)[:0]
+	gatherPool.Put(out)
+	return err
 }
 
 // Read implements net.Conn.
@@ -113,6 +145,25 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if !c.corked || len(p) > gatherMax {
+		if err := c.flush(); err != nil {
+			return 0, err
+		}
+		return c.writeNow(p)
+	}
+	if c.out != nil && len(*c.out)+len(p) > gatherMax {
+		if err := c.flush(); err != nil {
+			return 0, err
+		}
+	}
+	if c.out == nil {
+		c.out = gatherPool.Get().(*[]byte)
+	}
+	*c.out = append(*c.out, p...)
+	return len(p), nil
+}
+
+func (c *callerConn) writeNow(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(callerStall)); err != nil {
 		return 0, err
 	}
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -263,6 +263,13 @@
 	}
 }
 
+// Ready reports whether Recv would return without waiting.
+func (s *Stream) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) > 0 || s.failure != nil
+}
+
 // consume books an event as read and returns the credit that is due. It is
 // returned in halves of the window, to save frames.
 func (s *Stream) consume(e Event) int {
