--- a/bench/relay/standin.go
+++ b/bench/relay/standin.go
@@ -26,11 +26,13 @@
 }
 
 const (
-	prefix = "data: "
-	suffix = "\n\n"
+	prefix = `data: {"t":"`
+	middle = `","choices":[{"index":0,"text":"`
+	suffix = `"}]}` + "\n\n"
 	last   = "data: [DONE]\n\n"
 	// stampWidth holds nanoseconds in a fixed width.
 	stampWidth = 16
+	smallest   = len(prefix) + stampWidth + len(middle) + len(suffix)
 )
 
 // ServeHTTP implements http.Handler.
@@ -54,7 +56,7 @@
 		ticks = ticker.C
 	}
 	flusher := http.NewResponseController(w)
-	event := make([]byte, max(o.Bytes, len(prefix)+stampWidth+len(suffix)))
+	event := make([]byte, max(o.Bytes, smallest))
 	for range o.Events {
 		if ticks != nil {
 			select {
@@ -91,8 +93,9 @@
 		at[i] = '0'
 	}
 	copy(at[stampWidth-len(digits):], digits)
-	for i := len(prefix) + stampWidth; i < len(event)-len(suffix); i++ {
-		event[i] = '.'
+	copy(event[len(prefix)+stampWidth:], middle)
+	for i := len(prefix) + stampWidth + len(middle); i < len(event)-len(suffix); i++ {
+		event[i] = 'x'
 	}
 	copy(event[len(event)-len(suffix):], suffix)
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -29,7 +29,7 @@
 const (
 	callerReadTimeout = 30 * time.Second
 	callerIdle        = 2 * time.Minute
-	callerReadBuffer  = 16 << 10
+	callerReadBuffer  = 8 << 10 // also the limit on a request's headers
 )
 
 func (e *Entry) newApp() *fiber.App {
