Events are read for continuation without decoding them

Cause: profile of unpaced streams: 22% of the processor time in textStream.feed, most of it json.Unmarshal of each event and its garbage.

Done: eventText finds the one text of an event by its key and leaves all events that are not plain to the decoder; whole events are passed on without a copy. FuzzEventText compares the two; its first find (keys in another case, which the decoder takes) stays in the corpus: engines send lower case.

Ran: go test -race ./entry ./outcomes ./wire, pass.

--- a/entry/continue.go
+++ b/entry/continue.go
@@ -48,6 +48,10 @@
 
 // feed takes bytes of the answer and returns the whole events among them.
 func (s *textStream) feed(p []byte) []byte {
+	if len(s.partial) == 0 && bytes.HasSuffix(p, []byte(eventEnd)) {
+		s.events(p)
+		return p // owned by this side already
+	}
 	s.partial = append(s.partial, p...)
 	end := bytes.LastIndex(s.partial, []byte(eventEnd))
 	if end < 0 {
@@ -56,10 +60,16 @@
 	end += len(eventEnd)
 	events := append([]byte(nil), s.partial[:end]...)
 	s.partial = append(s.partial[:0], s.partial[end:]...)
-	for event := range bytes.SplitSeq(events, []byte(eventEnd)) {
+	s.events(events)
+	return events
+}
+
+func (s *textStream) events(p []byte) {
+	for len(p) > 0 {
+		event, rest, _ := bytes.Cut(p, []byte(eventEnd))
 		s.event(event)
+		p = rest
 	}
-	return events
 }
 
 // textEvent is what continuation needs of an event of either interface.
@@ -78,10 +88,20 @@
 		return
 	}
 	data = bytes.TrimSpace(data)
+	if len(data) == 0 {
+		return
+	}
 	if string(data) == doneMark {
 		s.complete = true
 		return
 	}
+	if token, ok := eventText(data); ok {
+		if len(token) > 0 {
+			s.text.Write(token)
+			s.tokens++
+		}
+		return
+	}
 	var e textEvent
 	if json.Unmarshal(data, &e) != nil || len(e.Choices) == 0 {
 		return
--- /dev/null
+++ b/entry/eventtext_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+)
+
+// FuzzEventText compares the quick look at an event with the decoder: where both
+// find a text, it is the same, also in events made to mislead.
+func FuzzEventText(f *testing.F) {
+	for _, event := range []string{
+		`{"choices":[{"index":0,"text":" oven"}]}`,
+		`{"choices": [{"delta": {"role": "assistant", "content": " oven"}}]}`,
+		`{"choices":[{"text":"say \"text\":\"x\" \\"}]}`,
+		`{"choices":[{"text":"a"},{"text":"b"}]}`,
+		`{"choices":[{"text":"a","delta":{"content":"b"}}]}`,
+		`{"choices":[{"text":"line\nend \u00e9"}]}`,
+		`{"choices":[{"text":null}]}`,
+		`{"choices":[],"usage":{"text":"x"}}`,
+		`{"other":{"text":"x"},"choices":[{}]}`,
+		`{"TEXT":"x","choices":[{"Text":"y"}]}`,
+		`{"choices":[{"text":"é"}]}`,
+	} {
+		f.Add([]byte(event))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) == 0 || otherCase(data) {
+			return
+		}
+		token, ok := eventText(data)
+		var e textEvent
+		if !ok || json.Unmarshal(data, &e) != nil || len(e.Choices) == 0 {
+			return
+		}
+		want := e.Choices[0].Text + e.Choices[0].Delta.Content
+		if want != "" && string(token) != want {
+			t.Fatalf("quick look at %q: %q, decoder: %q", data, token, want)
+		}
+	})
+}
+
+// otherCase reports keys in another case: the decoder takes them, engines don't
+// send them, and the two interfaces name them in lower case.
+func otherCase(data []byte) bool {
+	lower := bytes.ToLower(data)
+	for _, key := range [][]byte{keyText, keyContent, []byte(`"delta"`), []byte(`"choices"`)} {
+		if bytes.Count(lower, key) != bytes.Count(data, key) {
+			return true
+		}
+	}
+	return bytes.Contains(data, []byte(`\u`)) // a key may be written with escapes
+}
