Wire: buffers of large chunks are used again

Cause: each received chunk was a fresh allocation; at full throughput the heap is small and the collector ran all the time (mallocgc 16% of the time).

Done: chunks of 4 KB and more come from a pool, and the answer gives them back once its caller has them. Single tokens are not pooled: a slow reader holds up to a window of them.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // hopHeaders belong to one connection and are not passed on.
@@ -50,7 +51,8 @@
 	done   func()
 	begun  time.Time
 	last   time.Time // arrival of the latest chunk; zero before the first
-	rest   []byte
+	chunk  []byte    // the latest bytes of the answer
+	rest   []byte    // what of them the caller does not have yet
 	sse    bool
 	failed error
 }
@@ -58,6 +60,8 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
+		wire.Free(b.chunk)
+		b.chunk = nil
 		if b.failed != nil {
 			return 0, b.failed
 		}
@@ -71,7 +75,7 @@
 			continue
 		}
 		b.observe()
-		b.rest = data
+		b.chunk, b.rest = data, data
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -187,7 +187,7 @@
 	if s.pending > s.conn.opts.Window {
 		return result.New(result.WireFlowControl, "stream %d exceeded its window", s.id)
 	}
-	s.queue = append(s.queue, Event{Data: append([]byte(nil), p...)})
+	s.queue = append(s.queue, Event{Data: copyChunk(p)})
 	signal(s.wake)
 	return nil
 }
