--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,7 @@
 	}
 	e.duties.Go(e.watchVMs)
 	e.duties.Go(e.announce)
-	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
+	e.log.Info("started", "callers", e.Addr(), "listen", e.PeerAddr(), "incarnation", o.Incarnation)
 	return e, nil
 }
 
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -195,9 +195,6 @@
 		w.entries = append(w.entries, p.vm.Callers)
 		w.mu.Unlock()
 	}
-	if p.vm.Address == "" {
-		p.vm.Address = p.vm.Callers
-	}
 	body, err := json.Marshal(p.vm)
 	if err != nil {
 		return err
