First bytes of an answer go out at once; relay's rounds of measurement

Done: the first bytes are flushed before more is read; the bench looks at memory in rounds of its own, since that stops the world.

--- a/bench/relay/client.go
+++ b/bench/relay/client.go
@@ -118,6 +118,12 @@
 	return nil
 }
 
+// forget drops what was measured so far.
+func (c *client) forget() {
+	c.delays, c.starts, c.wholes = nil, nil, nil
+	c.events, c.bytes = 0, 0
+}
+
 func (c *client) close() {
 	if c.nc != nil {
 		_ = c.nc.Close()
--- a/bench/relay/relay.go
+++ b/bench/relay/relay.go
@@ -100,14 +100,15 @@
 	pair := s.sides(n)
 	events := max(1, int(o.Time/pacedEvery))
 	work := order{Events: events, EveryU: int(pacedEvery.Microseconds()), Bytes: eventBytes}
-	memory := make(map[string]float64)
+	memory, err := memoryOf(ctx, pair, work, o)
+	if err != nil {
+		return err
+	}
 	for range o.Rounds {
 		for _, sd := range pair {
-			used, err := pacedRound(ctx, sd, work, o.Time/2)
-			if err != nil {
+			if err := pacedRound(ctx, sd, work); err != nil {
 				return fmt.Errorf("%s: %w", sd.name, err)
 			}
-			memory[sd.name] = max(memory[sd.name], used)
 		}
 	}
 	direct, relayed := quantiles(pair[0], delaysOf), quantiles(pair[1], delaysOf)
@@ -120,18 +121,32 @@
 	return nil
 }
 
-// pacedRound runs one half and returns the memory in use in the midst of it.
-func pacedRound(ctx context.Context, sd *side, work order, midst time.Duration) (float64, error) {
+// memoryOf runs each half once for the memory in use in the midst of it. Looking
+// stops the world, so the delays of these rounds are dropped.
+func memoryOf(ctx context.Context, pair []*side, work order, o Options) (map[string]float64, error) {
+	memory := make(map[string]float64)
+	for _, sd := range pair {
+		before := inUse()
+		ended := make(chan error, 1)
+		go func() { ended <- pacedRound(ctx, sd, work) }()
+		time.Sleep(o.Time / 2)
+		memory[sd.name] = inUse() - before
+		if err := <-ended; err != nil {
+			return nil, fmt.Errorf("%s: %w", sd.name, err)
+		}
+		for _, c := range sd.clients {
+			c.forget()
+		}
+	}
+	return memory, nil
+}
+
+func pacedRound(ctx context.Context, sd *side, work order) error {
 	if err := sd.connect(ctx); err != nil {
-		return 0, err
+		return err
 	}
 	defer sd.close()
-	before := inUse()
-	failed := make(chan error, 1)
-	go func() { failed <- sd.each(func(c *client) error { return c.run(work) }) }()
-	time.Sleep(midst)
-	used := inUse() - before
-	return used, <-failed
+	return sd.each(func(c *client) error { return c.run(work) })
 }
 
 func inUse() float64 {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -55,6 +55,9 @@
 	rest   []byte    // what of them the caller does not have yet
 	sse    bool
 	failed error
+
+	chunkSeen bool // bytes of the answer have come
+	begunBody bool // the caller has the first of them
 }
 
 // Read implements io.Reader.
@@ -76,6 +79,7 @@
 		}
 		b.observe()
 		b.chunk, b.rest = data, data
+		b.chunkSeen = true
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
@@ -83,10 +87,12 @@
 }
 
 // flushBeforeWait hands the caller all that it can have before more is awaited.
+// The first bytes never wait for others.
 func (b *answerBody) flushBeforeWait() error {
-	if b.conn == nil || b.x.stream.Ready() {
+	if b.conn == nil || (b.begunBody && b.x.stream.Ready()) {
 		return nil
 	}
+	b.begunBody = b.chunkSeen
 	return b.conn.flush()
 }
 
