--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -31,6 +31,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return daemon.ExitFail
 	}
+	set := metrics.New()
+	if file.Agent.Metrics != "" {
+		server, err := set.Serve(file.Agent.Metrics)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return daemon.ExitFail
+		}
+		defer server.Close()
+	}
 	backend := platform.NewHTTPBackend(file.Agent.Backend)
 	backend.WholeEvents = file.Agent.Kind == settings.KindEngine
 	a, err := agent.Start(agent.Options{
@@ -38,7 +47,7 @@
 		Listener:    ln,
 		Backend:     backend,
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
-		Metrics:     metrics.New(),
+		Metrics:     set,
 		Incarnation: daemon.Incarnation(),
 		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
 	})
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -160,6 +161,23 @@
 	}
 }
 
+// The only engine's agent leaves. The caller is told that its request did not run
+// and when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	f, addr, _ := startSmall(t)
+	f.Agent("drafter-01").Drain()
+	resp, err := http.DefaultClient.Do(newRequest(t, "POST", addr, "/v1/completions", draft("x", 1)))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get(entry.HeaderRun)).To(Equal("not-run"))
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seconds).To(BeNumerically(">=", 1))
+	g.Expect(f.Engines["drafter-01"].Runs()).To(BeEmpty())
+}
+
 // Everybody gets the whole answer to its own request. The HTTP library reuses
 // its buffers for the next caller as soon as a handler has returned; a request
 // that still pointed into them would carry another caller's bytes.
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,23 @@
+package logging_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/logging"
+)
+
+// An event is one line, whatever a caller puts into its values: a line end in a
+// model's name would otherwise let a caller write events of its own.
+func TestAnEventIsOneLine(t *testing.T) {
+	g := NewWithT(t)
+	var b strings.Builder
+	l := logging.New(&b, 0).WithName("entry").WithValues("entry", "e-1")
+	l.Error(errors.New("a\nb"), "refused", "service", "x\nlevel=error event=forged", "empty", "", "plain", 5)
+	l.V(1).Info("too detailed")
+	g.Expect(strings.Count(b.String(), "\n")).To(Equal(1))
+	g.Expect(b.String()).To(HaveSuffix(` level=error part=entry event=refused error="a\nb" entry=e-1 service="x\nlevel=error event=forged" empty="" plain=5` + "\n"))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,7 @@
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	Backend    string        `ini:"backend" required:"true" format:"address" doc:"address of the engine or service"`
 	Kind       string        `ini:"kind" required:"true" oneof:"engine plain" doc:"kind of the target"`
+	Metrics    string        `ini:"metrics" format:"address" doc:"address that serves /metrics and /healthz; none: no such server"`
 	StaleGrace time.Duration `ini:"stale-grace" default:"10s" min:"1s" max:"10m" doc:"how long work under an overtaken configuration is still taken"`
 	Queue      int           `ini:"queue-limit" default:"64" min:"1" max:"65536" doc:"requests at once, running and queued in the target"`
 	Grace      time.Duration `ini:"shutdown-deadline" default:"10m" min:"1s" max:"24h" doc:"when a graceful shutdown gives up waiting"`
