--- a/entry/book.go
+++ b/entry/book.go
@@ -58,7 +58,7 @@
 	if b.closed {
 		return result.New(result.EntryLeaving, "the entry dispatches nothing more")
 	}
-	if version < b.version && !b.off.Version {
+	if version < b.version {
 		return result.New(result.StaleVersion, "version %d was overtaken by %d", version, b.version)
 	}
 	b.sweep(now)
--- a/internal/safeguard/safeguard.go
+++ b/internal/safeguard/safeguard.go
@@ -9,7 +9,6 @@
 	Roster      bool // agent: ask entries that are not linked
 	Incarnation bool // agent: refuse what was sent to an earlier process
 	Book        bool // entry: book dispatches and attest them
-	Version     bool // entry: dispatch nothing under an overtaken version
 	Supersede   bool // entry: go to no overtaken agent
 	Doubt       bool // entry: a later "not run" does not undo an earlier doubt
 	Home        bool // entry: one home for each key
--- a/outcomes/network.go
+++ b/outcomes/network.go
@@ -19,6 +19,7 @@
 	links     map[*faultyConn]bool
 	frozen    map[string]chan struct{} // by process; closed when it goes on
 	slow      map[string]time.Duration // by process
+	astray    map[string]string        // process and address -> the address that it reaches instead
 }
 
 var errRefused = errors.New("connection refused")
@@ -30,6 +31,7 @@
 		links:     make(map[*faultyConn]bool),
 		frozen:    make(map[string]chan struct{}),
 		slow:      make(map[string]time.Duration),
+		astray:    make(map[string]string),
 	}
 }
 
@@ -79,6 +81,9 @@
 func (n *network) dialer(process string) func(ctx context.Context, addr string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
 		n.mu.Lock()
+		if other, ok := n.astray[process+addr]; ok {
+			addr = other
+		}
 		l := n.listeners[addr]
 		n.mu.Unlock()
 		if l == nil {
