--- a/route/retry.go
+++ b/route/retry.go
@@ -9,14 +9,19 @@
 
 // RetryBudget allows retries as a share of requests, so that a service that
 // fails as a whole gets little more load than its callers send. The zero value
-// is empty.
+// is the budget of a service without traffic so far.
 type RetryBudget struct {
-	tokens float64
+	tokens float64 // may go down to -retryOverdraft
 }
 
-// retryBurst bounds the retries saved up in quiet times: enough for what was in
-// flight on one target that dies, too few to be felt in a full outage.
-const retryBurst = 20
+const (
+	// retryBurst bounds the retries saved up in quiet times: enough for what was in
+	// flight on one target that dies, too few to be felt in a full outage.
+	retryBurst = 20
+	// retryOverdraft lets the first failures of a service with little traffic be
+	// retried; later requests pay it back.
+	retryOverdraft = 3
+)
 
 // Request books one request of a caller.
 func (b *RetryBudget) Request(share float64) {
@@ -25,7 +30,7 @@
 
 // Take books one retry; false if the budget is spent.
 func (b *RetryBudget) Take() bool {
-	if b.tokens < 1 {
+	if b.tokens-1 < -retryOverdraft {
 		return false
 	}
 	b.tokens--
