Leaving targets get nothing new; tests of retry budget, ejection, quarantine, continuation

Cause: a home that the VM list calls leaving still got new keys, as only its agent refused. Done: entries that know it ask the agent to attach repeats only. Run: go test ./outcomes ./route twice, pass.

--- a/agent/once.go
+++ b/agent/once.go
@@ -20,7 +20,9 @@
 	}
 	r, err := a.ledger.find(keyOf(req), digestOf(req.Body))
 	fresh := false
-	if err == nil && r == nil {
+	if err == nil && r == nil && req.AttachOnly {
+		err = result.New(result.TargetLeaving, "the platform says that %s is leaving", a.opts.Settings.Target)
+	} else if err == nil && r == nil {
 		r, fresh, err = a.startOnce(ctx, req)
 	}
 	if err != nil {
--- a/entry/link.go
+++ b/entry/link.go
@@ -118,7 +118,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = nil
-	l.hasLoad = false
+	l.load, l.hasLoad = wire.Load{}, false
 }
 
 func (l *link) close() {
@@ -153,6 +153,14 @@
 	conn.Close()
 }
 
+// leaving tells whether the target takes nothing new, by its agent or by the VM
+// list, which may know it first.
+func (l *link) leaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load.Leaving || l.vmState == platform.StateLeaving
+}
+
 func (l *link) hasStopped(incarnation uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -124,6 +124,7 @@
 		return nil, result.New(result.EntryUnregistered, "entry %s is not on the log yet", e.opts.Settings.Name)
 	}
 	req := t.request(body, suspect)
+	req.AttachOnly = !c.Repeatable && l.leaving()
 	booked := place{target: target}
 	s, err := l.open(req, func(incarnation uint64) error {
 		booked.incarnation = incarnation
--- a/outcomes/cases_test.go
+++ b/outcomes/cases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
+	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -322,3 +324,51 @@
 		g.Expect(len(w.History.Invocations)).To(BeNumerically(">", 200))
 	})
 }
+
+// A streamed text whose engine dies is the same text.
+// The entry asks another engine to go on from the prompt and what the caller has,
+// for the tokens that are left; of either interface.
+func TestATextGoesOnElsewhere(t *testing.T) {
+	for _, chat := range []bool{false, true} {
+		inWorld(t, safeguard.Off{}, func(g *WithT, w *World) {
+			for _, name := range []string{"prog-llm-1", "prog-llm-2"} {
+				e := w.targets[name].engine
+				w.after(20*stepTime, func() {
+					if e.Active() > 0 {
+						e.Kill()
+					}
+				})
+			}
+			i := w.send("team-0", 0, generation("p", "", 64, true, chat), 0)
+			g.Expect(i.Code).To(Equal(result.OK), i.Detail)
+			g.Expect(i.Continued).To(Equal(1))
+			second := w.History.Executions[1].Body
+			g.Expect(second).To(MatchRegexp(`"max_tokens":4\d`), "only what is left")
+		})
+	}
+}
+
+// A target that the platform calls leaving gets nothing new after two seconds.
+// Its agent has heard nothing; the entries have, through the VM list. A repeat of
+// what ran there still gets its answer.
+func TestALeavingTargetGetsNothingNew(t *testing.T) {
+	inWorld(t, safeguard.Off{}, func(g *WithT, w *World) {
+		leaving := homeOf(w, "k", false)
+		g.Expect(w.send("team-0", 0, plainJob("k"), 0).Code).To(Equal(result.OK))
+		for _, name := range []string{leaving, "prog-llm-1"} {
+			w.vms.Put(platform.VM{ID: name, Name: name, Role: platform.RoleTarget, Address: w.targets[name].addr, State: platform.StateLeaving})
+		}
+		sign := time.Now()
+		for n := range 200 {
+			w.send("team-0", n%2, plainJob(fmt.Sprint("key", n)), 0)
+			w.send("team-0", n%2, generation(fmt.Sprint(n), "", 1, false, false), 0)
+		}
+		g.Expect(time.Since(sign)).To(BeNumerically(">", 3*time.Second))
+		for _, e := range w.History.Executions {
+			if e.Target == leaving || e.Target == "prog-llm-1" {
+				g.Expect(e.At).To(BeTemporally("<", sign.Add(2*time.Second)))
+			}
+		}
+		g.Expect(w.send("team-0", 1, plainJob("k"), 1).Code).To(Equal(result.OK))
+	})
+}
--- /dev/null
+++ b/route/outcomes_test.go
@@ -0,0 +1,91 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
+)
+
+// However requests and failures follow each other, retries stay a share of the
+// requests: what was saved up and the overdraft are the only addition.
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		var b route.RetryBudget
+		asked, retried := 0, 0
+		for _, wanted := range rapid.SliceOfN(rapid.IntRange(0, 5), 1, 500).Draw(t, "retries wanted") {
+			asked++
+			b.Request(share)
+			for range wanted {
+				if b.Take() {
+					retried++
+				}
+			}
+		}
+		if limit := share*float64(asked) + 3 + 1e-6; float64(retried) > limit {
+			t.Fatalf("%d retries of %d requests, limit %f", retried, asked, limit)
+		}
+	})
+}
+
+// What must not run twice is retried only if it did not run, or at its home.
+func TestNothingThatMayHaveRunIsRetriedElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	for _, info := range result.All() {
+		if info.Run != result.RunMaybe || info.Code == result.WireClosed || info.Code == result.TargetLost {
+			continue
+		}
+		g.Expect(route.Retryable(info.Code, false)).To(Equal(route.RetryNever), info.Name)
+	}
+}
+
+// Failing targets are kept out, come back slowly, and never all of them.
+func TestEjection(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	names := []string{"a", "b", "c", "d"}
+	always, never := func() float64 { return 0 }, func() float64 { return 0.999 }
+	j := route.NewEjector()
+	for range 5 {
+		j.Report("a", false, now)
+	}
+	g.Expect(j.Skip(names, now.Add(time.Second), always)).To(HaveKey("a"))
+	g.Expect(j.Skip(names, now.Add(3*time.Second), always)).To(BeEmpty())
+	g.Expect(j.Skip(names, now.Add(3*time.Second), never)).To(HaveKey("a"), "it comes back slowly")
+	g.Expect(j.Skip(names, now.Add(time.Minute), never)).To(BeEmpty())
+	for _, name := range names {
+		j.Eject(name, now.Add(time.Minute))
+	}
+	g.Expect(j.Skip(names, now.Add(time.Minute+time.Second), always)).To(HaveLen(2))
+	g.Expect(route.TargetFault(result.DeadlinePast)).To(BeFalse(), "slow is not dead")
+}
+
+// Suspicion, conviction and acquittal.
+func TestQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	verdict := func(q *route.Quarantine, f uint64) route.Verdict {
+		v, _ := q.Judge(f, now)
+		return v
+	}
+	q := route.NewQuarantine()
+	q.Crash(1, false, []uint64{10, 11}, now)
+	q.Crash(1, false, []uint64{10, 11}, now) // heard twice
+	g.Expect(verdict(q, 10)).To(Equal(route.VerdictAlone))
+	q.Clear(11)
+	g.Expect(verdict(q, 11)).To(Equal(route.VerdictFree))
+	g.Expect(q.Crash(2, true, []uint64{10}, now)).To(Equal(1))
+	g.Expect(verdict(q, 10)).To(Equal(route.VerdictRefuse))
+	now = now.Add(6 * time.Minute)
+	g.Expect(verdict(q, 10)).To(Equal(route.VerdictFree), "for a time only")
+	for id := range uint64(4) {
+		q.Crash(100+id, false, []uint64{1000 + id}, now)
+	}
+	q.Crash(200, true, []uint64{1000}, now)
+	g.Expect(verdict(q, 1000)).To(Equal(route.VerdictAlone), "others crash too")
+}
--- a/route/retry.go
+++ b/route/retry.go
@@ -67,7 +67,11 @@
 // run and can't become a second one.
 func Retryable(code result.Code, repeatable bool) RetryRule {
 	switch code {
-	case result.TargetLeaving, result.StaleAgent, result.TargetIsolated:
+	case result.TargetLeaving:
+		if repeatable { // a home that leaves has no substitute yet
+			return RetryFree
+		}
+	case result.StaleAgent, result.TargetIsolated:
 		return RetryFree
 	case result.NoTarget, result.Unreachable, result.TargetBusy, result.StaleVersion:
 		return RetryBudgeted
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -55,6 +55,7 @@
 	Dispatch      uint64   `msg:"di"` // this entry's running number of dispatches to the target
 	Suspect       bool     `msg:"su"` // must run alone
 	Fingerprint   uint64   `msg:"fp"` // names the caller's request over its tries and continuations
+	AttachOnly    bool     `msg:"ao"` // not repeatable: join an earlier try, start nothing
 	DedupMs       int64    `msg:"dw"` // not repeatable: milliseconds for which the key is remembered
 	DedupKeys     int      `msg:"dk"` // not repeatable: how many keys a target remembers at most
 }
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -667,9 +667,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 19
 	// string "id"
-	o = append(o, 0xde, 0x0, 0x12, 0xa2, 0x69, 0x64)
+	o = append(o, 0xde, 0x0, 0x13, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "tm"
 	o = append(o, 0xa2, 0x74, 0x6d)
@@ -722,6 +722,9 @@
 	// string "fp"
 	o = append(o, 0xa2, 0x66, 0x70)
 	o = msgp.AppendUint64(o, z.Fingerprint)
+	// string "ao"
+	o = append(o, 0xa2, 0x61, 0x6f)
+	o = msgp.AppendBool(o, z.AttachOnly)
 	// string "dw"
 	o = append(o, 0xa2, 0x64, 0x77)
 	o = msgp.AppendInt64(o, z.DedupMs)
@@ -897,6 +900,12 @@
 				err = msgp.WrapError(err, "Fingerprint")
 				return
 			}
+		case "ao":
+			z.AttachOnly, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AttachOnly")
+				return
+			}
 		case "dw":
 			z.DedupMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -927,6 +936,6 @@
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.IntSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.IntSize
 	return
 }
