--- a/wire/conn.go
+++ b/wire/conn.go
@@ -52,8 +52,8 @@
 	handler Handler
 	peer    Hello
 	out     chan *[]byte
-	queued  atomic.Int64 // frames in out, or taken from it and not yet written
-	writing sync.Mutex   // held while bytes are written to nc
+	queued  atomic.Int64  // frames in out, or taken from it and not yet written
+	writing chan struct{} // holds a token while bytes are written to nc
 	done    chan struct{}
 	cause   error // set before done is closed
 
@@ -91,6 +91,7 @@
 		opts:    o.withDefaults(),
 		handler: h,
 		out:     make(chan *[]byte, outRing),
+		writing: make(chan struct{}, 1),
 		done:    make(chan struct{}),
 		streams: make(map[uint64]*Stream),
 		nextID:  firstID,
@@ -263,18 +264,18 @@
 // gathers many frames in a system call. A frame never overtakes an earlier one
 // of its sender: queued counts until it was written.
 func (c *Conn) write(bp *[]byte) error {
-	if len(*bp) > directWriteMax || c.queued.Load() != 0 || !c.writing.TryLock() {
+	if len(*bp) > directWriteMax || c.queued.Load() != 0 || !c.tryWriting() {
 		return c.enqueue(bp)
 	}
 	if c.queued.Load() != 0 {
-		c.writing.Unlock()
+		c.endWriting()
 		return c.enqueue(bp)
 	}
 	err := c.limitWrite()
 	if err == nil {
 		_, err = c.nc.Write(*bp)
 	}
-	c.writing.Unlock()
+	c.endWriting()
 	framePool.Put(bp)
 	if err != nil {
 		c.close(fmt.Errorf("write: %w", err))
@@ -283,6 +284,19 @@
 	return nil
 }
 
+// tryWriting takes the token if it is free. A mutex would do as well, but virtual
+// time stands still while one is waited for.
+func (c *Conn) tryWriting() bool {
+	select {
+	case c.writing <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Conn) endWriting() { <-c.writing }
+
 func (c *Conn) enqueue(bp *[]byte) error {
 	select {
 	case <-c.done:
@@ -332,8 +346,8 @@
 }
 
 func (c *Conn) writePing(frame []byte) error {
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	c.writing <- struct{}{}
+	defer c.endWriting()
 	if err := c.limitWrite(); err != nil {
 		return err
 	}
@@ -344,8 +358,8 @@
 // writeBatch writes frames until the ring is empty, then flushes: one system
 // call for all that has gathered.
 func (c *Conn) writeBatch(w *bufio.Writer, bp *[]byte) error {
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	c.writing <- struct{}{}
+	defer c.endWriting()
 	if err := c.limitWrite(); err != nil {
 		return err
 	}
