Control traffic of the busiest node under its budget; bench control

Cause (heatherrail bench control, 19 nodes in one data centre, window 4 s): the busiest node sent and received 6,017 B/s with peers, aim 5,000 for everything: all followers pulled from the first of the few, five times a second, and renewals came every 5 s. Done: followers spread over four of a data centre, one read a second after a burst, leases of 30 s renewed every 10 s, empty Silent notes every third beat, records that change nothing passed on empty.

--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -9,7 +9,8 @@
 
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
-	Relay benchRelay `command:"relay" description:"what entry and agent add to a streamed answer"`
+	Control benchControl `command:"control" description:"what configuration, membership and leases cost a node"`
+	Relay   benchRelay   `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
--- a/config/delta.go
+++ b/config/delta.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -11,15 +12,26 @@
 // section is one kind of configuration section.
 type section interface {
 	Fleet | Target | Group | Service | Team | Policy
-	title() string
+	kind() string
+	name() string
 }
 
-func (f Fleet) title() string   { return "fleet " + f.Name }
-func (t Target) title() string  { return "target " + t.Name }
-func (g Group) title() string   { return "group " + g.Name }
-func (s Service) title() string { return "service " + s.Name }
-func (t Team) title() string    { return "team " + t.Name }
-func (p Policy) title() string  { return "policy " + p.Name }
+func (f Fleet) kind() string   { return "fleet" }
+func (t Target) kind() string  { return "target" }
+func (g Group) kind() string   { return "group" }
+func (s Service) kind() string { return "service" }
+func (t Team) kind() string    { return "team" }
+func (p Policy) kind() string  { return "policy" }
+
+func (f Fleet) name() string   { return f.Name }
+func (t Target) name() string  { return t.Name }
+func (g Group) name() string   { return g.Name }
+func (s Service) name() string { return s.Name }
+func (t Team) name() string    { return t.Name }
+func (p Policy) name() string  { return p.Name }
+
+// title names a section as files do, for example "team a".
+func title[T section](s T) string { return s.kind() + " " + s.name() }
 
 // message is the pointer to a section, which encodes itself.
 type message[T section] interface {
@@ -44,9 +56,9 @@
 	return sum
 }
 
-// sectionDigest hashes one section; the title keeps kinds with equal fields apart.
+// sectionDigest hashes one section; the kind keeps sections with equal fields apart.
 func sectionDigest[T section, P message[T]](s *T, buf *[]byte) uint64 {
-	b := append((*buf)[:0], (*s).title()...)
+	b := append((*buf)[:0], (*s).kind()...)
 	b, err := P(s).MarshalMsg(b)
 	if err != nil {
 		return 0 // plain structs always encode
@@ -71,18 +83,18 @@
 }
 
 func listDelta[T section, P message[T]](d *Delta, old, list []T) []T {
-	before := byTitle(old)
+	before := byName(old)
 	var put []T
 	for i := range list {
-		title := list[i].title()
-		if was, ok := before[title]; !ok || !same[T, P](was, &list[i]) {
+		name := list[i].name()
+		if was, ok := before[name]; !ok || !same[T, P](was, &list[i]) {
 			put = append(put, list[i])
 		}
-		delete(before, title)
+		delete(before, name)
 	}
 	for i := range old {
-		if title := old[i].title(); before[title] != nil {
-			d.Remove = append(d.Remove, title)
+		if before[old[i].name()] != nil {
+			d.Remove = append(d.Remove, title(old[i]))
 		}
 	}
 	return put
@@ -95,10 +107,10 @@
 	return errA == nil && errB == nil && bytes.Equal(x, y)
 }
 
-func byTitle[T section](list []T) map[string]*T {
+func byName[T section](list []T) map[string]*T {
 	m := make(map[string]*T, len(list))
 	for i := range list {
-		m[list[i].title()] = &list[i]
+		m[list[i].name()] = &list[i]
 	}
 	return m
 }
@@ -116,31 +128,30 @@
 	if base == nil || d.Whole {
 		base, digest = new(Config), 0
 	}
-	removed := make(map[string]bool, len(d.Remove))
-	for _, title := range d.Remove {
-		removed[title] = true
-	}
 	c := &Config{
-		Fleets:   mergeList(base.Fleets, d.Put.Fleets, removed, &digest),
-		Targets:  mergeList(base.Targets, d.Put.Targets, removed, &digest),
-		Groups:   mergeList(base.Groups, d.Put.Groups, removed, &digest),
-		Services: mergeList(base.Services, d.Put.Services, removed, &digest),
-		Teams:    mergeList(base.Teams, d.Put.Teams, removed, &digest),
-		Policies: mergeList(base.Policies, d.Put.Policies, removed, &digest),
+		Fleets:   mergeList(base.Fleets, d.Put.Fleets, d.Remove, &digest),
+		Targets:  mergeList(base.Targets, d.Put.Targets, d.Remove, &digest),
+		Groups:   mergeList(base.Groups, d.Put.Groups, d.Remove, &digest),
+		Services: mergeList(base.Services, d.Put.Services, d.Remove, &digest),
+		Teams:    mergeList(base.Teams, d.Put.Teams, d.Remove, &digest),
+		Policies: mergeList(base.Policies, d.Put.Policies, d.Remove, &digest),
 	}
 	return c, digest
 }
 
-func mergeList[T section, P message[T]](base, put []T, removed map[string]bool, digest *uint64) []T {
-	if len(put) == 0 && !touches(base, removed) {
+// mergeList walks over the base once, without a new string for each of
+// 38,000 teams: only what the delta names is looked up.
+func mergeList[T section, P message[T]](base, put []T, remove []string, digest *uint64) []T {
+	gone := removedNames[T](remove)
+	if len(put) == 0 && len(gone) == 0 {
 		return base
 	}
-	replaced := byTitle(put)
+	replaced := byName(put)
 	var buf []byte
 	list := make([]T, 0, len(base)+len(put))
 	for i := range base {
-		title := base[i].title()
-		if removed[title] || replaced[title] != nil {
+		name := base[i].name()
+		if gone[name] || replaced[name] != nil {
 			*digest -= sectionDigest[T, P](&base[i], &buf)
 			continue
 		}
@@ -150,13 +161,18 @@
 		*digest += sectionDigest[T, P](s, &buf)
 		list = append(list, *s)
 	}
-	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(a.title(), b.title()) })
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(a.name(), b.name()) })
 	return list
 }
 
-func touches[T section](list []T, removed map[string]bool) bool {
-	if len(removed) == 0 {
-		return false
+// removedNames returns the names of one kind among titles.
+func removedNames[T section](titles []string) map[string]bool {
+	var none T
+	names := make(map[string]bool)
+	for _, t := range titles {
+		if name, ok := strings.CutPrefix(t, none.kind()+" "); ok {
+			names[name] = true
+		}
 	}
-	return slices.ContainsFunc(list, func(s T) bool { return removed[s.title()] })
+	return names
 }
--- a/config/diff.go
+++ b/config/diff.go
@@ -45,17 +45,18 @@
 }
 
 func diffList[T section, P message[T]](out []Difference, old, list []T) []Difference {
-	before, after := byTitle(old), byTitle(list)
-	var titles []string
-	for title := range before {
-		titles = append(titles, title)
+	before, after := byName(old), byName(list)
+	var names []string
+	for name := range before {
+		names = append(names, name)
 	}
-	for title := range after {
-		titles = append(titles, title)
+	for name := range after {
+		names = append(names, name)
 	}
-	slices.Sort(titles)
-	for _, title := range slices.Compact(titles) {
-		was, is := before[title], after[title]
+	slices.Sort(names)
+	var none T
+	for _, name := range slices.Compact(names) {
+		was, is, title := before[name], after[name], none.kind()+" "+name
 		switch {
 		case is == nil:
 			out = append(out, Difference{Op: OpRemove, Title: title})
--- a/config/fold.go
+++ b/config/fold.go
@@ -101,6 +101,20 @@
 	return nil
 }
 
+// Pass steps over the record at an offset, which a peer has folded and found to
+// change nothing.
+func (f *Fold) Pass(offset uint64) error {
+	switch {
+	case f.stopped != nil:
+		return f.stopped
+	case offset > f.next:
+		return ErrGap
+	case offset == f.next:
+		f.next++
+	}
+	return nil
+}
+
 func (f *Fold) apply(offset uint64, raw []byte) error {
 	var rec Record
 	if _, err := rec.UnmarshalMsg(raw); err != nil {
--- a/control/beat.go
+++ b/control/beat.go
@@ -69,12 +69,12 @@
 // beat sends heartbeats to the few, and, as one of the few, who is silent.
 func (n *Node) beat() {
 	last := time.Time{}
-	for n.sleep(n.opts.Timing.Beat) {
+	for round := 0; n.sleep(n.opts.Timing.Beat); round++ {
 		n.mu.Lock()
-		local, remote := n.topology.Local(), n.topology.Remote()
+		local, remote := n.topology.Local(Observers), n.topology.Remote()
 		n.mu.Unlock()
 		n.sendAll(local, wire.NoteBeat, n.beatNote())
-		n.sendSilent()
+		n.sendSilent(round%silentEvery == 0)
 		if time.Since(last) >= n.opts.Timing.Summaries {
 			last = time.Now()
 			n.sendAll(remote, wire.NoteSummary, n.summary())
@@ -110,8 +110,13 @@
 	}
 }
 
-// sendSilent tells the entries that beat to this one whom it misses.
-func (n *Node) sendSilent() {
+// silentEvery is in how many heartbeats an empty Silent is sent; a witness that says
+// nothing for longer than Timing.Silence does not count.
+const silentEvery = 3
+
+// sendSilent tells the entries that beat to this one whom it misses: at once when
+// there is something to tell, and now and then if not.
+func (n *Node) sendSilent(due bool) {
 	n.mu.Lock()
 	now := time.Now()
 	var silent wire.Silent
@@ -121,9 +126,11 @@
 				Version: s.Version, AgeMs: s.Age.Milliseconds(), Leaving: s.Leaving})
 		}
 	}
+	due = due || len(silent.Rows) > 0 || n.toldSilent
+	n.toldSilent = len(silent.Rows) > 0
 	var conns []*wire.Conn
 	for c := range n.incoming {
-		if p := c.Peer(); p.Role == wire.RoleEntry && p.DataCentre == n.opts.Self.DataCentre {
+		if p := c.Peer(); p.Role == wire.RoleEntry && p.DataCentre == n.opts.Self.DataCentre && due {
 			conns = append(conns, c)
 		}
 	}
--- a/control/claimer.go
+++ b/control/claimer.go
@@ -13,9 +13,9 @@
 	Stride time.Duration // a claimant waits this long for each one that ranks before it
 }
 
-// DefaultLeaseTiming renews every five seconds: with one record for all resources
-// of a holder, 34 holders append 7 times a second.
-var DefaultLeaseTiming = LeaseTiming{Span: 15 * time.Second, Margin: 2 * time.Second, Stride: time.Second}
+// DefaultLeaseTiming renews every ten seconds: with one record for all resources of
+// a holder, 34 holders append 3.4 times a second, and each node reads as much.
+var DefaultLeaseTiming = LeaseTiming{Span: 30 * time.Second, Margin: 3 * time.Second, Stride: time.Second}
 
 // renewals is how many times a holder renews within a span, so that one lost or
 // slow append does not lose the lease.
--- a/control/follow.go
+++ b/control/follow.go
@@ -123,7 +123,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	peers := n.topology.Sources()
-	few := len(n.topology.Local())
+	few := len(n.topology.Local(Few))
 	return peers[:min(few+fallbackPeers, len(peers))]
 }
 
@@ -157,7 +157,7 @@
 	for i, raw := range records {
 		offset := first + uint64(i)
 		before := n.fold.Next()
-		err := n.fold.Apply(offset, raw)
+		err := n.foldOne(offset, raw)
 		if errors.Is(err, config.ErrGap) {
 			break // a snapshot set the position back: read on from there
 		}
@@ -179,6 +179,14 @@
 	return nil
 }
 
+// foldOne folds a record; peers send empty ones for those that change nothing.
+func (n *Node) foldOne(offset uint64, raw []byte) error {
+	if len(raw) == 0 {
+		return n.fold.Pass(offset)
+	}
+	return n.fold.Apply(offset, raw)
+}
+
 // folded hands what the fold found to those who wait for it. Both followers call
 // it; the lock keeps an older version from being handed over after a newer one.
 func (n *Node) folded() {
--- a/control/node.go
+++ b/control/node.go
@@ -39,7 +39,7 @@
 	Beat:       time.Second,
 	Silence:    DefaultSilence,
 	LogWait:    5 * time.Second,
-	Coalesce:   200 * time.Millisecond,
+	Coalesce:   time.Second,
 	Backoff:    200 * time.Millisecond,
 	MaxBackoff: 2 * time.Second,
 	LogBackoff: 500 * time.Millisecond,
@@ -83,23 +83,24 @@
 
 	installing sync.Mutex // taken before mu
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	fold      *config.Fold
-	table     *LeaseTable
-	relay     relay
-	saved     savedState
-	wake      chan struct{} // closed when records were folded
-	freshAt   time.Time     // when this process or its source last read the log
-	fences    uint64        // highest fence that Leases was called for
-	claimer   *Claimer
-	members   *Members
-	topology  *Topology
-	listed    bool // a VM list was seen
-	conns     map[string]*peerConn
-	incoming  map[*wire.Conn]struct{}
-	summaries map[string]wire.Summary // by data centre
-	snapshot  snapshotClock
+	mu         sync.Mutex
+	rng        *rand.Rand
+	fold       *config.Fold
+	table      *LeaseTable
+	relay      relay
+	saved      savedState
+	wake       chan struct{} // closed when records were folded
+	freshAt    time.Time     // when this process or its source last read the log
+	fences     uint64        // highest fence that Leases was called for
+	claimer    *Claimer
+	members    *Members
+	topology   *Topology
+	listed     bool // a VM list was seen
+	toldSilent bool // the latest Silent named somebody
+	conns      map[string]*peerConn
+	incoming   map[*wire.Conn]struct{}
+	summaries  map[string]wire.Summary // by data centre
+	snapshot   snapshotClock
 }
 
 // savedState is a saved fold that newcomers share.
--- a/control/relay.go
+++ b/control/relay.go
@@ -19,7 +19,7 @@
 }
 
 // add keeps the record at an offset. Parts of snapshots and presences are kept
-// without their data: who follows a peer gets a whole state in another way and reads
+// empty: who follows a peer gets a whole state in another way and reads
 // presences from the log; 38,000 teams' worth of parts, and a presence of each of
 // 1,500 processes every two minutes, would use up the budget of every node.
 func (r *relay) add(offset uint64, raw []byte) {
@@ -57,18 +57,12 @@
 	return rest
 }
 
-// slim returns a record without what followers of a peer don't fold.
+// slim returns an empty record for one that changes nothing in a fold.
 func slim(raw []byte) []byte {
 	var rec config.Record
-	if _, err := rec.UnmarshalMsg(raw); err != nil {
-		return raw
-	}
-	if rec.Kind != config.RecordSnapshotPart && rec.Kind != config.RecordPresence {
-		return raw
-	}
-	slimmed, err := config.NewRecord(rec.Kind, &config.Part{})
-	if err != nil {
-		return raw
+	_, err := rec.UnmarshalMsg(raw)
+	if err == nil && (rec.Kind == config.RecordSnapshotPart || rec.Kind == config.RecordPresence) {
+		return nil
 	}
-	return slimmed
+	return raw
 }
--- a/control/topology.go
+++ b/control/topology.go
@@ -7,9 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Few is how many entries of a data centre read the log and hear heartbeats. Two
-// witnesses are needed against a silent one; the third is the spare.
-const Few = 3
+// Few is how many entries of a data centre serve the others with records.
+const Few = 4
+
+// Observers is how many of the few hear heartbeats. Two witnesses are needed against
+// a silent one; the third is the spare.
+const Observers = 3
 
 // Tailers is how many of the few read the log itself: the other ones and all the
 // rest follow them.
@@ -66,9 +69,9 @@
 // Place returns this process's place in its data centre, from 0.
 func (t *Topology) Place() int { return slices.Index(t.Ranked, t.Self.Name) }
 
-// Local returns the few of the own data centre without this process.
-func (t *Topology) Local() []string {
-	few := t.Ranked[:min(Few, len(t.Ranked))]
+// Local returns the first n of the own data centre without this process.
+func (t *Topology) Local(n int) []string {
+	few := t.Ranked[:min(n, len(t.Ranked))]
 	return slices.DeleteFunc(slices.Clone(few), func(n string) bool { return n == t.Self.Name })
 }
 
@@ -110,10 +113,16 @@
 }
 
 // Sources returns from whom this process pulls records when it does not read the
-// log: the few of its data centre, then anyone, in an order of its own so that a
-// data centre without its few does not fall on one peer.
+// log: the few of its data centre, then anyone. The order is its own, so that the
+// first of a data centre does not serve all the others. The few themselves begin
+// with those that read the log: two of them that followed each other would both wait
+// for news until it is stale.
 func (t *Topology) Sources() []string {
-	sources := t.Local()
+	sources := Rank(t.Self.Name, t.Local(Few))
+	if t.Place() < Few {
+		tailers := t.Local(Tailers)
+		sources = append(Rank(t.Self.Name, tailers), slices.DeleteFunc(sources, func(n string) bool { return slices.Contains(tailers, n) })...)
+	}
 	var rest []string
 	for name := range t.Peers {
 		if !slices.Contains(sources, name) {
