--- a/agent/agent.go
+++ b/agent/agent.go
@@ -53,6 +53,7 @@
 	config  configState
 	witness *witness
 	crashes *crashWatch
+	health  *engineHealth
 	ctx     context.Context // ends when the agent stops
 	cancel  context.CancelCauseFunc
 	stop    chan struct{}
@@ -92,8 +93,12 @@
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
 	a.crashes = newCrashWatch(a)
+	a.health = &engineHealth{agent: a}
 	a.ledger.forgetful = o.Off.Ledger
 	a.witness.trusting = o.Off.Witness
+	if o.Off.Roster {
+		a.witness.log = nil
+	}
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.duties.Go(a.announce)
--- a/agent/goodbye.go
+++ b/agent/goodbye.go
@@ -19,9 +19,9 @@
 // Symptom: the connection is reset and the caller is told "may have run", though
 // nothing ran; or the last frame of an answer is still in the ring and is lost.
 // Enough, because the entry closes only once it waits for nothing on the
-// connection, and until then the agent refuses what still arrives as "not run".
+// connection and does not come back to this incarnation; until then the agent
+// refuses what still arrives as "not run".
 func (a *Agent) sayGoodbye(ctx context.Context) {
-	_ = a.ln.Close() // peers that come later are refused, and so send nothing
 	for _, c := range a.conns() {
 		_ = c.SendNote(wire.NoteGoodbye, nil) // a lost connection needs no goodbye
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -160,8 +160,12 @@
 // it crashed.
 func (a *Agent) runError(ctx context.Context, run *crashRun, err error) error {
 	err = backendError(ctx, err)
-	if result.From(err).Code == result.EngineLost {
+	code := result.From(err).Code
+	switch {
+	case code == result.EngineLost:
 		run.engineLost()
+	case code == result.Unreachable && ctx.Err() == nil: // a cancelled dial says nothing
+		a.health.lost()
 	}
 	return err
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -30,6 +30,7 @@
 	hasLoad  bool
 	dispatch uint64 // number of the latest dispatch on this connection
 
+	stopped uint64              // incarnation of the agent that has said goodbye
 	moved   chan struct{}       // signalled when the VM list names another address
 	goodbye chan struct{}       // signalled when the agent is about to stop
 	retired map[*wire.Conn]bool // connections to earlier VMs whose requests still run
@@ -156,6 +157,10 @@
 		conn.Close()
 		return nil
 	}
+	if l.hasStopped(conn.Peer().Incarnation) {
+		conn.Close()
+		return nil
+	}
 	if !l.entry.out.supersede(l.target, conn.Peer().Incarnation, time.Now()) {
 		l.entry.log.Info("an overtaken agent answers", "target", l.target, "incarnation", conn.Peer().Incarnation)
 		conn.Close()
@@ -251,11 +256,18 @@
 func (l *link) heardGoodbye(c *wire.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.stopped = c.Peer().Incarnation
 	if l.conn == c {
 		raiseFlag(l.goodbye)
 	}
 }
 
+func (l *link) hasStopped(incarnation uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped == incarnation
+}
+
 // view returns what placement may know of the target.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
