--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -8,7 +8,9 @@
 )
 
 // benchCommand groups the benches; each bench has a file of its own.
-type benchCommand struct{}
+type benchCommand struct {
+	Expert benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
+}
 
 // benchFlags are the flags that all benches share.
 type benchFlags struct {
--- /dev/null
+++ b/expert/plan_bench_test.go
@@ -0,0 +1,30 @@
+package expert
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func unevenInput(s Shape, seed uint64) *Input {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	in := &Input{Map: NewMap(s), ExpertBytes: 24e6, Life: 1800, StoreRate: 2e9, Weights: Weights{Skew: 1, Move: 1}}
+	for range s.Layers {
+		for _, e := range rng.Perm(s.Experts) {
+			in.Loads = append(in.Loads, math.Pow(float64(e+1), -0.6))
+		}
+	}
+	return in
+}
+
+func BenchmarkPlan64x128(b *testing.B) {
+	in := unevenInput(Shape{Ranks: 64, Layers: 48, Experts: 128, SlotsOfRank: 3}, 1)
+	in.StoreRate = 0
+	var p Planner
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := p.Plan(in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
