--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -26,12 +26,21 @@
 		fmt.Println("ok")
 		return daemon.ExitOK
 	}
+	ln, err := file.Network.Listen(file.Agent.Listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitFail
+	}
+	backend := platform.NewHTTPBackend(file.Agent.Backend)
+	backend.WholeEvents = file.Agent.Kind == settings.KindEngine
 	a, err := agent.Start(agent.Options{
 		Settings:    file.Agent,
-		Backend:     platform.NewHTTPBackend(file.Agent.Backend),
+		Listener:    ln,
+		Backend:     backend,
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
 		Metrics:     metrics.New(),
 		Incarnation: daemon.Incarnation(),
+		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -10,6 +10,7 @@
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
 	Expert benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
+	Relay  benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
