--- a/entry/link.go
+++ b/entry/link.go
@@ -188,7 +188,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = nil
-	l.hasLoad = false
+	l.load, l.hasLoad = wire.Load{}, false
 }
 
 func (l *link) close() {
@@ -200,6 +200,14 @@
 	}
 }
 
+// leaving tells whether the target takes nothing new, by its agent or by the VM
+// list, which may know it first.
+func (l *link) leaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load.Leaving || l.vmState == platform.StateLeaving
+}
+
 // notify tells the agent what it needs of the configuration in force here.
 func (l *link) notify(configs *agentConfigs) {
 	l.mu.Lock()
