Scenario of a crashing request during a drain; registered as a gauge

Cause: no script had a request that crashes its engines. And two whole_path runs under load failed once: the harness sent oven calls before the log knew an entry, which refused 8 of 24 as not-run (code 220), as it must.

Done: stand-ins crash on a text and come back; command repeat; the script: a request that crashes every engine, sent six times while an agent is replaced, takes down one or two engines, its repeats are refused as not-run, 24 streams beside it arrive whole. Entries show whether the log knows them (heatherrail_registered), and the harness waits for that too: no expectation was eased. Help of heatherrail says how to begin.

--- a/cmd/heatherrail/main.go
+++ b/cmd/heatherrail/main.go
@@ -27,10 +27,19 @@
 	Version versionCommand `command:"version" description:"print the version"`
 }
 
+// about is the help of the program.
+const about = `heatherrail routes requests to groups of expert-parallel model engines and the plain services beside them. This is its operators' tool.
+
+First steps, without any set-up: "heatherrail demo" sends requests through a whole small system; "heatherrail demo --keep" leaves it up.
+
+Configuration is a directory of INI files: "check DIR" reads it, "diff DIR" compares it with what is in force, "apply DIR" puts it in force as a whole or not at all. "status" and "drain NAME" work on the running system. These read the platform's addresses and the keys from heatherrail.ini, or from the file that --settings names.
+
+Exit status: 0 done; 1 failed; 2 wrong usage, settings or configuration; others are named by the command's own help. docs/OPERATING.md has the first fleet step by step.`
+
 func main() {
 	var o options
 	parser := newParser(&o)
-	parser.LongDescription = "heatherrail routes requests to groups of expert-parallel model engines and the plain services beside them."
+	parser.LongDescription = about
 	os.Exit(run(parser))
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -102,6 +102,7 @@
 
 func (e *Entry) serveMetrics(c fiber.Ctx) error {
 	e.opts.Metrics.Gauge("targets_linked", float64(e.Linked()))
+	e.opts.Metrics.Gauge("registered", indicator(e.Registered()))
 	e.opts.Metrics.Gauge("requests_in_flight", float64(e.inFlight.Load()))
 	var b strings.Builder
 	if err := e.opts.Metrics.Write(&b); err != nil {
@@ -110,6 +111,14 @@
 	return c.SendString(b.String())
 }
 
+// indicator is a gauge's value for yes or no.
+func indicator(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // EntriesAnswer is the body of GET /v1/entries.
 type EntriesAnswer struct {
 	Entries  []string `json:"entries"`  // addresses in order of preference
--- a/internal/fake/targets.go
+++ b/internal/fake/targets.go
@@ -1,8 +1,11 @@
 package fake
 
 import (
+	"bytes"
+	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/platform"
@@ -24,15 +27,40 @@
 	Name   string
 	Server *Server
 	back   standin
+
+	crashOn atomic.Pointer[string] // a request with this text in its body crashes it
+	crashes atomic.Int64
 }
 
+// crashRestart is how long a crashed engine or service is away, as where the
+// platform starts it again.
+const crashRestart = 300 * time.Millisecond
+
 // ServeTarget starts the HTTP side of an *Engine or a *Plain.
 func ServeTarget(name string, back standin) (*TargetServer, error) {
-	srv, err := Serve(BackendHandler(back))
+	t := &TargetServer{Name: name, back: back}
+	srv, err := Serve(BackendHandler(t))
 	if err != nil {
 		return nil, err
 	}
-	return &TargetServer{Name: name, Server: srv, back: back}, nil
+	t.Server = srv
+	return t, nil
+}
+
+// CrashOn makes every request whose body holds a text crash the target; an empty
+// one ends that.
+func (t *TargetServer) CrashOn(text string) { t.crashOn.Store(&text) }
+
+// Run implements platform.Backend.
+func (t *TargetServer) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+	text := t.crashOn.Load()
+	if text != nil && *text != "" && bytes.Contains(call.Body, []byte(*text)) {
+		t.crashes.Add(1)
+		t.Kill()
+		time.AfterFunc(crashRestart, func() { _ = t.Restart() }) // a port that is taken shows as a target that stays away
+		return nil, &platform.SendError{Sent: true, Err: errEngineDown}
+	}
+	return t.back.Run(ctx, call)
 }
 
 // Kill ends it like a process that died: connections are cut, new ones refused.
@@ -49,13 +77,14 @@
 
 // TargetState is what a stand-in has done so far.
 type TargetState struct {
-	Name   string `json:"name"`
-	Active int    `json:"active"` // requests inside
-	Runs   []Run  `json:"runs"`
+	Name    string `json:"name"`
+	Active  int    `json:"active"`  // requests inside
+	Crashes int64  `json:"crashes"` // by requests that crash it
+	Runs    []Run  `json:"runs"`
 }
 
 func (t *TargetServer) state() TargetState {
-	return TargetState{Name: t.Name, Active: t.back.Active(), Runs: t.back.Runs()}
+	return TargetState{Name: t.Name, Active: t.back.Active(), Crashes: t.crashes.Load(), Runs: t.back.Runs()}
 }
 
 // AddTargets puts targets on the control.
@@ -73,6 +102,12 @@
 		})
 		return all, nil
 	})
+	c.Handle("POST /crash", func(r *http.Request) (any, error) {
+		for _, t := range targets {
+			t.CrashOn(r.FormValue("on"))
+		}
+		return done, nil
+	})
 	c.Handle("POST /targets/{name}/{action}", func(r *http.Request) (any, error) {
 		t := targets[r.PathValue("name")]
 		if t == nil {
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -59,6 +59,7 @@
 			"promises": command((*world).promises),
 			"counter":  command((*world).counter),
 			"ready":    command((*world).ready),
+			"repeat":   command((*world).repeat),
 			"race":     command((*world).race),
 		},
 	})
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -86,6 +86,7 @@
 			tokens:  tokens,
 			first:   sync.OnceFunc(b.first.Done),
 		}
+		w.latest = c
 		b.all.Go(func() {
 			b.sent[i] = c.run()
 			c.first()
@@ -95,6 +96,23 @@
 	return "", nil
 }
 
+// repeat COUNT sends the latest request again so often, one after another,
+// through the entries in turn.
+func (w *world) repeat(args []string) (string, error) {
+	count, err := strconv.Atoi(args[0])
+	if err != nil {
+		return "", err
+	}
+	b := &batch{}
+	w.batches["repeat"] = b
+	for i := range count {
+		c := w.latest
+		c.entry = w.entries[i%len(w.entries)]
+		b.sent = append(b.sent, c.run())
+	}
+	return w.end([]string{"repeat"})
+}
+
 func (w *world) anyTeamKey(i int) string {
 	teams := slices.Sorted(maps.Keys(w.desc.Teams))
 	return w.desc.Teams[teams[i%len(teams)]]
@@ -205,10 +223,11 @@
 	if err := json.NewDecoder(resp.Body).Decode(&targets); err != nil {
 		return "", err
 	}
-	active := 0
+	active, crashes := 0, int64(0)
 	var bodies []string
 	for _, t := range targets {
 		active += t.Active
+		crashes += t.Crashes
 		for _, r := range t.Runs {
 			bodies = append(bodies, r.Body)
 		}
@@ -230,5 +249,5 @@
 			lied++
 		}
 	}
-	return fmt.Sprintf("sent=%d doubled=%d lost=%d lied=%d active=%d", len(w.sent), doubled, lost, lied, active), nil
+	return fmt.Sprintf("sent=%d doubled=%d lost=%d lied=%d active=%d crashes=%d", len(w.sent), doubled, lost, lied, active, crashes), nil
 }
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -36,6 +36,7 @@
 	entries []string // addresses for callers, live ones
 	sent    []sent
 	serial  int
+	latest  caller // the request that was sent last
 	batches map[string]*batch
 }
 
@@ -209,7 +210,8 @@
 // ready waits until every live entry reaches every target.
 func (w *world) ready([]string) (string, error) { return "", w.awaitReady() }
 
-// awaitReady waits until every entry reaches every target.
+// awaitReady waits until every entry reaches every target and may dispatch what
+// must not run twice.
 func (w *world) awaitReady() error {
 	want := fmt.Sprintf("heatherrail_targets_linked %d", len(w.desc.Standins.Targets))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -217,7 +219,7 @@
 	for _, addr := range w.entries {
 		for {
 			text, err := get(ctx, "http://"+addr+"/metrics")
-			if err == nil && strings.Contains(text, want) {
+			if err == nil && strings.Contains(text, want+"\n") && strings.Contains(text, "heatherrail_registered 1\n") {
 				break
 			}
 			if ctx.Err() != nil {
