--- /dev/null
+++ b/route/cacheindex.go
@@ -0,0 +1,158 @@
+package route
+
+import "math/bits"
+
+// CacheIndex is what an entry believes about prompts that engines hold: for each
+// block a bit mask of targets. Events come late and with gaps, so it is a belief:
+// every target has a trust by which its matches are discounted. Memory is fixed:
+// a full bucket forgets in turn, which costs a match and nothing else.
+type CacheIndex struct {
+	buckets []bucket
+	trust   [IndexTargets]float64
+	next    [IndexTargets]uint64 // sequence number of the next events
+}
+
+// IndexTargets is how many targets one index can tell apart.
+const IndexTargets = 64
+
+// bucketWays is how many blocks share a bucket.
+const bucketWays = 8
+
+// bucket holds the blocks with one beginning of their hash.
+type bucket struct {
+	keys  [bucketWays]uint64
+	masks [bucketWays]uint64
+	hand  uint8
+}
+
+// Trust falls by half with each gap and grows back with each event batch that
+// follows without one.
+const (
+	trustGap    = 0.5
+	trustRepair = 0.05
+	trustMin    = 0.05
+)
+
+// NewCacheIndex returns an index for about the given number of blocks.
+func NewCacheIndex(blocks int) *CacheIndex {
+	n := 1 << bits.Len(uint(max(1, blocks/bucketWays)-1))
+	x := &CacheIndex{buckets: make([]bucket, n)}
+	for i := range x.trust {
+		x.trust[i] = 1
+	}
+	return x
+}
+
+// Add notes that a target holds a block.
+func (x *CacheIndex) Add(target int, block uint64) {
+	b := x.bucket(block)
+	for i, k := range b.keys {
+		if k == block {
+			b.masks[i] |= 1 << target
+			return
+		}
+	}
+	for i, m := range b.masks {
+		if m == 0 {
+			b.keys[i], b.masks[i] = block, 1<<target
+			return
+		}
+	}
+	b.keys[b.hand], b.masks[b.hand] = block, 1<<target
+	b.hand = (b.hand + 1) % bucketWays
+}
+
+// Remove notes that a target dropped a block.
+func (x *CacheIndex) Remove(target int, block uint64) {
+	b := x.bucket(block)
+	for i, k := range b.keys {
+		if k == block {
+			b.masks[i] &^= 1 << target
+		}
+	}
+}
+
+// Clear forgets a target: its engine is new.
+func (x *CacheIndex) Clear(target int) {
+	for i := range x.buckets {
+		for w := range x.buckets[i].masks {
+			x.buckets[i].masks[w] &^= 1 << target
+		}
+	}
+	x.trust[target], x.next[target] = 1, 0
+}
+
+// Batch takes the sequence number of a batch of events and reports whether the
+// batch is new. A gap lowers the trust in the target; a batch that came before
+// is not new.
+func (x *CacheIndex) Batch(target int, seq uint64) bool {
+	want := x.next[target]
+	if want != 0 && seq < want {
+		return false
+	}
+	if want != 0 && seq > want {
+		x.trust[target] = max(trustMin, x.trust[target]*trustGap)
+	} else {
+		x.trust[target] += trustRepair * (1 - x.trust[target])
+	}
+	x.next[target] = seq + 1
+	return true
+}
+
+// Trust returns the trust in a target's events, from 0 to 1.
+func (x *CacheIndex) Trust(target int) float64 { return x.trust[target] }
+
+// Tokens returns how many leading tokens a target is believed to hold,
+// discounted by trust.
+func (x *CacheIndex) Tokens(target int, blocks []uint64) float64 {
+	n := 0
+	for _, block := range blocks {
+		if x.mask(block)&(1<<target) == 0 {
+			break
+		}
+		n++
+	}
+	return float64(n*BlockTokens) * x.trust[target]
+}
+
+// Longest writes targets that hold the longest beginning of the blocks, and
+// returns how many it wrote. Of several, rnd decides.
+func (x *CacheIndex) Longest(blocks []uint64, rnd uint64, into []int) int {
+	held := ^uint64(0)
+	depth := 0
+	for _, block := range blocks {
+		m := x.mask(block)
+		if held&m == 0 {
+			break
+		}
+		held &= m
+		depth++
+	}
+	if depth == 0 {
+		return 0
+	}
+	turn := int(rnd % IndexTargets)
+	held = bits.RotateLeft64(held, -turn)
+	n := 0
+	for held != 0 && n < len(into) {
+		at := bits.TrailingZeros64(held)
+		into[n] = (at + turn) % IndexTargets
+		held &^= 1 << at
+		n++
+	}
+	return n
+}
+
+func (x *CacheIndex) mask(block uint64) uint64 {
+	b := x.bucket(block)
+	for i, k := range b.keys {
+		if k == block {
+			return b.masks[i]
+		}
+	}
+	return 0
+}
+
+func (x *CacheIndex) bucket(block uint64) *bucket {
+	return &x.buckets[block>>1&uint64(len(x.buckets)-1)]
+}
--- /dev/null
+++ b/route/filter.go
@@ -0,0 +1,9 @@
+package route
+
+// Usable keeps targets that can take new work.
+type Usable struct{}
+
+// Keep implements Filter.
+func (Usable) Keep(r *Request, t *Target) bool {
+	return t.Linked && !t.Leaving && t.EngineUp && !t.Ejected && !r.Avoid[t.Name]
+}
--- /dev/null
+++ b/route/gate.go
@@ -0,0 +1,256 @@
+package route
+
+import "time"
+
+// Gate decides at one target which requests run, wait or are refused. It sits
+// where all requests of the target pass, so its counts are exact: shares between
+// teams hold over all entries without any of them knowing the others' demand.
+// It keeps the engine's own queue empty, since nothing can be reordered there.
+type Gate struct {
+	slots    int
+	queue    *FairQueue
+	limit    int
+	running  int
+	prompt   float64 // tokens not yet computed, waiting requests included
+	decode   float64 // tokens still to generate, waiting requests included
+	inEngine float64 // prompt tokens in the engine, not yet computed
+	speed    Speed
+	fresh    float64 // tokens generated since the speed was told
+	started  int
+	peers    map[string]*Work // by entry, waiting requests included
+}
+
+// Job is one request at a gate.
+type Job struct {
+	FairItem
+	Cost Cost
+	Peer string // entry that sent it
+
+	work *Work // of its entry
+
+	began time.Duration // start in the engine
+	ahead float64       // prompt tokens up to its own at its start
+	first bool          // its first token was seen
+	done  float64       // tokens generated
+	left  float64       // its part of Gate.decode
+}
+
+// Verdict is what a gate says to a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	VerdictRun      Verdict = iota // take it from Next
+	VerdictTooLong                 // the wait is longer than the entry allows; another target may be better
+	VerdictDeadline                // the deadline can't be met
+	VerdictFull                    // the queue is full
+)
+
+// Offer bounds what a request accepts; zero means no bound.
+type Offer struct {
+	Left    time.Duration // until its deadline
+	MaxWait time.Duration // for its first token
+}
+
+// NewGate returns a gate for an engine that decodes slots requests at once, with
+// room for limit waiting ones.
+func NewGate(slots, limit int) *Gate {
+	return &Gate{slots: slots, limit: limit, queue: NewFairQueue(), peers: make(map[string]*Work)}
+}
+
+// Running returns how many requests are in the engine.
+func (g *Gate) Running() int { return g.running }
+
+// Queued returns how many requests wait.
+func (g *Gate) Queued() int { return g.queue.Len() }
+
+// Wait returns the expected time until the job's first token, if it came now.
+func (g *Gate) Wait(j *Job) time.Duration {
+	base, perSec := g.speed.Prefill()
+	prefill := (g.inEngine + j.Cost.Prompt) / orDefault(perSec, defaultPrefill)
+	return seconds(base + prefill + g.slotWait(j))
+}
+
+func (g *Gate) slotWait(j *Job) float64 {
+	if g.running < g.slots && g.queue.Len() == 0 {
+		return 0
+	}
+	speed := orDefault(g.speed.TokensPerSec(g.slots), defaultTokens)
+	rest := g.decode / float64(max(1, g.running+g.queue.Len()))
+	ahead := g.queue.Ahead(j.Team, j.Weight, j.Priority)
+	return (rest + ahead) / speed
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Offer takes a job into the queue, or says why not. Whatever the verdict, it is
+// final and at once.
+func (g *Gate) Offer(j *Job, o Offer) (Verdict, time.Duration) {
+	wait := g.Wait(j)
+	switch {
+	case o.MaxWait > 0 && wait > o.MaxWait:
+		return VerdictTooLong, wait
+	case o.Left > 0 && wait+g.runTime(j) > o.Left:
+		return VerdictDeadline, wait
+	case g.queue.Len() >= g.limit:
+		return VerdictFull, wait
+	}
+	j.Price = j.Cost.Price()
+	g.queue.Push(&j.FairItem)
+	g.book(j)
+	return VerdictRun, wait
+}
+
+func (g *Gate) book(j *Job) {
+	w := g.peers[j.Peer]
+	if w == nil {
+		w = new(Work)
+		g.peers[j.Peer] = w
+	}
+	w.Requests++
+	w.Prompt += j.Cost.Prompt
+	w.Decode += j.Cost.Decode
+	j.work, j.left = w, j.Cost.Decode
+	g.prompt += j.Cost.Prompt
+	g.decode += j.Cost.Decode
+}
+
+// unbook takes what is left of a job out of the books.
+func (g *Gate) unbook(j *Job) {
+	g.prefilled(j)
+	j.work.Requests--
+	g.generated(j, j.left)
+	if j.work.Requests == 0 {
+		delete(g.peers, j.Peer) // rounding errors don't add up
+	}
+	if len(g.peers) == 0 {
+		g.prompt, g.decode = 0, 0
+	}
+}
+
+func (g *Gate) prefilled(j *Job) {
+	if j.first {
+		return
+	}
+	j.first = true
+	g.prompt -= j.Cost.Prompt
+	j.work.Prompt -= j.Cost.Prompt
+}
+
+func (g *Gate) generated(j *Job, n float64) {
+	n = min(n, j.left)
+	j.left -= n
+	g.decode -= n
+	j.work.Decode -= n
+}
+
+// runTime returns how long a job takes in a full engine.
+func (g *Gate) runTime(j *Job) time.Duration {
+	perSlot := g.speed.TokensPerSec(1)
+	if perSlot == 0 {
+		return 0
+	}
+	return seconds(j.Cost.Decode / perSlot)
+}
+
+// Next starts the next job, nil if none waits or no slot is free.
+func (g *Gate) Next(now time.Duration) *Job {
+	if g.running >= g.slots {
+		return nil
+	}
+	it := g.queue.Pop()
+	if it == nil {
+		return nil
+	}
+	j := it.Value.(*Job)
+	g.tell(now)
+	g.running++
+	g.inEngine += j.Cost.Prompt
+	j.began, j.ahead = now, g.inEngine
+	if g.started++; g.started%forgetEvery == 0 {
+		g.queue.Forget()
+	}
+	return j
+}
+
+// forgetEvery is how many starts lie between two looks for teams to forget.
+const forgetEvery = 1024
+
+// Leave takes a waiting job out; false: it does not wait.
+func (g *Gate) Leave(j *Job) bool {
+	if !g.queue.Remove(&j.FairItem) {
+		return false
+	}
+	g.unbook(j)
+	return true
+}
+
+// Tokens takes the tokens that a running job has generated since the last call.
+func (g *Gate) Tokens(now time.Duration, j *Job, n float64) {
+	if !j.first {
+		g.speed.FirstToken(j.ahead, now-j.began)
+		g.inEngine -= j.Cost.Prompt
+		g.prefilled(j)
+	}
+	j.done += n
+	g.fresh += n
+	g.generated(j, n)
+}
+
+// End takes a running job out; whole: its answer was complete.
+func (g *Gate) End(now time.Duration, j *Job, whole bool) {
+	g.tell(now)
+	if !j.first {
+		g.inEngine -= j.Cost.Prompt
+	}
+	g.running--
+	if g.running == 0 {
+		g.inEngine = 0
+	}
+	g.unbook(j)
+	if whole {
+		g.speed.Answer(j.done)
+	}
+	g.queue.Charge(j.Team, j.Weight, j.done-j.Cost.Decode)
+}
+
+func (g *Gate) tell(now time.Duration) {
+	g.speed.Running(now, g.running, g.fresh)
+	g.fresh = 0
+}
+
+// Account is a gate's state for a load report.
+type Account struct {
+	Total, Mine   Work // of all entries; of the one that the report is for
+	Slots         int
+	StepWait      float64 // seconds to a first token that don't depend on prompts
+	PrefillPerSec float64
+	TokensPerSec  float64
+	AnswerTokens  float64 // mean length of answers
+}
+
+// Account returns the state now, as told to one entry.
+func (g *Gate) Account(peer string) Account {
+	base, perSec := g.speed.Prefill()
+	a := Account{
+		Total:         Work{Requests: float64(g.running + g.queue.Len()), Prompt: g.prompt, Decode: g.decode},
+		Slots:         g.slots,
+		StepWait:      base,
+		PrefillPerSec: perSec,
+		TokensPerSec:  g.speed.TokensPerSec(g.slots),
+		AnswerTokens:  g.speed.AnswerTokens(),
+	}
+	if w := g.peers[peer]; w != nil {
+		a.Mine = *w
+	}
+	return a
+}
+
+// Others returns the work of other entries.
+func (a *Account) Others() Work {
+	return Work{
+		Requests: max(0, a.Total.Requests-a.Mine.Requests),
+		Prompt:   max(0, a.Total.Prompt-a.Mine.Prompt),
+		Decode:   max(0, a.Total.Decode-a.Mine.Decode),
+	}
+}
--- /dev/null
+++ b/route/speed.go
@@ -0,0 +1,109 @@
+package route
+
+import "time"
+
+// Speed learns how fast an engine is from what its agent sees.
+type Speed struct {
+	first    line    // time to the first token by the prompt tokens up to it
+	decode   float64 // tokens a second and busy slot
+	answer   float64 // tokens of an answer, mean
+	window   time.Duration
+	tokens   float64 // generated in the current window
+	slotTime float64 // slots x seconds of the current window
+	last     time.Duration
+}
+
+// line is a straight line through observations, older ones counting less. The
+// quotient of tokens and time would not do: each first token takes a step at
+// least, so an engine with much work before it would look faster than an idle
+// one and draw still more work.
+type line struct {
+	n, x, y, xx, xy float64
+}
+
+func (l *line) learn(x, y float64) {
+	l.n = l.n*lineMemory + 1
+	l.x = l.x*lineMemory + x
+	l.y = l.y*lineMemory + y
+	l.xx = l.xx*lineMemory + x*x
+	l.xy = l.xy*lineMemory + x*y
+}
+
+// fit returns the line's height at zero and its slope; 0, 0: unknown.
+func (l *line) fit() (float64, float64) {
+	if l.n < lineMinimum {
+		return 0, 0
+	}
+	spread := l.n*l.xx - l.x*l.x
+	if spread < lineSpread*l.xx*l.n {
+		return 0, l.y / l.x // all alike: no line, only a quotient
+	}
+	slope := (l.n*l.xy - l.x*l.y) / spread
+	if slope <= 0 {
+		return 0, l.y / l.x
+	}
+	return max(0, (l.y-slope*l.x)/l.n), slope
+}
+
+const (
+	lineMemory  = 0.995 // so about 200 requests count
+	lineMinimum = 8
+	lineSpread  = 0.01
+)
+
+const (
+	speedStep   = 0.1 // weight of a new observation
+	speedWindow = time.Second
+)
+
+func learn(old *float64, seen float64) {
+	if *old == 0 {
+		*old = seen
+		return
+	}
+	*old += speedStep * (seen - *old)
+}
+
+// FirstToken takes the time from the start of a request in the engine to its
+// first token, and the prompt tokens, its own included, that were before it.
+func (s *Speed) FirstToken(ahead float64, took time.Duration) {
+	if took > 0 && ahead > 0 {
+		s.first.learn(ahead, took.Seconds())
+	}
+}
+
+// Running takes the state until now: how many of the slots were busy and how many
+// tokens were generated since the last call. now grows from any origin.
+func (s *Speed) Running(now time.Duration, busy int, tokens float64) {
+	d := now - s.last
+	s.last = now
+	s.window += d
+	s.tokens += tokens
+	s.slotTime += float64(busy) * d.Seconds()
+	if s.window < speedWindow {
+		return
+	}
+	if s.slotTime > 0 {
+		learn(&s.decode, s.tokens/s.slotTime)
+	}
+	s.window, s.tokens, s.slotTime = 0, 0, 0
+}
+
+// Answer takes the length of a finished answer in tokens.
+func (s *Speed) Answer(tokens float64) { learn(&s.answer, tokens) }
+
+// Prefill returns the seconds to a first token that do not depend on prompts, and
+// the prompt tokens a second; zero: unknown.
+func (s *Speed) Prefill() (base, perSec float64) {
+	base, slope := s.first.fit()
+	if slope <= 0 {
+		return 0, 0
+	}
+	return base, 1 / slope
+}
+
+// TokensPerSec returns the decode speed with all slots busy; 0: unknown.
+func (s *Speed) TokensPerSec(slots int) float64 { return s.decode * float64(slots) }
+
+// AnswerTokens returns the mean length of answers; 0: unknown.
+func (s *Speed) AnswerTokens() float64 { return s.answer }
