--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,9 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
+	turns   *turns
+	started time.Time
+	reports atomic.Uint64 // load reports made
 	version atomic.Uint64 // newest configuration version heard of
 	stop    chan struct{}
 	duties  conc.WaitGroup
@@ -51,7 +54,9 @@
 
 // peerState is what the agent keeps for each connected entry.
 type peerState struct {
-	counted atomic.Uint64 // newest dispatch number of the entry
+	worked atomic.Int64  // nanoseconds since the agent's start at the entry's latest request
+	sent   atomic.Int64  // same, at the latest report
+	last   atomic.Uint64 // digest of the latest report
 }
 
 // Start begins to listen and returns at once.
@@ -67,14 +72,17 @@
 		o.ReportEvery = defaultReportEvery
 	}
 	a := &Agent{
-		opts:   o,
-		log:    o.Logger.WithName("agent").WithValues("target", o.Settings.Target),
-		ln:     ln,
-		idle:   make(chan struct{}, 1),
-		ledger: newLedger(),
-		stop:   make(chan struct{}),
-		peers:  make(map[*wire.Conn]*peerState),
+		opts:    o,
+		log:     o.Logger.WithName("agent").WithValues("target", o.Settings.Target),
+		ln:      ln,
+		idle:    make(chan struct{}, 1),
+		ledger:  newLedger(),
+		started: time.Now(),
+		stop:    make(chan struct{}),
+		peers:   make(map[*wire.Conn]*peerState),
 	}
+	a.turns = newTurns(o.Backend, o.Settings, a.sendBack)
+	a.opts.Backend = a.turns
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.log.Info("started", "listen", a.Addr(), "incarnation", o.Incarnation)
--- a/agent/run.go
+++ b/agent/run.go
@@ -25,9 +25,8 @@
 		a.refuse(s, "", result.New(result.WireMalformed, "request: %w", err))
 		return
 	}
-	if p := a.peer(s.Conn()); p != nil {
-		raise(&p.counted, req.Dispatch)
-	}
+	req.Sched.Entry = s.Conn().Peer().Name
+	a.worked(s.Conn())
 	if err := a.admit(&req); err != nil {
 		a.refuse(s, req.ID, err)
 		return
@@ -108,7 +107,7 @@
 }
 
 func call(req *wire.Request) *platform.Call {
-	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body}
+	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body, Sched: sched(req)}
 	for _, h := range req.Headers {
 		c.Headers = append(c.Headers, [2]string{h.Name, h.Value})
 	}
@@ -124,6 +123,9 @@
 func backendError(ctx context.Context, err error) error {
 	var send *platform.SendError
 	if errors.As(err, &send) && !send.Sent {
+		if r := new(result.Error); errors.As(send.Err, &r) {
+			return r // of the agent's own queue
+		}
 		return result.New(result.Unreachable, "backend: %w", err)
 	}
 	return midRunError(ctx, err)
--- /dev/null
+++ b/agent/turns.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// turns is the queue before the backend. As a platform.Backend it stands where
+// every request passes, so what it counts is exact.
+type turns struct {
+	backend platform.Backend
+	start   time.Time
+	refused func(entry string) // the entry's picture of this target is wrong
+
+	mu   sync.Mutex
+	gate *route.Gate
+}
+
+func newTurns(b platform.Backend, s settings.Agent, refused func(entry string)) *turns {
+	slots := s.Slots
+	if slots == 0 {
+		slots = s.Queue
+	}
+	return &turns{backend: b, start: time.Now(), refused: refused, gate: route.NewGate(slots, s.Queue)}
+}
+
+// turn is one request's place.
+type turn struct {
+	turns *turns
+	job   route.Job
+	ready chan struct{} // closed when it may run
+	once  sync.Once
+}
+
+// Run implements platform.Backend. What it refuses itself was not sent.
+func (t *turns) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+	turn, err := t.take(ctx, &call.Sched)
+	if err != nil {
+		return nil, &platform.SendError{Sent: false, Err: err}
+	}
+	reply, err := t.backend.Run(ctx, call)
+	if err != nil {
+		turn.end(false)
+		return nil, err
+	}
+	reply.Body = &countedBody{ReadCloser: reply.Body, turn: turn}
+	return reply, nil
+}
+
+func (t *turns) now() time.Duration { return time.Since(t.start) }
+
+// take waits for the request's turn.
+func (t *turns) take(ctx context.Context, s *platform.Sched) (*turn, error) {
+	turn := &turn{turns: t, ready: make(chan struct{})}
+	turn.job = route.Job{
+		Cost: route.Cost{Prompt: float64(s.Prompt), Decode: float64(s.Decode)},
+		Peer: s.Entry,
+	}
+	turn.job.Team, turn.job.Weight, turn.job.Priority = s.Team, float64(s.Weight), s.Priority
+	turn.job.Owner = turn
+	offer := route.Offer{MaxWait: s.MaxWait}
+	if deadline, ok := ctx.Deadline(); ok {
+		offer.Left = time.Until(deadline)
+	}
+	t.mu.Lock()
+	said, wait := t.gate.Offer(&turn.job, offer)
+	t.pull()
+	t.mu.Unlock()
+	if said != route.AdmitRun {
+		t.refused(s.Entry)
+		return nil, refusal(said, wait, offer)
+	}
+	select {
+	case <-turn.ready:
+		return turn, nil
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	waited := t.gate.Leave(&turn.job)
+	t.mu.Unlock()
+	if !waited {
+		turn.end(false) // it began just now
+	}
+	if context.Cause(ctx) != nil && result.From(context.Cause(ctx)).Code == result.DeadlinePast {
+		return nil, result.New(result.DeadlineUnmet, "the deadline passed in the target's queue")
+	}
+	return nil, context.Cause(ctx)
+}
+
+func refusal(said route.Admission, wait time.Duration, o route.Offer) error {
+	switch said {
+	case route.AdmitTooLong:
+		return result.New(result.WaitTooLong, "wait of %s, up to %s is taken", wait.Round(time.Millisecond), o.MaxWait)
+	case route.AdmitDeadline:
+		err := result.New(result.DeadlineUnmet, "wait of %s, deadline in %s", wait.Round(time.Millisecond), o.Left.Round(time.Millisecond))
+		err.RetryAfter = wait
+		return err
+	default:
+		err := result.New(result.TargetBusy, "the queue is full, wait of %s", wait.Round(time.Millisecond))
+		err.RetryAfter = wait
+		return err
+	}
+}
+
+// pull lets waiting requests run while there are free slots. Called with mu.
+func (t *turns) pull() {
+	for j := t.gate.Next(t.now()); j != nil; j = t.gate.Next(t.now()) {
+		close(j.Owner.(*turn).ready)
+	}
+}
+
+// account returns the load as told to one entry.
+func (t *turns) account(entry string) route.Account {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gate.Account(entry)
+}
+
+func (t *turn) tokens(n int) {
+	t.turns.mu.Lock()
+	defer t.turns.mu.Unlock()
+	t.turns.gate.Tokens(t.turns.now(), &t.job, float64(n))
+}
+
+func (t *turn) end(whole bool) {
+	t.once.Do(func() {
+		t.turns.mu.Lock()
+		defer t.turns.mu.Unlock()
+		t.turns.gate.End(t.turns.now(), &t.job, whole)
+		t.turns.pull()
+	})
+}
+
+// countedBody counts the tokens of an answer as they pass.
+type countedBody struct {
+	io.ReadCloser
+	turn  *turn
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.turn.tokens(route.CountTokens(p[:n]))
+	}
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.turn.end(b.whole)
+	return err
+}
+
+func sched(req *wire.Request) platform.Sched {
+	return platform.Sched{
+		Entry:    req.Sched.Entry,
+		Team:     req.Team,
+		Weight:   req.Sched.Weight,
+		Priority: req.Priority,
+		Prompt:   req.Sched.Prompt,
+		Decode:   req.Sched.Decode,
+		MaxWait:  time.Duration(req.Sched.MaxWaitMs) * time.Millisecond,
+	}
+}
--- a/bench/place/engine.go
+++ b/bench/place/engine.go
@@ -64,15 +64,15 @@
 }
 
 // offer is what an agent does with a request that arrives.
-func (e *engine) offer(r *request, cached float64, o route.Offer) (route.Verdict, time.Duration) {
+func (e *engine) offer(r *request, cached float64, o route.Offer) (route.Admission, time.Duration) {
 	j := &route.Job{Cost: route.Cost{Prompt: max(0, float64(r.prompt)-cached), Decode: e.w.expectedDecode()}}
-	j.Team, j.Weight, j.Priority, j.Value = r.team, r.weight, r.priority, j
+	j.Team, j.Weight, j.Priority = r.team, r.weight, r.priority
 	j.Peer = e.w.entries[r.entry].name
 	if e.w.policy.fifo {
 		j.Team, j.Weight, j.Priority = "all", 1, 0
 	}
 	verdict, wait := e.gate.Offer(j, o)
-	if verdict != route.VerdictRun {
+	if verdict != route.AdmitRun {
 		return verdict, wait
 	}
 	e.waiting[j] = &sequence{req: r, job: j, prefillLeft: r.prompt, outLeft: r.output}
--- a/bench/place/entry.go
+++ b/bench/place/entry.go
@@ -152,7 +152,7 @@
 		offer.Left = r.deadline - (en.w.now - r.at)
 	}
 	verdict, _ := e.offer(r, c.cached, offer)
-	if verdict == route.VerdictRun {
+	if verdict == route.AdmitRun {
 		return
 	}
 	account, made := e.gate.Account(en.name), en.w.now
--- a/config/schema_gen.go
+++ b/config/schema_gen.go
@@ -669,9 +669,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Policy) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 12
 	// string "n"
-	o = append(o, 0x87, 0xa1, 0x6e)
+	o = append(o, 0x8c, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -691,6 +691,21 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendFloat64(o, z.MoveWeight)
+	// string "pa"
+	o = append(o, 0xa2, 0x70, 0x61)
+	o = msgp.AppendDuration(o, z.Patience)
+	// string "sn"
+	o = append(o, 0xa2, 0x73, 0x6e)
+	o = msgp.AppendInt(o, z.SampleNear)
+	// string "sf"
+	o = append(o, 0xa2, 0x73, 0x66)
+	o = msgp.AppendInt(o, z.SampleFar)
+	// string "di"
+	o = append(o, 0xa2, 0x64, 0x69)
+	o = msgp.AppendDuration(o, z.Distance)
+	// string "lp"
+	o = append(o, 0xa2, 0x6c, 0x70)
+	o = msgp.AppendFloat64(o, z.LoadPrice)
 	return
 }
 
@@ -758,6 +773,36 @@
 				err = msgp.WrapError(err, "MoveWeight")
 				return
 			}
+		case "pa":
+			z.Patience, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patience")
+				return
+			}
+		case "sn":
+			z.SampleNear, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SampleNear")
+				return
+			}
+		case "sf":
+			z.SampleFar, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SampleFar")
+				return
+			}
+		case "di":
+			z.Distance, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Distance")
+				return
+			}
+		case "lp":
+			z.LoadPrice, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPrice")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -772,7 +817,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Policy) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.DurationSize + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.Float64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.DurationSize + 2 + msgp.Float64Size + 2 + msgp.DurationSize + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.Float64Size + 3 + msgp.DurationSize + 3 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.DurationSize + 3 + msgp.Float64Size
 	return
 }
 
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -30,6 +30,7 @@
 	fleets   map[string]*Fleet
 	byFleet  map[string][]Target
 	byKey    map[string]*Team
+	teams    map[string]*Team
 }
 
 // NewSnapshot indexes a configuration.
@@ -44,6 +45,7 @@
 		fleets:   make(map[string]*Fleet, len(c.Fleets)),
 		byFleet:  make(map[string][]Target, len(c.Fleets)),
 		byKey:    make(map[string]*Team, len(c.Teams)),
+		teams:    make(map[string]*Team, len(c.Teams)),
 	}
 	for i := range c.Services {
 		s.services[c.Services[i].Name] = &c.Services[i]
@@ -58,6 +60,7 @@
 		s.byFleet[t.Fleet] = append(s.byFleet[t.Fleet], t)
 	}
 	for i := range c.Teams {
+		s.teams[c.Teams[i].Name] = &c.Teams[i]
 		for _, h := range c.Teams[i].KeyHashes {
 			s.byKey[h] = &c.Teams[i]
 		}
@@ -77,6 +80,17 @@
 // Targets returns the declared targets of a fleet in the order of their names.
 func (s *Snapshot) Targets(fleet string) []Target { return s.byFleet[fleet] }
 
+// Team returns a team by name, nil if there is none.
+func (s *Snapshot) Team(name string) *Team { return s.teams[name] }
+
+// Weight returns a team's share under contention.
+func (s *Snapshot) Weight(team string) int {
+	if t := s.teams[team]; t != nil {
+		return t.Weight
+	}
+	return 1
+}
+
 // TeamByKey returns the team that a key belongs to. The look-up is by the key's
 // hash, so its timing tells nothing about the key; the comparison of the stored
 // hash is in constant time all the same.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -136,6 +136,7 @@
 			Backend:    srv.Addr,
 			Kind:       kind,
 			Queue:      4 * maxRunning,
+			Slots:      maxRunning,
 		},
 		Backend:     platform.NewHTTPBackend(srv.Addr),
 		Logger:      f.opts.Logger,
--- /dev/null
+++ b/entry/books.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// booking is one request in the entry's books of a target. It watches the
+// request's stream, so the books are exact without any report.
+type booking struct {
+	link *link
+
+	mu    sync.Mutex
+	left  route.Cost
+	ended bool
+}
+
+// book adds a request to the books.
+func (l *link) book(s *wire.Sched) *booking {
+	b := &booking{link: l, left: route.Cost{Prompt: float64(s.Prompt), Decode: float64(s.Decode)}}
+	l.change(1, b.left)
+	return b
+}
+
+func (l *link) change(requests float64, c route.Cost) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.work.own.Requests += requests
+	l.work.own.Prompt += c.Prompt
+	l.work.own.Decode += c.Decode
+	if l.work.own.Requests == 0 {
+		l.work.own = route.Work{} // rounding errors don't add up
+	}
+}
+
+// Arrived implements wire.Watcher.
+func (b *booking) Arrived(chunk []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	n := min(b.left.Decode, float64(route.CountTokens(chunk)))
+	done := route.Cost{Prompt: -b.left.Prompt, Decode: -n}
+	b.left.Prompt = 0
+	b.left.Decode -= n
+	b.link.change(0, done)
+}
+
+// Ended implements wire.Watcher.
+func (b *booking) Ended() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	b.ended = true
+	b.link.change(-1, route.Cost{Prompt: -b.left.Prompt, Decode: -b.left.Decode})
+}
+
+// openBooked opens the stream of a request with a booking that watches it.
+func (l *link) openBooked(conn *wire.Conn, req *wire.Request) (*wire.Stream, error) {
+	b := l.book(&req.Sched)
+	s, err := conn.OpenWatched(wire.MethodRequest, req, b)
+	if err != nil {
+		b.Ended()
+		return nil, result.New(result.Unreachable, "open stream to %s: %w", l.target, err)
+	}
+	return s, nil
+}
+
+// takeLoad takes a report; one that is older than the last is dropped. Called
+// with l.mu.
+func (l *link) takeLoad(load *wire.Load) {
+	if l.hasLoad && load.Seq <= l.load.Seq {
+		return // late or doubled
+	}
+	l.load, l.hasLoad = *load, true
+	l.work.reported = time.Now()
+	l.work.others = othersOf(load)
+	if f := l.fleet.Load(); f != nil {
+		f.mu.Lock()
+		f.means.Fold(l.work.own, l.work.others, len(f.slots))
+		if load.AnswerTokens > 0 {
+			f.answer = float64(load.AnswerTokens)
+		}
+		f.mu.Unlock()
+	}
+}
+
+func othersOf(l *wire.Load) route.Work {
+	return route.Work{
+		Requests: float64(max(0, l.Total.Requests-l.Mine.Requests)),
+		Prompt:   float64(max(0, l.Total.Prompt-l.Mine.Prompt)),
+		Decode:   float64(max(0, l.Total.Decode-l.Mine.Decode)),
+	}
+}
+
+// read fills in what the link knows and returns the others' work by the last
+// report, and its age.
+func (l *link) read(t *route.Target) (route.Work, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state(t)
+	t.Slots = l.load.Slots
+	t.TokensPerSec = float64(l.load.TokensPerSec)
+	t.PrefillPerSec = float64(l.load.PrefillPerSec)
+	t.StepWait = float64(l.load.StepWait)
+	t.Own = l.work.own
+	return l.work.others, time.Since(l.work.reported)
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
@@ -27,6 +26,7 @@
 	Repeatable bool
 	Priority   int8
 	Deadline   time.Time
+	sched      sched
 }
 
 // Exchange is a running answer.
@@ -106,24 +106,11 @@
 // choose returns the target of the next try.
 func (e *Entry) choose(snap *config.Snapshot, c *Call, avoid map[string]bool) (string, error) {
 	svc := snap.Service(c.Service)
-	declared := snap.Targets(svc.Fleet)
 	if !c.Repeatable {
-		return home(c, declared)
+		c.prepare(snap, svc, 0)
+		return home(c, snap.Targets(svc.Fleet))
 	}
-	views := make([]route.Target, len(declared))
-	for i, t := range declared {
-		views[i] = route.Target{Name: t.Name, DataCentre: t.DataCentre}
-		if l := e.link(t.Name); l != nil {
-			l.view(&views[i])
-		}
-	}
-	req := &route.Request{DataCentre: e.opts.Settings.DataCentre, Avoid: avoid}
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	i := e.placer.Pick(req, views, rng)
-	if i < 0 {
-		return "", result.New(result.NoTarget, "none of %d targets of %s can take work", len(declared), c.Service)
-	}
-	return views[i].Name, nil
+	return e.place(snap, c, avoid, len(avoid))
 }
 
 func home(c *Call, declared []config.Target) (string, error) {
@@ -157,6 +144,7 @@
 		Priority:      c.Priority,
 		DeadlineMs:    time.Until(c.Deadline).Milliseconds(),
 		ConfigVersion: snap.Version,
+		Sched:         c.sched.wire(),
 	}
 	s, err := l.open(req)
 	if err != nil {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -58,6 +58,7 @@
 			e.opts.Metrics.Count("vm_list_errors_total", 1)
 		} else {
 			e.vms.Store(&vms)
+			e.entriesDigest.Store(digestNodes(e.liveEntries()))
 			e.syncLinks()
 		}
 		e.sleep(vmPoll)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,6 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
-	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -49,7 +48,11 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
-	placer   *route.Placer
+	placers  sync.Map // config.Policy to *route.Placer
+	fleets   fleetViews
+	explain  explainRing
+
+	entriesDigest atomic.Uint64 // of the names of live entries
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -68,7 +71,6 @@
 		idle:   make(chan struct{}, 1),
 		ctx:    ctx,
 		cancel: cancel,
-		placer: route.DefaultPlacer(),
 		links:  make(map[string]*link),
 	}
 	if !o.NoCallers {
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/heatherrail/heatherrail/route"
+)
+
+// explanations is how many decisions an entry remembers.
+const explanations = 256
+
+// explainRing holds the latest decisions with their reasons.
+type explainRing struct {
+	mu   sync.Mutex
+	ring [explanations]explanation
+	next int
+}
+
+type explanation struct {
+	request  string
+	team     string
+	service  string
+	at       time.Time
+	decision route.Decision
+}
+
+func (r *explainRing) add(c *Call, d *route.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := &r.ring[r.next]
+	r.next = (r.next + 1) % explanations
+	x.request, x.team, x.service, x.at = c.ID, c.Team, c.Service, time.Now()
+	x.decision = *d
+}
+
+// find returns the decisions about a request of a team, oldest first.
+func (r *explainRing) find(team, request string) []DecisionView {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []DecisionView
+	for i := range explanations {
+		x := &r.ring[(r.next+i)%explanations]
+		if x.request == request && x.team == team {
+			found = append(found, x.view())
+		}
+	}
+	return found
+}
+
+// DecisionView is one placement decision as GET /v1/explain/ID shows it.
+type DecisionView struct {
+	At         time.Time       `json:"at"`
+	Service    string          `json:"service"`
+	Chosen     string          `json:"chosen"`  // empty: no target could take work
+	Dropped    int             `json:"dropped"` // looked at and not usable
+	Candidates []CandidateView `json:"candidates"`
+}
+
+// CandidateView is one target that the decision rated. Seconds and tokens are
+// estimates.
+type CandidateView struct {
+	Target     string  `json:"target"`
+	DataCentre string  `json:"data_centre"`
+	Score      float64 `json:"score_seconds"`
+	Own        float64 `json:"own_requests"`
+	Others     float64 `json:"others_requests"`
+	Prompt     float64 `json:"prompt_tokens_ahead"`
+	Cached     float64 `json:"cached_tokens"`
+}
+
+func (x *explanation) view() DecisionView {
+	v := DecisionView{At: x.at, Service: x.service, Dropped: x.decision.Dropped}
+	for i := range x.decision.N {
+		c := &x.decision.Candidates[i]
+		v.Candidates = append(v.Candidates, CandidateView{
+			Target:     c.Target.Name,
+			DataCentre: c.Target.DataCentre,
+			Score:      c.Score,
+			Own:        c.Target.Own.Requests,
+			Others:     c.Target.Others.Requests,
+			Prompt:     c.Target.Own.Prompt + c.Target.Others.Prompt,
+			Cached:     c.Target.CachedTokens,
+		})
+	}
+	if best := x.decision.Best(); best != nil {
+		v.Chosen = best.Target.Name
+	}
+	return v
+}
+
+// serveExplain answers GET /v1/explain/ID to the team that owns the request.
+func (e *Entry) serveExplain(c fiber.Ctx) error {
+	_, team, err := e.authenticate(c)
+	if err != nil {
+		return e.refuse(c, err)
+	}
+	id := strings.Clone(c.Params("id"))
+	found := e.explain.find(team.Name, id)
+	if found == nil {
+		return c.Status(fiber.StatusNotFound).JSON(fiber.Map{"request": id, "decisions": []DecisionView{}})
+	}
+	return c.JSON(fiber.Map{"request": id, "decisions": found})
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -49,6 +49,7 @@
 	app.Get("/metrics", e.serveMetrics)
 	app.Get("/v1/entries", e.serveEntries)
 	app.Get("/v1/models", e.serveModels)
+	app.Get("/v1/explain/:id", e.serveExplain)
 	app.Post("/v1/completions", e.serveCompletion)
 	app.Post("/v1/chat/completions", e.serveCompletion)
 	app.All("/v1/services/:service/*", e.servePlain)
--- a/entry/link.go
+++ b/entry/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
@@ -22,13 +23,15 @@
 	entry  *Entry
 	target string
 
-	mu       sync.Mutex
-	addr     string
-	vmState  string
-	conn     *wire.Conn
-	load     wire.Load
-	hasLoad  bool
-	dispatch uint64 // number of the latest dispatch on this connection
+	fleet atomic.Pointer[fleetState]
+
+	mu      sync.Mutex
+	addr    string
+	vmState string
+	conn    *wire.Conn
+	load    wire.Load
+	hasLoad bool
+	work    ownWork
 }
 
 func newLink(e *Entry, target, addr string) *link {
@@ -90,7 +93,6 @@
 func (l *link) adopt(conn *wire.Conn) {
 	l.mu.Lock()
 	l.conn = conn
-	l.dispatch = 0
 	l.mu.Unlock()
 	if s := l.entry.current.Load(); s != nil {
 		l.notify(s)
@@ -143,20 +145,22 @@
 	defer l.mu.Unlock()
 	// The first report may overtake adopt, so the hand-over of conn is not awaited.
 	if l.conn == nil || l.conn == c {
-		l.load, l.hasLoad = load, true
+		l.takeLoad(&load)
 	}
 }
 
-// view returns what placement may know of the target.
+// view returns whether the target can take work, as far as the link knows.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.state(t)
+}
+
+// state is view under l.mu.
+func (l *link) state(t *route.Target) {
 	t.Linked = l.conn != nil && l.hasLoad
 	t.Leaving = l.load.Leaving || l.vmState == platform.StateLeaving
 	t.EngineUp = l.load.EngineUp
-	t.Running = l.load.Running
-	t.Queued = l.load.Queued
-	t.Unreported = int(l.dispatch - min(l.load.CountedTo, l.dispatch))
 }
 
 // open sends a request to the agent.
@@ -167,15 +171,9 @@
 		l.mu.Unlock()
 		return nil, result.New(result.Unreachable, "no link to %s", l.target)
 	}
-	l.dispatch++
-	req.Dispatch = l.dispatch
 	l.mu.Unlock()
 	req.AgentInc = conn.Peer().Incarnation
-	s, err := conn.Open(wire.MethodRequest, req)
-	if err != nil {
-		return nil, result.New(result.Unreachable, "open stream to %s: %w", l.target, err)
-	}
-	return s, nil
+	return l.openBooked(conn, req)
 }
 
 func (e *Entry) hello() wire.Hello {
--- /dev/null
+++ b/entry/sched.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// sched is what placement and queues know of a call.
+type sched struct {
+	known   bool
+	cost    route.Cost
+	blocks  []uint64
+	weight  int
+	maxWait int64   // milliseconds, of the latest choice
+	cached  float64 // tokens, at the latest choice
+}
+
+// bodyShape is the part of a model request that costs depend on.
+type bodyShape struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// text returns the prompt as one text.
+func (b *bodyShape) text() []byte {
+	text := []byte(b.Prompt)
+	for i := range b.Messages {
+		text = append(text, b.Messages[i].Content...)
+	}
+	return text
+}
+
+// prepare fills in what depends on the call alone.
+func (c *Call) prepare(snap *config.Snapshot, svc *config.Service, answer float64) {
+	s := &c.sched
+	if s.known {
+		return
+	}
+	s.known = true
+	s.weight = snap.Weight(c.Team)
+	if svc.Model == "" {
+		s.cost = route.PlainCost
+		return
+	}
+	var b bodyShape
+	if err := json.Unmarshal(c.Body, &b); err != nil {
+		s.cost = route.EstimateCost(len(c.Body), 0, answer) // the engine will say what is wrong
+		return
+	}
+	text := b.text()
+	s.cost = route.EstimateCost(len(text), b.MaxTokens, answer)
+	s.blocks = route.Blocks(c.Team, text, nil)
+}
+
+// wire returns what the agent's queue must know.
+func (s *sched) wire() wire.Sched {
+	return wire.Sched{
+		Weight:    s.weight,
+		Prompt:    int(max(0, s.cost.Prompt-s.cached)),
+		Decode:    int(math.Ceil(s.cost.Decode)),
+		MaxWaitMs: s.maxWait,
+	}
+}
+
+// sendBackTries is how many tries of a request an agent may send back; the next
+// one is taken whatever its wait.
+const sendBackTries = 2
+
+var decisions = sync.Pool{New: func() any { return new(route.Decision) }}
+
+// place chooses a target among few of those that the entry uses. keepOut are
+// targets that this request must not use.
+func (e *Entry) place(snap *config.Snapshot, c *Call, keepOut map[string]bool, try int) (string, error) {
+	svc := snap.Service(c.Service)
+	view := e.fleetView(snap, svc.Fleet)
+	c.prepare(snap, svc, view.state.answerTokens())
+	s := &c.sched
+	req := route.Request{
+		DataCentre: e.opts.Settings.DataCentre,
+		Avoid:      keepOut,
+		Cost:       s.cost,
+		Blocks:     s.blocks,
+		Seed:       rand.Uint64(),
+	}
+	placer := e.placerOf(snap.Policy(svc))
+	d := decisions.Get().(*route.Decision)
+	defer decisions.Put(d)
+	placer.Pick(&req, view, d)
+	e.explain.add(c, d)
+	best := d.Best()
+	if best == nil {
+		return "", result.New(result.NoTarget, "none of %d targets of %s can take work", view.Len(), c.Service)
+	}
+	s.cached, s.maxWait = best.Target.CachedTokens, 0
+	if try < sendBackTries && svc.Model != "" {
+		s.maxWait = placer.MaxWait(&req, best).Milliseconds()
+	}
+	view.learn(best.Index, s.blocks)
+	return best.Target.Name, nil
+}
+
+// placerOf returns the placer of a policy.
+func (e *Entry) placerOf(p *config.Policy) *route.Placer {
+	if held, ok := e.placers.Load(*p); ok {
+		return held.(*route.Placer)
+	}
+	placer := route.DefaultPlacer()
+	placer.Patience = p.Patience
+	placer.Near, placer.Far = p.SampleNear, p.SampleFar
+	placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	held, _ := e.placers.LoadOrStore(*p, placer)
+	return held.(*route.Placer)
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -37,6 +37,13 @@
 	SuspectHeld    Code = 214
 )
 
+// 250 to 259: placement and admission.
+const (
+	WaitTooLong  Code = 250
+	LimitShare   Code = 251
+	LimitTracked Code = 252
+)
+
 // 3xx: honest doubt; the request may have run.
 const (
 	TargetLost   Code = 301
@@ -87,6 +94,9 @@
 	{DedupFull, "dedup_full", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "The target remembers as many non-repeatable requests as it may.", "Raise dedup-keys, or shorten dedup-window."},
 	{RetryExhausted, "retry_budget", http.StatusServiceUnavailable, RunNot, shortWait, "The retry budget is spent.", "A service is failing widely; look at its targets."},
 	{SuspectHeld, "suspect_held", http.StatusServiceUnavailable, RunNot, 2 * time.Second, "The request is suspected of crashing its target and waits to be tried alone.", "Look at the quarantine events."},
+	{WaitTooLong, "wait_too_long", http.StatusServiceUnavailable, RunNot, shortWait, "The target's queue is longer than the entry believed.", "Entries place again at once; frequent ones mean that load reports come late."},
+	{LimitShare, "team_limit_elsewhere", http.StatusTooManyRequests, RunNot, shortWait, "Other entries serve this team's limit; ask GET /v1/entries with the team's key.", "The team's callers don't ask which entries to use."},
+	{LimitTracked, "team_limit_states", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "This entry counts as many teams as it may.", "Spread the callers over more entries."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
--- a/route/cost.go
+++ b/route/cost.go
@@ -1,5 +1,7 @@
 package route
 
+import "bytes"
+
 // Cost is a request's estimated work in tokens.
 type Cost struct {
 	Prompt float64 // prompt tokens
@@ -33,3 +35,14 @@
 	}
 	return Cost{Prompt: float64(promptBytes / bytesPerToken), Decode: decode}
 }
+
+var eventMark = []byte("data:")
+
+// CountTokens estimates the tokens in a piece of an answer: one for each event
+// of a stream, else by bytes.
+func CountTokens(piece []byte) int {
+	if n := bytes.Count(piece, eventMark); n > 0 {
+		return n
+	}
+	return max(1, len(piece)/bytesPerToken)
+}
--- a/route/gate.go
+++ b/route/gate.go
@@ -23,8 +23,9 @@
 // Job is one request at a gate.
 type Job struct {
 	FairItem
-	Cost Cost
-	Peer string // entry that sent it
+	Cost  Cost
+	Peer  string // entry that sent it
+	Owner any    // the caller's own
 
 	work *Work // of its entry
 
@@ -35,15 +36,15 @@
 	left  float64       // its part of Gate.decode
 }
 
-// Verdict is what a gate says to a request.
-type Verdict uint8
+// Admission is what a gate says to a request.
+type Admission uint8
 
-// Verdicts.
+// Admissions.
 const (
-	VerdictRun      Verdict = iota // take it from Next
-	VerdictTooLong                 // the wait is longer than the entry allows; another target may be better
-	VerdictDeadline                // the deadline can't be met
-	VerdictFull                    // the queue is full
+	AdmitRun      Admission = iota // take it from Next
+	AdmitTooLong                   // the wait is longer than the entry allows; another target may be better
+	AdmitDeadline                  // the deadline can't be met
+	AdmitFull                      // the queue is full
 )
 
 // Offer bounds what a request accepts; zero means no bound.
@@ -83,22 +84,22 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Offer takes a job into the queue, or says why not. Whatever the verdict, it is
+// Offer takes a job into the queue, or says why not. Whatever it says is
 // final and at once.
-func (g *Gate) Offer(j *Job, o Offer) (Verdict, time.Duration) {
+func (g *Gate) Offer(j *Job, o Offer) (Admission, time.Duration) {
 	wait := g.Wait(j)
 	switch {
 	case o.MaxWait > 0 && wait > o.MaxWait:
-		return VerdictTooLong, wait
+		return AdmitTooLong, wait
 	case o.Left > 0 && wait+g.runTime(j) > o.Left:
-		return VerdictDeadline, wait
+		return AdmitDeadline, wait
 	case g.queue.Len() >= g.limit:
-		return VerdictFull, wait
+		return AdmitFull, wait
 	}
-	j.Price = j.Cost.Price()
+	j.Price, j.Value = j.Cost.Price(), j
 	g.queue.Push(&j.FairItem)
 	g.book(j)
-	return VerdictRun, wait
+	return AdmitRun, wait
 }
 
 func (g *Gate) book(j *Job) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,7 @@
 	Queue      int           `ini:"queue-limit" default:"64" min:"1" max:"65536" doc:"requests at once, running and queued in the target"`
 	Grace      time.Duration `ini:"shutdown-deadline" default:"10m" min:"1s" max:"24h" doc:"when a graceful shutdown gives up waiting"`
 	Verbosity  int           `ini:"verbosity" default:"0" min:"0" max:"4" doc:"detail of the log"`
+	Slots      int           `ini:"slots" default:"0" min:"0" max:"65536" doc:"requests that the engine decodes at once; others wait in the agent, by shares and priority; 0: as many as queue-limit"`
 }
 
 // Platform is the [platform] section of both daemons.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -193,10 +193,16 @@
 // Open starts a stream. An error means that no byte of it was handed to the
 // connection; afterwards only the peer knows how far it came.
 func (c *Conn) Open(m Method, msg msgp.Marshaler) (*Stream, error) {
+	return c.OpenWatched(m, msg, nil)
+}
+
+// OpenWatched is Open with a watcher, which may be nil.
+func (c *Conn) OpenWatched(m Method, msg msgp.Marshaler, w Watcher) (*Stream, error) {
 	c.mu.Lock()
 	id := c.nextID
 	c.nextID += idStep
 	s := newStream(c, id)
+	s.watcher = w
 	c.streams[id] = s
 	c.mu.Unlock()
 	if err := c.send(KindOpen, id, []byte{byte(m)}, msg); err != nil {
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -51,8 +51,8 @@
 	DeadlineMs    int64    `msg:"de"` // milliseconds left when the frame was sent
 	ConfigVersion uint64   `msg:"cv"`
 	AgentInc      uint64   `msg:"ai"` // incarnation that the entry believes it speaks to
-	Dispatch      uint64   `msg:"di"` // this entry's running number of dispatches to the target
 	Suspect       bool     `msg:"su"` // must run alone
+	Sched         Sched    `msg:"sc"`
 }
 
 // Answer is the first message of a running request's stream.
@@ -90,20 +90,6 @@
 	Bytes uint32
 }
 
-// Load is an agent's exact account of its target, sent to each entry.
-type Load struct {
-	Target       string `msg:"t"`
-	Running      int    `msg:"r"`
-	Queued       int    `msg:"q"`
-	PromptTokens int    `msg:"p"` // uncached prompt tokens not yet computed
-	DecodeTokens int    `msg:"d"` // tokens still to generate, estimated
-	Leaving      bool   `msg:"l"`
-	EngineUp     bool   `msg:"u"`
-	CountedTo    uint64 `msg:"c"` // the receiving entry's dispatch number counted so far
-	TokensPerSec int    `msg:"s"` // decode speed learnt, tokens a second
-	Seq          uint64 `msg:"n"` // grows with each report of this incarnation
-}
-
 // ConfigNotice tells a peer which configuration the sender has in force.
 type ConfigNotice struct {
 	Version uint64 `msg:"v"`
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -444,143 +444,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "t"
-	o = append(o, 0x8a, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Target)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.Running)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.Queued)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.PromptTokens)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendInt(o, z.DecodeTokens)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.EngineUp)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.CountedTo)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt(o, z.TokensPerSec)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Seq)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zb417a25dlimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "t":
-			z.Target, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Target")
-				return
-			}
-		case "r":
-			z.Running, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Running")
-				return
-			}
-		case "q":
-			z.Queued, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "p":
-			z.PromptTokens, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PromptTokens")
-				return
-			}
-		case "d":
-			z.DecodeTokens, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DecodeTokens")
-				return
-			}
-		case "l":
-			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
-				return
-			}
-		case "u":
-			z.EngineUp, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "EngineUp")
-				return
-			}
-		case "c":
-			z.CountedTo, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CountedTo")
-				return
-			}
-		case "s":
-			z.TokensPerSec, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TokensPerSec")
-				return
-			}
-		case "n":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -704,12 +567,16 @@
 	// string "ai"
 	o = append(o, 0xa2, 0x61, 0x69)
 	o = msgp.AppendUint64(o, z.AgentInc)
-	// string "di"
-	o = append(o, 0xa2, 0x64, 0x69)
-	o = msgp.AppendUint64(o, z.Dispatch)
 	// string "su"
 	o = append(o, 0xa2, 0x73, 0x75)
 	o = msgp.AppendBool(o, z.Suspect)
+	// string "sc"
+	o = append(o, 0xa2, 0x73, 0x63)
+	o, err = z.Sched.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Sched")
+		return
+	}
 	return
 }
 
@@ -861,18 +728,18 @@
 				err = msgp.WrapError(err, "AgentInc")
 				return
 			}
-		case "di":
-			z.Dispatch, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Dispatch")
-				return
-			}
 		case "su":
 			z.Suspect, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Suspect")
 				return
 			}
+		case "sc":
+			bts, err = z.Sched.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sched")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -891,6 +758,6 @@
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.StringPrefixSize + len(z.Key) + 3 + msgp.BoolSize + 3 + msgp.Int8Size + 3 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + z.Sched.Msgsize()
 	return
 }
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -46,6 +46,14 @@
 	sendSeq    uint64
 	sendDigest *xxhash.Digest
 	closed     bool
+	watcher    Watcher
+}
+
+// Watcher is told what happens on a stream, for books kept beside it. Its methods
+// run in the connection's reader or in Close and must not block.
+type Watcher interface {
+	Arrived(chunk []byte) // bytes of the answer; chunk is valid during the call
+	Ended()               // once: the stream ended or was left, whoever did it
 }
 
 func newStream(c *Conn, id uint64) *Stream {
@@ -75,11 +83,15 @@
 
 func (s *Stream) fail(err error) {
 	s.mu.Lock()
-	if s.failure == nil {
+	first := s.failure == nil
+	if first {
 		s.failure = err
 	}
 	cancel := s.cancel
 	s.mu.Unlock()
+	if first && s.watcher != nil {
+		s.watcher.Ended()
+	}
 	if cancel != nil && err != io.EOF {
 		cancel(err)
 	}
@@ -168,6 +180,9 @@
 	}
 	s.recvSeq++
 	_, _ = s.recvDigest.Write(data) // a Digest never fails
+	if s.watcher != nil {
+		s.watcher.Arrived(data)
+	}
 	return s.push(Event{Data: append([]byte(nil), data...)}, len(data))
 }
 
@@ -335,10 +350,14 @@
 	s.mu.Lock()
 	tell := !s.closed && s.failure == nil
 	s.closed = true
-	if s.failure == nil {
+	first := s.failure == nil
+	if first {
 		s.failure = result.New(result.WireClosed, "stream closed by this side")
 	}
 	s.mu.Unlock()
+	if first && s.watcher != nil {
+		s.watcher.Ended()
+	}
 	s.conn.forget(s.id)
 	if tell {
 		// Without a connection the peer cancels by itself.
