--- a/agent/turns.go
+++ b/agent/turns.go
@@ -124,10 +124,11 @@
 	return t.gate.Account(entry)
 }
 
-func (t *turn) tokens(n int) {
+func (t *turn) tokens(piece []byte) {
+	n, streamed := route.CountTokens(piece)
 	t.turns.mu.Lock()
 	defer t.turns.mu.Unlock()
-	t.turns.gate.Tokens(t.turns.now(), &t.job, float64(n))
+	t.turns.gate.Tokens(t.turns.now(), &t.job, float64(n), streamed)
 }
 
 func (t *turn) end(whole bool) {
@@ -150,7 +151,7 @@
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.turn.tokens(route.CountTokens(p[:n]))
+		b.turn.tokens(p[:n])
 	}
 	if err == io.EOF {
 		b.whole = true
--- a/bench/place/engine.go
+++ b/bench/place/engine.go
@@ -127,7 +127,7 @@
 			e.store(s.req.blocks)
 		}
 		s.outLeft--
-		e.gate.Tokens(e.w.now, s.job, 1)
+		e.gate.Tokens(e.w.now, s.job, 1, true)
 		e.w.entries[s.req.entry].token(s.req)
 		if s.outLeft == 0 {
 			e.finish(s)
--- a/bench/place/workload.go
+++ b/bench/place/workload.go
@@ -1,9 +1,11 @@
 package place
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/route"
@@ -20,9 +22,11 @@
 	deadline time.Duration
 }
 
+// teamLoad is one team's part; each has a random stream of its own, so that a
+// team's requests are the same whatever the others send.
 type teamLoad struct {
 	name   string
-	share  float64 // of the requests
+	rate   float64 // requests a second
 	weight float64
 }
 
@@ -36,42 +40,46 @@
 
 // requests returns the requests in the order of their arrival.
 func (l workload) requests(seed uint64, entries int) []*request {
-	rng := rand.New(rand.NewPCG(seed, 2))
+	teams := l.teams
+	if len(teams) == 0 {
+		teams = []teamLoad{{name: "team-0", rate: l.rate, weight: 1}}
+	}
 	var all []*request
-	for at := time.Duration(0); ; {
-		rate := l.rateAt(at)
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if at >= l.duration {
-			return all
+	for i, t := range teams {
+		rng := rand.New(rand.NewPCG(seed, uint64(2+i)))
+		at := time.Duration(0)
+		for {
+			at += time.Duration(rng.ExpFloat64() / l.rateAt(at, t.rate) * float64(time.Second))
+			if at >= l.duration {
+				break
+			}
+			all = append(all, l.request(rng, at, entries, t))
 		}
-		all = append(all, l.request(rng, at, entries))
 	}
+	slices.SortStableFunc(all, func(a, b *request) int { return cmp.Compare(a.at, b.at) })
+	return all
 }
 
 // rateAt: a shift that opens rises to its fivefold within the first half minute
 // and stays there.
-func (l workload) rateAt(at time.Duration) float64 {
+func (l workload) rateAt(at time.Duration, rate float64) float64 {
 	if !l.burst {
-		return l.rate
+		return rate
 	}
 	const quiet, rise = 10 * time.Second, 30 * time.Second
 	part := min(1, max(0, float64(at-quiet)/float64(rise)))
-	return l.rate * (0.2 + 0.8*part)
+	return rate * (0.2 + 0.8*part)
 }
 
-func (l workload) request(rng *rand.Rand, at time.Duration, entries int) *request {
+func (l workload) request(rng *rand.Rand, at time.Duration, entries int, t teamLoad) *request {
 	r := &request{
 		at:       at,
 		entry:    rng.IntN(entries),
 		prompt:   size(rng, meanPrompt, l.tail),
 		output:   size(rng, meanOutput, l.tail),
 		deadline: l.deadline,
-		team:     "team-0",
-		weight:   1,
-	}
-	if len(l.teams) > 0 {
-		t := l.pickTeam(rng)
-		r.team, r.weight = t.name, t.weight
+		team:     t.name,
+		weight:   t.weight,
 	}
 	if l.families > 0 {
 		l.prefix(rng, r)
@@ -79,20 +87,6 @@
 	return r
 }
 
-func (l workload) pickTeam(rng *rand.Rand) teamLoad {
-	sum := 0.0
-	for _, t := range l.teams {
-		sum += t.share
-	}
-	x := rng.Float64() * sum
-	for _, t := range l.teams {
-		if x -= t.share; x < 0 {
-			return t
-		}
-	}
-	return l.teams[len(l.teams)-1]
-}
-
 // drift is how long the popularity of families takes to move on by one place.
 const drift = 500 * time.Millisecond
 
--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -8,7 +8,9 @@
 )
 
 // benchCommand groups the benches; each bench has a file of its own.
-type benchCommand struct{}
+type benchCommand struct {
+	Place benchPlaceCommand `command:"place" description:"placement, overload and fairness, in virtual time"`
+}
 
 // benchFlags are the flags that all benches share.
 type benchFlags struct {
--- a/entry/books.go
+++ b/entry/books.go
@@ -44,7 +44,8 @@
 	if b.ended {
 		return
 	}
-	n := min(b.left.Decode, float64(route.CountTokens(chunk)))
+	tokens, _ := route.CountTokens(chunk)
+	n := min(b.left.Decode, float64(tokens))
 	done := route.Cost{Prompt: -b.left.Prompt, Decode: -n}
 	b.left.Prompt = 0
 	b.left.Decode -= n
--- a/route/cost.go
+++ b/route/cost.go
@@ -39,10 +39,10 @@
 var eventMark = []byte("data:")
 
 // CountTokens estimates the tokens in a piece of an answer: one for each event
-// of a stream, else by bytes.
-func CountTokens(piece []byte) int {
+// of a stream, else by bytes. streamed tells which.
+func CountTokens(piece []byte) (n int, streamed bool) {
 	if n := bytes.Count(piece, eventMark); n > 0 {
-		return n
+		return n, true
 	}
-	return max(1, len(piece)/bytesPerToken)
+	return max(1, len(piece)/bytesPerToken), false
 }
--- a/route/gate.go
+++ b/route/gate.go
@@ -17,6 +17,7 @@
 	speed    Speed
 	fresh    float64 // tokens generated since the speed was told
 	started  int
+	open     []*Job           // in the engine, prompt not yet computed, in the order of start
 	peers    map[string]*Work // by entry, waiting requests included
 }
 
@@ -168,6 +169,7 @@
 	g.running++
 	g.inEngine += j.Cost.Prompt
 	j.began, j.ahead = now, g.inEngine
+	g.open = append(g.open, j)
 	if g.started++; g.started%forgetEvery == 0 {
 		g.queue.Forget()
 	}
@@ -187,23 +189,41 @@
 }
 
 // Tokens takes the tokens that a running job has generated since the last call.
-func (g *Gate) Tokens(now time.Duration, j *Job, n float64) {
+// streamed tells that they come as they are generated: only then does the first
+// one tell how fast the engine is.
+func (g *Gate) Tokens(now time.Duration, j *Job, n float64, streamed bool) {
 	if !j.first {
-		g.speed.FirstToken(j.ahead, now-j.began)
-		g.inEngine -= j.Cost.Prompt
-		g.prefilled(j)
+		if streamed {
+			g.speed.FirstToken(j.ahead, now-j.began)
+		}
+		g.computed(j)
 	}
 	j.done += n
 	g.fresh += n
 	g.generated(j, n)
 }
 
+// computed notes that a job's prompt has been computed, and with it those of all
+// jobs that started before: engines compute prompts in the order of their start,
+// and a job that is not streamed shows nothing until its end.
+func (g *Gate) computed(j *Job) {
+	for i, o := range g.open {
+		if o != j {
+			continue
+		}
+		for _, earlier := range g.open[:i+1] {
+			g.inEngine -= earlier.Cost.Prompt
+			g.prefilled(earlier)
+		}
+		g.open = append(g.open[:0], g.open[i+1:]...)
+		return
+	}
+}
+
 // End takes a running job out; whole: its answer was complete.
 func (g *Gate) End(now time.Duration, j *Job, whole bool) {
 	g.tell(now)
-	if !j.first {
-		g.inEngine -= j.Cost.Prompt
-	}
+	g.leaveOpen(j)
 	g.running--
 	if g.running == 0 {
 		g.inEngine = 0
@@ -215,6 +235,18 @@
 	g.queue.Charge(j.Team, j.Weight, j.done-j.Cost.Decode)
 }
 
+// leaveOpen takes a job that ends before its first token out of the prompts to
+// compute.
+func (g *Gate) leaveOpen(j *Job) {
+	for i, o := range g.open {
+		if o == j {
+			g.inEngine -= j.Cost.Prompt
+			g.open = append(g.open[:i], g.open[i+1:]...)
+			return
+		}
+	}
+}
+
 func (g *Gate) tell(now time.Duration) {
 	g.speed.Running(now, g.running, g.fresh)
 	g.fresh = 0
