--- a/agent/turns.go
+++ b/agent/turns.go
@@ -71,7 +71,7 @@
 		offer.Left = time.Until(deadline)
 	}
 	t.mu.Lock()
-	said, wait := t.gate.Offer(&turn.job, offer)
+	said, wait := t.gate.Offer(t.now(), &turn.job, offer)
 	t.pull()
 	t.mu.Unlock()
 	if said != route.AdmitRun {
@@ -80,13 +80,16 @@
 	}
 	select {
 	case <-turn.ready:
+		if turn.job.Late {
+			return nil, result.New(result.DeadlineUnmet, "the deadline can't be met any more")
+		}
 		return turn, nil
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
 	waited := t.gate.Leave(&turn.job)
 	t.mu.Unlock()
-	if !waited {
+	if !waited && !turn.job.Late {
 		turn.end(false) // it began just now
 	}
 	if context.Cause(ctx) != nil && result.From(context.Cause(ctx)).Code == result.DeadlinePast {
--- a/bench/place/engine.go
+++ b/bench/place/engine.go
@@ -71,7 +71,7 @@
 	if e.w.policy.fifo {
 		j.Team, j.Weight, j.Priority = "all", 1, 0
 	}
-	verdict, wait := e.gate.Offer(j, o)
+	verdict, wait := e.gate.Offer(e.w.now, j, o)
 	if verdict != route.AdmitRun {
 		return verdict, wait
 	}
@@ -85,6 +85,10 @@
 	for j := e.gate.Next(e.w.now); j != nil; j = e.gate.Next(e.w.now) {
 		s := e.waiting[j]
 		delete(e.waiting, j)
+		if j.Late {
+			e.w.late(s.req)
+			continue
+		}
 		hit := e.lookup(s.req.blocks) * blockTokens
 		s.prefillLeft = max(1, s.prefillLeft-hit)
 		s.req.hit = min(hit, s.req.prompt)
--- a/bench/place/world.go
+++ b/bench/place/world.go
@@ -41,6 +41,7 @@
 	deadline time.Duration // for the whole answer, from at
 
 	cost       route.Cost // left, by the entry's books
+	trail      route.Trail
 	tries      int
 	avoid      map[string]bool
 	target     int
@@ -129,6 +130,11 @@
 	w.ended = append(w.ended, r)
 }
 
+func (w *world) late(r *request) {
+	w.entries[r.entry].finished(r)
+	w.refuse(r)
+}
+
 func (w *world) refuse(r *request) {
 	r.refused = true
 	r.done = w.now
--- a/route/fairqueue.go
+++ b/route/fairqueue.go
@@ -1,11 +1,15 @@
 package route
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // FairQueue orders waiting requests: between teams by weighted shares of cost
 // (start-time fair queueing), strictly by priority within a team. A share that a
-// team leaves idle goes to the others; an idle team gains no credit for later.
-// It keeps state only for teams that wait or are ahead of their share.
+// team leaves idle goes to the others; it gets back at most fairCredit of it.
+// It keeps state only for teams that wait or are ahead of their share. Times are
+// durations from any one origin.
 type FairQueue struct {
 	teams  map[string]*fairTeam
 	heads  fairTeams // teams with waiting requests
@@ -15,6 +19,11 @@
 	order  uint64
 }
 
+// fairCredit is how many tokens a team may be behind its share. Without it a team
+// within its share would wait after each of its long answers as if it had too
+// much; with it a team that was idle goes first for at most these tokens.
+const fairCredit = 4000.0
+
 type fairTeam struct {
 	name   string
 	start  float64 // virtual time at which its next request is due
@@ -22,6 +31,28 @@
 	index  int     // in heads, -1 if nothing waits
 	price  float64 // waiting
 	weight float64
+
+	since  time.Duration // start of the window in which served counts
+	served float64
+	rate   float64 // price a second while it waits; 0: unknown
+}
+
+// rateWindow is how long a team must have waited before its rate is believed.
+const rateWindow = time.Second
+
+// serve counts what a waiting team got. Its rate is its share of the target: what
+// others will send meanwhile can't be known, what the team got can.
+func (t *fairTeam) serve(now time.Duration, price float64) {
+	t.served += price
+	d := now - t.since
+	if d < rateWindow {
+		return
+	}
+	rate := t.served / d.Seconds()
+	if t.rate > 0 {
+		rate = (rate + t.rate) / 2
+	}
+	t.rate, t.since, t.served = rate, now, 0
 }
 
 // FairItem is one waiting request. It belongs to the caller.
@@ -48,7 +79,7 @@
 func (q *FairQueue) Price() float64 { return q.price }
 
 // Push adds a request.
-func (q *FairQueue) Push(it *FairItem) {
+func (q *FairQueue) Push(now time.Duration, it *FairItem) {
 	t := q.team(it.Team)
 	t.weight = max(1, it.Weight)
 	q.order++
@@ -58,25 +89,54 @@
 	q.price += it.Price
 	q.length++
 	if t.index < 0 {
-		t.start = max(t.start, q.now)
+		t.start = max(t.start, q.earliest(t.weight))
+		t.since, t.served, t.rate = now, 0, 0
 		heap.Push(&q.heads, t)
 	}
 }
 
+// earliest returns the start tag of a team that has used nothing lately.
+func (q *FairQueue) earliest(weight float64) float64 {
+	return q.now - fairCredit/max(1, weight)
+}
+
 // Pop takes the next request, nil if none waits.
-func (q *FairQueue) Pop() *FairItem {
+func (q *FairQueue) Pop(now time.Duration) *FairItem {
 	if len(q.heads) == 0 {
 		return nil
 	}
 	t := q.heads[0]
 	it := heap.Pop(&t.items).(*FairItem)
 	q.took(t, it)
+	t.serve(now, it.Price)
 	q.now = max(q.now, t.start)
 	t.start += it.Price / t.weight
 	q.settle(t)
 	return it
 }
 
+// Behind tells whether the next request is of a team that has had less than its
+// share, while another waits or has waited with more.
+func (q *FairQueue) Behind() bool {
+	return len(q.heads) > 0 && q.heads[0].start < q.now
+}
+
+// First tells whether a new request of a team would be the next one, with a
+// right to what is kept for teams that have had less than their share.
+func (q *FairQueue) First(team string, weight float64) bool {
+	if q.length == 0 {
+		return true
+	}
+	start := q.earliest(max(1, weight))
+	if t := q.teams[team]; t != nil {
+		if t.index >= 0 {
+			return false
+		}
+		start = max(start, t.start)
+	}
+	return start < q.now && start < q.heads[0].start
+}
+
 // Remove takes a request out that no longer wants to wait; false: it did not wait.
 func (q *FairQueue) Remove(it *FairItem) bool {
 	t := q.teams[it.Team]
@@ -94,22 +154,23 @@
 func (q *FairQueue) Charge(team string, weight, extra float64) {
 	if t := q.teams[team]; t != nil || extra > 0 {
 		t = q.team(team)
-		t.start = max(t.start, q.now) + extra/max(1, weight)
+		t.start = max(t.start, q.earliest(weight)) + extra/max(1, weight)
 		q.settle(t)
 	}
 }
 
-// Ahead returns the cost that would be served before a new request of a team:
-// its own waiting requests of at least this priority and, for each other team,
-// the smaller of what it has waiting and what its weight entitles it to meanwhile.
-func (q *FairQueue) Ahead(team string, weight float64, priority int8) float64 {
-	own, due := 0.0, q.now
+// Wait returns how many seconds a new request of a team would wait here if the
+// target serves speed in price a second. A team that has waited for a while goes
+// by what it got; else its own waiting requests are before it and, for each other
+// team, the smaller of what it has waiting and what its weight entitles it to
+// meanwhile.
+func (q *FairQueue) Wait(team string, weight float64, priority int8, speed float64) float64 {
+	own, due := 0.0, q.earliest(weight)
 	if t := q.teams[team]; t != nil {
 		due = max(due, t.start)
-		for _, it := range t.items {
-			if it.Priority >= priority {
-				own += it.Price
-			}
+		own = t.before(priority)
+		if t.index >= 0 && t.rate > 0 {
+			return own / min(t.rate, speed)
 		}
 	}
 	due += own / max(1, weight)
@@ -119,6 +180,17 @@
 			sum += min(t.price, (due-t.start)*t.weight)
 		}
 	}
+	return sum / speed
+}
+
+// before returns the cost of a team's waiting requests of at least a priority.
+func (t *fairTeam) before(priority int8) float64 {
+	sum := 0.0
+	for _, it := range t.items {
+		if it.Priority >= priority {
+			sum += it.Price
+		}
+	}
 	return sum
 }
 
@@ -126,7 +198,7 @@
 // share. Call it now and then; its cost is the number of teams held.
 func (q *FairQueue) Forget() {
 	for name, t := range q.teams {
-		if t.index < 0 && t.start <= q.now {
+		if t.index < 0 && t.start <= q.earliest(t.weight) {
 			delete(q.teams, name)
 		}
 	}
@@ -138,7 +210,7 @@
 func (q *FairQueue) team(name string) *fairTeam {
 	t := q.teams[name]
 	if t == nil {
-		t = &fairTeam{name: name, start: q.now, index: -1}
+		t = &fairTeam{name: name, start: q.now - fairCredit, index: -1}
 		q.teams[name] = t
 	}
 	return t
--- a/route/gate.go
+++ b/route/gate.go
@@ -27,6 +27,9 @@
 	Cost  Cost
 	Peer  string // entry that sent it
 	Owner any    // the caller's own
+	Late  bool   // taken out of the queue since its deadline can't be met any more
+
+	deadline time.Duration
 
 	work *Work // of its entry
 
@@ -74,20 +77,19 @@
 }
 
 func (g *Gate) slotWait(j *Job) float64 {
-	if g.running < g.slots && g.queue.Len() == 0 {
+	if g.running < g.slots && g.queue.First(j.Team, j.Weight) {
 		return 0
 	}
 	speed := orDefault(g.speed.TokensPerSec(g.slots), defaultTokens)
 	rest := g.decode / float64(max(1, g.running+g.queue.Len()))
-	ahead := g.queue.Ahead(j.Team, j.Weight, j.Priority)
-	return (rest + ahead) / speed
+	return rest/speed + g.queue.Wait(j.Team, j.Weight, j.Priority, speed)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Offer takes a job into the queue, or says why not. Whatever it says is
 // final and at once.
-func (g *Gate) Offer(j *Job, o Offer) (Admission, time.Duration) {
+func (g *Gate) Offer(now time.Duration, j *Job, o Offer) (Admission, time.Duration) {
 	wait := g.Wait(j)
 	switch {
 	case o.MaxWait > 0 && wait > o.MaxWait:
@@ -98,7 +100,10 @@
 		return AdmitFull, wait
 	}
 	j.Price, j.Value = j.Cost.Price(), j
-	g.queue.Push(&j.FairItem)
+	if o.Left > 0 {
+		j.deadline = now + o.Left
+	}
+	g.queue.Push(now, &j.FairItem)
 	g.book(j)
 	return AdmitRun, wait
 }
@@ -155,16 +160,24 @@
 	return seconds(j.Cost.Decode / perSlot)
 }
 
-// Next starts the next job, nil if none waits or no slot is free.
+// Next takes the next job out of the queue, nil if none may start now. A job
+// that is Late is not started: its deadline can no longer be met, and running it
+// would cost others theirs.
 func (g *Gate) Next(now time.Duration) *Job {
-	if g.running >= g.slots {
+	if !g.mayStart() {
 		return nil
 	}
-	it := g.queue.Pop()
+	it := g.queue.Pop(now)
 	if it == nil {
 		return nil
 	}
 	j := it.Value.(*Job)
+	if j.deadline > 0 && now+g.runTime(j) > j.deadline {
+		j.Late = true
+		g.queue.Charge(j.Team, j.Weight, -j.Price)
+		g.unbook(j)
+		return j
+	}
 	g.tell(now)
 	g.running++
 	g.inEngine += j.Cost.Prompt
@@ -176,6 +189,28 @@
 	return j
 }
 
+// Two parts of the engine are kept for teams that have had less than their share.
+// What is inside the engine can't be overtaken: a small team would wait for
+// a slot of a large one, and behind the prompts of all that was let in.
+const (
+	reservePart  = 8    // one slot in reservePart
+	promptWindow = 0.03 // seconds of prompts inside the engine
+	promptFloor  = 1024 // tokens
+)
+
+// mayStart tells whether the engine has room for the next job of the queue.
+func (g *Gate) mayStart() bool {
+	free := g.slots - g.running
+	if free <= 0 {
+		return false
+	}
+	if g.queue.Teams() < 2 || g.queue.Behind() {
+		return true
+	}
+	_, perSec := g.speed.Prefill()
+	return free > g.slots/reservePart && g.inEngine < max(promptFloor, promptWindow*perSec)
+}
+
 // forgetEvery is how many starts lie between two looks for teams to forget.
 const forgetEvery = 1024
 
--- a/route/place.go
+++ b/route/place.go
@@ -125,7 +125,7 @@
 	DefaultLoadPrice = 0.2   // seconds
 	DefaultNear      = 2
 	DefaultFar       = 2
-	DefaultPatience  = 40 * time.Millisecond
+	DefaultPatience  = 30 * time.Millisecond
 )
 
 // MaxWait returns the wait for the first token up to which the agent of a
--- a/route/wait.go
+++ b/route/wait.go
@@ -30,9 +30,16 @@
 // time until enough of the requests before it have ended.
 func EstimateWait(r *Request, t *Target) float64 {
 	speed := orDefault(t.PrefillPerSec, defaultPrefill)
-	return ownWait(r, t) + (t.Others.Prompt+t.Own.Prompt)/speed + slotWait(t)
+	return ownWait(r, t) + (t.Others.Prompt+t.Own.Prompt)/speed + min(slotWait(t), maxSlotWait)
 }
 
+// maxSlotWait bounds the wait for a slot in an estimate, seconds. Beyond it a
+// target is full, and how long its queue is says nothing: the queue is ordered by
+// shares, so most of it may be a team's that does not concern this request. If
+// the length counted, the requests of all small teams would go to the targets
+// where a large team has least, and crowd each other there.
+const maxSlotWait = 0.05
+
 // ownWait returns the time to the first token of r on t without other work.
 func ownWait(r *Request, t *Target) float64 {
 	own := max(0, r.Cost.Prompt-t.CachedTokens)
@@ -98,9 +105,9 @@
 	return over * rest / orDefault(t.TokensPerSec, defaultTokens)
 }
 
-// fill returns how full the engine is; above 1 requests wait.
+// fill returns how full the engine is, at most 1.
 func fill(t *Target) float64 {
-	return (t.Others.Requests + t.Own.Requests) / slots(t)
+	return min(1, (t.Others.Requests+t.Own.Requests)/slots(t))
 }
 
 func slots(t *Target) float64 {
