Placement: reports age by what targets could work off; speeds learnt through a base

Cause: engines with much work looked faster than idle ones (tokens over time without the step that each first token takes), and old reports read by eight entries at once made load swing. With the queue's length in the score, small teams crowded the targets where a large team had least.

--- a/bench/place/entry.go
+++ b/bench/place/entry.go
@@ -75,6 +75,7 @@
 	v := en.views[en.order[i]]
 	*t = v.target
 	t.Others = en.means.Aged(v.others, (en.w.now - v.made).Seconds())
+	en.means.Complete(t)
 	t.CachedTokens = en.cache.Tokens(i, r.Blocks)
 }
 
@@ -101,6 +102,7 @@
 	v.made = made
 	t := &v.target
 	v.others, t.Slots = a.Others(), a.Slots
+	en.means.Speeds(t, len(en.views))
 	en.means.Fold(t.Own, v.others, len(en.views))
 	t.StepWait = a.StepWait
 	t.PrefillPerSec, t.TokensPerSec = a.PrefillPerSec, a.TokensPerSec
--- a/route/gate.go
+++ b/route/gate.go
@@ -193,9 +193,9 @@
 // What is inside the engine can't be overtaken: a small team would wait for
 // a slot of a large one, and behind the prompts of all that was let in.
 const (
-	reservePart  = 8    // one slot in reservePart
-	promptWindow = 0.03 // seconds of prompts inside the engine
-	promptFloor  = 1024 // tokens
+	reservePart  = 8     // one slot in so many
+	promptWindow = 0.015 // seconds of prompts inside the engine
+	promptFloor  = 1024  // tokens
 )
 
 // mayStart tells whether the engine has room for the next job of the queue.
--- a/route/speed.go
+++ b/route/speed.go
@@ -13,42 +13,39 @@
 	last     time.Duration
 }
 
-// line is a straight line through observations, older ones counting less. The
-// quotient of tokens and time would not do: each first token takes a step at
-// least, so an engine with much work before it would look faster than an idle
-// one and draw still more work.
+// line is a base and a slope through observations, older ones counting less. The
+// quotient of time and tokens would not do: each first token takes a step at
+// least, so an engine with much work before it would look faster than an idle one
+// and draw still more work. Nor would a fit of both at once: where all
+// observations are alike it can give any base, and a target that looks slow by
+// chance gets no work by which it could show that it is not.
 type line struct {
-	n, x, y, xx, xy float64
+	base   float64 // close to the shortest time seen
+	xx, xy float64
 }
 
 func (l *line) learn(x, y float64) {
-	l.n = l.n*lineMemory + 1
-	l.x = l.x*lineMemory + x
-	l.y = l.y*lineMemory + y
+	switch {
+	case l.base == 0 || y < l.base:
+		l.base = y
+	default:
+		l.base += baseStep * (y - l.base)
+	}
 	l.xx = l.xx*lineMemory + x*x
-	l.xy = l.xy*lineMemory + x*y
+	l.xy = l.xy*lineMemory + x*max(0, y-l.base)
 }
 
-// fit returns the line's height at zero and its slope; 0, 0: unknown.
+// fit returns the base and the slope; 0, 0: unknown.
 func (l *line) fit() (float64, float64) {
-	if l.n < lineMinimum {
+	if l.xx == 0 || l.xy == 0 {
 		return 0, 0
 	}
-	spread := l.n*l.xx - l.x*l.x
-	if spread < lineSpread*l.xx*l.n {
-		return 0, l.y / l.x // all alike: no line, only a quotient
-	}
-	slope := (l.n*l.xy - l.x*l.y) / spread
-	if slope <= 0 {
-		return 0, l.y / l.x
-	}
-	return max(0, (l.y-slope*l.x)/l.n), slope
+	return l.base, l.xy / l.xx
 }
 
 const (
-	lineMemory  = 0.995 // so about 200 requests count
-	lineMinimum = 8
-	lineSpread  = 0.01
+	lineMemory = 0.98  // so about 50 requests count
+	baseStep   = 0.002 // how fast the base forgets a short time
 )
 
 const (
--- a/route/wait.go
+++ b/route/wait.go
@@ -30,15 +30,16 @@
 // time until enough of the requests before it have ended.
 func EstimateWait(r *Request, t *Target) float64 {
 	speed := orDefault(t.PrefillPerSec, defaultPrefill)
-	return ownWait(r, t) + (t.Others.Prompt+t.Own.Prompt)/speed + min(slotWait(t), maxSlotWait)
+	queue := (t.Others.Prompt+t.Own.Prompt)/speed + slotWait(t)
+	return ownWait(r, t) + queue/(1+queue/maxQueueWait)
 }
 
-// maxSlotWait bounds the wait for a slot in an estimate, seconds. Beyond it a
-// target is full, and how long its queue is says nothing: the queue is ordered by
-// shares, so most of it may be a team's that does not concern this request. If
-// the length counted, the requests of all small teams would go to the targets
-// where a large team has least, and crowd each other there.
-const maxSlotWait = 0.05
+// maxQueueWait bounds the part of an estimate that other work makes, seconds. The
+// longer a queue is the less its length says: it is ordered by shares, so most of
+// it may be a team's that does not concern this request. If the length counted in
+// full, the requests of all small teams would go to the targets where a large team
+// has least, and crowd each other there.
+const maxQueueWait = 0.2
 
 // ownWait returns the time to the first token of r on t without other work.
 func ownWait(r *Request, t *Target) float64 {
@@ -46,16 +47,39 @@
 	return t.StepWait + own/orDefault(t.PrefillPerSec, defaultPrefill)
 }
 
-// A report tells about the work of others for as long as that work lasts:
-// prompts are computed in a fraction of a second, answers take a few.
-const (
-	promptMemory  = 0.1 // seconds
-	requestMemory = 1.0 // seconds
-)
+// reportMemory is the age in seconds at which half of a report is believed, for
+// an entry that is alone.
+const reportMemory = 1.0
 
 // Means are one entry's means over all targets of a service.
 type Means struct {
 	Own, Others Work
+
+	stepWait, prefill, tokens float64 // speeds of the targets that have told theirs
+}
+
+// Speeds moves the mean speeds towards what a target told.
+func (m *Means) Speeds(t *Target, n int) {
+	if t.PrefillPerSec <= 0 || t.TokensPerSec <= 0 {
+		return
+	}
+	if m.prefill == 0 {
+		m.stepWait, m.prefill, m.tokens = t.StepWait, t.PrefillPerSec, t.TokensPerSec
+		return
+	}
+	step := 1 / float64(2*max(1, n))
+	m.stepWait += step * (t.StepWait - m.stepWait)
+	m.prefill += step * (t.PrefillPerSec - m.prefill)
+	m.tokens += step * (t.TokensPerSec - m.tokens)
+}
+
+// Complete gives a target that has not told its speeds those of the others: with
+// fixed ones it would look slower than all that have, or faster, and get no work
+// or all.
+func (m *Means) Complete(t *Target) {
+	if t.PrefillPerSec <= 0 || t.TokensPerSec <= 0 {
+		t.StepWait, t.PrefillPerSec, t.TokensPerSec = m.stepWait, m.prefill, m.tokens
+	}
 }
 
 // Fold moves the means towards what a new report tells; n is the number of
@@ -72,26 +96,39 @@
 	w.Decode += step * (v.Decode - w.Decode)
 }
 
-// Aged returns what to believe of others' work after a report has aged by age
-// seconds: the report when it is fresh, and the mean of all targets when it is
-// old. Every entry reads the same old report, and if each made up for the whole
-// of a difference they would together make up for it many times over, and the
-// load would swing from target to target. So the more of the load is others',
-// the faster a report is forgotten.
+// Aged returns what to believe of others' work when a report is age seconds old.
+//
+// A difference from the mean that the targets could have worked off since then is
+// hardly believed: every entry reads the same old report, and if each made up for
+// the whole of a difference they would together make up for it many times over,
+// and the load would swing from target to target. So the more of the load is
+// others', the less is believed. What goes beyond is believed whole: a target that
+// was empty while all others had long queues is still the better one.
 func (m *Means) Aged(reported Work, age float64) Work {
 	entries := 1.0
 	if m.Own.Requests > 0 {
 		entries += m.Others.Requests / m.Own.Requests
 	}
-	p := 1 / (1 + age*entries/promptMemory)
-	q := 1 / (1 + age*entries/requestMemory)
+	belief := 1 / (1 + age*entries/reportMemory)
+	requests, decode := 0.0, age*orDefault(m.tokens, defaultTokens)
+	if m.Others.Decode > 0 {
+		requests = decode * m.Others.Requests / m.Others.Decode
+	}
 	return Work{
-		Requests: m.Others.Requests + q*(reported.Requests-m.Others.Requests),
-		Prompt:   m.Others.Prompt + p*(reported.Prompt-m.Others.Prompt),
-		Decode:   m.Others.Decode + q*(reported.Decode-m.Others.Decode),
+		Requests: believe(reported.Requests, m.Others.Requests, requests, belief),
+		Prompt:   believe(reported.Prompt, m.Others.Prompt, age*orDefault(m.prefill, defaultPrefill), belief),
+		Decode:   believe(reported.Decode, m.Others.Decode, decode, belief),
 	}
 }
 
+// believe returns the mean, a part of the difference up to change, and all of the
+// difference beyond.
+func believe(reported, mean, change, belief float64) float64 {
+	d := reported - mean
+	within := max(-change, min(change, d))
+	return mean + belief*within + (d - within)
+}
+
 // slotWait returns the time until a slot is free for one more request. All
 // requests of the target share its speed, so the time for k of them to end is
 // the time to generate k times their mean rest.
