--- a/agent/report.go
+++ b/agent/report.go
@@ -92,6 +92,7 @@
 	return wire.Load{
 		Total:         workOf(&a.Total),
 		Mine:          workOf(&a.Mine),
+		Queued:        a.Queued,
 		Slots:         a.Slots,
 		TokensPerSec:  float32(a.TokensPerSec),
 		PrefillPerSec: float32(a.PrefillPerSec),
--- a/agent/turns.go
+++ b/agent/turns.go
@@ -101,7 +101,9 @@
 func refusal(said route.Admission, wait time.Duration, o route.Offer) error {
 	switch said {
 	case route.AdmitTooLong:
-		return result.New(result.WaitTooLong, "wait of %s, up to %s is taken", wait.Round(time.Millisecond), o.MaxWait)
+		err := result.New(result.WaitTooLong, "wait of %s, up to %s is taken", wait.Round(time.Millisecond), o.MaxWait)
+		err.RetryAfter = wait
+		return err
 	case route.AdmitDeadline:
 		err := result.New(result.DeadlineUnmet, "wait of %s, deadline in %s", wait.Round(time.Millisecond), o.Left.Round(time.Millisecond))
 		err.RetryAfter = wait
--- a/cmd/heatherrail-entry/main.go
+++ b/cmd/heatherrail-entry/main.go
@@ -26,13 +26,21 @@
 		fmt.Println("ok")
 		return daemon.ExitOK
 	}
+	ln, err := file.Network.Listen(file.Entry.Listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitFail
+	}
 	e, err := entry.Start(entry.Options{
-		Settings:    file.Entry,
-		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
-		VMs:         &platform.HTTPVMList{Addr: file.Platform.VMs},
-		Logger:      logging.New(os.Stderr, file.Entry.Verbosity),
-		Metrics:     metrics.New(),
-		Incarnation: daemon.Incarnation(),
+		Settings:     file.Entry,
+		Dial:         file.Network.Dial,
+		PeerListener: ln,
+		Log:          &platform.HTTPLog{Addr: file.Platform.Log},
+		VMs:          &platform.HTTPVMList{Addr: file.Platform.VMs},
+		Logger:       logging.New(os.Stderr, file.Entry.Verbosity),
+		Metrics:      metrics.New(),
+		Incarnation:  daemon.Incarnation(),
+		Snapshots:    file.Platform.Snapshots,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -10,6 +10,7 @@
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
 	Place benchPlaceCommand `command:"place" description:"placement, overload and fairness, in virtual time"`
+	Relay benchRelay        `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
--- a/config/schema.go
+++ b/config/schema.go
@@ -77,24 +77,3 @@
 	Distance    time.Duration `msg:"di" ini:"distance" default:"2ms" min:"0s" max:"10s" doc:"price of another data centre, as wait"`
 	LoadPrice   float64       `msg:"lp" ini:"load-price" default:"0.2" min:"0" max:"100" doc:"price of a full engine, as seconds of wait"`
 }
-
-// Change is one record on the log: a whole configuration that replaces a base.
-type Change struct {
-	ID     string `msg:"id"`
-	Base   uint64 `msg:"b"` // version that it replaces
-	Digest uint64 `msg:"d"` // of the encoded Config
-	Config []byte `msg:"c"` // encoded Config
-}
-
-// Record is what the log holds.
-type Record struct {
-	Schema uint32 `msg:"s"`
-	Kind   string `msg:"k"` // RecordChange
-	Body   []byte `msg:"b"`
-}
-
-// RecordSchema is the newest record schema that this build understands.
-const RecordSchema = 1
-
-// RecordChange holds a Change.
-const RecordChange = "change"
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,7 +8,6 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/result"
-	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -33,143 +32,154 @@
 type Exchange struct {
 	Answer wire.Answer
 	Target string
-	stream *wire.Stream
-	ctx    context.Context
-	cancel context.CancelFunc
+	Models []string // model versions that produced the answer, in order
+
+	tries     *tries
+	stream    *wire.Stream
+	ctx       context.Context
+	cancel    context.CancelFunc
+	text      *textStream // nil: the answer is no stream of text
+	delivered int         // bytes handed to the caller
+	skip      int         // bytes of a replayed answer that the caller has already
 }
 
-// Recv returns the next bytes; io.EOF only after a whole answer.
-func (x *Exchange) Recv() ([]byte, error) {
-	for {
-		ev, err := x.stream.Recv(x.ctx)
-		if err != nil {
-			return nil, err
-		}
-		if ev.Message == 0 {
-			return ev.Data, nil
-		}
+// Do runs a call under one configuration version and returns when its answer
+// begins. The error is a *result.Error. Cancelling ctx frees the target.
+func (e *Entry) Do(ctx context.Context, snap *config.Snapshot, c *Call) (*Exchange, error) {
+	cancel := func() {}
+	if !e.opts.Off.Deadline {
+		ctx, cancel = context.WithDeadlineCause(ctx, c.Deadline, result.New(result.DeadlinePast, "deadline passed"))
 	}
+	policy := snap.Policy(snap.Service(c.Service))
+	e.out.request(c.Service, policy.RetryShare)
+	t := newTries(e, snap, c, policy)
+	a, err := t.next(ctx, c.Body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	x := &Exchange{tries: t, ctx: ctx, cancel: cancel}
+	x.adopt(a)
+	x.Answer = a.answer
+	x.text = newTextStream(c, &a.answer)
+	return x, nil
 }
 
-// Close frees the target if the answer has not ended.
-func (x *Exchange) Close() {
-	x.stream.Close()
-	x.cancel()
+// adopt goes on with the stream of a try.
+func (x *Exchange) adopt(a *attempt) {
+	x.stream, x.Target = a.stream, a.target
+	if n := len(x.Models); n == 0 || x.Models[n-1] != a.answer.Model {
+		x.Models = append(x.Models, a.answer.Model)
+	}
 }
 
-// maxTries bounds the tries of one request; the retry budget comes on top.
-const maxTries = 3
-
-// Do runs a call under one configuration version and returns when its answer
-// begins. The error is a *result.Error. Cancelling ctx frees the target.
-func (e *Entry) Do(ctx context.Context, snap *config.Snapshot, c *Call) (*Exchange, error) {
-	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, result.New(result.DeadlinePast, "deadline passed"))
-	avoid := make(map[string]bool)
-	var last error
-	for range maxTries {
-		target, err := e.choose(snap, c, avoid)
-		if err != nil {
-			if last == nil {
-				last = err
-			}
-			break
+// Recv returns the next bytes; io.EOF only after a whole answer.
+func (x *Exchange) Recv() ([]byte, error) {
+	for {
+		data, err := x.receive()
+		if err == nil && len(data) > 0 {
+			x.delivered += len(data)
+			return data, nil
+		}
+		if errors.Is(err, io.EOF) {
+			x.tries.succeeded(x.Target)
+			return nil, io.EOF
 		}
-		x, err := e.try(ctx, snap, c, target)
 		if err == nil {
-			x.cancel = cancel
-			return x, nil
+			continue
 		}
-		last = err
-		if !mayRetry(ctx, c, err) {
-			break
+		if rest, recovered := x.recover(err); !recovered {
+			return nil, err
+		} else if len(rest) > 0 {
+			return rest, nil
 		}
-		avoid[target] = true
-		e.opts.Metrics.Retry(result.From(err).Code)
 	}
-	cancel()
-	return nil, result.From(last)
 }
 
-// mayRetry: a request that certainly did not run may go elsewhere; one that may
-// have run only if its caller allows repeats.
-func mayRetry(ctx context.Context, c *Call, err error) bool {
-	if ctx.Err() != nil {
-		return false
+// receive returns bytes that the caller does not have yet, none if an event held
+// only others.
+func (x *Exchange) receive() ([]byte, error) {
+	ev, err := x.stream.Recv(x.ctx)
+	if err != nil && x.text != nil {
+		return x.text.end(err)
 	}
-	r := result.From(err)
-	if r.Run() == result.RunNot {
-		return r.Code.Info().RetryAfter > 0
+	if err != nil || ev.Message != 0 {
+		return nil, err
 	}
-	return c.Repeatable
-}
-
-// choose returns the target of the next try.
-func (e *Entry) choose(snap *config.Snapshot, c *Call, avoid map[string]bool) (string, error) {
-	svc := snap.Service(c.Service)
-	if !c.Repeatable {
-		c.prepare(snap, svc, 0)
-		return home(c, snap.Targets(svc.Fleet))
+	data := ev.Data
+	n := min(x.skip, len(data))
+	x.skip -= n
+	data = data[n:]
+	if x.text != nil {
+		data = x.text.feed(data)
 	}
-	return e.place(snap, c, avoid, len(avoid))
+	return data, nil
 }
 
-func home(c *Call, declared []config.Target) (string, error) {
-	names := make([]string, len(declared))
-	for i, t := range declared {
-		names[i] = t.Name
-	}
-	i := route.Home(c.Team+"\x00"+c.Service+"\x00"+c.Key, names)
-	if i < 0 {
-		return "", result.New(result.NoTarget, "service %s has no targets", c.Service)
-	}
-	return names[i], nil
+// Close frees the target if the answer has not ended.
+func (x *Exchange) Close() {
+	x.stream.Close()
+	x.cancel()
 }
 
-// try sends the call to one target and waits for the start of its answer.
-func (e *Entry) try(ctx context.Context, snap *config.Snapshot, c *Call, target string) (*Exchange, error) {
-	l := e.link(target)
-	if l == nil {
-		return nil, result.New(result.Unreachable, "no link to %s", target)
+// recover goes on with an answer whose target was lost. Where it can't, the
+// first error stands: part of the request has run.
+func (x *Exchange) recover(cause error) (rest []byte, ok bool) {
+	x.stream.Close()
+	t := x.tries
+	t.failed(x.Target, cause)
+	body, ok := x.remainder()
+	if !ok {
+		return nil, false
 	}
-	req := &wire.Request{
-		ID:            c.ID,
-		Team:          c.Team,
-		Service:       c.Service,
-		Method:        c.Method,
-		Path:          c.Path,
-		Headers:       c.Headers,
-		Body:          c.Body,
-		Key:           c.Key,
-		Repeatable:    c.Repeatable,
-		Priority:      c.Priority,
-		DeadlineMs:    time.Until(c.Deadline).Milliseconds(),
-		ConfigVersion: snap.Version,
-		Sched:         c.sched.wire(),
+	if body == nil {
+		return x.text.finish(), true
 	}
-	s, err := l.open(req)
+	if !t.again(x.ctx, x.Target, cause) {
+		return nil, false
+	}
+	a, err := t.next(x.ctx, body)
 	if err != nil {
-		return nil, err
+		return nil, false
 	}
-	x := &Exchange{Target: target, stream: s, ctx: ctx}
-	if err := x.awaitAnswer(); err != nil {
-		s.Close()
-		return nil, err
+	// The caller has the first status already.
+	if a.answer.Status != x.Answer.Status || (x.skip > 0 && !a.answer.Replay) {
+		a.stream.Close()
+		return nil, false
 	}
-	return x, nil
+	x.adopt(a)
+	if x.text != nil && x.delivered > 0 {
+		rest = x.text.continued(a)
+	}
+	return rest, true
 }
 
-func (x *Exchange) awaitAnswer() error {
-	ev, err := x.stream.Recv(x.ctx)
+// remainder returns the body of the request for what the caller does not have
+// yet; nil if nothing but the end is missing.
+func (x *Exchange) remainder() (body []byte, ok bool) {
+	c := x.tries.call
 	switch {
-	case errors.Is(err, io.EOF):
-		return result.New(result.AnswerBroken, "%s ended the stream without an answer", x.Target)
-	case err != nil:
-		return err
-	case ev.Message != wire.MessageAnswer:
-		return result.New(result.WireMalformed, "%s sent no answer first", x.Target)
-	}
-	if _, err := x.Answer.UnmarshalMsg(ev.Data); err != nil {
-		return result.New(result.WireMalformed, "answer: %w", err)
+	case !c.Repeatable:
+		x.skip = x.delivered // the home replays its one run
+		return c.Body, true
+	case x.delivered == 0:
+		if x.text != nil {
+			x.text.reset()
+		}
+		return c.Body, true
+	case x.text != nil:
+		x.text.reset()
+		if x.tries.entry.opts.Off.Continue {
+			return c.Body, true
+		}
+		return x.text.remainder(c)
 	}
-	return nil
+	return nil, false
+}
+
+// choose returns the target of the next try of a repeatable request.
+func (e *Entry) choose(snap *config.Snapshot, c *Call, avoid map[string]bool) (string, error) {
+	svc := snap.Service(c.Service)
+	view := e.fleetView(snap, svc.Fleet)
+	return e.place(snap, c, view, e.out.keepOut(view.declared, avoid))
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -5,37 +5,9 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
-	"github.com/heatherrail/heatherrail/wire"
 )
 
-const (
-	logPage    = 256
-	logWait    = 5 * time.Second
-	logBackoff = 200 * time.Millisecond
-	vmPoll     = 500 * time.Millisecond
-)
-
-// tailLog folds the log into configuration versions.
-func (e *Entry) tailLog() {
-	fold := config.NewFold()
-	next := uint64(0)
-	for e.ctx.Err() == nil {
-		page, err := e.opts.Log.Read(e.ctx, next, logPage, logWait)
-		if err != nil {
-			e.opts.Metrics.Count("log_read_errors_total", 1)
-			e.sleep(logBackoff)
-			continue
-		}
-		next = page.Next
-		for _, raw := range page.Records {
-			if err := fold.Apply(raw); err != nil {
-				e.log.Error(err, "configuration stopped")
-				return
-			}
-		}
-		e.install(fold.Current())
-	}
-}
+const vmPoll = 500 * time.Millisecond
 
 // install puts a version in force; an older one than held is never taken.
 func (e *Entry) install(s *config.Snapshot) {
@@ -46,9 +18,7 @@
 	e.current.Store(s)
 	e.log.Info("configuration in force", "version", s.Version, "change", s.ID)
 	e.syncLinks()
-	for _, l := range e.allLinks() {
-		l.notify(s)
-	}
+	e.notifyAgents()
 }
 
 func (e *Entry) watchVMs() {
@@ -59,6 +29,7 @@
 		} else {
 			e.vms.Store(&vms)
 			e.entriesDigest.Store(digestNodes(e.liveEntries()))
+			e.node.SetPeers(peers(vms))
 			e.syncLinks()
 		}
 		e.sleep(vmPoll)
@@ -77,13 +48,28 @@
 	for _, t := range snap.Config.Targets {
 		declared[t.Name] = true
 	}
-	for _, vm := range *vms {
-		if vm.Role == platform.RoleTarget && declared[vm.Name] {
+	for _, vm := range targetVMs(*vms) {
+		if declared[vm.Name] {
 			e.ensureLink(vm)
 		}
 	}
 }
 
+// targetVMs returns one VM for each target: while a VM is replaced the list may
+// show the leaving one beside its successor.
+func targetVMs(vms []platform.VM) map[string]platform.VM {
+	chosen := make(map[string]platform.VM)
+	for _, vm := range vms {
+		if vm.Role != platform.RoleTarget {
+			continue
+		}
+		if other, ok := chosen[vm.Name]; !ok || other.State != platform.StateLive || vm.State == platform.StateLive {
+			chosen[vm.Name] = vm
+		}
+	}
+	return chosen
+}
+
 func (e *Entry) ensureLink(vm platform.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -114,7 +100,3 @@
 	}
 	return links
 }
-
-func notice(s *config.Snapshot) *wire.ConfigNotice {
-	return &wire.ConfigNotice{Version: s.Version, Digest: s.Digest}
-}
--- a/entry/fleetview.go
+++ b/entry/fleetview.go
@@ -73,13 +73,14 @@
 // fleetView is the targets of one fleet that this entry uses, under one
 // configuration version and VM list. It implements route.TargetSet.
 type fleetView struct {
-	entry   *Entry
-	state   *fleetState
-	version uint64
-	nodes   uint64 // digest of the entries that the subset was made for
-	targets []viewTarget
-	near    int
-	bySlot  [route.IndexTargets]int // position by place in the index, -1: none
+	entry    *Entry
+	state    *fleetState
+	version  uint64
+	nodes    uint64          // digest of the entries that the subset was made for
+	declared []config.Target // the part of the fleet that the entry uses
+	targets  []viewTarget
+	near     int
+	bySlot   [route.IndexTargets]int // position by place in the index, -1: none
 }
 
 type viewTarget struct {
@@ -111,6 +112,7 @@
 	v.state.mu.Lock()
 	defer v.state.mu.Unlock()
 	t.Others = v.state.means.Aged(reported, age.Seconds())
+	v.state.means.Complete(t)
 	if at.slot >= 0 && len(r.Blocks) > 0 {
 		t.CachedTokens = v.state.index.Tokens(at.slot, r.Blocks)
 	}
@@ -176,7 +178,7 @@
 	}
 	v := &fleetView{entry: e, state: state, version: snap.Version, nodes: nodes}
 	names, near := e.subset(snap.Targets(fleet))
-	v.near = near
+	v.declared, v.near = names, near
 	v.targets = make([]viewTarget, len(names))
 	for i := range names {
 		v.targets[i].name, v.targets[i].dataCentre = names[i].Name, names[i].DataCentre
--- a/entry/link.go
+++ b/entry/link.go
@@ -32,10 +32,21 @@
 	load    wire.Load
 	hasLoad bool
 	work    ownWork
+
+	moved   chan struct{}       // signalled when the VM list names another address
+	goodbye chan struct{}       // signalled when the agent is about to stop
+	retired map[*wire.Conn]bool // connections to earlier VMs whose requests still run
 }
 
 func newLink(e *Entry, target, addr string) *link {
-	return &link{entry: e, target: target, addr: addr}
+	return &link{
+		entry:   e,
+		target:  target,
+		addr:    addr,
+		moved:   make(chan struct{}, 1),
+		goodbye: make(chan struct{}, 1),
+		retired: make(map[*wire.Conn]bool),
+	}
 }
 
 // update takes what the VM list says of the target. A new address means that
@@ -44,10 +55,18 @@
 	l.mu.Lock()
 	moved := vm.Address != l.addr
 	l.addr, l.vmState = vm.Address, vm.State
-	conn := l.conn
 	l.mu.Unlock()
-	if moved && conn != nil {
-		go conn.Close() // waits for the reader, which may be waiting for this lock
+	if !moved {
+		return
+	}
+	raiseFlag(l.moved)
+}
+
+// raiseFlag signals a channel with one place; a signal that waits already suffices.
+func raiseFlag(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
@@ -57,6 +76,10 @@
 		if conn := l.connect(); conn != nil {
 			select {
 			case <-conn.Done():
+			case <-l.moved:
+				l.retire(conn)
+			case <-l.goodbye:
+				l.retire(conn)
 			case <-l.entry.ctx.Done():
 				conn.Close()
 			}
@@ -66,10 +89,60 @@
 	}
 }
 
-func (l *link) connect() *wire.Conn {
+// retirePoll is how often a retired connection is looked at.
+const retirePoll = 20 * time.Millisecond
+
+// retire gives a connection no new work and closes it when its requests have
+// ended.
+//
+// Failure: the VM list names the successor of a VM that is shutting down
+// gracefully. Symptom: answers in flight are cut off. Enough, because the old
+// agent ends its connections itself once it has nothing left to do.
+func (l *link) retire(conn *wire.Conn) {
 	l.mu.Lock()
-	addr := l.addr
+	l.retired[conn] = true
 	l.mu.Unlock()
+	l.entry.duties.Go(func() {
+		l.closeWhenIdle(conn)
+		l.mu.Lock()
+		delete(l.retired, conn)
+		l.mu.Unlock()
+	})
+}
+
+// closeWhenIdle closes the connection once no request waits on it.
+func (l *link) closeWhenIdle(conn *wire.Conn) {
+	for !conn.CloseIfIdle() {
+		select {
+		case <-conn.Done():
+			return
+		case <-time.After(retirePoll):
+		case <-l.entry.ctx.Done():
+			conn.Close()
+			return
+		}
+	}
+}
+
+// nextAddr returns where to connect to; flags that were raised for an earlier
+// connection fall.
+func (l *link) nextAddr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropFlag(l.moved)
+	dropFlag(l.goodbye)
+	return l.addr
+}
+
+func dropFlag(ch chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
+func (l *link) connect() *wire.Conn {
+	addr := l.nextAddr()
 	ctx, cancel := context.WithTimeout(l.entry.ctx, linkDialTimeout)
 	defer cancel()
 	nc, err := l.entry.opts.Dial(ctx, addr)
@@ -86,17 +159,25 @@
 		conn.Close()
 		return nil
 	}
+	if !l.entry.out.supersede(l.target, conn.Peer().Incarnation, time.Now()) {
+		l.entry.log.Info("an overtaken agent answers", "target", l.target, "incarnation", conn.Peer().Incarnation)
+		conn.Close()
+		return nil
+	}
 	l.adopt(conn)
 	return conn
 }
 
+// adopt takes a new connection into use. The attestation goes first: the agent
+// must have it before any request of this entry.
 func (l *link) adopt(conn *wire.Conn) {
+	if s := l.entry.current.Load(); s != nil {
+		l.attest(conn, s)
+	}
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
-	if s := l.entry.current.Load(); s != nil {
-		l.notify(s)
-	}
+	l.notify(l.entry.agentConfigs())
 	l.entry.log.V(1).Info("linked", "target", l.target, "incarnation", conn.Peer().Incarnation)
 }
 
@@ -116,14 +197,26 @@
 	}
 }
 
-// notify tells the agent which configuration is in force here.
-func (l *link) notify(s *config.Snapshot) {
+// notify tells the agent what it needs of the configuration in force here.
+func (l *link) notify(configs *agentConfigs) {
 	l.mu.Lock()
 	conn := l.conn
 	l.mu.Unlock()
-	if conn != nil {
-		_ = conn.SendNote(wire.NoteConfig, notice(s)) // a lost link sends it again when it is back
+	if conn == nil || configs == nil {
+		return
+	}
+	_ = conn.SendNote(wire.NoteAgentConfig, configs.of(l.target)) // a lost link sends it again when it is back
+	l.attest(conn, configs.snap)
+}
+
+// attest tells the agent which requests that must not run twice went elsewhere.
+func (l *link) attest(conn *wire.Conn, s *config.Snapshot) {
+	fleet := s.FleetOf(l.target)
+	if fleet == "" {
+		return
 	}
+	p := place{target: l.target, incarnation: conn.Peer().Incarnation}
+	_ = conn.SendNote(wire.NoteAttest, l.entry.out.book.attest(s, p, fleet)) // sent again with the next link
 }
 
 // ServeStream implements wire.Handler; agents open no streams.
@@ -133,7 +226,15 @@
 
 // ServeNote implements wire.Handler.
 func (l *link) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
-	if n != wire.NoteLoad {
+	switch n {
+	case wire.NoteLoad:
+	case wire.NoteCrash:
+		l.entry.serveCrash(payload)
+		return
+	case wire.NoteGoodbye:
+		l.heardGoodbye(c)
+		return
+	default:
 		return
 	}
 	var load wire.Load
@@ -144,11 +245,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// The first report may overtake adopt, so the hand-over of conn is not awaited.
-	if l.conn == nil || l.conn == c {
+	if l.conn == c || (l.conn == nil && !l.retired[c]) {
 		l.takeLoad(&load)
 	}
 }
 
+func (l *link) heardGoodbye(c *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == c {
+		raiseFlag(l.goodbye)
+	}
+}
+
 // view returns whether the target can take work, as far as the link knows.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
@@ -163,8 +272,9 @@
 	t.EngineUp = l.load.EngineUp
 }
 
-// open sends a request to the agent.
-func (l *link) open(req *wire.Request) (*wire.Stream, error) {
+// open sends a request to the agent. before is called with the agent's
+// incarnation before any byte is handed to the connection; its error stops the try.
+func (l *link) open(req *wire.Request, before func(incarnation uint64) error) (*wire.Stream, error) {
 	l.mu.Lock()
 	conn := l.conn
 	if conn == nil {
@@ -173,7 +283,10 @@
 	}
 	l.mu.Unlock()
 	req.AgentInc = conn.Peer().Incarnation
-	return l.openBooked(conn, req)
+	if err := before(req.AgentInc); err != nil {
+		return nil, err
+	}
+	return l.openCounted(conn, req)
 }
 
 func (e *Entry) hello() wire.Hello {
--- a/entry/sched.go
+++ b/entry/sched.go
@@ -20,6 +20,25 @@
 	weight  int
 	maxWait int64   // milliseconds, of the latest choice
 	cached  float64 // tokens, at the latest choice
+	trail   route.Trail
+}
+
+// refused notes a failed try.
+func (s *sched) refused(target string, err error) {
+	if r := result.From(err); r.Code == result.WaitTooLong {
+		s.trail.Add(target, r.RetryAfter)
+	}
+}
+
+// usable tells whether a target can take work.
+func (e *Entry) usable(target string) bool {
+	l := e.link(target)
+	if l == nil {
+		return false
+	}
+	var t route.Target
+	l.view(&t)
+	return t.Linked && t.EngineUp && !t.Leaving
 }
 
 // bodyShape is the part of a model request that costs depend on.
@@ -72,19 +91,18 @@
 	}
 }
 
-// sendBackTries is how many tries of a request an agent may send back; the next
-// one is taken whatever its wait.
-const sendBackTries = 2
-
 var decisions = sync.Pool{New: func() any { return new(route.Decision) }}
 
 // place chooses a target among few of those that the entry uses. keepOut are
 // targets that this request must not use.
-func (e *Entry) place(snap *config.Snapshot, c *Call, keepOut map[string]bool, try int) (string, error) {
+func (e *Entry) place(snap *config.Snapshot, c *Call, view *fleetView, keepOut map[string]bool) (string, error) {
 	svc := snap.Service(c.Service)
-	view := e.fleetView(snap, svc.Fleet)
 	c.prepare(snap, svc, view.state.answerTokens())
 	s := &c.sched
+	if target, ok := s.trail.Settled(); ok && e.usable(target) {
+		s.maxWait = 0
+		return target, nil
+	}
 	req := route.Request{
 		DataCentre: e.opts.Settings.DataCentre,
 		Avoid:      keepOut,
@@ -102,8 +120,8 @@
 		return "", result.New(result.NoTarget, "none of %d targets of %s can take work", view.Len(), c.Service)
 	}
 	s.cached, s.maxWait = best.Target.CachedTokens, 0
-	if try < sendBackTries && svc.Model != "" {
-		s.maxWait = placer.MaxWait(&req, best).Milliseconds()
+	if svc.Model != "" {
+		s.maxWait = s.trail.MaxWait(placer.MaxWait(&req, best)).Milliseconds()
 	}
 	view.learn(best.Index, s.blocks)
 	return best.Target.Name, nil
--- a/entry/books.go
+++ b/entry/work.go
@@ -9,9 +9,9 @@
 	"github.com/heatherrail/heatherrail/wire"
 )
 
-// booking is one request in the entry's books of a target. It watches the
+// dispatched is one request in the entry's books of a target. It watches the
 // request's stream, so the books are exact without any report.
-type booking struct {
+type dispatched struct {
 	link *link
 
 	mu    sync.Mutex
@@ -19,9 +19,9 @@
 	ended bool
 }
 
-// book adds a request to the books.
-func (l *link) book(s *wire.Sched) *booking {
-	b := &booking{link: l, left: route.Cost{Prompt: float64(s.Prompt), Decode: float64(s.Decode)}}
+// count adds a request to the books.
+func (l *link) count(s *wire.Sched) *dispatched {
+	b := &dispatched{link: l, left: route.Cost{Prompt: float64(s.Prompt), Decode: float64(s.Decode)}}
 	l.change(1, b.left)
 	return b
 }
@@ -38,7 +38,7 @@
 }
 
 // Arrived implements wire.Watcher.
-func (b *booking) Arrived(chunk []byte) {
+func (b *dispatched) Arrived(chunk []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended {
@@ -53,7 +53,7 @@
 }
 
 // Ended implements wire.Watcher.
-func (b *booking) Ended() {
+func (b *dispatched) Ended() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended {
@@ -63,9 +63,9 @@
 	b.link.change(-1, route.Cost{Prompt: -b.left.Prompt, Decode: -b.left.Decode})
 }
 
-// openBooked opens the stream of a request with a booking that watches it.
-func (l *link) openBooked(conn *wire.Conn, req *wire.Request) (*wire.Stream, error) {
-	b := l.book(&req.Sched)
+// openCounted opens the stream of a request with a dispatched that watches it.
+func (l *link) openCounted(conn *wire.Conn, req *wire.Request) (*wire.Stream, error) {
+	b := l.count(&req.Sched)
 	s, err := conn.OpenWatched(wire.MethodRequest, req, b)
 	if err != nil {
 		b.Ended()
@@ -81,10 +81,16 @@
 		return // late or doubled
 	}
 	l.load, l.hasLoad = *load, true
+	l.load.Target = l.target
 	l.work.reported = time.Now()
 	l.work.others = othersOf(load)
 	if f := l.fleet.Load(); f != nil {
 		f.mu.Lock()
+		f.means.Speeds(&route.Target{
+			TokensPerSec:  float64(load.TokensPerSec),
+			PrefillPerSec: float64(load.PrefillPerSec),
+			StepWait:      float64(load.StepWait),
+		}, len(f.slots))
 		f.means.Fold(l.work.own, l.work.others, len(f.slots))
 		if load.AnswerTokens > 0 {
 			f.answer = float64(load.AnswerTokens)
--- a/result/codes.go
+++ b/result/codes.go
@@ -17,6 +17,11 @@
 	ServiceDenied   Code = 107
 	CrashSuspect    Code = 108
 	MalformedHeader Code = 109
+
+	UnknownPath      Code = 110
+	MethodNotAllowed Code = 111
+	HeadersTooLarge  Code = 112
+	RequestTimeout   Code = 113
 )
 
 // 2xx: the system refuses the request now; it did not run.
@@ -35,6 +40,26 @@
 	DedupFull      Code = 212
 	RetryExhausted Code = 213
 	SuspectHeld    Code = 214
+	WireStreams    Code = 260
+	ConnsFull      Code = 261
+
+	EntryUnregistered Code = 220
+	TargetIsolated    Code = 221
+)
+
+// 23x: orders and configuration; nothing was done.
+const (
+	FenceStale    Code = 230
+	FenceUnknown  Code = 231
+	LeaseLost     Code = 232
+	OrderLimited  Code = 233
+	ChangeRefused Code = 234
+)
+
+// 33x: orders and configuration; ask again with the same id.
+const (
+	OrderUnknown  Code = 330
+	ChangeUnknown Code = 331
 )
 
 // 250 to 259: placement and admission.
@@ -65,6 +90,8 @@
 	WireClosed        Code = 406
 	WireSequence      Code = 407
 	WireDigest        Code = 408
+	WireRole          Code = 409
+	WirePlain         Code = 410
 )
 
 const shortWait = time.Second
@@ -80,6 +107,10 @@
 	{ServiceDenied, "service_denied", http.StatusForbidden, RunNot, 0, "The team may not use this service.", "Check the team's services in teams.ini."},
 	{CrashSuspect, "crash_suspect", http.StatusUnprocessableEntity, RunNot, 5 * time.Minute, "This request crashed the targets that ran it and is refused for a time.", "Look at the targets' logs around the quarantine event."},
 	{MalformedHeader, "malformed_header", http.StatusBadRequest, RunNot, 0, "A Heatherrail header has a value that is not allowed.", "See the detail in the caller's answer."},
+	{UnknownPath, "unknown_path", http.StatusNotFound, RunNot, 0, "The callers' interface has no such path.", "Tell the team."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RunNot, 0, "The path does not take this method.", "Tell the team."},
+	{HeadersTooLarge, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNot, 0, "The request's headers are larger than the limit.", "Tell the team."},
+	{RequestTimeout, "request_timeout", http.StatusRequestTimeout, RunNot, 0, "The request did not arrive whole in time.", "A slow network, or a caller that holds connections open on purpose."},
 	{NoConfig, "no_config", http.StatusServiceUnavailable, RunNot, shortWait, "This process knows no configuration yet.", "Check that the log service or a peer can be reached."},
 	{NoTarget, "no_target", http.StatusServiceUnavailable, RunNot, shortWait, "No target of the service can take work.", "Look at status: targets leaving, ejected or lost."},
 	{TargetLeaving, "target_leaving", http.StatusServiceUnavailable, RunNot, shortWait, "The target is leaving.", "Expected during a drain; entries retry elsewhere."},
@@ -97,6 +128,17 @@
 	{WaitTooLong, "wait_too_long", http.StatusServiceUnavailable, RunNot, shortWait, "The target's queue is longer than the entry believed.", "Entries place again at once; frequent ones mean that load reports come late."},
 	{LimitShare, "team_limit_elsewhere", http.StatusTooManyRequests, RunNot, shortWait, "Other entries serve this team's limit; ask GET /v1/entries with the team's key.", "The team's callers don't ask which entries to use."},
 	{LimitTracked, "team_limit_states", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "This entry counts as many teams as it may.", "Spread the callers over more entries."},
+	{FenceStale, "fence_stale", http.StatusConflict, RunNot, 0, "An order carries an overtaken fencing number.", "Its sender lost the lease; nothing to do unless it repeats."},
+	{FenceUnknown, "fence_unknown", http.StatusServiceUnavailable, RunNot, shortWait, "The agent does not know the fencing floor yet.", "Look at the links between entries and this agent."},
+	{LeaseLost, "lease_lost", http.StatusConflict, RunNot, 0, "The sender no longer holds the lease.", "Nothing; the next holder goes on."},
+	{OrderLimited, "order_limited", http.StatusTooManyRequests, RunNot, shortWait, "The weight store's rate is used up.", "Orders wait; raise the store's rate if it is often full."},
+	{ChangeRefused, "change_refused", http.StatusConflict, RunNot, 0, "A configuration change was refused.", "The detail names the change that won; diff again and apply on top of it."},
+	{OrderUnknown, "order_unknown", http.StatusBadGateway, RunMaybe, 0, "The answer to an order was lost.", "The agent reads the engine's state back and settles it."},
+	{ChangeUnknown, "change_unknown", http.StatusGatewayTimeout, RunMaybe, 0, "It is not known whether a change was accepted.", "Run apply --resume with the id."},
+	{WireStreams, "wire_streams", http.StatusServiceUnavailable, RunNot, shortWait, "A connection between two processes has as many streams as it may.", "Spread the load over more entries, or look for requests that never end."},
+	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
+	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
+	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
@@ -112,6 +154,8 @@
 	{WireClosed, "wire_closed", http.StatusBadGateway, RunMaybe, 0, "The connection between two processes ended.", "Look at the peer's log."},
 	{WireSequence, "wire_sequence", http.StatusBadGateway, RunMaybe, 0, "A chunk was lost, doubled or reordered.", "Report it."},
 	{WireDigest, "wire_digest", http.StatusBadGateway, RunMaybe, 0, "An answer does not match its digest.", "Report it."},
+	{WirePlain, "wire_plain", http.StatusBadGateway, RunNot, 0, "Plain TCP is allowed on loopback only.", "Set the keys in [tls]."},
+	{WireRole, "wire_role", http.StatusBadGateway, RunNot, 0, "The peer's certificate does not allow the role that it claims.", "Compare the certificate's names with SECURITY.md."},
 }
 
 var byCode = func() map[Code]Info {
--- a/route/gate.go
+++ b/route/gate.go
@@ -290,6 +290,7 @@
 // Account is a gate's state for a load report.
 type Account struct {
 	Total, Mine   Work // of all entries; of the one that the report is for
+	Queued        int  // part of Total that waits
 	Slots         int
 	StepWait      float64 // seconds to a first token that don't depend on prompts
 	PrefillPerSec float64
@@ -302,6 +303,7 @@
 	base, perSec := g.speed.Prefill()
 	a := Account{
 		Total:         Work{Requests: float64(g.running + g.queue.Len()), Prompt: g.prompt, Decode: g.decode},
+		Queued:        g.queue.Len(),
 		Slots:         g.slots,
 		StepWait:      base,
 		PrefillPerSec: perSec,
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -19,6 +19,7 @@
 	Role        string `msg:"r"` // RoleEntry, RoleAgent or RoleTool
 	Incarnation uint64 `msg:"i"` // new at each process start
 	DataCentre  string `msg:"d"`
+	Window      uint32 `msg:"w"` // bytes of chunks a stream may have in flight towards the sender; zero: DefaultWindow
 }
 
 // Roles of processes in Hello.
@@ -52,6 +53,9 @@
 	ConfigVersion uint64   `msg:"cv"`
 	AgentInc      uint64   `msg:"ai"` // incarnation that the entry believes it speaks to
 	Suspect       bool     `msg:"su"` // must run alone
+	Fingerprint   uint64   `msg:"fp"` // names the caller's request over its tries and continuations
+	DedupMs       int64    `msg:"dw"` // not repeatable: milliseconds for which the key is remembered
+	DedupKeys     int      `msg:"dk"` // not repeatable: how many keys a target remembers at most
 	Sched         Sched    `msg:"sc"`
 }
 
--- a/wire/schema_placement.go
+++ b/wire/schema_placement.go
@@ -20,6 +20,7 @@
 	EngineUp      bool    `msg:"u"`
 	Total         Work    `msg:"w"`
 	Mine          Work    `msg:"m"`
+	Queued        int     `msg:"q,omitempty"` // part of Total that waits at the agent
 	Slots         int     `msg:"s,omitempty"` // requests that the engine decodes at once
 	TokensPerSec  float32 `msg:"d,omitempty"` // decode speed learnt, of the full engine
 	PrefillPerSec float32 `msg:"f,omitempty"` // prompt tokens a second learnt
--- a/wire/schema_placement_gen.go
+++ b/wire/schema_placement_gen.go
@@ -258,8 +258,8 @@
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Target == "" {
 		zb0001Len--
@@ -269,26 +269,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Slots == 0 {
+	if z.Queued == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.TokensPerSec == 0 {
+	if z.Slots == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.PrefillPerSec == 0 {
+	if z.TokensPerSec == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.StepWait == 0 {
+	if z.PrefillPerSec == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.AnswerTokens == 0 {
+	if z.StepWait == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.AnswerTokens == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -325,26 +329,31 @@
 		o = msgp.AppendInt(o, z.Mine.Prompt)
 		o = msgp.AppendInt(o, z.Mine.Decode)
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendInt(o, z.Queued)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "s"
 			o = append(o, 0xa1, 0x73)
 			o = msgp.AppendInt(o, z.Slots)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "d"
 			o = append(o, 0xa1, 0x64)
 			o = msgp.AppendFloat32(o, z.TokensPerSec)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "f"
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendFloat32(o, z.PrefillPerSec)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendFloat32(o, z.StepWait)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "a"
 			o = append(o, 0xa1, 0x61)
 			o = msgp.AppendFloat32(o, z.AnswerTokens)
@@ -451,6 +460,12 @@
 				err = msgp.WrapError(err, "Mine", "Decode")
 				return
 			}
+		case "q":
+			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
 		case "s":
 			z.Slots, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -495,7 +510,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 2 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.Float32Size + 2 + msgp.Float32Size + 2 + msgp.Float32Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 2 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float32Size + 2 + msgp.Float32Size + 2 + msgp.Float32Size + 2 + msgp.Float32Size
 	return
 }
 
