--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,6 +56,7 @@
 	config  configState
 	witness *witness
 	crashes *crashWatch
+	health  *engineHealth
 	ctx     context.Context // ends when the agent stops
 	cancel  context.CancelCauseFunc
 	stop    chan struct{}
@@ -98,8 +99,12 @@
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
 	a.crashes = newCrashWatch(a)
+	a.health = &engineHealth{agent: a}
 	a.ledger.forgetful = o.Off.Ledger
 	a.witness.trusting = o.Off.Witness
+	if o.Off.Roster {
+		a.witness.log = nil
+	}
 	a.turns = newTurns(o.Backend, o.Settings, a.sendBack)
 	a.opts.Backend = a.turns
 	a.duties.Go(a.acceptLoop)
--- a/agent/report.go
+++ b/agent/report.go
@@ -76,7 +76,7 @@
 	account := a.turns.account(c.Peer().Name)
 	load := loadOf(&account)
 	load.Leaving = a.leaving.Load()
-	load.EngineUp = true
+	load.EngineUp = a.health.up()
 	digest := digestOfLoad(&load)
 	if !due && digest == p.last.Load() {
 		return
--- a/entry/link.go
+++ b/entry/link.go
@@ -33,6 +33,7 @@
 	hasLoad bool
 	work    ownWork
 
+	stopped uint64              // incarnation of the agent that has said goodbye
 	moved   chan struct{}       // signalled when the VM list names another address
 	goodbye chan struct{}       // signalled when the agent is about to stop
 	retired map[*wire.Conn]bool // connections to earlier VMs whose requests still run
@@ -159,6 +160,10 @@
 		conn.Close()
 		return nil
 	}
+	if l.hasStopped(conn.Peer().Incarnation) {
+		conn.Close()
+		return nil
+	}
 	if !l.entry.out.supersede(l.target, conn.Peer().Incarnation, time.Now()) {
 		l.entry.log.Info("an overtaken agent answers", "target", l.target, "incarnation", conn.Peer().Incarnation)
 		conn.Close()
@@ -253,11 +258,18 @@
 func (l *link) heardGoodbye(c *wire.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.stopped = c.Peer().Incarnation
 	if l.conn == c {
 		raiseFlag(l.goodbye)
 	}
 }
 
+func (l *link) hasStopped(incarnation uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped == incarnation
+}
+
 // view returns whether the target can take work, as far as the link knows.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
