--- a/entry/fleetview.go
+++ b/entry/fleetview.go
@@ -10,6 +10,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // fleetState is what the entry has learnt of one fleet. It outlives
@@ -261,4 +262,5 @@
 	own      route.Work
 	others   route.Work
 	reported time.Time
+	from     *wire.Conn // that the report came by
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -251,7 +251,7 @@
 	defer l.mu.Unlock()
 	// The first report may overtake adopt, so the hand-over of conn is not awaited.
 	if l.conn == c || (l.conn == nil && !l.retired[c]) {
-		l.takeLoad(&load)
+		l.takeLoad(c, &load)
 	}
 }
 
--- a/entry/work.go
+++ b/entry/work.go
@@ -74,12 +74,14 @@
 	return s, nil
 }
 
-// takeLoad takes a report; one that is older than the last is dropped. Called
-// with l.mu.
-func (l *link) takeLoad(load *wire.Load) {
-	if l.hasLoad && load.Seq <= l.load.Seq {
+// takeLoad takes a report; one that is older than the last of its connection is
+// dropped. Another connection may lead to another agent, whose numbers begin
+// anew. Called with l.mu.
+func (l *link) takeLoad(from *wire.Conn, load *wire.Load) {
+	if l.hasLoad && l.work.from == from && load.Seq <= l.load.Seq {
 		return // late or doubled
 	}
+	l.work.from = from
 	l.load, l.hasLoad = *load, true
 	l.load.Target = l.target
 	l.work.reported = time.Now()
