--- a/bench/place/bench.go
+++ b/bench/place/bench.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/bench"
+	"github.com/heatherrail/heatherrail/route"
 )
 
 // Sizes of the runs.
@@ -22,13 +23,20 @@
 
 var loads = []float64{0.7, 0.9, 1.2, 2.0}
 
-// Run makes all runs and returns their figures.
-func Run(seed uint64) *bench.Report {
+// Run makes all runs and returns their figures. The error is the reports' part:
+// the rest runs in virtual time and can't fail.
+func Run(seed uint64) (*bench.Report, error) {
 	b := &suite{report: bench.NewReport("place", seed), seed: seed, known: make(map[string]float64)}
 	b.firstTokens()
 	b.overload()
 	b.teams()
-	return b.report
+	bytes, blocks := route.NewCacheIndex(indexBlocks).Bytes()
+	b.report.Add("cache index", "memory a block", "B", float64(bytes)/float64(blocks))
+	b.report.Add("cache index", "memory a target", "B", float64(bytes)/route.IndexTargets)
+	if err := b.reports(); err != nil {
+		return nil, fmt.Errorf("load reports: %w", err)
+	}
+	return b.report, nil
 }
 
 type suite struct {
--- a/cmd/heatherrail/bench_place.go
+++ b/cmd/heatherrail/bench_place.go
@@ -1,6 +1,10 @@
 package main
 
-import "github.com/heatherrail/heatherrail/bench/place"
+import (
+	"fmt"
+
+	"github.com/heatherrail/heatherrail/bench/place"
+)
 
 type benchPlaceCommand struct {
 	benchFlags
@@ -8,5 +12,9 @@
 
 // Execute implements flags.Commander.
 func (c *benchPlaceCommand) Execute([]string) error {
-	return c.print(place.Run(c.Seed))
+	report, err := place.Run(c.Seed)
+	if err != nil {
+		return fmt.Errorf("bench place: %w", err)
+	}
+	return c.print(report)
 }
--- a/route/cacheindex.go
+++ b/route/cacheindex.go
@@ -1,6 +1,9 @@
 package route
 
-import "math/bits"
+import (
+	"math/bits"
+	"unsafe"
+)
 
 // CacheIndex is what an entry believes about prompts that engines hold: for each
 // block a bit mask of targets. Events come late and with gaps, so it is a belief:
@@ -43,6 +46,11 @@
 	return x
 }
 
+// Bytes returns the memory that the index takes, and for how many blocks.
+func (x *CacheIndex) Bytes() (bytes, blocks int) {
+	return int(unsafe.Sizeof(*x)) + len(x.sets)*int(unsafe.Sizeof(cacheSet{})), len(x.sets) * cacheWays
+}
+
 // Add notes that a target holds a block.
 func (x *CacheIndex) Add(target int, block uint64) {
 	b := x.cacheSet(block)
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -170,3 +171,30 @@
 	s.Done(0)
 	g.Expect([]bool{admit(), admit()}).To(Equal([]bool{true, false}))
 }
+
+// kept makes the state live on the heap, as an entry's does.
+var kept *route.TeamLimit
+
+// BenchmarkTeamState tells what one team costs: at an entry that keeps its
+// limits, and in the queue of a target.
+func BenchmarkTeamState(b *testing.B) {
+	b.Run("limits", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s := route.NewTeamLimit()
+			s.Heard(0, "a", 1)
+			s.Heard(0, "b", 1)
+			kept = s
+		}
+	})
+	b.Run("queue", func(b *testing.B) {
+		b.ReportAllocs()
+		q := route.NewFairQueue()
+		n := 0
+		for b.Loop() {
+			n++
+			q.Push(0, item(strconv.Itoa(n), 1, 0, 100))
+			q.Pop(0)
+		}
+	})
+}
