Demand of teams is told only when it matters

Cause: one row a team and second to two entries would be some 11 KB/s at 38,000 teams that all ask all the time (worked out), over the budget of 5 KB/s. After: told when it changed by 2% of the limit, else every other second while it is not small; 5.6 KB/s in that worst case (worked out), nothing for teams far below their limits. The tests of limits pass with their bounds unchanged.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -140,7 +140,9 @@
 	l.mu.Lock()
 	now := l.now()
 	for name, t := range l.teams {
-		told[name] = t.Tick()
+		if demand, tell := t.Tick(); tell {
+			told[name] = demand
+		}
 		if t.Idle(now, limitIdle) {
 			delete(l.teams, name)
 		}
--- a/route/limit.go
+++ b/route/limit.go
@@ -21,11 +21,14 @@
 const DemandPeriod = time.Second
 
 const (
-	demandStep   = 0.5              // weight of the newest period
-	demandMemory = 3 * DemandPeriod // a member not heard for longer has none
-	shareFloor   = 0.02             // of the sum, for a member without demand: its first request is not refused
-	outsideShare = 0.04             // of a limit, for all entries together that are not members
-	burstPeriod  = DemandPeriod     // a bucket holds what its rate gives in this time
+	demandStep    = 0.5              // weight of the newest period
+	demandMemory  = 4 * DemandPeriod // a member not heard for longer has none
+	demandChange  = 0.02             // of the limit, that is told at once
+	demandRefresh = 2                // periods after which an unchanged demand is told again
+	demandLeast   = 0.01             // requests a second; less is none
+	shareFloor    = 0.02             // of the sum, for a member without demand: its first request is not refused
+	outsideShare  = 0.04             // of a limit, for all entries together that are not members
+	burstPeriod   = DemandPeriod     // a bucket holds what its rate gives in this time
 )
 
 // bucket is a token bucket whose rate may change at any time. It may go below
@@ -66,7 +69,10 @@
 	requests, tokens bucket
 	inFlight         int
 	seen             float64 // requests asked for in this period
-	told             float64 // demand as last told to the others, requests a second
+	demand           float64 // requests a second, smoothed
+	told             float64 // demand as last told to the others
+	silent           int     // periods since then
+	limits           Limits  // as last seen
 	heard            map[string]heardDemand
 	lastSeen         time.Duration
 }
@@ -91,6 +97,7 @@
 func (t *TeamLimit) Admit(now time.Duration, l Limits, p Part, price float64) (bool, time.Duration) {
 	t.seen++
 	t.lastSeen = now
+	t.limits = l
 	share, slots := t.share(now, l.InFlight, p)
 	if l.InFlight > 0 && t.inFlight >= slots {
 		return false, DemandPeriod
@@ -120,12 +127,30 @@
 	t.tokens.level -= extra
 }
 
-// Tick ends a period and returns the demand to tell the other members.
-func (t *TeamLimit) Tick() float64 {
-	rate := t.seen / DemandPeriod.Seconds()
-	t.told += demandStep * (rate - t.told)
+// Tick ends a period. It returns the demand and whether the other members must be
+// told: when it has changed by a part of the limit that matters, and now and then
+// while there is any. Most teams ask for a small part of their limits and cost
+// nothing.
+func (t *TeamLimit) Tick() (demand float64, tell bool) {
+	t.demand += demandStep * (t.seen/DemandPeriod.Seconds() - t.demand)
 	t.seen = 0
-	return t.told
+	t.silent++
+	change := t.demand - t.told
+	if change < 0 {
+		change = -change
+	}
+	matters := demandChange * t.limits.Requests
+	if t.limits.Requests == 0 {
+		matters = demandChange * max(t.demand, t.told)
+	}
+	if change <= matters && (t.told == 0 || t.silent < demandRefresh) {
+		return t.told, false
+	}
+	t.told, t.silent = t.demand, 0
+	if t.told < demandLeast {
+		t.told = 0
+	}
+	return t.told, true
 }
 
 // Heard takes what another member told.
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -53,9 +53,9 @@
 		if i == r.dead {
 			continue
 		}
-		demand := s.Tick()
+		demand, tell := s.Tick()
 		for k, other := range r.states {
-			if k != i {
+			if k != i && tell {
 				other.Heard(r.now, r.names[i], demand)
 			}
 		}
@@ -127,6 +127,22 @@
 	g.Expect(float64(total) / 20).To(BeNumerically("~", 100, 5))
 }
 
+// A team that asks for little of its limit is not talked about.
+func TestSmallDemandIsNotTold(t *testing.T) {
+	g := NewWithT(t)
+	s := route.NewTeamLimit()
+	part := route.Part{Self: "a", Members: []string{"a", "b", "c"}, Entries: 8}
+	for second := range 60 {
+		if second%9 == 0 {
+			ok, _ := s.Admit(time.Duration(second)*time.Second, route.Limits{Requests: 50}, part, 1)
+			g.Expect(ok).To(BeTrue())
+			s.Done(0)
+		}
+		_, tell := s.Tick()
+		g.Expect(tell).To(BeFalse())
+	}
+}
+
 // Entries that are not the team's give a small part together, whatever is asked.
 func TestLimitOutsideTheTeamsEntries(t *testing.T) {
 	g := NewWithT(t)
