--- a/cmd/heatherrail/status.go
+++ b/cmd/heatherrail/status.go
@@ -114,7 +114,7 @@
 		if t.Leaving {
 			state = "leaving"
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", t.Target, t.Running, t.Queued, engine, state)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", t.Target, t.Total.Requests-t.Queued, t.Queued, engine, state)
 	}
 }
 
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 )
 
 const hashHexLen = sha256.Size * 2
@@ -97,6 +99,23 @@
 // Targets returns the declared targets of a fleet in the order of their names.
 func (s *Snapshot) Targets(fleet string) []Target { return s.byFleet[fleet] }
 
+// Team returns a team by name, nil if there is none.
+func (s *Snapshot) Team(name string) *Team {
+	at, ok := slices.BinarySearchFunc(s.Config.Teams, name, func(t Team, name string) int { return cmp.Compare(t.Name, name) })
+	if !ok {
+		return nil
+	}
+	return &s.Config.Teams[at]
+}
+
+// Weight returns a team's share under contention.
+func (s *Snapshot) Weight(team string) int {
+	if t := s.Team(team); t != nil {
+		return t.Weight
+	}
+	return 1
+}
+
 // FleetOf returns the fleet of a declared target, empty for any other name.
 func (s *Snapshot) FleetOf(target string) string { return s.fleetOf[target] }
 
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -161,6 +161,7 @@
 		DeadlineMs:    left.Milliseconds(),
 		ConfigVersion: t.snap.Version,
 		Suspect:       suspect,
+		Sched:         c.sched.wire(),
 		Fingerprint:   t.fingerprint,
 		DedupMs:       t.policy.DedupWindow.Milliseconds(),
 		DedupKeys:     t.policy.DedupKeys,
@@ -205,6 +206,7 @@
 
 // failed books a failed try in what the entry remembers.
 func (t *tries) failed(target string, err error) {
+	t.call.sched.refused(target, err)
 	t.failures++
 	if result.From(err).Run() == result.RunMaybe {
 		t.doubt = err
