--- a/entry/control.go
+++ b/entry/control.go
@@ -221,4 +221,4 @@
 
 // Ready reports whether this entry has a configuration and may dispatch all kinds
 // of requests.
-func (e *Entry) Ready() bool { return e.current.Load() != nil && e.registered() }
+func (e *Entry) Ready() bool { return e.current.Load() != nil && e.Registered() }
