--- a/wire/stream.go
+++ b/wire/stream.go
@@ -187,7 +187,7 @@
 	if s.pending > s.conn.opts.Window {
 		return result.New(result.WireFlowControl, "stream %d exceeded its window", s.id)
 	}
-	s.queue = append(s.queue, Event{Data: append([]byte(nil), p...)})
+	s.queue = append(s.queue, Event{Data: copyChunk(p)})
 	signal(s.wake)
 	return nil
 }
@@ -263,6 +263,13 @@
 	}
 }
 
+// Ready reports whether Recv would return without waiting.
+func (s *Stream) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) > 0 || s.failure != nil
+}
+
 // consume books an event as read and returns the credit that is due. It is
 // returned in halves of the window, to save frames.
 func (s *Stream) consume(e Event) int {
