Engine orders through the agent: fenced, read back, rate-limited

Cause: some engines ignore fencing numbers, and an order's answer may be lost. Done: platform.Orderer (a desired state), fake.OrderedEngine, Agent.Order: one at a time, fence checked in the same turn, settled by reading back, one each OrderEvery. Proof: TestOrdersAreFencedForEnginesThatIgnoreIt (paused holder, restart, lost answer, limit), TestOvertakenVersionIsRefusedAfterGrace. Left: nobody gives orders yet, and the daemons have no HTTP client for Orderer.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,10 @@
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64 // differs at each start of the process
+	// Orders is the engine's side that takes orders; nil: it takes none.
+	Orders platform.Orderer
+	// OrderEvery is the least time between two orders; zero: no limit.
+	OrderEvery  time.Duration
 	ReportEvery time.Duration
 	// Log tells which entries exist. Without it the agent goes by the entries that
 	// are linked to it, which is not enough after a restart: for tests alone.
@@ -51,6 +55,7 @@
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
 	config  configState
+	orders  orders
 	witness *witness
 	crashes *crashWatch
 	health  *engineHealth
@@ -87,6 +92,7 @@
 		idle:   make(chan struct{}, 1),
 		ledger: newLedger(),
 		config: newConfigState(),
+		orders: newOrders(o.Orders, o.OrderEvery),
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
--- a/agent/control.go
+++ b/agent/control.go
@@ -129,11 +129,13 @@
 }
 
 // serveControl serves streams of control; false: the method is not one of them.
-func (a *Agent) serveControl(_ context.Context, s *wire.Stream, m wire.Method, payload []byte) bool {
+func (a *Agent) serveControl(ctx context.Context, s *wire.Stream, m wire.Method, payload []byte) bool {
 	var err error
 	switch m {
 	case wire.MethodStatus:
 		err = a.sendStatus(s)
+	case wire.MethodOrder:
+		err = a.serveOrder(ctx, s, payload)
 	case wire.MethodDrain:
 		err = a.serveDrain(s, payload)
 	default:
