Test of mutual TLS: wait until the accepted client is seen

Cause: one run in about ten failed with code 399 where 409 was expected. The case before hung up right after its hello, at times before the server had read it; the server's refusal of that was then read by the next case. Ruled out: the role check (its own refusals were 409 in every run). The check is as strict as before, and the accepting side is now checked too.

--- a/wire/network_test.go
+++ b/wire/network_test.go
@@ -89,13 +89,18 @@
 	agentKeys, _ := keys(t, ours, wire.RoleAgent)
 	entryKeys, _ := keys(t, ours, wire.RoleEntry)
 	strangerKeys, _ := keys(t, foreign, wire.RoleEntry)
-	addr, refused := listen(t, &wire.Network{Keys: agentKeys}, wire.Acceptor{Hello: wire.Hello{Name: "t", Role: wire.RoleAgent}})
+	accepted := make(chan struct{}, 1)
+	addr, refused := listen(t, &wire.Network{Keys: agentKeys}, wire.Acceptor{
+		Hello: wire.Hello{Name: "t", Role: wire.RoleAgent},
+		Serve: func(*wire.Conn) { accepted <- struct{}{} },
+	})
 
 	t.Run("right key and role", func(t *testing.T) {
 		g := NewWithT(t)
 		c, err := dial(t, &wire.Network{Keys: entryKeys}, addr, wire.RoleEntry)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(c.Peer().Name).To(Equal("t"))
+		<-accepted // else the next case may read that this one hung up early
 	})
 	t.Run("role that the certificate lacks", func(t *testing.T) {
 		g := NewWithT(t)
