--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -13,6 +13,7 @@
 	Expert  benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
 	All     benchAll           `command:"all" description:"run all benches, several times each, and print one file of reports"`
 	Compare benchCompare       `command:"compare" description:"medians and spread of two files of bench all"`
+	Place   benchPlaceCommand  `command:"place" description:"placement, overload and fairness, in virtual time"`
 	Relay   benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -103,6 +103,7 @@
 			Backend:    addr,
 			Kind:       f.Kind(t),
 			Queue:      4 * maxRunning,
+			Slots:      maxRunning,
 		},
 		Backend:     backend,
 		Logger:      f.opts.Logger,
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/result"
-	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -27,6 +25,7 @@
 	Repeatable bool
 	Priority   int8
 	Deadline   time.Time
+	sched      sched
 }
 
 // Exchange is a running answer.
@@ -184,19 +183,6 @@
 // choose returns the target of the next try of a repeatable request.
 func (e *Entry) choose(snap *config.Snapshot, c *Call, avoid map[string]bool) (string, error) {
 	svc := snap.Service(c.Service)
-	declared := snap.Targets(svc.Fleet)
-	views := make([]route.Target, len(declared))
-	for i, t := range declared {
-		views[i] = route.Target{Name: t.Name, DataCentre: t.DataCentre}
-		if l := e.link(t.Name); l != nil {
-			l.view(&views[i])
-		}
-	}
-	req := &route.Request{DataCentre: e.opts.Settings.DataCentre, Avoid: e.out.keepOut(declared, avoid)}
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	i := e.placer.Pick(req, views, rng)
-	if i < 0 {
-		return "", result.New(result.NoTarget, "none of %d targets of %s can take work", len(declared), c.Service)
-	}
-	return views[i].Name, nil
+	view := e.fleetView(snap, svc.Fleet)
+	return e.place(snap, c, view, e.out.keepOut(view.declared, avoid))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
-	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -63,11 +62,17 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
-	placer   *route.Placer
-	node     *control.Node
-	peerLn   net.Listener
-	notices  chan struct{} // agents are to be told of a version or floor
-	out      *outcomes
+	placers  sync.Map // config.Policy to *route.Placer
+	fleets   fleetViews
+	explain  explainRing
+	limits   *limits
+
+	entriesDigest atomic.Uint64 // of the names of live entries
+
+	node    *control.Node
+	peerLn  net.Listener
+	notices chan struct{} // agents are to be told of a version or floor
+	out     *outcomes
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -86,8 +91,8 @@
 		notices: make(chan struct{}, 1),
 		ctx:     ctx,
 		cancel:  cancel,
-		placer:  route.DefaultPlacer(),
 		out:     newOutcomes(&o),
+		limits:  newLimits(),
 		links:   make(map[string]*link),
 	}
 	if !o.NoCallers {
