--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +16,8 @@
 	"github.com/heatherrail/heatherrail/examples"
 )
 
-func TestWholePath(t *testing.T) {
+func start(t *testing.T) (*demo.Fleet, context.Context) {
+	t.Helper()
 	g := NewWithT(t)
 	files, err := examples.Files(examples.Clarach)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -28,11 +31,47 @@
 		Logger:     logr.Discard(),
 	})
 	g.Expect(err).NotTo(HaveOccurred())
-	defer f.Close()
+	t.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
+	t.Cleanup(cancel)
 	g.Expect(f.WaitReady(ctx)).To(Succeed())
+	return f, ctx
+}
+
+func TestWholePath(t *testing.T) {
+	g := NewWithT(t)
+	f, ctx := start(t)
 	var out strings.Builder
 	g.Expect(demo.Run(ctx, f, &out)).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring("entries written in all: 1"))
 }
+
+// What --keep prints is enough to reach everything, and the control address that
+// it names changes the running system.
+func TestDescriptionAndControl(t *testing.T) {
+	g := NewWithT(t)
+	f, ctx := start(t)
+	var out strings.Builder
+	g.Expect(f.Describe().Write(&out)).To(Succeed())
+	g.Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+	var d demo.Description
+	g.Expect(json.Unmarshal([]byte(out.String()), &d)).To(Succeed())
+	g.Expect(d.Entries).To(HaveLen(3))
+	g.Expect(d.Agents).To(HaveLen(15))
+	g.Expect(d.Teams).To(HaveLen(10))
+	g.Expect(d.Standins.Targets["logbook-01"].Kind).To(Equal("plain"))
+
+	control := func(path string) int {
+		resp, err := http.Post("http://"+d.Standins.Control+path, "", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	before := f.Agent("drafter-01")
+	g.Expect(control("/agents/drafter-01/restart")).To(Equal(http.StatusOK))
+	g.Expect(f.Agent("drafter-01")).NotTo(BeIdenticalTo(before))
+	g.Expect(control("/targets/drafter-02/kill")).To(Equal(http.StatusOK))
+	g.Expect(control("/log?delay=never")).To(Equal(http.StatusBadRequest))
+	g.Expect(control("/targets/none/kill")).To(Equal(http.StatusBadRequest))
+	g.Expect(f.WaitReady(ctx)).To(Succeed())
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -26,6 +26,7 @@
 	Entries    int
 	StepTime   time.Duration
 	AnswerLife time.Duration
+	Arrival    time.Duration // of a request; zero: the entry's default
 	Logger     logr.Logger
 }
 
@@ -172,6 +173,7 @@
 			MaxBody:    4 << 20,
 			MaxCallers: maxCallers,
 			AnswerLife: f.opts.AnswerLife,
+			Arrival:    f.opts.Arrival,
 		},
 		Log:         &platform.HTTPLog{Addr: f.Platform},
 		VMs:         &platform.HTTPVMList{Addr: f.Platform},
--- a/entry/http.go
+++ b/entry/http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strings"
@@ -27,16 +28,16 @@
 )
 
 const (
-	callerReadTimeout = 30 * time.Second
-	callerIdle        = 2 * time.Minute
-	callerReadBuffer  = 8 << 10 // also the limit on a request's headers
+	callerArrival    = 30 * time.Second // of a request, where the settings name none
+	callerIdle       = 2 * time.Minute
+	callerReadBuffer = 8 << 10 // also the limit on a request's headers
 )
 
 func (e *Entry) newApp() *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit:      int(e.opts.Settings.MaxBody),
 		Concurrency:    e.opts.Settings.MaxCallers,
-		ReadTimeout:    callerReadTimeout,
+		ReadTimeout:    cmp.Or(e.opts.Settings.Arrival, callerArrival),
 		IdleTimeout:    callerIdle,
 		ReadBufferSize: callerReadBuffer,
 		ErrorHandler:   e.httpError,
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -71,13 +71,19 @@
 
 // startSmall returns a ready fleet, the address of its entry and its log.
 func startSmall(t *testing.T) (*demo.Fleet, string, *logBuffer) {
+	t.Helper()
+	return startArrival(t, 0)
+}
+
+// startArrival is startSmall with a time within which requests must arrive.
+func startArrival(t *testing.T, arrival time.Duration) (*demo.Fleet, string, *logBuffer) {
 	t.Helper()
 	cfg, err := config.Load(smallConfig)
 	if err != nil {
 		t.Fatal(err)
 	}
 	logged := new(logBuffer)
-	f, err := demo.Start(demo.Options{Config: cfg, Entries: 1, StepTime: time.Millisecond, AnswerLife: time.Second, Logger: logging.New(logged, 4)})
+	f, err := demo.Start(demo.Options{Config: cfg, Entries: 1, StepTime: time.Millisecond, AnswerLife: time.Second, Arrival: arrival, Logger: logging.New(logged, 4)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/smuggling_test.go
+++ b/entry/smuggling_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -57,3 +58,35 @@
 	_ = resp.Body.Close()
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
+
+// A caller sends a byte now and then, in its headers or in its body, to hold a
+// connection for good. The time to arrive counts from the first byte, so each
+// such connection is cut long before its request is whole, and nothing runs.
+func TestSlowRequestIsCut(t *testing.T) {
+	f, addr, _ := startArrival(t, 300*time.Millisecond)
+	head := "POST /v1/services/logbook/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+	for _, tc := range []struct{ name, atOnce, slowly string }{
+		{"headers", "POST ", strings.Repeat("x", 10000)},
+		{"body", head + "Content-Length: 10000\r\n\r\n", strings.Repeat("x", 9999)},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2710\r\n", strings.Repeat("x", 9999)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			nc, err := net.Dial("tcp", addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = nc.Close() }()
+			_, err = io.WriteString(nc, tc.atOnce)
+			g.Expect(err).NotTo(HaveOccurred())
+			sent := 0
+			for ; sent < len(tc.slowly); sent++ {
+				if _, err := nc.Write([]byte{tc.slowly[sent]}); err != nil {
+					break
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			g.Expect(sent).To(BeNumerically("<", len(tc.slowly)))
+			g.Expect(f.Plains["logbook-01"].Runs()).To(BeEmpty())
+		})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,7 @@
 	Callers    string        `ini:"callers" required:"true" format:"address" doc:"address that callers connect to"`
 	Listen     string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
 	MaxBody    ini.Bytes     `ini:"max-body" default:"4MB" min:"1KB" max:"7MB" doc:"largest request body"`
+	Arrival    time.Duration `ini:"request-timeout" default:"30s" min:"1s" max:"10m" doc:"how long a request may take to arrive whole, headers and body"`
 	AnswerLife time.Duration `ini:"answer-life" default:"30s" min:"1s" max:"1h" doc:"how long callers keep the list of entries"`
 	Grace      time.Duration `ini:"shutdown-deadline" default:"10m" min:"1s" max:"24h" doc:"when a graceful shutdown gives up waiting"`
 	Verbosity  int           `ini:"verbosity" default:"0" min:"0" max:"4" doc:"detail of the log"`
