A gate tells the wait for the places that it keeps back

Cause: a team that was not owed anything was told the time for one place, while it has to wait until more than the places kept for others are free.

--- a/route/fairqueue.go
+++ b/route/fairqueue.go
@@ -127,14 +127,20 @@
 	if q.length == 0 {
 		return true
 	}
-	start := q.earliest(max(1, weight))
+	t := q.teams[team]
+	return (t == nil || t.index < 0) && q.Owed(team, weight) && q.due(team, weight) < q.heads[0].start
+}
+
+// Owed tells whether a team has had less than its share.
+func (q *FairQueue) Owed(team string, weight float64) bool { return q.due(team, weight) < q.now }
+
+// due returns the start tag of a team's next request.
+func (q *FairQueue) due(team string, weight float64) float64 {
+	due := q.earliest(weight)
 	if t := q.teams[team]; t != nil {
-		if t.index >= 0 {
-			return false
-		}
-		start = max(start, t.start)
+		due = max(due, t.start)
 	}
-	return start < q.now && start < q.heads[0].start
+	return due
 }
 
 // Remove takes a request out that no longer wants to wait; false: it did not wait.
--- a/route/gate.go
+++ b/route/gate.go
@@ -82,7 +82,17 @@
 	}
 	speed := orDefault(g.speed.TokensPerSec(g.slots), defaultTokens)
 	rest := g.decode / float64(max(1, g.running+g.queue.Len()))
-	return rest/speed + g.queue.Wait(j.Team, j.Weight, j.Priority, speed)
+	return g.ends(j)*rest/speed + g.queue.Wait(j.Team, j.Weight, j.Priority, speed)
+}
+
+// ends returns how many running requests must end before the job may start, if
+// nothing waited.
+func (g *Gate) ends(j *Job) float64 {
+	if g.queue.Teams() < 2 || g.queue.Owed(j.Team, j.Weight) {
+		return 1
+	}
+	free := g.slots - g.running
+	return float64(max(1, g.slots/reservePart+1-free))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
