--- a/entry/sched.go
+++ b/entry/sched.go
@@ -131,15 +131,19 @@
 	return best.Target.Name, nil
 }
 
-// placerOf returns the placer of a policy.
+// placerOf returns the placer of a policy. A policy without samples was written by
+// a build that did not know the keys yet, and would let no target be found: it
+// gets the defaults.
 func (e *Entry) placerOf(p *config.Policy) *route.Placer {
 	if held, ok := e.placers.Load(*p); ok {
 		return held.(*route.Placer)
 	}
 	placer := route.DefaultPlacer()
-	placer.Patience = p.Patience
-	placer.Near, placer.Far = p.SampleNear, p.SampleFar
-	placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	if p.SampleNear+p.SampleFar > 0 {
+		placer.Patience = p.Patience
+		placer.Near, placer.Far = p.SampleNear, p.SampleFar
+		placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	}
 	held, _ := e.placers.LoadOrStore(*p, placer)
 	return held.(*route.Placer)
 }
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -54,6 +54,7 @@
 	AgentInc      uint64   `msg:"ai"` // incarnation that the entry believes it speaks to
 	Suspect       bool     `msg:"su"` // must run alone
 	Fingerprint   uint64   `msg:"fp"` // names the caller's request over its tries and continuations
+	AttachOnly    bool     `msg:"ao"` // not repeatable: join an earlier try, start nothing
 	DedupMs       int64    `msg:"dw"` // not repeatable: milliseconds for which the key is remembered
 	DedupKeys     int      `msg:"dk"` // not repeatable: how many keys a target remembers at most
 	Sched         Sched    `msg:"sc"`
