--- a/cmd/heatherrail/status.go
+++ b/cmd/heatherrail/status.go
@@ -16,6 +16,7 @@
 
 type statusCommand struct {
 	platformFlags
+	Explain string `long:"explain" value-name:"REQUEST-ID" description:"say why a request was placed where it was; needs a team key in HEATHERRAIL_TEAM_KEY"`
 }
 
 // Execute implements flags.Commander.
@@ -26,6 +27,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
+	if c.Explain != "" {
+		return explain(ctx, client.VMs, c.Explain)
+	}
 	answers, err := client.Status(ctx, "", true)
 	if err != nil {
 		return err
--- a/wire/schema_placement.go
+++ b/wire/schema_placement.go
@@ -6,7 +6,6 @@
 
 // Notes of placement and admission.
 const (
-	NoteCache  Note = 40 // CacheEvents, agent to entry
 	NoteDemand Note = 41 // Demand, entry to entry
 )
 
@@ -46,14 +45,6 @@
 	MaxWaitMs int64  `msg:"m,omitempty"` // send it back if its first token takes longer; 0: never
 }
 
-// CacheEvents tell which prompt blocks a target's engine holds.
-type CacheEvents struct {
-	Seq     uint64   `msg:"n"` // grows by one with each batch
-	Added   []uint64 `msg:"a,omitempty"`
-	Removed []uint64 `msg:"r,omitempty"`
-	Cleared bool     `msg:"c,omitempty"` // the engine is new
-}
-
 // Demand is what one entry saw of teams with limits in the last period.
 type Demand struct {
 	Period uint64       `msg:"p"` // grows with each period of this incarnation
