--- a/agent/orders.go
+++ b/agent/orders.go
@@ -19,7 +19,7 @@
 
 // orders gives engine orders, one after another.
 type orders struct {
-	turn   chan struct{} // one place: who holds it may use the engine
+	turn   chan struct{}    // one place: who holds it may use the engine
 	engine platform.Orderer // nil: the target takes no orders
 	// every is the least time between two orders that load something: the weight
 	// store is shared and limited. Zero: no limit.
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -40,6 +40,11 @@
 			w := &world{dir: env.WorkDir, procs: make(map[string]*process), batches: make(map[string]*batch)}
 			env.Values[worldKey{}] = w
 			env.Setenv("PATH", binDir+string(filepath.ListSeparator)+os.Getenv("PATH"))
+			examples, err := filepath.Abs("../examples")
+			if err != nil {
+				return err
+			}
+			env.Setenv("EXAMPLES", examples)
 			env.Defer(w.close)
 			return nil
 		},
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -140,6 +140,11 @@
 	if err := json.NewDecoder(out).Decode(&w.desc); err != nil {
 		return "", fmt.Errorf("stand-ins: %w", err)
 	}
+	// The operators' tool finds its settings in the working directory.
+	tool := filepath.Join(w.dir, "heatherrail.ini")
+	if err := os.WriteFile(tool, []byte(w.platformSettings()), 0o600); err != nil {
+		return "", err
+	}
 	var names []string
 	for target := range w.desc.Standins.Targets {
 		names = append(names, target)
