--- a/config/load.go
+++ b/config/load.go
@@ -157,6 +157,7 @@
 		}
 		l.keyHashes(t)
 	}
+	l.sense()
 }
 
 // needs reports a reference to a section that does not exist.
