--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,9 @@
 	running atomic.Int64
 	idle    chan struct{} // signalled when running falls to zero
 	ledger  *ledger
+	turns   *turns
+	started time.Time
+	reports atomic.Uint64 // load reports made
 	config  configState
 	orders  orders
 	witness *witness
@@ -70,7 +73,9 @@
 
 // peerState is what the agent keeps for each connected entry.
 type peerState struct {
-	counted atomic.Uint64 // newest dispatch number of the entry
+	worked atomic.Int64  // nanoseconds since the agent's start at the entry's latest request
+	sent   atomic.Int64  // same, at the latest report
+	last   atomic.Uint64 // digest of the latest report
 }
 
 // Start begins to listen and returns at once.
@@ -86,15 +91,16 @@
 		o.ReportEvery = defaultReportEvery
 	}
 	a := &Agent{
-		opts:   o,
-		log:    o.Logger.WithName("agent").WithValues("target", o.Settings.Target),
-		ln:     ln,
-		idle:   make(chan struct{}, 1),
-		ledger: newLedger(),
-		config: newConfigState(),
-		orders: newOrders(o.Orders, o.OrderEvery),
-		stop:   make(chan struct{}),
-		peers:  make(map[*wire.Conn]*peerState),
+		opts:    o,
+		log:     o.Logger.WithName("agent").WithValues("target", o.Settings.Target),
+		ln:      ln,
+		idle:    make(chan struct{}, 1),
+		ledger:  newLedger(),
+		started: time.Now(),
+		orders:  newOrders(o.Orders, o.OrderEvery),
+		config:  newConfigState(),
+		stop:    make(chan struct{}),
+		peers:   make(map[*wire.Conn]*peerState),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.witness = newWitness(o.Settings.Target, o.Incarnation, o.Log)
@@ -105,6 +111,8 @@
 	if o.Off.Roster {
 		a.witness.log = nil
 	}
+	a.turns = newTurns(o.Backend, o.Settings, a.sendBack)
+	a.opts.Backend = a.turns
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.duties.Go(a.announce)
@@ -195,16 +203,6 @@
 	a.witness.attest(c.Peer().Incarnation, &at)
 }
 
-// raise sets v to n unless it is already higher: versions never go back.
-func raise(v *atomic.Uint64, n uint64) {
-	for {
-		old := v.Load()
-		if n <= old || v.CompareAndSwap(old, n) {
-			return
-		}
-	}
-}
-
 // Drain refuses new work from now on and tells every entry.
 func (a *Agent) Drain() {
 	if a.leaving.Swap(true) {
--- a/route/retry.go
+++ b/route/retry.go
@@ -71,7 +71,7 @@
 		if repeatable { // a home that leaves has no substitute yet
 			return RetryFree
 		}
-	case result.StaleAgent, result.TargetIsolated:
+	case result.StaleAgent, result.TargetIsolated, result.WaitTooLong:
 		return RetryFree
 	case result.NoTarget, result.Unreachable, result.TargetBusy, result.StaleVersion:
 		return RetryBudgeted
