Expert maps in the running system: agents hold ranks, entries own groups

Cause: the switch and the planner were libraries only.

Done: platform.Rank and its HTTP client, a lock-step stand-in that enters each step rank by rank and remembers its map, agents that give orders one by one and keep ballots, fence for orders that begin something, reports of ranks that stand still; entries that own groups by lease, collect one-byte loads, plan, switch, and rescue groups that stand still without a lease. Codes 240-244, 340.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,10 @@
 	// works on loopback only.
 	Listener net.Listener
 
+	// Rank is the engine's part in a rank group; nil: that of the engine at
+	// Settings.Backend.
+	Rank platform.Rank
+
 	// Off is for tests of the checkers.
 	Off safeguard.Off
 }
@@ -54,6 +58,7 @@
 	witness *witness
 	crashes *crashWatch
 	health  *engineHealth
+	rank    *rankAgent      // nil beside plain services
 	ctx     context.Context // ends when the agent stops
 	cancel  context.CancelCauseFunc
 	stop    chan struct{}
@@ -99,6 +104,7 @@
 	if o.Off.Roster {
 		a.witness.log = nil
 	}
+	a.startRank()
 	a.duties.Go(a.acceptLoop)
 	a.duties.Go(a.reportLoop)
 	a.duties.Go(a.announce)
--- /dev/null
+++ b/agent/rank.go
@@ -0,0 +1,327 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/control"
+	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/settings"
+	"github.com/heatherrail/heatherrail/wire"
+)
+
+// rankAgent stands between orderers and the rank side of an engine. It is the
+// only one that gives orders to the engine, one after the other.
+type rankAgent struct {
+	agent  *Agent
+	engine platform.Rank
+
+	mu     sync.Mutex // held through an order, engine included
+	rank   expert.Rank
+	orders chan rankCall
+
+	stuckSince time.Time // zero: the rank runs; of the watch alone
+}
+
+// rankCall is an order on its way to the one goroutine that gives orders.
+type rankCall struct {
+	order *wire.RankOrder
+	done  chan rankDone
+}
+
+type rankDone struct {
+	reply *wire.RankReply
+	err   error
+}
+
+const (
+	orderRing   = 16
+	stuckPoll   = 500 * time.Millisecond
+	stuckAfter  = time.Second // a switch in good order holds for less
+	positionTry = time.Second
+)
+
+func newRankAgent(a *Agent, engine platform.Rank) *rankAgent {
+	return &rankAgent{
+		agent:  a,
+		engine: engine,
+		rank:   expert.NewRank(a.opts.Incarnation),
+		orders: make(chan rankCall, orderRing),
+	}
+}
+
+// startRank begins to take orders for the engine's part in a rank group.
+func (a *Agent) startRank() {
+	engine := a.opts.Rank
+	if engine == nil && a.opts.Settings.Kind == settings.KindEngine && a.opts.Settings.Backend != "" {
+		engine = &platform.HTTPRank{Addr: a.opts.Settings.Backend}
+	}
+	if engine == nil {
+		return
+	}
+	a.rank = newRankAgent(a, engine)
+	a.duties.Go(a.rank.orderLoop)
+	a.duties.Go(a.rank.watch)
+}
+
+// serve answers one stream of MethodRank.
+func (r *rankAgent) serve(ctx context.Context, s *wire.Stream, payload []byte) {
+	var o wire.RankOrder
+	if _, err := o.UnmarshalMsg(payload); err != nil {
+		r.agent.refuse(s, "", result.New(result.WireMalformed, "rank order: %w", err))
+		return
+	}
+	reply, err := r.do(ctx, &o)
+	if err != nil {
+		r.agent.refuse(s, "", rankError(err))
+		return
+	}
+	if err := s.SendMessage(wire.MessageRank, reply); err != nil {
+		return // the orderer asks again over its next connection
+	}
+	_ = s.Finish()
+}
+
+func rankError(err error) error {
+	var e *result.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, expert.ErrOldBallot):
+		return result.New(result.BallotOld, "%w", err)
+	case errors.Is(err, expert.ErrNotHeld), errors.Is(err, expert.ErrIncarnation),
+		errors.Is(err, expert.ErrStart), errors.Is(err, expert.ErrToken):
+		return result.New(result.BallotVoid, "%w", err)
+	}
+	return result.New(result.RankUnknown, "%w", err)
+}
+
+func (r *rankAgent) do(ctx context.Context, o *wire.RankOrder) (*wire.RankReply, error) {
+	if err := r.pass(o); err != nil {
+		return nil, err
+	}
+	switch o.Op {
+	case wire.RankStatus, wire.RankLoads, wire.RankMap:
+		return r.status(ctx, o.Op)
+	case wire.RankPrepare:
+		return r.prepare(ctx, o)
+	case wire.RankHold, wire.RankConfirm, wire.RankDecide, wire.RankWithdraw:
+		return r.queue(ctx, o)
+	}
+	return nil, result.New(result.WireUnknownKind, "rank order %d", o.Op)
+}
+
+// pass is the fence in front of engines that ignore fencing numbers. Orders that
+// begin something need the number of the group's lease. Orders that end something
+// are covered by their ballot. A rescue only brings a stuck group on with the map
+// that it has; it needs no lease, since the log that gives leases may be down.
+func (r *rankAgent) pass(o *wire.RankOrder) error {
+	begins := o.Op == wire.RankPrepare || o.Op == wire.RankHold
+	if !begins || o.Rescue {
+		return nil
+	}
+	return r.agent.config.fence.Check(control.GroupResource(o.Group), o.Fence)
+}
+
+// queue hands an order to the goroutine that gives them. The order goes on when
+// the orderer has given up waiting: an order whose outcome is not known must not
+// be followed by another one, or it could take effect after it.
+func (r *rankAgent) queue(ctx context.Context, o *wire.RankOrder) (*wire.RankReply, error) {
+	call := rankCall{order: o, done: make(chan rankDone, 1)}
+	select {
+	case r.orders <- call:
+	default:
+		return nil, result.New(result.RankBusy, "%d orders wait for the engine", orderRing)
+	}
+	select {
+	case d := <-call.done:
+		return d.reply, d.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// orderLoop gives orders, one by one, for as long as the agent lives.
+func (r *rankAgent) orderLoop() {
+	for {
+		select {
+		case call := <-r.orders:
+			reply, err := r.order(call.order)
+			call.done <- rankDone{reply, err}
+		case <-r.agent.stop:
+			return
+		}
+	}
+}
+
+func (r *rankAgent) order(o *wire.RankOrder) (*wire.RankReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := engineOrders{r.agent.ctx, r.engine}
+	b := expert.Ballot{Round: o.Round, Owner: o.Owner}
+	switch o.Op {
+	case wire.RankHold:
+		h, err := r.rank.Hold(e, expert.HoldOrder{Ballot: b, At: o.At})
+		if err != nil {
+			return nil, err
+		}
+		return r.holdReply(&h)
+	case wire.RankConfirm:
+		return new(wire.RankReply), r.rank.Confirm(b, o.Incarnation)
+	case wire.RankDecide:
+		d := expert.Decision{Ballot: b, Join: o.Join}
+		for _, seg := range o.Schedule {
+			d.Schedule = append(d.Schedule, expert.Segment{From: seg.From, Map: expert.MapID(seg.Map)})
+		}
+		return new(wire.RankReply), r.rank.Decide(e, d, o.Incarnation, o.Start)
+	default:
+		return new(wire.RankReply), r.rank.Withdraw(e, b)
+	}
+}
+
+func (r *rankAgent) holdReply(h *expert.HoldReply) (*wire.RankReply, error) {
+	loaded, err := r.loaded(r.agent.ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.RankReply{
+		Incarnation: h.Incarnation,
+		Start:       h.Start,
+		Entered:     h.Joined,
+		Next:        h.Next,
+		Inside:      h.Inside,
+		Map:         uint64(h.Map),
+		Held:        true,
+		HoldAt:      h.HoldAt,
+		Loaded:      loaded,
+	}, nil
+}
+
+func (r *rankAgent) loaded(ctx context.Context) ([]uint64, error) {
+	maps, err := r.engine.Maps(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ids := make([]uint64, len(maps))
+	for i, m := range maps {
+		ids[i] = uint64(m.ID())
+	}
+	return ids, nil
+}
+
+// status does not wait for orders: a stalled engine must not hide the rank.
+func (r *rankAgent) status(ctx context.Context, op uint8) (*wire.RankReply, error) {
+	p, err := r.engine.Position(ctx)
+	if err != nil {
+		return nil, err
+	}
+	maps, err := r.engine.Maps(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.RankReply{
+		Incarnation: r.agent.opts.Incarnation,
+		Start:       p.Start,
+		Entered:     p.Map != 0,
+		Next:        p.Next,
+		Inside:      p.Inside,
+		Map:         uint64(p.Map),
+		Held:        p.Held,
+		HoldAt:      p.HoldAt,
+	}
+	for _, m := range maps {
+		reply.Loaded = append(reply.Loaded, uint64(m.ID()))
+		if op == wire.RankMap && m.ID() == p.Map {
+			reply.Slots = wire.EncodeSlots(m.Slot)
+		}
+	}
+	if r.mu.TryLock() {
+		reply.Round, reply.Owner = r.rank.Promised.Round, r.rank.Promised.Owner
+		r.mu.Unlock()
+	}
+	if op == wire.RankLoads {
+		return reply, r.addLoads(ctx, reply)
+	}
+	return reply, nil
+}
+
+func (r *rankAgent) addLoads(ctx context.Context, reply *wire.RankReply) error {
+	loads, err := r.engine.Loads(ctx)
+	if err != nil {
+		return err
+	}
+	reply.Map = uint64(loads.Map)
+	reply.Unit, reply.Bands = expert.EncodeLoads(loads.Tokens)
+	reply.Seconds = loads.Seconds
+	return nil
+}
+
+func (r *rankAgent) prepare(ctx context.Context, o *wire.RankOrder) (*wire.RankReply, error) {
+	m := &expert.Map{
+		Shape: expert.Shape{Ranks: o.Ranks, Layers: o.Layers, Experts: o.Experts, SlotsOfRank: o.SlotsOfRank},
+		Slot:  wire.DecodeSlots(o.Slots),
+	}
+	if err := m.Check(); err != nil {
+		return nil, result.New(result.MapBad, "%w", err)
+	}
+	if err := r.engine.Prepare(ctx, o.Rank, m); err != nil {
+		return nil, result.New(result.WeightsUnavailable, "%w", err)
+	}
+	return r.status(ctx, wire.RankStatus)
+}
+
+// engineOrders gives expert.Rank's orders to the engine. They wait for the
+// engine's answer however long it takes: if the connection breaks, the engine has
+// died and taken the order with it.
+type engineOrders struct {
+	ctx    context.Context
+	engine platform.Rank
+}
+
+func (e engineOrders) Hold(t expert.Token, at uint64) (before, after expert.Position, err error) {
+	return e.engine.Hold(e.ctx, t, at)
+}
+
+func (e engineOrders) Release(t expert.Token, start uint64, s expert.Schedule, join uint64) error {
+	return e.engine.Release(e.ctx, t, start, s, join)
+}
+
+func (e engineOrders) Lift(t expert.Token) error { return e.engine.Lift(e.ctx, t) }
+
+// watch tells the entries when the rank stands still for want of a decision: its
+// orderer has died, or the engine came back and knows no map.
+func (r *rankAgent) watch() {
+	ticker := time.NewTicker(stuckPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.look(time.Now())
+		case <-r.agent.stop:
+			return
+		}
+	}
+}
+
+func (r *rankAgent) look(now time.Time) {
+	ctx, cancel := context.WithTimeout(r.agent.ctx, positionTry)
+	defer cancel()
+	p, err := r.engine.Position(ctx)
+	stands := err == nil && (!p.Joined || (p.Held && p.Next >= p.HoldAt))
+	if !stands {
+		r.stuckSince = time.Time{}
+	} else if r.stuckSince.IsZero() {
+		r.stuckSince = now
+	}
+	stuck := stands && (!p.Joined || now.Sub(r.stuckSince) >= stuckAfter)
+	if !stuck {
+		return
+	}
+	for _, c := range r.agent.conns() {
+		_ = c.SendNote(wire.NoteRankStuck, &wire.RankStuck{Target: r.agent.opts.Settings.Target, Held: p.Joined})
+	}
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -20,6 +20,10 @@
 	if a.serveControl(ctx, s, m, payload) {
 		return
 	}
+	if m == wire.MethodRank && a.rank != nil {
+		a.rank.serve(ctx, s, payload)
+		return
+	}
 	if m != wire.MethodRequest {
 		a.refuse(s, "", result.New(result.WireUnknownKind, "method %d", m))
 		return
--- a/config/schema.go
+++ b/config/schema.go
@@ -41,6 +41,12 @@
 	Layers  int      `msg:"l" ini:"layers" default:"48" min:"1" max:"512" doc:"layers with experts"`
 	Experts int      `msg:"e" ini:"experts" default:"32" min:"1" max:"4096" doc:"experts a layer"`
 	Slots   int      `msg:"s" ini:"slots" default:"40" min:"1" max:"8192" doc:"expert slots a layer over all ranks, redundant ones included"`
+
+	ExpertMB  int           `msg:"b" ini:"expert-mb" default:"24" min:"1" doc:"weights of one expert of one layer, in megabytes"`
+	StoreMB   int           `msg:"w" ini:"store-mb-per-second" default:"1000" min:"1" doc:"share of the weight store's rate that this group may use"`
+	Spare     int           `msg:"x" ini:"spare-experts" default:"0" min:"0" doc:"experts that a rank may hold beside those in use, over all layers; 0: no bound"`
+	PlanEvery time.Duration `msg:"p" ini:"plan-every" default:"60s" min:"1s" max:"1h" doc:"how often moves of experts are weighed"`
+	GainLife  time.Duration `msg:"g" ini:"gain-life" default:"30m" min:"1m" max:"24h" doc:"how long the gain of a move is expected to last"`
 }
 
 // Service is what callers ask for by name.
@@ -69,6 +75,6 @@
 	RetryShare  float64       `msg:"r" ini:"retry-share" default:"0.1" min:"0" max:"1" doc:"retries as a share of requests"`
 	DedupWindow time.Duration `msg:"w" ini:"dedup-window" default:"10m" min:"1s" max:"24h" doc:"how long a non-repeatable request is remembered"`
 	DedupKeys   int           `msg:"k" ini:"dedup-keys" default:"65536" min:"1" doc:"how many are remembered by a target at most"`
-	SkewWeight  float64       `msg:"s" ini:"skew-weight" default:"1" min:"0" doc:"price of step-time skew when experts are placed"`
+	SkewWeight  float64       `msg:"s" ini:"skew-weight" default:"1" min:"0" doc:"price of one rank kept waiting for one minute by step-time skew"`
 	MoveWeight  float64       `msg:"m" ini:"move-weight" default:"1" min:"0" doc:"price of a gigabyte of expert weights moved"`
 }
--- a/config/schema_gen.go
+++ b/config/schema_gen.go
@@ -445,9 +445,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Group) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 11
 	// string "n"
-	o = append(o, 0x86, 0xa1, 0x6e)
+	o = append(o, 0x8b, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
@@ -467,6 +467,21 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Slots)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.ExpertMB)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.StoreMB)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendInt(o, z.Spare)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendDuration(o, z.PlanEvery)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendDuration(o, z.GainLife)
 	return
 }
 
@@ -545,6 +560,36 @@
 				err = msgp.WrapError(err, "Slots")
 				return
 			}
+		case "b":
+			z.ExpertMB, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpertMB")
+				return
+			}
+		case "w":
+			z.StoreMB, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreMB")
+				return
+			}
+		case "x":
+			z.Spare, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spare")
+				return
+			}
+		case "p":
+			z.PlanEvery, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PlanEvery")
+				return
+			}
+		case "g":
+			z.GainLife, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GainLife")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -563,7 +608,7 @@
 	for za0001 := range z.Ranks {
 		s += msgp.StringPrefixSize + len(z.Ranks[za0001])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + msgp.DurationSize
 	return
 }
 
--- a/demo/standins.go
+++ b/demo/standins.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/expert"
 	"github.com/heatherrail/heatherrail/internal/fake"
 )
 
@@ -28,8 +29,10 @@
 	Platform    string // address of the log service and the VM list
 	ControlAddr string
 
-	groups  []*fake.RankGroup
-	servers []*fake.Server
+	groups []*fake.RankGroup
+	// LockSteps are the rank groups, by name.
+	LockSteps map[string]*fake.LockStep
+	servers   []*fake.Server
 }
 
 const (
@@ -48,6 +51,8 @@
 		Plains:  make(map[string]*fake.Plain),
 		Targets: make(map[string]*fake.TargetServer),
 		Control: fake.NewControl(),
+
+		LockSteps: make(map[string]*fake.LockStep),
 	}
 	if err := s.start(stepTime); err != nil {
 		s.Close()
@@ -133,7 +138,8 @@
 			grouped[name] = true
 			ranks = append(ranks, s.Engines[name])
 		}
-		s.groups = append(s.groups, fake.NewRankGroup(stepTime, ranks...))
+		shape := expert.Shape{Ranks: len(ranks), Layers: g.Layers, Experts: g.Experts, SlotsOfRank: g.Slots / len(ranks)}
+		s.LockSteps[g.Name] = fake.NewLockStep(stepTime, shape, s.Weights, ranks...)
 	}
 	for name, e := range s.Engines {
 		if !grouped[name] {
@@ -162,6 +168,9 @@
 	for _, g := range s.groups {
 		g.Close()
 	}
+	for _, g := range s.LockSteps {
+		g.Close()
+	}
 	for _, srv := range s.servers {
 		srv.Close()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,8 @@
 	peerLn   net.Listener
 	notices  chan struct{} // agents are to be told of a version or floor
 	out      *outcomes
+	stuck    stuckRanks
+	mapLogs  sync.Map // expert.GroupLog by group
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -101,6 +103,7 @@
 		return nil, err
 	}
 	e.duties.Go(e.watchVMs)
+	e.duties.Go(e.ownGroups)
 	e.duties.Go(e.announce)
 	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
 	return e, nil
--- a/entry/link.go
+++ b/entry/link.go
@@ -231,6 +231,9 @@
 func (l *link) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
 	switch n {
 	case wire.NoteLoad:
+	case wire.NoteRankStuck:
+		l.entry.stuck.heard(l.target)
+		return
 	case wire.NoteCrash:
 		l.entry.serveCrash(payload)
 		return
--- a/expert/expert.go
+++ b/expert/expert.go
@@ -119,11 +119,18 @@
 // Moves returns how many experts the ranks must load to go from m to next; an
 // expert that stays on its rank costs nothing.
 func (m *Map) Moves(next *Map) int {
+	n := 0
+	for r := range m.Shape.Ranks {
+		n += m.MovesOfRank(r, next)
+	}
+	return n
+}
+
+// MovesOfRank returns how many experts one rank must load to go from m to next.
+func (m *Map) MovesOfRank(rank int, next *Map) int {
 	n := 0
 	for l := range m.Shape.Layers {
-		for r := range m.Shape.Ranks {
-			n += rankMoves(m.RankLayer(l, r), next.RankLayer(l, r))
-		}
+		n += rankMoves(m.RankLayer(l, rank), next.RankLayer(l, rank))
 	}
 	return n
 }
--- a/expert/model_test.go
+++ b/expert/model_test.go
@@ -71,20 +71,23 @@
 	v variant
 }
 
-func (e simEngine) Hold(at uint64) (before, after Position, err error) {
+func (e simEngine) Hold(t Token, at uint64) (before, after Position, err error) {
 	before = *e.p
-	e.p.Hold(at)
+	e.p.Hold(t, at)
 	if e.v == ignorePlanned && !before.Held {
 		e.p.HoldAt = max(at, e.p.Next)
 	}
 	return before, *e.p, nil
 }
 
-func (e simEngine) Release(start uint64, s Schedule, join uint64) error {
-	return e.p.Release(start, s, join)
+func (e simEngine) Release(t Token, start uint64, s Schedule, join uint64) error {
+	if e.v != whole {
+		t = e.p.Token // variants break the agents' rules, which the engines' would cover
+	}
+	return e.p.Release(t, start, s, join)
 }
 
-func (e simEngine) Lift() error { e.p.Lift(); return nil }
+func (e simEngine) Lift(t Token) error { return e.p.Lift(t) }
 
 type search struct {
 	bounds
--- a/expert/position.go
+++ b/expert/position.go
@@ -41,6 +41,12 @@
 	return m
 }
 
+// Token names the hold that an order belongs to: an agent's run and a ballot.
+type Token struct {
+	Incarnation uint64
+	Ballot      Ballot
+}
+
 // Position is where an engine stands in the lock-step of its group. It survives
 // a restart of the agent, not one of the engine. Its methods are the contract
 // that an engine must meet; each is one atomic step.
@@ -53,16 +59,21 @@
 	Plan   Schedule
 	Held   bool
 	HoldAt uint64 // this step is not entered while Held
+	Token  Token  // of the newest hold
 }
 
-// ErrStart: the order was meant for an earlier run of the engine.
-var ErrStart = errors.New("engine has restarted since the order was made")
+// Reasons why an engine refuses an order.
+var (
+	ErrStart = errors.New("engine has restarted since the order was made")
+	ErrToken = errors.New("another hold was placed since the order was made")
+)
 
 // Hold stops the engine before a step: at, or the next one if at has passed. An
 // earlier hold stays where it is. A hold never lies behind a planned change of
 // map that has not happened: whoever holds may cancel it, so it must not happen
 // between the answer to the hold and the decision.
-func (p *Position) Hold(at uint64) {
+func (p *Position) Hold(t Token, at uint64) {
+	p.Token = t
 	at = max(at, p.Next)
 	if p.Held {
 		at = min(at, p.HoldAt)
@@ -87,10 +98,17 @@
 // Release ends the hold: the engine follows the schedule. An engine that has
 // entered no step since its start begins with step join, also if an earlier
 // release named another: the group may have gone on without it.
-func (p *Position) Release(start uint64, s Schedule, join uint64) error {
+//
+// An order can lie in the buffer of a stalled engine while its agent dies and
+// the next one holds for a new ballot; taken up afterwards it would end the new
+// hold with the old ballot's map. The token excludes that.
+func (p *Position) Release(t Token, start uint64, s Schedule, join uint64) error {
 	if start != p.Start {
 		return ErrStart
 	}
+	if t != p.Token {
+		return ErrToken
+	}
 	if p.Map == 0 {
 		p.Next = join
 	}
@@ -101,7 +119,13 @@
 }
 
 // Lift ends a hold as if it had never been.
-func (p *Position) Lift() { p.Held = false }
+func (p *Position) Lift(t Token) error {
+	if t != p.Token {
+		return ErrToken
+	}
+	p.Held = false
+	return nil
+}
 
 // CanEnter tells whether the engine itself would enter its next step.
 func (p *Position) CanEnter() bool {
--- a/expert/rank.go
+++ b/expert/rank.go
@@ -8,11 +8,11 @@
 // Engine takes the orders that an agent gives on behalf of an orderer.
 type Engine interface {
 	// Hold implements Position.Hold and returns the position before and after.
-	Hold(at uint64) (before, after Position, err error)
+	Hold(t Token, at uint64) (before, after Position, err error)
 	// Release implements Position.Release.
-	Release(start uint64, s Schedule, join uint64) error
+	Release(t Token, start uint64, s Schedule, join uint64) error
 	// Lift implements Position.Lift.
-	Lift() error
+	Lift(t Token) error
 }
 
 // HoldOrder asks a rank to promise a ballot and to hold.
@@ -60,6 +60,8 @@
 // NewRank returns the memory of an agent that has just started.
 func NewRank(incarnation uint64) Rank { return Rank{Incarnation: incarnation} }
 
+func (r *Rank) token(b Ballot) Token { return Token{Incarnation: r.Incarnation, Ballot: b} }
+
 // Hold promises a ballot and holds the engine. A repeated order gets the same
 // reply, so that a lost one can be asked for again, unless the engine has
 // restarted in between.
@@ -71,7 +73,7 @@
 	case repeated && r.HeldBy != o.Ballot:
 		return HoldReply{}, ErrNotHeld // decided or withdrawn here: a late copy must not hold again
 	}
-	before, after, err := e.Hold(o.At)
+	before, after, err := e.Hold(r.token(o.Ballot), o.At)
 	if err != nil {
 		return HoldReply{}, err
 	}
@@ -123,7 +125,7 @@
 	case r.HeldBy != d.Ballot:
 		return ErrNotHeld
 	}
-	if err := e.Release(start, d.Schedule, d.Join); err != nil {
+	if err := e.Release(r.token(d.Ballot), start, d.Schedule, d.Join); err != nil {
 		return err
 	}
 	r.HeldBy = Ballot{}
@@ -139,7 +141,7 @@
 	if !r.Fresh {
 		return ErrNotHeld
 	}
-	if err := e.Lift(); err != nil {
+	if err := e.Lift(r.token(b)); err != nil {
 		return err
 	}
 	r.HeldBy = Ballot{}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -37,6 +37,7 @@
 	down       bool
 	delay      time.Duration
 	kill       chan struct{} // closed when the engine dies
+	rank       *Rank         // nil outside of a LockStep
 }
 
 // NewEngine returns an engine that decodes up to maxRunning requests in a step.
@@ -139,9 +140,32 @@
 	if e.down {
 		e.down = false
 		e.kill = make(chan struct{})
+		if e.rank != nil {
+			e.rank.restart()
+		}
 	}
 }
 
+// setRank makes the engine a rank of a LockStep.
+func (e *Engine) setRank(r *Rank) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rank = r
+}
+
+// Rank returns the rank side, nil outside of a LockStep.
+func (e *Engine) Rank() *Rank {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rank
+}
+
+func (e *Engine) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
 // Runs returns what the engine has started so far.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/fake/rank.go
@@ -0,0 +1,208 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/platform"
+)
+
+// keptMaps is how many maps' weights fit beside each other: the one in use, the
+// next, and one that a finished switch has left behind.
+const keptMaps = 3
+
+// Rank is the rank side of an engine in a LockStep.
+type Rank struct {
+	group  *LockStep
+	index  int
+	engine *Engine
+
+	mu   sync.Mutex // taken after the group's
+	maps []*expert.Map
+	pos  expert.Position
+}
+
+// Position implements platform.Rank.
+func (r *Rank) Position(ctx context.Context) (expert.Position, error) {
+	if r.engine.isDown() {
+		return expert.Position{}, errEngineDown
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pos, ctx.Err()
+}
+
+// Prepare implements platform.Rank: it fetches what the maps here don't hold.
+func (r *Rank) Prepare(ctx context.Context, _ int, m *expert.Map) error {
+	if r.engine.isDown() {
+		return errEngineDown
+	}
+	r.mu.Lock()
+	missing := m.Shape.Layers * m.Shape.SlotsOfRank
+	for _, have := range r.maps {
+		if have.ID() == m.ID() {
+			r.mu.Unlock()
+			return nil
+		}
+		missing = min(missing, have.MovesOfRank(r.index, m))
+	}
+	start := r.pos.Start
+	r.mu.Unlock()
+	if err := r.group.weights.Fetch(ctx, int64(missing)*r.group.ExpertBytes); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pos.Start != start {
+		return expert.ErrStart
+	}
+	r.keep(m)
+	return nil
+}
+
+// keep adds a map and forgets the oldest that is not in use.
+func (r *Rank) keep(m *expert.Map) {
+	for i, have := range r.maps {
+		if len(r.maps) >= keptMaps && have.ID() != r.pos.Map {
+			r.maps = append(r.maps[:i:i], r.maps[i+1:]...)
+			break
+		}
+	}
+	r.maps = append(r.maps, m)
+}
+
+// Hold implements platform.Rank.
+func (r *Rank) Hold(ctx context.Context, t expert.Token, at uint64) (before, after expert.Position, err error) {
+	if r.engine.isDown() {
+		return before, after, errEngineDown
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.pos
+	r.pos.Hold(t, at)
+	return before, r.pos, ctx.Err()
+}
+
+// Release implements platform.Rank.
+func (r *Rank) Release(_ context.Context, t expert.Token, start uint64, s expert.Schedule, join uint64) error {
+	if r.engine.isDown() {
+		return errEngineDown
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pos.Release(t, start, s, join)
+}
+
+// Lift implements platform.Rank.
+func (r *Rank) Lift(_ context.Context, t expert.Token) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pos.Lift(t)
+}
+
+// Loads implements platform.Rank.
+func (r *Rank) Loads(ctx context.Context) (platform.RankLoads, error) {
+	r.mu.Lock()
+	id := r.pos.Map
+	m := r.find(id)
+	r.mu.Unlock()
+	if m == nil {
+		return platform.RankLoads{}, errEngineDown
+	}
+	tokens, speed := r.group.loadsOf(r.index, m)
+	total := 0.0
+	for _, v := range tokens {
+		total += v
+	}
+	return platform.RankLoads{Map: id, Tokens: tokens, Seconds: total / speed / tokensPerSecond}, ctx.Err()
+}
+
+// tokensPerSecond is what a rank of speed 1 computes.
+const tokensPerSecond = 1e6
+
+func (r *Rank) find(id expert.MapID) *expert.Map {
+	for _, m := range r.maps {
+		if m.ID() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// Maps implements platform.Rank.
+func (r *Rank) Maps(ctx context.Context) ([]*expert.Map, error) {
+	if r.engine.isDown() {
+		return nil, errEngineDown
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*expert.Map(nil), r.maps...), ctx.Err()
+}
+
+// restart forgets everything, as a new process does.
+func (r *Rank) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pos = r.pos.Restart()
+	r.maps = nil
+}
+
+// RankHandler serves the rank that rank returns over HTTP, nil meaning that the
+// engine is in no group, and passes the rest to next.
+func RankHandler(rank func() *Rank, next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", next)
+	get := func(path string, read func(ctx context.Context, r *Rank) (any, error)) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, q *http.Request) {
+			r := rank()
+			if r == nil {
+				http.NotFound(w, q)
+				return
+			}
+			v, err := read(q.Context(), r)
+			answer(w, v, err)
+		})
+	}
+	get(platform.PathRankPosition, func(ctx context.Context, r *Rank) (any, error) { return r.Position(ctx) })
+	get(platform.PathRankLoads, func(ctx context.Context, r *Rank) (any, error) { return r.Loads(ctx) })
+	get(platform.PathRankMaps, func(ctx context.Context, r *Rank) (any, error) { return r.Maps(ctx) })
+	order := func(path string, run func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) error) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, q *http.Request) { serveRankOrder(w, q, rank(), run) })
+	}
+	order(platform.PathRankPrepare, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+		return r.Prepare(ctx, o.Rank, o.Map)
+	})
+	order(platform.PathRankHold, func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) (err error) {
+		reply.Before, reply.After, err = r.Hold(ctx, o.Token, o.At)
+		return err
+	})
+	order(platform.PathRankRelease, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+		return r.Release(ctx, o.Token, o.Start, o.Schedule, o.Join)
+	})
+	order(platform.PathRankLift, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+		return r.Lift(ctx, o.Token)
+	})
+	return mux
+}
+
+type rankOrderFunc func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) error
+
+func serveRankOrder(w http.ResponseWriter, q *http.Request, r *Rank, run rankOrderFunc) {
+	if r == nil {
+		http.NotFound(w, q)
+		return
+	}
+	var o platform.RankOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var reply platform.RankReply
+	if err := run(q.Context(), r, &o, &reply); err != nil {
+		reply.Refused = err.Error()
+	}
+	answer(w, reply, nil)
+}
--- a/internal/fake/targets.go
+++ b/internal/fake/targets.go
@@ -28,7 +28,11 @@
 
 // ServeTarget starts the HTTP side of an *Engine or a *Plain.
 func ServeTarget(name string, back standin) (*TargetServer, error) {
-	srv, err := Serve(BackendHandler(back))
+	handler := BackendHandler(back)
+	if e, ok := back.(*Engine); ok {
+		handler = RankHandler(e.Rank, handler)
+	}
+	srv, err := Serve(handler)
 	if err != nil {
 		return nil, err
 	}
--- a/result/codes.go
+++ b/result/codes.go
@@ -49,6 +49,12 @@
 
 // 23x: orders and configuration; nothing was done.
 const (
+	BallotOld          Code = 240
+	BallotVoid         Code = 241
+	RankBusy           Code = 242
+	WeightsUnavailable Code = 243
+	MapBad             Code = 244
+
 	FenceStale    Code = 230
 	FenceUnknown  Code = 231
 	LeaseLost     Code = 232
@@ -64,6 +70,7 @@
 
 // 3xx: honest doubt; the request may have run.
 const (
+	RankUnknown  Code = 340
 	TargetLost   Code = 301
 	EngineLost   Code = 302
 	DeadlinePast Code = 303
@@ -129,6 +136,12 @@
 	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
 	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
 	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
+	{BallotOld, "ballot_old", http.StatusConflict, RunNot, 0, "A rank has promised a higher ballot.", "Two entries ordered a map switch; the later one wins."},
+	{BallotVoid, "ballot_void", http.StatusConflict, RunNot, 0, "The order belongs to a hold that is over, or to an earlier run of agent or engine.", "Expected after a rank restarts; the owner begins anew."},
+	{RankBusy, "rank_busy", http.StatusServiceUnavailable, RunNot, shortWait, "Orders wait for a rank's engine.", "The engine does not answer; look at its VM."},
+	{WeightsUnavailable, "weights_unavailable", http.StatusServiceUnavailable, RunNot, shortWait, "A rank could not load expert weights.", "Check the weight store; rebalancing pauses until it answers."},
+	{MapBad, "map_bad", http.StatusBadRequest, RunNot, 0, "An expert map does not fit its shape.", "Compare layers, experts and slots of the group."},
+	{RankUnknown, "rank_unknown", http.StatusBadGateway, RunMaybe, 0, "It is not known whether a rank's engine took an order.", "Look at the engine; the next ballot asks all ranks again."},
 	{TargetLost, "target_lost", http.StatusBadGateway, RunMaybe, 0, "The target was lost after the request was sent.", "Look at the target's VM."},
 	{EngineLost, "engine_lost", http.StatusBadGateway, RunMaybe, 0, "The engine or service behind the agent failed while it ran the request.", "Look at the engine's log."},
 	{DeadlinePast, "deadline_past", http.StatusGatewayTimeout, RunMaybe, 0, "The deadline passed while the request ran.", "Compare step times with the callers' deadlines."},
