--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -147,18 +147,26 @@
 	case "drain":
 		a.Drain()
 	case "restart":
-		a.Close()
-		for _, t := range f.Config.Targets {
-			if t.Name == name {
-				return struct{}{}, f.startAgent(t)
-			}
-		}
+		return struct{}{}, f.RestartAgent(name)
 	default:
 		return nil, fmt.Errorf("want kill, drain or restart")
 	}
 	return struct{}{}, nil
 }
 
+// RestartAgent kills the agent of a target and starts another one on a new VM.
+func (f *Fleet) RestartAgent(target string) error {
+	if a := f.Agent(target); a != nil {
+		a.Close()
+	}
+	for _, t := range f.Config.Targets {
+		if t.Name == target {
+			return f.startAgent(t)
+		}
+	}
+	return errNoTarget
+}
+
 func (f *Fleet) startEntry(i int) error {
 	name := fmt.Sprintf("entry-%d", i+1)
 	dc := f.Config.Targets[i%len(f.Config.Targets)].DataCentre
