--- a/bench/expert.go
+++ b/bench/expert.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // expertPeriod is how often loads are reported and plans are made, in seconds.
@@ -78,15 +80,19 @@
 	return list
 }
 
-// Expert measures the planner against its baselines over a generated half day.
-func Expert(seed uint64) *Report {
-	r := NewReport("expert", seed)
+// Expert measures the planner against its baselines over a generated half day. It
+// also returns the curve of skew against bytes as SVG.
+func Expert(seed uint64) (r *Report, curve string) {
+	r = NewReport("expert", seed)
 	for _, s := range ExpertShapes {
 		list := expertContestants(s == curveShape)
 		bound := runExpert(s, seed, list)
-		reportExpert(r, s, list, bound)
+		points := reportExpert(r, s, list, bound)
+		if s == curveShape {
+			curve = plotCurve(fmt.Sprintf("%d ranks, %d experts, %d layers: what a byte buys", s.Ranks, s.Experts, s.Layers), points)
+		}
 	}
-	return r
+	return r, curve
 }
 
 func runExpert(s expert.Shape, seed uint64, list []*contestant) (bound []float64) {
@@ -178,7 +184,7 @@
 	return plan.Map
 }
 
-func reportExpert(r *Report, s expert.Shape, list []*contestant, bound []float64) {
+func reportExpert(r *Report, s expert.Shape, list []*contestant, bound []float64) (points []point) {
 	size := fmt.Sprintf("%dx%d", s.Ranks, s.Experts)
 	r.Add(size+" bound", "skew_mean", "ratio", mean(bound))
 	all := 0.0
@@ -189,6 +195,7 @@
 	}
 	for _, c := range list {
 		name := size + " " + c.name
+		points = append(points, point{name: c.name, share: c.bytes / all, skew: mean(c.skews) / mean(bound)})
 		r.Add(name, "skew_mean", "ratio", mean(c.skews))
 		r.Add(name, "skew_p99", "ratio", percentile(c.skews, 0.99))
 		r.Add(name, "skew_over_bound", "ratio", mean(c.skews)/mean(bound))
@@ -202,6 +209,23 @@
 		}
 	}
 	r.Add(size, "planner_memory", "KB", plannerMemory(s))
+	r.Add(size, "loads_of_rank", "bytes", float64(reportBytes(s)))
+	r.Add(size, "loads_of_group", "bytes/s at 30 s", float64(reportBytes(s)*s.Ranks)/30)
+	return points
+}
+
+// reportBytes returns the size of one rank's answer on loads, as it is sent.
+func reportBytes(s expert.Shape) int {
+	reply := wire.RankReply{
+		Incarnation: math.MaxUint64, Start: math.MaxUint32, Entered: true, Next: math.MaxUint32, Map: math.MaxUint64,
+		Loaded: []uint64{math.MaxUint64, math.MaxUint64},
+		Unit:   1.5, Bands: make([]byte, s.Layers*s.SlotsOfRank), Seconds: 1.5,
+	}
+	raw, err := reply.MarshalMsg(nil)
+	if err != nil {
+		return 0 // plain structs always encode
+	}
+	return len(raw)
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
