--- a/expert/layer.go
+++ b/expert/layer.go
@@ -5,12 +5,13 @@
 const (
 	maxRounds = 64 // steps in one layer for one plan
 	// maxSteps bounds a plan's time; what is left over is found by the next plan.
-	maxSteps = 900
+	maxSteps = 800
 	// evenEnough ends the search in a layer: this close to the bound, what is left
 	// is less than the noise of the loads.
 	evenEnough = 1.002
-	// leastSaving is the least share of a layer's time that one moved expert must
-	// save; below it a plan would follow the noise.
+	// leastSaving is the least share of a mean layer's time that one moved expert
+	// must save; below it a plan would follow the noise, or the rounding of floats
+	// in a layer that hardly computes.
 	leastSaving = 0.001
 )
 
@@ -45,7 +46,6 @@
 	times   []float64 // of each rank
 	holders [][]int   // slots of each expert
 	ops     []slotChange
-	bounds  bounder
 	budget  int // steps left for this plan
 
 	top, second float64 // longest rank times before a step
@@ -55,24 +55,31 @@
 	below       [2]float64 // time that a better change of cost 1 or 2 must stay below
 }
 
+// layerPrices say when a change of a layer pays.
+type layerPrices struct {
+	bound float64 // no map can make the layer shorter
+	worth float64 // of one unit of layer time
+	price float64 // of one expert moved
+	least float64 // time that one expert moved must save
+}
+
 // run returns the prefix of improving steps whose worth exceeds its price by
 // most. any reports whether the layer was uneven at all.
-func (s *layerSearch) run(slots []uint16, shape Shape, loads, speeds []float64, worth, price float64) (best improvement, any bool) {
+func (s *layerSearch) run(slots []uint16, shape Shape, loads, speeds []float64, p layerPrices) (best improvement, any bool) {
 	s.load(slots, shape, loads, speeds)
 	start, _ := s.longest(-1)
 	if start == 0 {
 		return best, false
 	}
-	bound := max(sum(loads)/sum(speeds), s.bounds.heaviestCopy(loads, shape.Slots(), shape.Ranks)/slices.Max(speeds))
 	now, cost, bestNet := start, 0, 0.0
 	kept := 0
 	for range min(maxRounds, s.budget) {
-		if now <= bound*evenEnough {
+		if now <= p.bound*evenEnough {
 			break
 		}
 		any = true
 		// Not even a perfect layer would pay for one more step.
-		if (start-bound)*worth-float64(cost+1)*price <= bestNet {
+		if (start-p.bound)*p.worth-float64(cost+1)*p.price <= bestNet {
 			break
 		}
 		c, ok := s.step()
@@ -83,7 +90,7 @@
 		s.apply(&c)
 		cost += c.cost()
 		now, _ = s.longest(-1)
-		if net := (start-now)*worth - float64(cost)*price; net > bestNet && (start-now) >= leastSaving*float64(cost)*start {
+		if net := (start-now)*p.worth - float64(cost)*p.price; net > bestNet && start-now >= p.least*float64(cost) {
 			bestNet, kept = net, len(s.ops)
 			best.cost, best.saved = cost, start-now
 		}
--- a/expert/measure.go
+++ b/expert/measure.go
@@ -13,6 +13,7 @@
 	Bound   float64 // no map of the shape can be below
 
 	excess []float64 // of each layer's longest rank over its bound
+	bounds []float64 // of each layer
 }
 
 // Skew returns the step time over that of a perfectly even map; 1 is perfect.
@@ -40,7 +41,7 @@
 // Measure predicts step times. The copies of an expert share its load evenly.
 func Measure(m *Map, loads, speeds []float64) Stats {
 	s := m.Shape
-	st := Stats{excess: make([]float64, s.Layers)}
+	st := Stats{excess: make([]float64, s.Layers), bounds: make([]float64, s.Layers)}
 	copies := make([]int, s.Experts)
 	total := sum(speeds)
 	fastest := slices.Max(speeds)
@@ -66,6 +67,7 @@
 		bound := max(ideal, b.heaviestCopy(layer, s.Slots(), s.Ranks)/fastest)
 		st.Bound += bound
 		st.excess[l] = longest - bound
+		st.bounds[l] = bound
 	}
 	return st
 }
--- a/expert/plan.go
+++ b/expert/plan.go
@@ -95,13 +95,14 @@
 	// One unit of layer time is worth this much over the life of the gain.
 	worth := in.Weights.Skew * float64(s.Ranks) * in.Life / 60 / stats.Ideal
 	price := in.Weights.Move * in.ExpertBytes / 1e9
+	least := leastSaving * stats.Longest / float64(s.Layers)
 	candidates := false
 	p.found = p.found[:0]
 	p.search.budget = maxSteps
 	p.order = stats.worstFirst(p.order)
 	for _, l := range p.order {
 		loads := in.Loads[l*s.Experts : (l+1)*s.Experts]
-		best, any := p.search.run(in.Map.Layer(l), s, loads, speeds, worth, price)
+		best, any := p.search.run(in.Map.Layer(l), s, loads, speeds, layerPrices{bound: stats.bounds[l], worth: worth, price: price, least: least})
 		candidates = candidates || any
 		if len(best.ops) > 0 {
 			best.layer = l
