--- a/agent/run.go
+++ b/agent/run.go
@@ -33,9 +33,8 @@
 		a.refuse(s, "", result.New(result.WireMalformed, "request: %w", err))
 		return
 	}
-	if p := a.peer(s.Conn()); p != nil {
-		raise(&p.counted, req.Dispatch)
-	}
+	req.Sched.Entry = s.Conn().Peer().Name
+	a.worked(s.Conn())
 	if !req.Repeatable {
 		a.serveOnce(ctx, s, &req)
 		return
@@ -132,7 +131,7 @@
 }
 
 func call(req *wire.Request) *platform.Call {
-	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body}
+	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body, Sched: sched(req)}
 	for _, h := range req.Headers {
 		c.Headers = append(c.Headers, [2]string{h.Name, h.Value})
 	}
@@ -148,6 +147,9 @@
 func backendError(ctx context.Context, err error) error {
 	var send *platform.SendError
 	if errors.As(err, &send) && !send.Sent {
+		if r := new(result.Error); errors.As(send.Err, &r) {
+			return r // of the agent's own queue
+		}
 		return result.New(result.Unreachable, "backend: %w", err)
 	}
 	return midRunError(ctx, err)
--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -9,8 +9,12 @@
 
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
-	Expert benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
-	Relay  benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
+	Control benchControl       `command:"control" description:"what configuration, membership and leases cost a node"`
+	Expert  benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
+	All     benchAll           `command:"all" description:"run all benches, several times each, and print one file of reports"`
+	Compare benchCompare       `command:"compare" description:"medians and spread of two files of bench all"`
+	Place   benchPlaceCommand  `command:"place" description:"placement, overload and fairness, in virtual time"`
+	Relay   benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
@@ -19,8 +23,15 @@
 	Seed   uint64 `long:"seed" default:"1" description:"seed of everything random"`
 }
 
+// collect takes the reports in place of standard output while bench all runs.
+var collect func(*bench.Report)
+
 // print writes a report to standard output.
 func (f *benchFlags) print(r *bench.Report) error {
+	if collect != nil {
+		collect(r)
+		return nil
+	}
 	if err := r.Write(os.Stdout, f.Output); err != nil {
 		return fmt.Errorf("bench %s: %w", r.Bench, err)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
-	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -63,13 +62,19 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
-	placer   *route.Placer
-	node     *control.Node
-	peerLn   net.Listener
-	notices  chan struct{} // agents are to be told of a version or floor
-	out      *outcomes
-	stuck    stuckRanks
-	mapLogs  sync.Map // expert.GroupLog by group
+	placers  sync.Map // config.Policy to *route.Placer
+	fleets   fleetViews
+	explain  explainRing
+	limits   *limits
+
+	entriesDigest atomic.Uint64 // of the names of live entries
+
+	node    *control.Node
+	peerLn  net.Listener
+	notices chan struct{} // agents are to be told of a version or floor
+	out     *outcomes
+	stuck   stuckRanks
+	mapLogs sync.Map // expert.GroupLog by group
 
 	mu    sync.Mutex
 	links map[string]*link // by target
@@ -88,8 +93,8 @@
 		notices: make(chan struct{}, 1),
 		ctx:     ctx,
 		cancel:  cancel,
-		placer:  route.DefaultPlacer(),
 		out:     newOutcomes(&o),
+		limits:  newLimits(),
 		links:   make(map[string]*link),
 	}
 	if !o.NoCallers {
@@ -105,7 +110,7 @@
 	e.duties.Go(e.watchVMs)
 	e.duties.Go(e.ownGroups)
 	e.duties.Go(e.announce)
-	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
+	e.log.Info("started", "callers", e.Addr(), "listen", e.PeerAddr(), "incarnation", o.Incarnation)
 	return e, nil
 }
 
--- a/entry/tries.go
+++ b/entry/tries.go
@@ -124,6 +124,7 @@
 		return nil, result.New(result.EntryUnregistered, "entry %s is not on the log yet", e.opts.Settings.Name)
 	}
 	req := t.request(body, suspect)
+	req.AttachOnly = !c.Repeatable && l.leaving()
 	booked := place{target: target}
 	s, err := l.open(req, func(incarnation uint64) error {
 		booked.incarnation = incarnation
@@ -160,6 +161,7 @@
 		DeadlineMs:    left.Milliseconds(),
 		ConfigVersion: t.snap.Version,
 		Suspect:       suspect,
+		Sched:         c.sched.wire(),
 		Fingerprint:   t.fingerprint,
 		DedupMs:       t.policy.DedupWindow.Milliseconds(),
 		DedupKeys:     t.policy.DedupKeys,
@@ -204,6 +206,7 @@
 
 // failed books a failed try in what the entry remembers.
 func (t *tries) failed(target string, err error) {
+	t.call.sched.refused(target, err)
 	t.failures++
 	if result.From(err).Run() == result.RunMaybe {
 		t.doubt = err
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -49,6 +49,14 @@
 	sendDigest *xxhash.Digest
 	peerEnded  bool // the peer has sent its end or refusal
 	closed     bool
+	watcher    Watcher
+}
+
+// Watcher is told what happens on a stream, for books kept beside it. Its methods
+// run in the connection's reader or in Close and must not block.
+type Watcher interface {
+	Arrived(chunk []byte) // bytes of the answer; chunk is valid during the call
+	Ended()               // once: the stream ended or was left, whoever did it
 }
 
 func newStream(c *Conn, id uint64) *Stream {
@@ -78,11 +86,15 @@
 
 func (s *Stream) fail(err error) {
 	s.mu.Lock()
-	if s.failure == nil {
+	first := s.failure == nil
+	if first {
 		s.failure = err
 	}
 	cancel := s.cancel
 	s.mu.Unlock()
+	if first && s.watcher != nil {
+		s.watcher.Ended()
+	}
 	if cancel != nil && err != io.EOF {
 		cancel(err)
 	}
@@ -187,7 +199,7 @@
 	if s.pending > s.conn.opts.Window {
 		return result.New(result.WireFlowControl, "stream %d exceeded its window", s.id)
 	}
-	s.queue = append(s.queue, Event{Data: append([]byte(nil), p...)})
+	s.queue = append(s.queue, Event{Data: copyChunk(p)})
 	signal(s.wake)
 	return nil
 }
@@ -215,6 +227,9 @@
 	}
 	s.recvSeq++
 	_, _ = s.recvDigest.Write(data) // a Digest never fails
+	if s.watcher != nil {
+		s.watcher.Arrived(data)
+	}
 	return s.pushData(data)
 }
 
@@ -263,6 +278,13 @@
 	}
 }
 
+// Ready reports whether Recv would return without waiting.
+func (s *Stream) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) > 0 || s.failure != nil
+}
+
 // consume books an event as read and returns the credit that is due. It is
 // returned in halves of the window, to save frames.
 func (s *Stream) consume(e Event) int {
