--- a/internal/fake/targets.go
+++ b/internal/fake/targets.go
@@ -39,7 +39,11 @@
 // ServeTarget starts the HTTP side of an *Engine or a *Plain.
 func ServeTarget(name string, back standin) (*TargetServer, error) {
 	t := &TargetServer{Name: name, back: back}
-	srv, err := Serve(BackendHandler(t))
+	handler := BackendHandler(t)
+	if e, ok := back.(*Engine); ok {
+		handler = RankHandler(e.Rank, handler)
+	}
+	srv, err := Serve(handler)
 	if err != nil {
 		return nil, err
 	}
