--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,21 +43,22 @@
 
 // Agent serves one target.
 type Agent struct {
-	opts    Options
-	log     logr.Logger
-	ln      net.Listener
-	leaving atomic.Bool
-	running atomic.Int64
-	idle    chan struct{} // signalled when running falls to zero
-	ledger  *ledger
-	witness *witness
-	crashes *crashWatch
-	health  *engineHealth
-	ctx     context.Context // ends when the agent stops
-	cancel  context.CancelCauseFunc
-	version atomic.Uint64 // newest configuration version heard of
-	stop    chan struct{}
-	duties  conc.WaitGroup
+	opts     Options
+	log      logr.Logger
+	ln       net.Listener
+	leaving  atomic.Bool
+	stopping atomic.Bool // entries have been told goodbye
+	running  atomic.Int64
+	idle     chan struct{} // signalled when running falls to zero
+	ledger   *ledger
+	config   configState
+	witness  *witness
+	crashes  *crashWatch
+	health   *engineHealth
+	ctx      context.Context // ends when the agent stops
+	cancel   context.CancelCauseFunc
+	stop     chan struct{}
+	duties   conc.WaitGroup
 
 	mu    sync.Mutex
 	peers map[*wire.Conn]*peerState
@@ -86,6 +87,7 @@
 		ln:     ln,
 		idle:   make(chan struct{}, 1),
 		ledger: newLedger(),
+		config: newConfigState(),
 		stop:   make(chan struct{}),
 		peers:  make(map[*wire.Conn]*peerState),
 	}
@@ -136,6 +138,9 @@
 	a.peers[c] = new(peerState)
 	a.mu.Unlock()
 	a.report(c)
+	if a.stopping.Load() {
+		_ = c.SendNote(wire.NoteGoodbye, nil) // a lost connection needs no goodbye
+	}
 	<-c.Done()
 	a.mu.Lock()
 	delete(a.peers, c)
@@ -162,6 +167,9 @@
 func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
 	switch n {
 	case wire.NoteConfig:
+	case wire.NoteAgentConfig:
+		a.heardConfig(c, payload)
+		return
 	case wire.NoteAttest:
 		a.serveAttest(c, payload)
 		return
@@ -173,7 +181,7 @@
 		a.log.Error(err, "bad configuration notice")
 		return
 	}
-	raise(&a.version, notice.Version)
+	a.heardVersion(notice.Version, time.Now())
 }
 
 func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
@@ -218,32 +226,13 @@
 			err = fmt.Errorf("shutdown deadline: %d requests cut off", n)
 		}
 	}
-	a.sayGoodbye()
+	if err == nil {
+		a.sayGoodbye(ctx)
+	}
 	a.Close()
 	return err
 }
 
-const (
-	goodbyeLimit = 2 * time.Second
-	goodbyePoll  = 5 * time.Millisecond
-)
-
-// sayGoodbye lets the entries hang up.
-//
-// Failure: the agent ends an answer and closes its connection. Symptom: the end
-// is still in the ring or in the socket's buffer, and the caller's answer is cut
-// by a graceful shutdown. Enough, because the goodbye follows all ends on its
-// connection, and an entry hangs up only when it has received them, and does not
-// come back to this incarnation.
-func (a *Agent) sayGoodbye() {
-	for _, c := range a.conns() {
-		_ = c.SendNote(wire.NoteGoodbye, nil)
-	}
-	for until := time.Now().Add(goodbyeLimit); len(a.conns()) > 0 && time.Now().Before(until); {
-		time.Sleep(goodbyePoll)
-	}
-}
-
 // Close stops at once, like a crash.
 func (a *Agent) Close() {
 	select {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
@@ -35,6 +36,13 @@
 	// Dial connects to other processes; nil: plain TCP, on loopback only. Tests put
 	// a network of their own.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// PeerListener takes the place of a plain TCP listener on Settings.Listen, which
+	// is for loopback only.
+	PeerListener net.Listener
+	// Snapshots is how often the configuration is published again; zero: the default.
+	Snapshots time.Duration
+	// Control replaces the periods of control; zero: control.DefaultTiming.
+	Control control.Timing
 	// NoCallers leaves the HTTP side out; calls come through Do alone.
 	NoCallers bool
 	// Off is for tests of the checkers.
@@ -56,6 +64,9 @@
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
 	placer   *route.Placer
+	node     *control.Node
+	peerLn   net.Listener
+	notices  chan struct{} // agents are to be told of a version or floor
 	out      *outcomes
 
 	mu    sync.Mutex
@@ -69,14 +80,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		opts:   o,
-		log:    o.Logger.WithName("entry").WithValues("entry", o.Settings.Name),
-		idle:   make(chan struct{}, 1),
-		ctx:    ctx,
-		cancel: cancel,
-		placer: route.DefaultPlacer(),
-		out:    newOutcomes(&o),
-		links:  make(map[string]*link),
+		opts:    o,
+		log:     o.Logger.WithName("entry").WithValues("entry", o.Settings.Name),
+		idle:    make(chan struct{}, 1),
+		notices: make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
+		placer:  route.DefaultPlacer(),
+		out:     newOutcomes(&o),
+		links:   make(map[string]*link),
 	}
 	if !o.NoCallers {
 		if err := e.listenCallers(); err != nil {
@@ -84,7 +96,10 @@
 			return nil, err
 		}
 	}
-	e.duties.Go(e.tailLog)
+	if err := e.startControl(); err != nil {
+		e.Close()
+		return nil, err
+	}
 	e.duties.Go(e.watchVMs)
 	e.duties.Go(e.announce)
 	e.log.Info("started", "callers", e.Addr(), "incarnation", o.Incarnation)
@@ -129,6 +144,7 @@
 // Drain takes the entry out of the answers that callers get. It goes on to
 // serve: callers keep earlier answers for a while.
 func (e *Entry) Drain() {
+	e.node.SetLeaving(true)
 	if !e.leaving.Swap(true) {
 		e.log.Info("leaving", "in_flight", e.inFlight.Load())
 	}
@@ -161,6 +177,12 @@
 	if e.ln != nil {
 		_ = e.ln.Close()
 	}
+	if e.peerLn != nil {
+		_ = e.peerLn.Close()
+	}
+	if e.node != nil {
+		e.node.Close()
+	}
 	e.mu.Lock()
 	links := e.links
 	e.links = make(map[string]*link)
--- a/entry/link.go
+++ b/entry/link.go
@@ -31,10 +31,21 @@
 	stopped  uint64 // incarnation of the agent that has said goodbye
 	opening  int    // requests on their way into the connection
 	dispatch uint64 // number of the latest dispatch on this connection
+
+	moved   chan struct{}       // signalled when the VM list names another address
+	goodbye chan struct{}       // signalled when the agent is about to stop
+	retired map[*wire.Conn]bool // connections to earlier VMs whose requests still run
 }
 
 func newLink(e *Entry, target, addr string) *link {
-	return &link{entry: e, target: target, addr: addr}
+	return &link{
+		entry:   e,
+		target:  target,
+		addr:    addr,
+		moved:   make(chan struct{}, 1),
+		goodbye: make(chan struct{}, 1),
+		retired: make(map[*wire.Conn]bool),
+	}
 }
 
 // update takes what the VM list says of the target. A new address means that
@@ -43,10 +54,18 @@
 	l.mu.Lock()
 	moved := vm.Address != l.addr
 	l.addr, l.vmState = vm.Address, vm.State
-	conn := l.conn
 	l.mu.Unlock()
-	if moved && conn != nil {
-		go conn.Close() // waits for the reader, which may be waiting for this lock
+	if !moved {
+		return
+	}
+	raiseFlag(l.moved)
+}
+
+// raiseFlag signals a channel with one place; a signal that waits already suffices.
+func raiseFlag(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
@@ -56,6 +75,10 @@
 		if conn := l.connect(); conn != nil {
 			select {
 			case <-conn.Done():
+			case <-l.moved:
+				l.retire(conn)
+			case <-l.goodbye:
+				l.retire(conn)
 			case <-l.entry.ctx.Done():
 				conn.Close()
 			}
@@ -65,10 +88,60 @@
 	}
 }
 
-func (l *link) connect() *wire.Conn {
+// retirePoll is how often a retired connection is looked at.
+const retirePoll = 20 * time.Millisecond
+
+// retire gives a connection no new work and closes it when its requests have
+// ended.
+//
+// Failure: the VM list names the successor of a VM that is shutting down
+// gracefully. Symptom: answers in flight are cut off. Enough, because the old
+// agent ends its connections itself once it has nothing left to do.
+func (l *link) retire(conn *wire.Conn) {
 	l.mu.Lock()
-	addr := l.addr
+	l.retired[conn] = true
 	l.mu.Unlock()
+	l.entry.duties.Go(func() {
+		l.closeWhenIdle(conn)
+		l.mu.Lock()
+		delete(l.retired, conn)
+		l.mu.Unlock()
+	})
+}
+
+// closeWhenIdle closes the connection once no request waits on it.
+func (l *link) closeWhenIdle(conn *wire.Conn) {
+	for !conn.CloseIfIdle() {
+		select {
+		case <-conn.Done():
+			return
+		case <-time.After(retirePoll):
+		case <-l.entry.ctx.Done():
+			conn.Close()
+			return
+		}
+	}
+}
+
+// nextAddr returns where to connect to; flags that were raised for an earlier
+// connection fall.
+func (l *link) nextAddr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropFlag(l.moved)
+	dropFlag(l.goodbye)
+	return l.addr
+}
+
+func dropFlag(ch chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
+func (l *link) connect() *wire.Conn {
+	addr := l.nextAddr()
 	ctx, cancel := context.WithTimeout(l.entry.ctx, linkDialTimeout)
 	defer cancel()
 	nc, err := l.entry.opts.Dial(ctx, addr)
@@ -99,8 +172,12 @@
 }
 
 // adopt takes a new connection into use. The attestation goes first: the agent
-// must have it before any request of this entry.
+// must have it before any request of this entry. And it waits for requests that
+// are on their way into the earlier connection, which may live on: one of them
+// that was booked after the attestation would be missing there.
 func (l *link) adopt(conn *wire.Conn) {
+	for l.openings() > 0 && l.entry.sleep(openingPoll) {
+	}
 	if s := l.entry.current.Load(); s != nil {
 		l.attest(conn, s)
 	}
@@ -108,9 +185,7 @@
 	l.conn = conn
 	l.dispatch = 0
 	l.mu.Unlock()
-	if s := l.entry.current.Load(); s != nil {
-		l.notify(s)
-	}
+	l.notify(l.entry.agentConfigs())
 	l.entry.log.V(1).Info("linked", "target", l.target, "incarnation", conn.Peer().Incarnation)
 }
 
@@ -121,36 +196,19 @@
 	l.load, l.hasLoad = wire.Load{}, false
 }
 
-func (l *link) close() {
+// openingPoll is how often adopt looks for requests on their way.
+const openingPoll = time.Millisecond
+
+func (l *link) opened() {
 	l.mu.Lock()
-	conn := l.conn
-	l.mu.Unlock()
-	if conn != nil {
-		conn.Close()
-	}
+	defer l.mu.Unlock()
+	l.opening--
 }
 
-// hangUpPoll is how often the entry looks whether its streams have ended; the
-// agent gives up waiting by itself.
-const hangUpPoll = 5 * time.Millisecond
-
-// hangUp leaves a connection whose agent stops: nothing new goes there, and what
-// is under way ends first.
-func (l *link) hangUp(conn *wire.Conn) {
+func (l *link) openings() int {
 	l.mu.Lock()
-	l.stopped = conn.Peer().Incarnation
-	if l.conn == conn {
-		l.conn = nil
-	}
-	l.mu.Unlock()
-	for l.openings() > 0 || conn.Streams() > 0 {
-		select {
-		case <-time.After(hangUpPoll):
-		case <-conn.Done():
-			return
-		}
-	}
-	conn.Close()
+	defer l.mu.Unlock()
+	return l.opening
 }
 
 // leaving tells whether the target takes nothing new, by its agent or by the VM
@@ -161,33 +219,25 @@
 	return l.load.Leaving || l.vmState == platform.StateLeaving
 }
 
-func (l *link) hasStopped(incarnation uint64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.stopped == incarnation
-}
-
-func (l *link) opened() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.opening--
-}
-
-func (l *link) openings() int {
+func (l *link) close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.opening
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
 }
 
-// notify tells the agent which configuration is in force here.
-func (l *link) notify(s *config.Snapshot) {
+// notify tells the agent what it needs of the configuration in force here.
+func (l *link) notify(configs *agentConfigs) {
 	l.mu.Lock()
 	conn := l.conn
 	l.mu.Unlock()
-	if conn != nil {
-		_ = conn.SendNote(wire.NoteConfig, notice(s)) // a lost link sends it again when it is back
-		l.attest(conn, s)
+	if conn == nil || configs == nil {
+		return
 	}
+	_ = conn.SendNote(wire.NoteAgentConfig, configs.of(l.target)) // a lost link sends it again when it is back
+	l.attest(conn, configs.snap)
 }
 
 // attest tells the agent which requests that must not run twice went elsewhere.
@@ -213,7 +263,7 @@
 		l.entry.serveCrash(payload)
 		return
 	case wire.NoteGoodbye:
-		go l.hangUp(c)
+		l.heardGoodbye(c)
 		return
 	default:
 		return
@@ -226,11 +276,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// The first report may overtake adopt, so the hand-over of conn is not awaited.
-	if l.conn == nil || l.conn == c {
+	if l.conn == c || (l.conn == nil && !l.retired[c]) {
 		l.load, l.hasLoad = load, true
 	}
 }
 
+func (l *link) heardGoodbye(c *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = c.Peer().Incarnation
+	if l.conn == c {
+		raiseFlag(l.goodbye)
+	}
+}
+
+func (l *link) hasStopped(incarnation uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped == incarnation
+}
+
 // view returns what placement may know of the target.
 func (l *link) view(t *route.Target) {
 	l.mu.Lock()
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -72,6 +72,11 @@
 			return nil
 		}
 		next = page.Next
+		// The versions among them are what Registered waits for; a follower of
+		// peers would get them later.
+		if err := e.node.Take(next-uint64(len(page.Records)), page.Records); err != nil {
+			return err
+		}
 		for _, raw := range page.Records {
 			if p, err := config.ReadPresence(raw); err == nil && p != nil && p.Role == config.PresenceAgent {
 				e.out.supersede(p.Name, p.Incarnation, p.At())
@@ -81,11 +86,11 @@
 	return nil
 }
 
-// registered tells whether agents can learn of this entry from the log, and
+// Registered tells whether agents can learn of this entry from the log, and
 // whether the entry knows every version that was accepted before its presence.
 // Without the second an entry that starts late could still dispatch under a
 // version whose successor's agents have already counted the entries.
-func (e *Entry) registered() bool {
+func (e *Entry) Registered() bool {
 	at := e.out.presentAt.Load()
 	return at > 0 && e.out.foldedTo.Load() >= at
 }
@@ -98,7 +103,7 @@
 // awaitRegistered waits a moment for an entry that has just started: its presence
 // is on the way, and a refusal would cost the caller more.
 func (e *Entry) awaitRegistered(ctx context.Context) bool {
-	for until := time.Now().Add(registerWait); !e.registered(); {
+	for until := time.Now().Add(registerWait); !e.Registered(); {
 		if ctx.Err() != nil || time.Now().After(until) {
 			return false
 		}
--- a/outcomes/cases_test.go
+++ b/outcomes/cases_test.go
@@ -104,7 +104,8 @@
 		go func() { lost <- w.send("team-0", 0, plainJob("k"), 0) }()
 		time.Sleep(10 * time.Millisecond)
 		w.entry(0).Close()
-		g.Expect((<-lost).Code.Info().Run).To(Equal(result.RunMaybe))
+		first := <-lost
+		g.Expect(first.Code.Info().Run).To(Equal(result.RunMaybe), first.Detail)
 		g.Expect(w.send("team-0", 1, plainJob("k"), 1).Code).To(Equal(result.OK))
 		g.Expect(ranOf(w, "k")).To(Equal(1))
 	})
--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -126,7 +126,7 @@
 func (w *World) ready() error {
 	deadline := time.Now().Add(readyWait)
 	for _, p := range w.entries {
-		for p.entry.Linked() < len(w.targets)-1 {
+		for p.entry.Linked() < len(w.targets)-1 || !p.entry.Registered() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s has linked %d of %d targets", p.name, p.entry.Linked(), len(w.targets)-1)
 			}
