--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -128,7 +128,8 @@
 	for _, p := range w.entries {
 		for p.entry.Linked() < len(w.targets)-1 || !p.entry.Registered() {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s has linked %d of %d targets", p.name, p.entry.Linked(), len(w.targets)-1)
+				return fmt.Errorf("%s has linked %d of %d targets, registered: %t",
+					p.name, p.entry.Linked(), len(w.targets)-1, p.entry.Registered())
 			}
 			time.Sleep(time.Millisecond)
 		}
