--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/wire"
 )
 
 // hopHeaders belong to one connection and are not passed on.
@@ -32,6 +33,10 @@
 	}
 	resp.Header.Set(HeaderTarget, b.x.Target)
 	resp.Header.Set(HeaderRun, result.RunDone.String())
+	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
+		b.conn = conn
+		conn.cork()
+	}
 	resp.SetBodyStream(b, -1)
 }
 
@@ -42,33 +47,55 @@
 	entry  *Entry
 	call   *Call
 	x      *Exchange
+	conn   *callerConn // gathers what is written; nil if it can't
 	done   func()
 	begun  time.Time
 	last   time.Time // arrival of the latest chunk; zero before the first
-	rest   []byte
+	chunk  []byte    // the latest bytes of the answer
+	rest   []byte    // what of them the caller does not have yet
 	sse    bool
 	failed error
+
+	chunkSeen bool // bytes of the answer have come
+	begunBody bool // the caller has the first of them
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
+		wire.Free(b.chunk)
+		b.chunk = nil
 		if b.failed != nil {
 			return 0, b.failed
 		}
+		if err := b.flushBeforeWait(); err != nil {
+			b.end(result.New(result.CallerGone, "write: %w", err))
+			return 0, b.failed
+		}
 		data, err := b.x.Recv()
 		if err != nil {
 			b.end(err)
 			continue
 		}
 		b.observe()
-		b.rest = data
+		b.chunk, b.rest = data, data
+		b.chunkSeen = true
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
 	return n, nil
 }
 
+// flushBeforeWait hands the caller all that it can have before more is awaited.
+// The first bytes never wait for others.
+func (b *answerBody) flushBeforeWait() error {
+	if b.conn == nil || (b.begunBody && b.x.stream.Ready()) {
+		return nil
+	}
+	b.begunBody = b.chunkSeen
+	return b.conn.flush()
+}
+
 // observe measures event streams: engines send about one event a token.
 func (b *answerBody) observe() {
 	if !b.sse {
@@ -119,6 +146,10 @@
 		b.finished(result.CallerGone, "caller stopped reading")
 	}
 	b.x.Close()
+	var err error
+	if b.conn != nil {
+		err = b.conn.uncork()
+	}
 	b.done()
-	return nil
+	return err
 }
