--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -9,11 +9,12 @@
 
 // benchCommand groups the benches; each bench has a file of its own.
 type benchCommand struct {
-	Control benchControl       `command:"control" description:"what configuration, membership and leases cost a node"`
-	Expert  benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
-	All     benchAll           `command:"all" description:"run all benches, several times each, and print one file of reports"`
-	Compare benchCompare       `command:"compare" description:"medians and spread of two files of bench all"`
-	Relay   benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
+	Control  benchControl       `command:"control" description:"what configuration, membership and leases cost a node"`
+	Expert   benchExpertCommand `command:"expert" description:"expert maps: skew, bytes moved and planner time against the baselines"`
+	Outcomes benchOutcomes      `command:"outcomes" description:"what callers are told under faults, and what at most once costs"`
+	All      benchAll           `command:"all" description:"run all benches, several times each, and print one file of reports"`
+	Compare  benchCompare       `command:"compare" description:"medians and spread of two files of bench all"`
+	Relay    benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
 
 // benchFlags are the flags that all benches share.
--- a/outcomes/cases_test.go
+++ b/outcomes/cases_test.go
@@ -34,10 +34,6 @@
 	})
 }
 
-func plainJob(key string) job {
-	return job{service: ServicePlain, path: "/entries/" + key, body: "entry " + key, key: key}
-}
-
 // homeOf returns where a key of team-0 runs.
 func homeOf(w *World, key string, spare bool) string {
 	names := []string{"oven-api-1", "oven-api-2", "oven-api-3"}
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/platform"
@@ -80,13 +82,23 @@
 	target  string
 	history *History
 	onCrash func()
+	broken  atomic.Bool  // each call is lost in mid-run
+	calls   atomic.Int64 // that reached the target
 }
 
 // CrashMark is in the body of a request that crashes its target.
 const CrashMark = "crash-me"
 
+var errBroken = errors.New("lost in mid-run")
+
 // Run implements platform.Backend.
 func (b *recordingBackend) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+	if call.Method != "GET" {
+		b.calls.Add(1)
+	}
+	if b.broken.Load() && call.Method != "GET" {
+		return nil, &platform.SendError{Sent: true, Err: errBroken}
+	}
 	reply, err := b.Backend.Run(ctx, call)
 	if err != nil || call.Method == "GET" { // a probe
 		return reply, err
--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -62,7 +62,7 @@
 	engine  *fake.Engine
 	plain   *fake.Plain
 	group   *fake.RankGroup
-	backend platform.Backend
+	backend *recordingBackend
 	agent   *agent.Agent
 	addr    string
 	moves   int
