--- a/outcomes/bench.go
+++ b/outcomes/bench.go
@@ -116,7 +116,7 @@
 		{"log claim, batched", func(at int, key string) { claims.append(key); open(at, key) }},
 	}
 	for _, way := range ways {
-		appends := w.Log.Appends()
+		appends, asked := w.Log.Appends(), len(w.History.Invocations)
 		began := time.Now()
 		times := timeAll(way.name, way.send)
 		seconds := time.Since(began).Seconds()
@@ -125,10 +125,21 @@
 		r.Add(way.name, "p99", "ms", ms(times[len(times)*99/100]))
 		r.Add(way.name, "log appends", "1/s", float64(w.Log.Appends()-appends)/seconds)
 		r.Add(way.name, "requests", "1/s", onceRequests/seconds)
+		r.Add(way.name, "answered whole", "share", wholeShare(w.History.Invocations[asked:]))
 	}
 	return nil
 }
 
+func wholeShare(list []*Invocation) float64 {
+	whole := 0
+	for _, i := range list {
+		if i.Code == result.OK {
+			whole++
+		}
+	}
+	return float64(whole) / float64(len(list))
+}
+
 func timeAll(name string, send func(at int, key string)) []time.Duration {
 	times := make([]time.Duration, onceRequests)
 	var wait sync.WaitGroup
