--- a/control/follow.go
+++ b/control/follow.go
@@ -151,6 +151,12 @@
 	return n.take(page.Next-uint64(len(page.Records)), page.Records, time.Now())
 }
 
+// Take folds consecutive log records, beginning at first, that this process has
+// read for another purpose. It may stop early at a gap; the followers go on.
+func (n *Node) Take(first uint64, records [][]byte) error {
+	return n.take(first, records, time.Now())
+}
+
 // take folds consecutive records that begin at first and were fresh at an instant.
 func (n *Node) take(first uint64, records [][]byte, fresh time.Time) error {
 	n.mu.Lock()
