Small teams: one target sampled nearby and one elsewhere; idle targets take all

Causes: with two and two, the best scored of four drew small teams to the same targets beside a large team. And a speed learnt while an engine was slow refused everything by deadline, so nothing ran by which it could be learnt anew: TestSlowEngineIsUsedAgain fails before (0 of 4 taken) and passes after.

--- a/config/schema.go
+++ b/config/schema.go
@@ -72,8 +72,8 @@
 	SkewWeight  float64       `msg:"s" ini:"skew-weight" default:"1" min:"0" doc:"price of step-time skew when experts are placed"`
 	MoveWeight  float64       `msg:"m" ini:"move-weight" default:"1" min:"0" doc:"price of a gigabyte of expert weights moved"`
 	Patience    time.Duration `msg:"pa" ini:"patience" default:"30ms" min:"0s" max:"1m" doc:"how much longer than on an idle target a first token may take before the agent sends the request back to be placed again; 0s: never"`
-	SampleNear  int           `msg:"sn" ini:"sample-near" default:"2" min:"1" max:"4" doc:"targets of the entry's data centre that one decision rates"`
-	SampleFar   int           `msg:"sf" ini:"sample-far" default:"2" min:"0" max:"4" doc:"targets of other data centres that one decision rates"`
+	SampleNear  int           `msg:"sn" ini:"sample-near" default:"1" min:"1" max:"4" doc:"targets of the entry's data centre that one decision rates"`
+	SampleFar   int           `msg:"sf" ini:"sample-far" default:"1" min:"0" max:"4" doc:"targets of other data centres that one decision rates"`
 	Distance    time.Duration `msg:"di" ini:"distance" default:"2ms" min:"0s" max:"10s" doc:"price of another data centre, as wait"`
 	LoadPrice   float64       `msg:"lp" ini:"load-price" default:"0.2" min:"0" max:"100" doc:"price of a full engine, as seconds of wait"`
 }
--- a/route/gate.go
+++ b/route/gate.go
@@ -101,10 +101,13 @@
 // final and at once.
 func (g *Gate) Offer(now time.Duration, j *Job, o Offer) (Admission, time.Duration) {
 	wait := g.Wait(j)
+	if g.idle() {
+		o.MaxWait = 0 // nothing is gained by refusing, and the speed may be known wrongly
+	}
 	switch {
 	case o.MaxWait > 0 && wait > o.MaxWait:
 		return AdmitTooLong, wait
-	case o.Left > 0 && wait+g.runTime(j) > o.Left:
+	case o.Left > 0 && !g.idle() && wait+g.runTime(j) > o.Left:
 		return AdmitDeadline, wait
 	case g.queue.Len() >= g.limit:
 		return AdmitFull, wait
@@ -161,6 +164,11 @@
 	j.work.Decode -= n
 }
 
+// idle tells whether the target has no work. An idle target takes every request:
+// if its speed was learnt wrongly, as after a stall, refusing by it would leave it
+// without the work by which it learns, and refusing for ever.
+func (g *Gate) idle() bool { return g.running == 0 && g.queue.Len() == 0 }
+
 // runTime returns how long a job takes in a full engine.
 func (g *Gate) runTime(j *Job) time.Duration {
 	perSlot := g.speed.TokensPerSec(1)
@@ -182,7 +190,7 @@
 		return nil
 	}
 	j := it.Value.(*Job)
-	if j.deadline > 0 && now+g.runTime(j) > j.deadline {
+	if j.deadline > 0 && g.running > 0 && now+g.runTime(j) > j.deadline {
 		j.Late = true
 		g.queue.Charge(j.Team, j.Weight, -j.Price)
 		g.unbook(j)
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -169,6 +169,43 @@
 	g.Expect(said).To(Equal(route.AdmitRun))
 }
 
+// An engine is far too slow for some minutes, so that no deadline can be met, and
+// then as fast as before. Callers must be served by it again: if all that came
+// were refused by the speed learnt in the slow time, nothing would run by which the
+// gate could learn better, and the target would be lost for good.
+func TestSlowEngineIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	gate := route.NewGate(4, 100)
+	now := time.Duration(0)
+	serve := func(took time.Duration) int {
+		var running []*route.Job
+		for range 4 {
+			said, _ := gate.Offer(now, job("a"), route.Offer{Left: time.Second})
+			if said == route.AdmitRun {
+				running = append(running, gate.Next(now))
+			}
+		}
+		now += took
+		for _, j := range running {
+			gate.Tokens(now, j, 100, true)
+			gate.End(now, j, true)
+		}
+		now += time.Millisecond
+		return len(running)
+	}
+	for range 200 {
+		serve(50 * time.Millisecond)
+	}
+	for range 60 {
+		serve(10 * time.Second)
+	}
+	g.Expect(serve(10*time.Second)).To(BeNumerically("<", 4), "most are refused")
+	for range 400 {
+		serve(50 * time.Millisecond)
+	}
+	g.Expect(serve(50 * time.Millisecond)).To(Equal(4))
+}
+
 // Cache events of a target are lost. The index goes on, believes that target
 // less, and comes back to full trust with whole batches; doubled ones count once.
 func TestCacheEventGapsLowerTrust(t *testing.T) {
--- a/route/place.go
+++ b/route/place.go
@@ -123,8 +123,8 @@
 const (
 	DefaultDistance  = 0.002 // seconds, there and back
 	DefaultLoadPrice = 0.2   // seconds
-	DefaultNear      = 2
-	DefaultFar       = 2
+	DefaultNear      = 1
+	DefaultFar       = 1
 	DefaultPatience  = 30 * time.Millisecond
 )
 
--- a/route/speed.go
+++ b/route/speed.go
@@ -64,11 +64,22 @@
 // FirstToken takes the time from the start of a request in the engine to its
 // first token, and the prompt tokens, its own included, that were before it.
 func (s *Speed) FirstToken(ahead float64, took time.Duration) {
-	if took > 0 && ahead > 0 {
-		s.first.learn(ahead, took.Seconds())
+	if took <= 0 || ahead <= 0 {
+		return
+	}
+	seen := took.Seconds()
+	if base, slope := s.first.fit(); slope > 0 {
+		seen = min(seen, surprise*(base+slope*ahead))
 	}
+	s.first.learn(ahead, seen)
 }
 
+// surprise bounds how much worse than expected one observation may be. An engine
+// that stalls for a minute and recovers would else look hundreds of times too slow
+// and get no work by which it could show that it is not; a slow engine is still
+// learnt within a few dozen requests.
+const surprise = 4
+
 // Running takes the state until now: how many of the slots were busy and how many
 // tokens were generated since the last call. now grows from any origin.
 func (s *Speed) Running(now time.Duration, busy int, tokens float64) {
@@ -80,8 +91,9 @@
 	if s.window < speedWindow {
 		return
 	}
-	if s.slotTime > 0 {
-		learn(&s.decode, s.tokens/s.slotTime)
+	// A window without any token is a stall, not a speed.
+	if s.slotTime > 0 && s.tokens > 0 {
+		learn(&s.decode, max(s.tokens/s.slotTime, s.decode/surprise))
 	}
 	s.window, s.tokens, s.slotTime = 0, 0, 0
 }
