--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,10 +142,30 @@
 	presenceBytes = 64
 )
 
+func resourceName(i int) string { return fmt.Sprint("group/", i) }
+
+// owners returns for each leased resource the node that ranks first for it and so
+// claims it without waiting for others.
+func (f *fleet) owners() []int {
+	var names []string
+	for _, p := range f.peers {
+		names = append(names, p.Name)
+	}
+	owners := make([]int, f.shape.owned)
+	for i := range owners {
+		owners[i] = slices.Index(names, control.Rank(resourceName(i), names)[0])
+	}
+	return owners
+}
+
 // ghosts appends what holders and processes outside of this fleet would, so that a
 // few nodes see the log of the coming size.
 func (f *fleet) ghosts(ctx context.Context) {
-	holders := max(0, ghostHolders-min(f.shape.nodes, f.shape.owned))
+	distinct := make(map[int]bool)
+	for _, owner := range f.owners() {
+		distinct[owner] = true
+	}
+	holders := max(0, ghostHolders-len(distinct))
 	rate := float64(holders)/renewEvery.Seconds() + presenceRate
 	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer tick.Stop()
--- a/bench/control/run.go
+++ b/bench/control/run.go
@@ -102,8 +102,8 @@
 	if _, err := f.awaitInForce(version); err != nil {
 		return err
 	}
-	for i := range s.owned {
-		f.nodes[i%len(f.nodes)].Want(fmt.Sprint("group/", i))
+	for i, owner := range f.owners() {
+		f.nodes[owner].Want(resourceName(i))
 	}
 	time.Sleep(window / 2) // claims settle
 	name := s.String()
