--- a/bench/control/run.go
+++ b/bench/control/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"runtime"
 	"runtime/metrics"
 	"slices"
