status maps: owners' groups with their last plans, gain, price and reason

Cause: operators could not see why experts were moved or not.

Done: a field of the status reply, rendered by expert.WriteMaps; the command's argument maps. Proof: demo test reads it at the entries (passes); the command itself was built and vetted, not run against a fleet.

--- a/bench/expert.go
+++ b/bench/expert.go
@@ -52,7 +52,7 @@
 	// are those of waiting for a core.
 	retimeAbove = 12 * time.Millisecond
 	retimes     = 3
-	storeRate        = 2e9
+	storeRate   = 2e9
 )
 
 // Policies of the two kinds of operator.
--- a/cmd/heatherrail/status.go
+++ b/cmd/heatherrail/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -16,10 +17,33 @@
 
 type statusCommand struct {
 	platformFlags
+	Args struct {
+		What string `positional-arg-name:"maps" description:"maps: expert maps and the last plans of each rank group"`
+	} `positional-args:"yes"`
+}
+
+const statusMaps = "maps"
+
+var errStatusWhat = errors.New("status shows everything, or maps")
+
+// writeMaps prints what the owners of the groups say.
+func writeMaps(w io.Writer, answers []control.Answer) error {
+	for _, a := range answers {
+		if a.Err != nil || a.Status.Maps == "" {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "owner %s\n%s", a.VM.Name, a.Status.Maps); err != nil {
+			return fmt.Errorf("write status: %w", err)
+		}
+	}
+	return nil
 }
 
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
+	if c.Args.What != "" && c.Args.What != statusMaps {
+		return &exitError{exitUsage, errStatusWhat}
+	}
 	_, client, err := c.open()
 	if err != nil {
 		return &exitError{exitUsage, err}
@@ -30,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Args.What == statusMaps {
+		return writeMaps(os.Stdout, answers)
+	}
 	return writeStatus(os.Stdout, answers)
 }
 
--- a/demo/ranks_test.go
+++ b/demo/ranks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/demo"
+	"github.com/heatherrail/heatherrail/expert"
 	"github.com/heatherrail/heatherrail/internal/fake"
 )
 
@@ -94,6 +96,15 @@
 	t.Logf("%d steps, %d idle", group.Steps(), group.Idle())
 }
 
+// allMaps is what operators see of the group at all entries.
+func allMaps(f *demo.Fleet) string {
+	var b strings.Builder
+	for _, e := range f.Entries {
+		_ = expert.WriteMaps(&b, e.MapLogs()) // a Builder takes everything
+	}
+	return b.String()
+}
+
 // A rank's engine dies and comes back without map and step; the group waits for it
 // and goes on by itself. It must not go on with the map that it finds, since the
 // others may have switched.
@@ -102,6 +113,7 @@
 	f, group := rankFleet(t)
 	first := group.Map()
 	g.Eventually(group.Map, "30s").ShouldNot(Equal(first))
+	g.Eventually(func() string { return allMaps(f) }, "30s").Should(ContainSubstring(expert.OutcomeSwitched))
 	f.Targets["oven-2"].Kill()
 	g.Expect(f.Targets["oven-2"].Restart()).To(Succeed())
 	goesOn(g, group)
--- a/entry/control.go
+++ b/entry/control.go
@@ -196,6 +196,7 @@
 	if !full {
 		return
 	}
+	r.Maps = e.mapsText()
 	for _, l := range e.allLinks() {
 		if load, ok := l.reported(); ok {
 			r.Targets = append(r.Targets, load)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
@@ -204,3 +205,12 @@
 	})
 	return logs
 }
+
+// mapsText is what `status maps` shows of this entry's groups.
+func (e *Entry) mapsText() string {
+	var b strings.Builder
+	if err := expert.WriteMaps(&b, e.MapLogs()); err != nil {
+		return err.Error()
+	}
+	return b.String()
+}
--- a/wire/schema_control.go
+++ b/wire/schema_control.go
@@ -121,6 +121,7 @@
 	Leases      []LeaseInfo `msg:"e"`
 	Targets     []Load      `msg:"t"`
 	Summaries   []Summary   `msg:"s"`
+	Maps        string      `msg:"p"` // the owner's account of its groups, ready to print
 }
 
 // LeaseInfo is one row of the folded lease table.
--- a/wire/schema_control_gen.go
+++ b/wire/schema_control_gen.go
@@ -896,9 +896,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "n"
-	o = append(o, 0x8f, 0xa1, 0x6e)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -966,6 +966,9 @@
 			return
 		}
 	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, z.Maps)
 	return
 }
 
@@ -1149,6 +1152,12 @@
 					return
 				}
 			}
+		case "p":
+			z.Maps, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Maps")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1163,7 +1172,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StatusReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Stopped) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Stopped) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Down {
 		s += msgp.StringPrefixSize + len(z.Down[za0001])
 	}
@@ -1179,6 +1188,7 @@
 	for za0004 := range z.Summaries {
 		s += z.Summaries[za0004].Msgsize()
 	}
+	s += 2 + msgp.StringPrefixSize + len(z.Maps)
 	return
 }
 
