--- a/bench/control/run.go
+++ b/bench/control/run.go
@@ -107,7 +107,7 @@
 	}
 	time.Sleep(window / 2) // claims settle
 	name := s.String()
-	quiet := rates(f, func() { time.Sleep(window) })
+	quiet := rates(f, func() { time.Sleep(max(window, renewEvery)) }) // renewals come in bursts
 	quiet.add(r, name, s)
 	var took []time.Duration
 	busy := rates(f, func() { took, err = f.changes(ctx, window) })
--- a/cmd/heatherrail/status.go
+++ b/cmd/heatherrail/status.go
@@ -17,7 +17,8 @@
 
 type statusCommand struct {
 	platformFlags
-	Args struct {
+	Explain string `long:"explain" value-name:"REQUEST-ID" description:"say why a request was placed where it was; needs a team key in HEATHERRAIL_TEAM_KEY"`
+	Args    struct {
 		What string `positional-arg-name:"maps" description:"maps: expert maps and the last plans of each rank group"`
 	} `positional-args:"yes"`
 }
@@ -50,6 +51,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
+	if c.Explain != "" {
+		return explain(ctx, client.VMs, c.Explain)
+	}
 	answers, err := client.Status(ctx, "", true)
 	if err != nil {
 		return err
