--- a/cmd/heatherrail/demo.go
+++ b/cmd/heatherrail/demo.go
@@ -38,6 +38,9 @@
 	if c.StandinsOnly {
 		return c.standins(cfg)
 	}
+	if !c.Keep {
+		demo.QuickPlans(cfg)
+	}
 	verbosity := 0
 	if c.Quiet {
 		verbosity = -1
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -36,6 +36,9 @@
 	if err := logEntry(ctx, p, base, f); err != nil {
 		return fmt.Errorf("log entry: %w", err)
 	}
+	if err := showSwitch(ctx, p, base, f); err != nil {
+		return err
+	}
 	p.line("counters:")
 	if err := f.Metrics.Write(p); err != nil {
 		return err
@@ -86,11 +89,12 @@
 	return resp, nil
 }
 
+const draftBody = `{"model":"drafter","stream":true,"max_tokens":24,"messages":[` +
+	`{"role":"user","content":"Fridge 3 reads 9 degrees. Draft a corrective action."}]}`
+
 func draft(ctx context.Context, p *printer, base string, f *Fleet) error {
-	const prompt = "Fridge 3 reads 9 degrees. Draft a corrective action."
-	body := fmt.Sprintf(`{"model":"drafter","stream":true,"max_tokens":24,"messages":[{"role":"user","content":%q}]}`, prompt)
 	begin := time.Now()
-	resp, err := post(ctx, base+"/v1/chat/completions", body, nil)
+	resp, err := post(ctx, base+"/v1/chat/completions", draftBody, nil)
 	if err != nil {
 		return err
 	}
