--- a/expert/model_test.go
+++ b/expert/model_test.go
@@ -94,6 +94,7 @@
 	seen     map[uint64]struct{}
 	finishes map[uint64]bool // engine states from which the group can go on
 	trail    []action
+	free     []*world
 	found    error
 	key      []byte
 	parts    [modelRanks][]byte
@@ -143,6 +144,20 @@
 	}
 }
 
+// copy returns a state to change, and drop gives it back: without, the search
+// spends most of its time on allocation.
+func (s *search) copy(w *world) *world {
+	if len(s.free) == 0 {
+		s.free = append(s.free, new(world))
+	}
+	n := s.free[len(s.free)-1]
+	s.free = s.free[:len(s.free)-1]
+	*n = *w
+	return n
+}
+
+func (s *search) drop(w *world) { s.free = append(s.free, w) }
+
 // action is one step of a run; it is only spelt out for a violation.
 type action struct {
 	format string
@@ -165,24 +180,27 @@
 func (s *search) engineActions(w *world, r int) {
 	p := &w.engine[r]
 	if (p.CanEnter() || s.passes(p)) && p.Next < s.steps {
-		n := *w
+		n := s.copy(w)
 		if err := n.enter(r); err != nil {
 			s.trail = append(s.trail, action{"rank %d enters %d", []any{r, p.Next}})
 			s.fail(err)
 			return
 		}
-		s.then(&n, "rank %d enters %d", r, p.Next)
+		s.then(n, "rank %d enters %d", r, p.Next)
+		s.drop(n)
 	}
 	if p.Inside && w.allSent(p.Next-1) {
-		n := *w
+		n := s.copy(w)
 		n.complete(r)
-		s.then(&n, "rank %d completes %d", r, p.Next-1)
+		s.then(n, "rank %d completes %d", r, p.Next-1)
+		s.drop(n)
 	}
 	if w.agentRestarts < s.agentRestarts {
-		n := *w
+		n := s.copy(w)
 		n.agentRestarts++
 		n.agent[r] = NewRank(w.agent[r].Incarnation + 1)
-		s.then(&n, "agent %d restarts", r)
+		s.then(n, "agent %d restarts", r)
+		s.drop(n)
 	}
 	if w.engineRestarts < s.engineRestarts {
 		s.restartEngine(w, r)
@@ -196,7 +214,7 @@
 // restartEngine: what the dead run sent into an unfinished step counts for ranks
 // that were in the step with it, or was lost; it never counts for later comers.
 func (s *search) restartEngine(w *world, r int) {
-	n := *w
+	n := s.copy(w)
 	n.engineRestarts++
 	n.engine[r] = w.engine[r].Restart()
 	n.used[r] = [modelSteps]MapID{}
@@ -210,11 +228,12 @@
 			company = company || (q != r && w.used[q][step] != 0)
 		}
 		if company {
-			s.then(&n, "engine %d restarts, its data arrived", r)
+			s.then(n, "engine %d restarts, its data arrived", r)
 		}
 		n.sent[r][step] = false
 	}
-	s.then(&n, "engine %d restarts", r)
+	s.then(n, "engine %d restarts", r)
+	s.drop(n)
 }
 
 func (w *world) allSent(step uint64) bool {
@@ -254,16 +273,18 @@
 		return
 	}
 	if !a.withdrawn && !s.noWithdrawals {
-		n := *w
+		n := s.copy(w)
 		n.attempt[b].withdrawn = true
 		n.attempt[b].dead = s.variant != decideWithdrawn
-		s.then(&n, "ballot %d withdraws", b+1)
+		s.then(n, "ballot %d withdraws", b+1)
+		s.drop(n)
 	}
 	if !a.withdrawn || s.variant == decideWithdrawn {
 		if d := s.decide(a, b); d != nil {
-			n := *w
+			n := s.copy(w)
 			n.attempt[b].decided = d
-			s.then(&n, "ballot %d decides %v join %d", b+1, d.Schedule, d.Join)
+			s.then(n, "ballot %d decides %v join %d", b+1, d.Schedule, d.Join)
+			s.drop(n)
 		}
 	}
 }
@@ -312,7 +333,7 @@
 // orderActions delivers one ballot's orders to one rank.
 func (s *search) orderActions(w *world, b, r int) {
 	a := &w.attempt[b]
-	n := *w
+	n := s.copy(w)
 	reply, err := n.agent[r].Hold(simEngine{&n.engine[r], s.variant}, HoldOrder{Ballot: ballot(b), At: s.at[b]})
 	if err == nil {
 		old := a.replies[r]
@@ -320,35 +341,38 @@
 			old = &reply // it changes nothing for the orderer any more
 		}
 		if old != nil && !sameReply(old, &reply) {
-			s.then(&n, "rank %d holds for ballot %d, reply lost", r, b+1)
+			s.then(n, "rank %d holds for ballot %d, reply lost", r, b+1)
 		}
 		if old == nil || !sameReply(old, &reply) {
 			n.attempt[b].replies[r] = &reply
 			n.attempt[b].complete = n.attempt[b].answered() == modelRanks
 		}
-		s.then(&n, "rank %d holds for ballot %d", r, b+1)
+		s.then(n, "rank %d holds for ballot %d", r, b+1)
+		s.drop(n)
 	}
 	if a.complete && !a.confirmed[r] && w.agent[r].Confirm(ballot(b), a.replies[r].Incarnation) == nil {
-		n := *w
+		n := s.copy(w)
 		n.attempt[b].confirmed[r] = true
-		s.then(&n, "rank %d confirms ballot %d", r, b+1)
+		s.then(n, "rank %d confirms ballot %d", r, b+1)
+		s.drop(n)
 	}
 	if a.decided != nil && a.replies[r] != nil {
 		s.deliverDecision(w, b, r)
 	}
 	if a.withdrawn {
-		n := *w
+		n := s.copy(w)
 		if s.variant == liftAnyHold {
 			n.agent[r].Fresh = true
 		}
 		if n.agent[r].Withdraw(simEngine{&n.engine[r], s.variant}, ballot(b)) == nil {
-			s.then(&n, "rank %d hears that ballot %d withdrew", r, b+1)
+			s.then(n, "rank %d hears that ballot %d withdrew", r, b+1)
+			s.drop(n)
 		}
 	}
 }
 
 func (s *search) deliverDecision(w *world, b, r int) {
-	n := *w
+	n := s.copy(w)
 	a := &w.attempt[b]
 	incarnation := a.replies[r].Incarnation
 	switch s.variant {
@@ -358,7 +382,8 @@
 		incarnation = n.agent[r].Incarnation
 	}
 	if n.agent[r].Decide(simEngine{&n.engine[r], s.variant}, *a.decided, incarnation, a.replies[r].Start) == nil {
-		s.then(&n, "rank %d obeys ballot %d", r, b+1)
+		s.then(n, "rank %d obeys ballot %d", r, b+1)
+		s.drop(n)
 	}
 }
 
