--- a/agent/rank_test.go
+++ b/agent/rank_test.go
@@ -230,3 +230,38 @@
 	b.g.Eventually(func() result.Code { return result.From(hold(5)).Code }, "20s").Should(Equal(result.FenceStale))
 	b.g.Expect(hold(6)).To(Succeed())
 }
+
+// A rank stalls for long in the midst of a switch. The others wait for it, as
+// always in lock-step; when it wakes, the decision is there and nothing is mixed.
+func TestRankStallsDuringASwitch(t *testing.T) {
+	b := newRankBench(t)
+	b.prepare()
+	b.engines[1].Stall(true)
+	a := b.hold(1, b.next.ID())
+	b.decideAll(a)
+	b.engines[1].Stall(false)
+	b.entered(a, 1)
+	b.goesOnWith(b.next)
+}
+
+// One agent is gone when a switch begins. The orderer can't have all replies, so
+// it withdraws before the ranks reach the hold, and no step is lost. A late copy
+// of the order to hold must not hold them again.
+func TestSilentRankCostsNoStep(t *testing.T) {
+	b := newRankBench(t)
+	b.agents[2].Close()
+	hold := wire.RankOrder{Op: wire.RankHold, Round: 1, At: b.group.Steps() + 1<<20}
+	for i := range testRanks - 1 {
+		_, err := b.order(i, &hold)
+		b.g.Expect(err).NotTo(HaveOccurred())
+		_, err = b.order(i, &wire.RankOrder{Op: wire.RankWithdraw, Round: 1})
+		b.g.Expect(err).NotTo(HaveOccurred())
+		_, err = b.order(i, &hold)
+		b.g.Expect(result.From(err).Code).To(Equal(result.BallotVoid))
+		p, err := b.engines[i].Rank().Position(context.Background())
+		b.g.Expect(err).NotTo(HaveOccurred())
+		b.g.Expect(p.Held).To(BeFalse())
+	}
+	b.goesOnWith(b.first)
+	b.g.Expect(b.group.Idle()).To(BeZero())
+}
