--- a/agent/agent.go
+++ b/agent/agent.go
@@ -151,6 +151,7 @@
 	a.mu.Lock()
 	a.peers[c] = new(peerState)
 	a.mu.Unlock()
+	a.crashes.tell(c)
 	a.report(c)
 	if a.stopping.Load() {
 		_ = c.SendNote(wire.NoteGoodbye, nil) // a lost connection needs no goodbye
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -32,8 +32,19 @@
 	gather   *crashGathering
 	refused  map[uint64]time.Time
 	seq      uint64
+	reports  []crashReport // the latest ones
 }
 
+// crashReport is kept for entries that come after the crash: one that does not
+// know the suspects would send them to another target.
+type crashReport struct {
+	note wire.Crash
+	at   time.Time
+}
+
+// reportsKept bounds the crash reports that an entry gets with its link.
+const reportsKept = 16
+
 // crashRun is one request on the engine.
 type crashRun struct {
 	watch       *crashWatch
@@ -182,6 +193,9 @@
 		note.Alone = true
 		w.refuse(g.members[0].fingerprint)
 	}
+	if crashed {
+		w.reports = append(w.reports[max(0, len(w.reports)-reportsKept+1):], crashReport{note: note, at: time.Now()})
+	}
 	w.mu.Unlock()
 	if !crashed {
 		return
@@ -194,6 +208,21 @@
 	}
 }
 
+// tell repeats the crashes of the last minutes to an entry that has just come.
+func (w *crashWatch) tell(c *wire.Conn) {
+	w.mu.Lock()
+	reports := w.reports
+	w.mu.Unlock()
+	for _, r := range reports {
+		age := time.Since(r.at)
+		if age > crashRefuse {
+			continue
+		}
+		r.note.AgeMs = max(age.Milliseconds(), 1)
+		_ = c.SendNote(wire.NoteCrash, &r.note) // a lost entry needs none
+	}
+}
+
 func (w *crashWatch) refuse(fingerprint uint64) {
 	now := time.Now()
 	for f, until := range w.refused {
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -131,8 +131,11 @@
 	}
 	e.out.mu.Lock()
 	now := time.Now()
-	refused := e.out.quarantine.Crash(c.ID, c.Alone, c.Suspects, now)
-	e.out.ejector.Eject(c.Target, now)
+	age := time.Duration(c.AgeMs) * time.Millisecond
+	refused := e.out.quarantine.Crash(c.ID, c.Alone, c.Suspects, now.Add(-age), now)
+	if age == 0 {
+		e.out.ejector.Eject(c.Target, now)
+	}
 	e.out.mu.Unlock()
 	e.opts.Metrics.Count("quarantine_suspects_total", int64(len(c.Suspects)))
 	e.opts.Metrics.Count("quarantine_refused_total", int64(refused))
--- a/outcomes/callers.go
+++ b/outcomes/callers.go
@@ -20,6 +20,7 @@
 	callerDeadline = 5 * time.Second
 	callerRepeats  = 3
 	callerPause    = 100 * time.Millisecond
+	callerBackoff  = 300 * time.Millisecond // callers keep less than the Retry-After they are told
 	minTokens      = 8
 	moreTokens     = 24
 )
@@ -118,6 +119,9 @@
 		if i.Code == result.OK || (i.Code.Info().RetryAfter == 0 && j.key == "" && i.Code.Info().Run != result.RunMaybe) {
 			return
 		}
+		if i.Code.Info().Run == result.RunNot {
+			time.Sleep(min(i.Code.Info().RetryAfter, callerBackoff))
+		}
 	}
 }
 
--- a/route/outcomes_test.go
+++ b/route/outcomes_test.go
@@ -74,18 +74,18 @@
 		return v
 	}
 	q := route.NewQuarantine()
-	q.Crash(1, false, []uint64{10, 11}, now)
-	q.Crash(1, false, []uint64{10, 11}, now) // heard twice
+	q.Crash(1, false, []uint64{10, 11}, now, now)
+	q.Crash(1, false, []uint64{10, 11}, now, now) // heard twice
 	g.Expect(verdict(q, 10)).To(Equal(route.VerdictAlone))
 	q.Clear(11)
 	g.Expect(verdict(q, 11)).To(Equal(route.VerdictFree))
-	g.Expect(q.Crash(2, true, []uint64{10}, now)).To(Equal(1))
+	g.Expect(q.Crash(2, true, []uint64{10}, now, now)).To(Equal(1))
 	g.Expect(verdict(q, 10)).To(Equal(route.VerdictRefuse))
 	now = now.Add(6 * time.Minute)
 	g.Expect(verdict(q, 10)).To(Equal(route.VerdictFree), "for a time only")
 	for id := range uint64(4) {
-		q.Crash(100+id, false, []uint64{1000 + id}, now)
+		q.Crash(100+id, false, []uint64{1000 + id}, now, now)
 	}
-	q.Crash(200, true, []uint64{1000}, now)
+	q.Crash(200, true, []uint64{1000}, now, now)
 	g.Expect(verdict(q, 1000)).To(Equal(route.VerdictAlone), "others crash too")
 }
--- a/route/quarantine.go
+++ b/route/quarantine.go
@@ -43,45 +43,55 @@
 	suspectFor   = time.Minute
 	refuseFor    = 5 * time.Minute
 	wideWindow   = 30 * time.Second
-	wideCrashes  = 3 // that a suspect had no part in
+	crashMemory  = 10 * time.Minute // longer than agents repeat a report
+	wideCrashes  = 3                // that a suspect had no part in
 	suspectLimit = 4096
 )
 
 // NewQuarantine returns a quarantine that suspects nobody.
 func NewQuarantine() *Quarantine { return &Quarantine{suspects: make(map[uint64]*suspect)} }
 
-// Crash books the crash of a target. alone: the only suspect was running alone
-// on purpose. Doubled reports of one crash count once. It returns how many
-// requests are refused from now on.
-func (q *Quarantine) Crash(id uint64, alone bool, suspects []uint64, now time.Time) int {
+// Crash books the crash of a target at an instant. alone: the only suspect was
+// running alone on purpose, so another crash came before. Doubled reports of one
+// crash count once. It returns how many requests are refused from now on.
+func (q *Quarantine) Crash(id uint64, alone bool, suspects []uint64, at, now time.Time) int {
 	q.expire(now)
 	if slices.ContainsFunc(q.crashes, func(c crashSeen) bool { return c.id == id }) {
 		return 0
 	}
-	q.crashes = append(q.crashes, crashSeen{id: id, at: now, suspects: suspects})
+	q.crashes = append(q.crashes, crashSeen{id: id, at: at, suspects: suspects})
 	refused := 0
 	for _, f := range suspects {
 		s := q.suspects[f]
+		if s == nil && len(q.suspects) < suspectLimit {
+			s = new(suspect)
+			q.suspects[f] = s
+		}
 		switch {
-		case s == nil && len(q.suspects) < suspectLimit:
-			q.suspects[f] = &suspect{until: now.Add(suspectFor)}
 		case s == nil || s.refused:
-		case alone && !q.wide(f):
-			s.refused, s.until = true, now.Add(refuseFor)
+		case alone && !q.wide(f, at):
+			s.refused, s.until = true, at.Add(refuseFor)
 			refused++
 		default:
-			s.until = now.Add(suspectFor)
+			s.until = later(s.until, at.Add(suspectFor))
 		}
 	}
 	return refused
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // wide tells whether targets crash all over the fleet without the suspect. Then
 // its second crash proves nothing, and refusing would add to the damage.
-func (q *Quarantine) wide(f uint64) bool {
+func (q *Quarantine) wide(f uint64, at time.Time) bool {
 	others := 0
 	for _, c := range q.crashes {
-		if !slices.Contains(c.suspects, f) {
+		if at.Sub(c.at).Abs() <= wideWindow && !slices.Contains(c.suspects, f) {
 			others++
 		}
 	}
@@ -89,7 +99,7 @@
 }
 
 func (q *Quarantine) expire(now time.Time) {
-	q.crashes = slices.DeleteFunc(q.crashes, func(c crashSeen) bool { return now.Sub(c.at) > wideWindow })
+	q.crashes = slices.DeleteFunc(q.crashes, func(c crashSeen) bool { return now.Sub(c.at) > crashMemory })
 	for f, s := range q.suspects {
 		if now.After(s.until) {
 			delete(q.suspects, f)
--- a/route/retry.go
+++ b/route/retry.go
@@ -73,7 +73,11 @@
 		}
 	case result.StaleAgent, result.TargetIsolated, result.WaitTooLong:
 		return RetryFree
-	case result.NoTarget, result.Unreachable, result.TargetBusy, result.StaleVersion:
+	case result.NoTarget, result.Unreachable, result.TargetBusy:
+		if repeatable { // a home that is away has no substitute either
+			return RetryBudgeted
+		}
+	case result.StaleVersion:
 		return RetryBudgeted
 	case result.WireClosed, result.TargetLost:
 		return RetryBudgeted
--- a/wire/schema_outcomes.go
+++ b/wire/schema_outcomes.go
@@ -29,4 +29,5 @@
 	Target   string   `msg:"t"`
 	Alone    bool     `msg:"a"` // the only suspect ran alone on purpose
 	Suspects []uint64 `msg:"s"` // fingerprints
+	AgeMs    int64    `msg:"g"` // since the crash; agents repeat reports to entries that come later
 }
--- a/wire/schema_outcomes_gen.go
+++ b/wire/schema_outcomes_gen.go
@@ -133,9 +133,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
+	o = append(o, 0x85, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -149,6 +149,9 @@
 	for za0001 := range z.Suspects {
 		o = msgp.AppendUint64(o, z.Suspects[za0001])
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt64(o, z.AgeMs)
 	return
 }
 
@@ -215,6 +218,12 @@
 					return
 				}
 			}
+		case "g":
+			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -229,6 +238,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Crash) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Suspects) * (msgp.Uint64Size))
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Suspects) * (msgp.Uint64Size)) + 2 + msgp.Int64Size
 	return
 }
