--- a/outcomes/crash_test.go
+++ b/outcomes/crash_test.go
@@ -1,6 +1,7 @@
 package outcomes
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,15 +15,18 @@
 // bystanders' texts go on elsewhere and end well.
 func TestACrashingRequestTakesDownTwoTargets(t *testing.T) {
 	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			r, err := runCrasher(seed, false)
-			g.Expect(err).NotTo(HaveOccurred())
-			time.Sleep(time.Minute)
-			g.Expect(r.targets).To(BeNumerically("<=", 2), "seed %d: %+v", seed, r)
-			g.Expect(r.refusedAt).NotTo(BeZero(), "seed %d: %+v", seed, r)
-			g.Expect(r.innocents).To(HaveLen(1), "seed %d: %+v", seed, r)
-			g.Expect(r.innocents).To(HaveKey("ok"))
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r, err := runCrasher(seed, false)
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(time.Minute)
+				g.Expect(r.targets).To(BeNumerically("<=", 2), "seed %d: %+v", seed, r)
+				g.Expect(r.refusedAt).NotTo(BeZero(), "seed %d: %+v", seed, r)
+				g.Expect(r.innocents).To(HaveLen(1), "seed %d: %+v", seed, r)
+				g.Expect(r.innocents).To(HaveKey("ok"))
+			})
 		})
 	}
 }
@@ -32,13 +36,16 @@
 // in common, so nobody is convicted for being on a second one.
 func TestAFleetWideFaultRefusesNobody(t *testing.T) {
 	for seed := range uint64(10) {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			r, err := runCrasher(seed, true)
-			g.Expect(err).NotTo(HaveOccurred())
-			time.Sleep(time.Minute)
-			g.Expect(r.innocents).NotTo(HaveKey("crash_suspect"), "seed %d: %+v", seed, r)
-			g.Expect(r.innocents["ok"]).To(BeNumerically(">", 50), "seed %d: %+v", seed, r)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r, err := runCrasher(seed, true)
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(time.Minute)
+				g.Expect(r.innocents).NotTo(HaveKey("crash_suspect"), "seed %d: %+v", seed, r)
+				g.Expect(r.innocents["ok"]).To(BeNumerically(">", 50), "seed %d: %+v", seed, r)
+			})
 		})
 	}
 }
