Placers are kept by the keys they depend on

Cause: the whole policy was the key of a map; the first policy key that is a list would panic at the first request. Run: go test -race ./entry ./demo, pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,7 +62,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   conc.WaitGroup
-	placers  sync.Map // config.Policy to *route.Placer
+	placers  sync.Map // placerKey to *route.Placer
 	fleets   fleetViews
 	explain  explainRing
 	limits   *limits
--- a/entry/sched.go
+++ b/entry/sched.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/result"
@@ -131,19 +132,23 @@
 	return best.Target.Name, nil
 }
 
-// placerOf returns the placer of a policy. A policy without samples was written by
-// a build that did not know the keys yet, and would let no target be found: it
-// gets the defaults.
+// placerKey is the part of a policy that a placer depends on.
+type placerKey struct {
+	patience, distance time.Duration
+	near, far          int
+	loadPrice          float64
+}
+
+// placerOf returns the placer of a policy.
 func (e *Entry) placerOf(p *config.Policy) *route.Placer {
-	if held, ok := e.placers.Load(*p); ok {
+	key := placerKey{p.Patience, p.Distance, p.SampleNear, p.SampleFar, p.LoadPrice}
+	if held, ok := e.placers.Load(key); ok {
 		return held.(*route.Placer)
 	}
 	placer := route.DefaultPlacer()
-	if p.SampleNear+p.SampleFar > 0 {
-		placer.Patience = p.Patience
-		placer.Near, placer.Far = p.SampleNear, p.SampleFar
-		placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
-	}
-	held, _ := e.placers.LoadOrStore(*p, placer)
+	placer.Patience = p.Patience
+	placer.Near, placer.Far = p.SampleNear, p.SampleFar
+	placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	held, _ := e.placers.LoadOrStore(key, placer)
 	return held.(*route.Placer)
 }
