--- a/agent/witness.go
+++ b/agent/witness.go
@@ -35,12 +35,13 @@
 	log    platform.Log // nil: the roster is the linked entries
 	now    func() time.Time
 
-	mu       sync.Mutex
-	attested map[uint64]uint64    // entry incarnation -> version
-	absent   map[uint64]bool      // entries that were waited for in vain
-	doubts   map[uint64]time.Time // key hash -> last heard
-	homes    []homeList           // contiguous versions, oldest first
-	trusting bool                 // a test's switch: run unknown keys at once
+	mu        sync.Mutex
+	attested  map[uint64]uint64    // entry incarnation -> version
+	absent    map[uint64]bool      // entries that were waited for in vain
+	doubts    map[uint64]time.Time // key hash -> last heard
+	nextSweep time.Time
+	homes     []homeList // contiguous versions, oldest first
+	trusting  bool       // a test's switch: run unknown keys at once
 
 	roster   map[uint64]time.Time // entry incarnation -> last presence, without those gone
 	rosterAt uint64               // version known when the roster was read
@@ -87,12 +88,33 @@
 		}
 	}
 	delete(w.absent, entry)
+	w.forgetDoubts(now)
 	for _, k := range at.Keys {
 		w.doubts[k] = now
 	}
 	w.learnHomes(at, now)
 }
 
+const (
+	// maxWindow is the longest dedup-window that a policy may have.
+	maxWindow = 24 * time.Hour
+	// doubtSweep is how often doubts that no window reaches any more are dropped.
+	doubtSweep = time.Minute
+)
+
+// forgetDoubts bounds the memory of doubts; mu is held.
+func (w *witness) forgetDoubts(now time.Time) {
+	if now.Before(w.nextSweep) {
+		return
+	}
+	w.nextSweep = now.Add(doubtSweep)
+	for k, at := range w.doubts {
+		if now.Sub(at) > maxWindow+dispatchSlack {
+			delete(w.doubts, k)
+		}
+	}
+}
+
 // newest returns the newest version that an entry has attested.
 func (w *witness) newest() uint64 {
 	w.mu.Lock()
--- a/outcomes/callers.go
+++ b/outcomes/callers.go
@@ -138,7 +138,6 @@
 		Want:      j.want,
 		Streamed:  j.stream,
 		CrashBody: strings.Contains(j.body, CrashMark),
-		CallerTry: try,
 	}
 	i.ID = fmt.Sprintf("%s#%d@%s+%d", team, try, i.Entry, w.incarnation())
 	w.History.begin(i)
@@ -182,9 +181,6 @@
 		if err != nil {
 			return "", err
 		}
-		if i.FirstByte.IsZero() {
-			i.FirstByte = time.Now()
-		}
 		all.WriteString(string(data))
 	}
 }
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -18,23 +18,20 @@
 
 // Invocation is one request of a caller and what it was told.
 type Invocation struct {
-	ID         string // new for each try of the caller
-	Key        string // empty: repeatable
-	Service    string
-	Entry      string
-	Began      time.Time
-	Ended      time.Time // zero: it never ended
-	Deadline   time.Time
-	Code       result.Code // OK: a whole answer
-	Detail     string      // of a refusal
-	Answer     string      // what the caller read
-	Want       string      // the whole answer, where it can be told in advance
-	Streamed   bool
-	FirstByte  time.Time
-	Continued  int
-	CrashBody  bool
-	CallerTry  int
-	EntryStops bool // the entry was killed while it ran
+	ID        string // new for each try of the caller
+	Key       string // empty: repeatable
+	Service   string
+	Entry     string
+	Began     time.Time
+	Ended     time.Time // zero: it never ended
+	Deadline  time.Time
+	Code      result.Code // OK: a whole answer
+	Detail    string      // of a refusal
+	Answer    string      // what the caller read
+	Want      string      // the whole answer, where it can be told in advance
+	Streamed  bool
+	Continued int
+	CrashBody bool
 }
 
 // Execution is one request that reached a target.
