--- a/outcomes/callers.go
+++ b/outcomes/callers.go
@@ -20,6 +20,7 @@
 	callerDeadline = 5 * time.Second
 	callerRepeats  = 3
 	callerPause    = 100 * time.Millisecond
+	callerBackoff  = 300 * time.Millisecond // callers keep less than the Retry-After they are told
 	minTokens      = 8
 	moreTokens     = 24
 )
@@ -118,6 +119,9 @@
 		if i.Code == result.OK || (i.Code.Info().RetryAfter == 0 && j.key == "" && i.Code.Info().Run != result.RunMaybe) {
 			return
 		}
+		if i.Code.Info().Run == result.RunNot {
+			time.Sleep(min(i.Code.Info().RetryAfter, callerBackoff))
+		}
 	}
 }
 
@@ -134,7 +138,6 @@
 		Want:      j.want,
 		Streamed:  j.stream,
 		CrashBody: strings.Contains(j.body, CrashMark),
-		CallerTry: try,
 	}
 	i.ID = fmt.Sprintf("%s#%d@%s+%d", team, try, i.Entry, w.incarnation())
 	w.History.begin(i)
@@ -178,9 +181,6 @@
 		if err != nil {
 			return "", err
 		}
-		if i.FirstByte.IsZero() {
-			i.FirstByte = time.Now()
-		}
 		all.WriteString(string(data))
 	}
 }
