--- a/entry/sched.go
+++ b/entry/sched.go
@@ -140,15 +140,21 @@
 }
 
 // placerOf returns the placer of a policy.
+//
+// Failure: a policy was written by a build that did not know the sampling keys, so
+// they are zero here. Symptom: no target is ever found. Enough, because a policy of
+// a build that knows them has at least one sample.
 func (e *Entry) placerOf(p *config.Policy) *route.Placer {
 	key := placerKey{p.Patience, p.Distance, p.SampleNear, p.SampleFar, p.LoadPrice}
 	if held, ok := e.placers.Load(key); ok {
 		return held.(*route.Placer)
 	}
 	placer := route.DefaultPlacer()
-	placer.Patience = p.Patience
-	placer.Near, placer.Far = p.SampleNear, p.SampleFar
-	placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	if p.SampleNear+p.SampleFar > 0 {
+		placer.Patience = p.Patience
+		placer.Near, placer.Far = p.SampleNear, p.SampleFar
+		placer.Scorer = route.Wait{Distance: p.Distance.Seconds(), Load: p.LoadPrice}
+	}
 	held, _ := e.placers.LoadOrStore(key, placer)
 	return held.(*route.Placer)
 }
