Scenarios: a target leaves during a map switch; a paused owner

The stand-ins' control now names the groups' steps, maps and the first mixed step, and can make an expert popular. status maps says so when nothing was planned yet; it printed nothing.

--- a/cmd/heatherrail/status.go
+++ b/cmd/heatherrail/status.go
@@ -29,14 +29,19 @@
 
 // writeMaps prints what the owners of the groups say.
 func writeMaps(w io.Writer, answers []control.Answer) error {
+	planned := false
 	for _, a := range answers {
 		if a.Err != nil || a.Status.Maps == "" {
 			continue
 		}
+		planned = true
 		if _, err := fmt.Fprintf(w, "owner %s\n%s", a.VM.Name, a.Status.Maps); err != nil {
 			return fmt.Errorf("write status: %w", err)
 		}
 	}
+	if !planned {
+		fmt.Fprintln(w, "no plan yet: an owner makes its first one after plan-every")
+	}
 	return nil
 }
 
--- a/demo/ranks_test.go
+++ b/demo/ranks_test.go
@@ -59,22 +59,10 @@
 	defer cancel()
 	g.Expect(f.WaitReady(ctx)).To(Succeed())
 	group := f.LockSteps["ovens"]
-	skewLoads(group, 0)
+	group.SetPopular(0)
 	return f, group
 }
 
-// skewLoads makes one expert of each layer popular.
-func skewLoads(group *fake.LockStep, popular int) {
-	loads := make([]float64, 4*8)
-	for i := range loads {
-		loads[i] = 10
-		if i%8 == popular {
-			loads[i] = 100
-		}
-	}
-	group.SetLoads(loads)
-}
-
 func goesOn(g *WithT, group *fake.LockStep) {
 	from := group.Steps()
 	g.Eventually(group.Steps, "30s").Should(BeNumerically(">", from+50))
@@ -89,7 +77,7 @@
 	first := group.Map()
 	g.Eventually(group.Map, "30s").ShouldNot(Equal(first))
 	second := group.Map()
-	skewLoads(group, 5)
+	group.SetPopular(5)
 	g.Eventually(group.Map, "30s").ShouldNot(Equal(second))
 	goesOn(g, group)
 	g.Expect(group.Mixed()).To(Succeed())
--- a/demo/standins.go
+++ b/demo/standins.go
@@ -75,6 +75,7 @@
 	s.startGroups(stepTime)
 	s.Control.AddLog(s.Log)
 	s.Control.AddVMs(s.VMs)
+	s.Control.AddGroups(s.LockSteps)
 	s.Control.AddTargets(s.Targets)
 	srv, err = s.serve(s.Control)
 	if err != nil {
--- a/internal/fake/control.go
+++ b/internal/fake/control.go
@@ -89,6 +89,41 @@
 	})
 }
 
+// GroupState is what a rank group in lock-step has done so far.
+type GroupState struct {
+	Steps uint64 `json:"steps"`
+	Idle  uint64 `json:"idle"`  // ticks without a step though all engines could run
+	Map   string `json:"map"`   // in use, hexadecimal
+	Mixed string `json:"mixed"` // the first step that used two maps; empty: none did
+}
+
+// AddGroups puts rank groups on the control.
+func (c *Control) AddGroups(groups map[string]*LockStep) {
+	c.Handle("GET /groups", func(*http.Request) (any, error) {
+		states := make(map[string]GroupState, len(groups))
+		for name, g := range groups {
+			state := GroupState{Steps: g.Steps(), Idle: g.Idle(), Map: strconv.FormatUint(uint64(g.Map()), 16)}
+			if err := g.Mixed(); err != nil {
+				state.Mixed = err.Error()
+			}
+			states[name] = state
+		}
+		return states, nil
+	})
+	c.Handle("POST /groups/{name}/popular", func(r *http.Request) (any, error) {
+		g := groups[r.PathValue("name")]
+		if g == nil {
+			return nil, ErrUnknown
+		}
+		f := formReader{r: r}
+		expert := f.number("expert")
+		if f.err == nil {
+			g.SetPopular(expert)
+		}
+		return done, f.err
+	})
+}
+
 func (c *Control) addRelay(r *http.Request) (any, error) {
 	relay, err := NewRelay(r.FormValue("to"))
 	if err != nil {
--- a/internal/fake/lockstep.go
+++ b/internal/fake/lockstep.go
@@ -189,6 +189,24 @@
 	g.loads = append([]float64(nil), loads...)
 }
 
+// Loads of SetPopular, in tokens of a step.
+const (
+	usualLoad   = 10
+	popularLoad = 100
+)
+
+// SetPopular gives one expert of each layer ten times the load of the others.
+func (g *LockStep) SetPopular(popular int) {
+	loads := make([]float64, g.shape.Layers*g.shape.Experts)
+	for i := range loads {
+		loads[i] = usualLoad
+		if i%g.shape.Experts == popular {
+			loads[i] = popularLoad
+		}
+	}
+	g.SetLoads(loads)
+}
+
 // SetSpeed makes a rank compute slower or faster than 1.
 func (g *LockStep) SetSpeed(rank int, speed float64) {
 	g.mu.Lock()
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -37,7 +37,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			w := &world{dir: env.WorkDir, procs: make(map[string]*process), batches: make(map[string]*batch)}
+			w := &world{dir: env.WorkDir, procs: make(map[string]*process), batches: make(map[string]*batch), maps: make(map[string]string), owners: make(map[string]string)}
 			env.Values[worldKey{}] = w
 			env.Setenv("PATH", binDir+string(filepath.ListSeparator)+os.Getenv("PATH"))
 			examples, err := filepath.Abs("../examples")
@@ -60,6 +60,10 @@
 			"begin":    command((*world).begin),
 			"end":      command((*world).end),
 			"load":     command((*world).load),
+			"popular":  command((*world).popular),
+			"switched": command((*world).switched),
+			"goes-on":  command((*world).goesOn),
+			"owner":    command((*world).owner),
 			"replace":  command((*world).replace),
 			"promises": command((*world).promises),
 			"counter":  command((*world).counter),
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -38,6 +38,8 @@
 	serial  int
 	latest  caller // the request that was sent last
 	batches map[string]*batch
+	maps    map[string]string // by group, in use when an expert became popular
+	owners  map[string]string // by group, entries that were frozen as its owner
 }
 
 // fleet EXAMPLE ENTRIES [tls] starts stand-ins, an agent for each target and
