--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -4,26 +4,16 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 )
 
 // load NAME SERVICE CALLERS [TOKENS] lets callers send one request after the
 // other until `end NAME`, each to a live entry.
 func (w *world) load(args []string) (string, error) {
-	if len(args) < 3 {
-		return "", errors.New("want: load NAME SERVICE CALLERS [TOKENS]")
-	}
-	callers, err := strconv.Atoi(args[2])
+	callers, tokens, err := batchArgs(args)
 	if err != nil {
 		return "", err
 	}
-	tokens := 16
-	if len(args) > 3 {
-		if tokens, err = strconv.Atoi(args[3]); err != nil {
-			return "", err
-		}
-	}
 	b := &batch{stop: make(chan struct{})}
 	w.batches[args[0]] = b
 	b.first.Add(callers)
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -54,22 +54,31 @@
 	return w.end([]string{"send"})
 }
 
-// begin NAME SERVICE COUNT [TOKENS] sends requests and returns when each has its
-// first bytes.
-func (w *world) begin(args []string) (string, error) {
+// usualTokens is the length of answers when a script names none.
+const usualTokens = 16
+
+// batchArgs reads NAME SERVICE COUNT [TOKENS].
+func batchArgs(args []string) (count, tokens int, err error) {
 	if len(args) < 3 {
-		return "", errors.New("want: begin NAME SERVICE COUNT [TOKENS]")
+		return 0, 0, errors.New("want: NAME SERVICE COUNT [TOKENS]")
 	}
-	count, err := strconv.Atoi(args[2])
-	if err != nil {
-		return "", err
-	}
-	tokens := 16
+	tokens = usualTokens
 	if len(args) > 3 {
 		if tokens, err = strconv.Atoi(args[3]); err != nil {
-			return "", err
+			return 0, 0, err
 		}
 	}
+	count, err = strconv.Atoi(args[2])
+	return count, tokens, err
+}
+
+// begin NAME SERVICE COUNT [TOKENS] sends requests and returns when each has its
+// first bytes.
+func (w *world) begin(args []string) (string, error) {
+	count, tokens, err := batchArgs(args)
+	if err != nil {
+		return "", err
+	}
 	b := &batch{sent: make([]sent, count)}
 	w.batches[args[0]] = b
 	entries := append([]string(nil), w.entries...)
