Read-through: a dead note, three header look-ups, two tests of one content type

Cause: read once more as a whole. NoteConfig had no sender left since agents get AgentConfig; its number 1+1 stays unused. A header was looked up by three loops (VM list, agent, stand-ins): platform.Header now serves all. Whether an answer streams events was decided in two places: streamsEvents. Three accessors that nothing called are gone.

Left: the two heaps of route/fairqueue.go have the same shape over different fields; one generic heap would be longer than both. The speeds of the lock-step stand-in have a setter that nothing calls yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -187,22 +187,11 @@
 // ServeNote implements wire.Handler.
 func (a *Agent) ServeNote(c *wire.Conn, n wire.Note, payload []byte) {
 	switch n {
-	case wire.NoteConfig:
 	case wire.NoteAgentConfig:
 		a.heardConfig(c, payload)
-		return
 	case wire.NoteAttest:
 		a.serveAttest(c, payload)
-		return
-	default:
-		return
-	}
-	var notice wire.ConfigNotice
-	if _, err := notice.UnmarshalMsg(payload); err != nil {
-		a.log.Error(err, "bad configuration notice")
-		return
 	}
-	a.heardVersion(notice.Version, time.Now())
 }
 
 func (a *Agent) serveAttest(c *wire.Conn, payload []byte) {
--- a/agent/run.go
+++ b/agent/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/heatherrail/heatherrail/platform"
@@ -180,12 +179,13 @@
 const modelHeader = "Heatherrail-Model"
 
 func (a *Agent) answer(reply *platform.Reply) wire.Answer {
-	answer := wire.Answer{Status: reply.Status, Target: a.opts.Settings.Target}
+	answer := wire.Answer{
+		Status: reply.Status,
+		Target: a.opts.Settings.Target,
+		Model:  platform.Header(reply.Headers, modelHeader),
+	}
 	for _, h := range reply.Headers {
 		answer.Headers = append(answer.Headers, wire.Header{Name: h[0], Value: h[1]})
-		if strings.EqualFold(h[0], modelHeader) {
-			answer.Model = h[1]
-		}
 	}
 	return answer
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +20,13 @@
 	"content-length": true, "te": true, "trailer": true, "upgrade": true, "date": true, "server": true,
 }
 
+// streamsEvents tells whether an answer is a stream of server-sent events.
+func streamsEvents(a *wire.Answer) bool {
+	return slices.ContainsFunc(a.Headers, func(h wire.Header) bool {
+		return strings.EqualFold(h.Name, fiber.HeaderContentType) && strings.HasPrefix(h.Value, eventStream)
+	})
+}
+
 // answer hands the exchange to the library as a body that it reads while it
 // writes to the caller: a slow caller holds back the target, and a body that
 // ends with an error closes the connection instead of looking complete.
@@ -29,8 +37,8 @@
 		if !hopHeaders[strings.ToLower(h.Name)] {
 			resp.Header.Add(h.Name, h.Value)
 		}
-		b.sse = b.sse || (strings.EqualFold(h.Name, fiber.HeaderContentType) && strings.HasPrefix(h.Value, eventStream))
 	}
+	b.sse = streamsEvents(&b.x.Answer)
 	resp.Header.Set(HeaderTarget, b.x.Target)
 	resp.Header.Set(HeaderRun, result.RunDone.String())
 	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
--- a/entry/continue.go
+++ b/entry/continue.go
@@ -35,15 +35,10 @@
 
 // newTextStream returns nil if the call's answer can't be continued.
 func newTextStream(c *Call, a *wire.Answer) *textStream {
-	if !c.Repeatable || !strings.HasSuffix(c.Path, "/completions") {
+	if !c.Repeatable || !strings.HasSuffix(c.Path, "/completions") || !streamsEvents(a) {
 		return nil
 	}
-	for _, h := range a.Headers {
-		if strings.EqualFold(h.Name, "Content-Type") && strings.HasPrefix(h.Value, "text/event-stream") {
-			return new(textStream)
-		}
-	}
-	return nil
+	return new(textStream)
 }
 
 // feed takes bytes of the answer and returns the whole events among them.
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -231,7 +231,7 @@
 		text: req.text(),
 		left: req.MaxTokens,
 		out:  make(chan string, req.MaxTokens),
-		run:  &Run{Key: header(call, "Idempotency-Key"), Body: string(call.Body)},
+		run:  &Run{Key: platform.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body)},
 	}
 	if err := e.waitDelay(ctx); err != nil {
 		cancel()
@@ -274,15 +274,6 @@
 	}
 }
 
-func header(call *platform.Call, name string) string {
-	for _, h := range call.Headers {
-		if strings.EqualFold(h[0], name) {
-			return h[1]
-		}
-	}
-	return ""
-}
-
 func jsonReply(status int, v any) *platform.Reply {
 	text, _ := json.Marshal(v) // maps of strings always encode
 	return &platform.Reply{
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -83,7 +83,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if call.Method == http.MethodPost {
-		p.runs = append(p.runs, Run{Key: header(call, "Idempotency-Key"), Body: string(call.Body), Finished: true})
+		p.runs = append(p.runs, Run{Key: platform.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body), Finished: true})
 	}
 	return jsonReply(http.StatusOK, map[string]string{
 		"service": p.Name,
--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -34,7 +34,6 @@
 	mu     sync.Mutex
 	faults RelayFaults
 	conns  map[net.Conn]bool
-	passed int
 }
 
 // NewRelay listens on loopback and passes connections on to upstream.
@@ -55,13 +54,6 @@
 	r.faults = f
 }
 
-// Passed returns how many frames have gone through.
-func (r *Relay) Passed() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.passed
-}
-
 // Cut closes all connections; new ones are taken.
 func (r *Relay) Cut() {
 	r.mu.Lock()
@@ -139,7 +131,6 @@
 				r.faults.Duplicate--
 				copies++
 			}
-			r.passed++
 			r.mu.Unlock()
 			time.Sleep(f.Delay)
 			return copies
--- a/internal/fake/weights.go
+++ b/internal/fake/weights.go
@@ -11,7 +11,6 @@
 	mu     sync.Mutex
 	rate   float64 // bytes a second over all readers
 	free   time.Time
-	moved  int64
 	isDown bool
 }
 
@@ -27,13 +26,6 @@
 	w.isDown = down
 }
 
-// Moved returns the bytes handed out so far.
-func (w *WeightStore) Moved() int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.moved
-}
-
 // Fetch waits until size bytes have passed at the store's rate.
 func (w *WeightStore) Fetch(ctx context.Context, size int64) error {
 	w.mu.Lock()
@@ -47,7 +39,6 @@
 	}
 	w.free = w.free.Add(time.Duration(float64(size) / w.rate * float64(time.Second)))
 	ready := w.free
-	w.moved += size
 	w.mu.Unlock()
 	select {
 	case <-time.After(time.Until(ready)):
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -58,9 +58,6 @@
 // BetweenTokens records the time from one token to the next.
 func (s *Set) BetweenTokens(d time.Duration) { s.betweenTokens.RecordDuration(d) }
 
-// Scope returns the scope to count in.
-func (s *Set) Scope() tally.Scope { return s.scope }
-
 // Result counts one outcome of a request.
 func (s *Set) Result(c result.Code) {
 	counter, ok := s.results.Load(c)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -31,8 +31,7 @@
 
 // Notes.
 const (
-	NoteLoad   Note = 1 // Load
-	NoteConfig Note = 2 // ConfigNotice
+	NoteLoad Note = 1 // Load
 )
 
 // Handler receives what a peer starts.
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -94,9 +94,3 @@
 type Credit struct {
 	Bytes uint32
 }
-
-// ConfigNotice tells a peer which configuration the sender has in force.
-type ConfigNotice struct {
-	Version uint64 `msg:"v"`
-	Digest  uint64 `msg:"d"`
-}
