--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,7 +14,7 @@
 
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
@@ -23,25 +23,25 @@
 // Options are what an agent needs besides its settings.
 type Options struct {
 	Settings    settings.Agent
-	Backend     platform.Backend
+	Backend     outside.Backend
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64 // differs at each start of the process
 	// Orders is the engine's side that takes orders; nil: it takes none.
-	Orders platform.Orderer
+	Orders outside.Orderer
 	// OrderEvery is the least time between two orders; zero: no limit.
 	OrderEvery  time.Duration
 	ReportEvery time.Duration
 	// Log tells which entries exist. Without it the agent goes by the entries that
 	// are linked to it, which is not enough after a restart: for tests alone.
-	Log platform.Log
+	Log outside.Log
 	// Listener takes the place of a plain TCP listener on Settings.Listen, which
 	// works on loopback only.
 	Listener net.Listener
 
 	// Rank is the engine's part in a rank group; nil: that of the engine at
 	// Settings.Backend.
-	Rank platform.Rank
+	Rank outside.Rank
 
 	// Off is for tests of the checkers.
 	Off safeguard.Off
--- a/agent/health.go
+++ b/agent/health.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 const (
@@ -58,7 +58,7 @@
 func (h *engineHealth) answers() bool {
 	ctx, cancel := context.WithTimeout(h.agent.ctx, probeTimeout)
 	defer cancel()
-	reply, err := h.agent.opts.Backend.Run(ctx, &platform.Call{Method: "GET", Path: probePath})
+	reply, err := h.agent.opts.Backend.Run(ctx, &outside.Call{Method: "GET", Path: probePath})
 	if err != nil {
 		return false
 	}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -19,15 +19,15 @@
 
 // orders gives engine orders, one after another.
 type orders struct {
-	turn   chan struct{}    // one place: who holds it may use the engine
-	engine platform.Orderer // nil: the target takes no orders
+	turn   chan struct{}   // one place: who holds it may use the engine
+	engine outside.Orderer // nil: the target takes no orders
 	// every is the least time between two orders that load something: the weight
 	// store is shared and limited. Zero: no limit.
 	every time.Duration
 	last  time.Time
 }
 
-func newOrders(engine platform.Orderer, every time.Duration) orders {
+func newOrders(engine outside.Orderer, every time.Duration) orders {
 	return orders{turn: make(chan struct{}, 1), engine: engine, every: every}
 }
 
@@ -63,7 +63,7 @@
 // reach orders and reads back until the engine has the state. An order whose answer
 // was lost is settled by reading, so it is given again only if it had no effect.
 func (s *orders) reach(ctx context.Context, o *wire.Order) error {
-	want := platform.EngineState{Model: o.Model, Version: o.Version, Adapters: slices.Sorted(slices.Values(o.Adapters)), Role: o.Role}
+	want := outside.EngineState{Model: o.Model, Version: o.Version, Adapters: slices.Sorted(slices.Values(o.Adapters)), Role: o.Role}
 	var last error
 	for range orderTries {
 		have, err := s.engine.State(ctx)
@@ -76,7 +76,7 @@
 			}
 			err = s.engine.Order(ctx, o.Resource, o.Fence, want)
 		}
-		if errors.Is(err, platform.ErrStaleFence) {
+		if errors.Is(err, outside.ErrStaleFence) {
 			return result.New(result.FenceStale, "engine: %w", err)
 		}
 		last = err
--- a/agent/rank.go
+++ b/agent/rank.go
@@ -8,7 +8,7 @@
 
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/expert"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
@@ -18,7 +18,7 @@
 // only one that gives orders to the engine, one after the other.
 type rankAgent struct {
 	agent  *Agent
-	engine platform.Rank
+	engine outside.Rank
 
 	mu     sync.Mutex // held through an order, engine included
 	rank   expert.Rank
@@ -45,7 +45,7 @@
 	positionTry = time.Second
 )
 
-func newRankAgent(a *Agent, engine platform.Rank) *rankAgent {
+func newRankAgent(a *Agent, engine outside.Rank) *rankAgent {
 	return &rankAgent{
 		agent:  a,
 		engine: engine,
@@ -58,7 +58,7 @@
 func (a *Agent) startRank() {
 	engine := a.opts.Rank
 	if engine == nil && a.opts.Settings.Kind == settings.KindEngine && a.opts.Settings.Backend != "" {
-		engine = &platform.HTTPRank{Addr: a.opts.Settings.Backend}
+		engine = &outside.HTTPRank{Addr: a.opts.Settings.Backend}
 	}
 	if engine == nil {
 		return
@@ -279,7 +279,7 @@
 // died and taken the order with it.
 type engineOrders struct {
 	ctx    context.Context
-	engine platform.Rank
+	engine outside.Rank
 }
 
 func (e engineOrders) Hold(t expert.Token, at uint64) (before, after expert.Position, err error) {
--- a/agent/run.go
+++ b/agent/run.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -129,8 +129,8 @@
 	a.opts.Metrics.Result(result.OK)
 }
 
-func call(req *wire.Request) *platform.Call {
-	c := &platform.Call{Method: req.Method, Path: req.Path, Body: req.Body, Sched: sched(req)}
+func call(req *wire.Request) *outside.Call {
+	c := &outside.Call{Method: req.Method, Path: req.Path, Body: req.Body, Sched: sched(req)}
 	for _, h := range req.Headers {
 		c.Headers = append(c.Headers, [2]string{h.Name, h.Value})
 	}
@@ -144,7 +144,7 @@
 // backendError turns a failed call into a result: "not run" only if no byte of
 // it was sent.
 func backendError(ctx context.Context, err error) error {
-	var send *platform.SendError
+	var send *outside.SendError
 	if errors.As(err, &send) && !send.Sent {
 		if r := new(result.Error); errors.As(send.Err, &r) {
 			return r // of the agent's own queue
@@ -178,11 +178,11 @@
 // modelHeader is where an engine names the model version that it runs.
 const modelHeader = "Heatherrail-Model"
 
-func (a *Agent) answer(reply *platform.Reply) wire.Answer {
+func (a *Agent) answer(reply *outside.Reply) wire.Answer {
 	answer := wire.Answer{
 		Status: reply.Status,
 		Target: a.opts.Settings.Target,
-		Model:  platform.Header(reply.Headers, modelHeader),
+		Model:  outside.Header(reply.Headers, modelHeader),
 	}
 	for _, h := range reply.Headers {
 		answer.Headers = append(answer.Headers, wire.Header{Name: h[0], Value: h[1]})
@@ -192,7 +192,7 @@
 
 // relay copies the answer into the stream; a slow reader holds back the backend
 // through the stream's credit.
-func (a *Agent) relay(ctx context.Context, s *wire.Stream, run *crashRun, reply *platform.Reply) error {
+func (a *Agent) relay(ctx context.Context, s *wire.Stream, run *crashRun, reply *outside.Reply) error {
 	answer := a.answer(reply)
 	if err := s.SendMessage(wire.MessageAnswer, &answer); err != nil {
 		return fmt.Errorf("send answer: %w", err)
--- a/agent/turns.go
+++ b/agent/turns.go
@@ -6,17 +6,17 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
-// turns is the queue before the backend. As a platform.Backend it stands where
+// turns is the queue before the backend. As a outside.Backend it stands where
 // every request passes, so what it counts is exact.
 type turns struct {
-	backend platform.Backend
+	backend outside.Backend
 	start   time.Time
 	refused func(entry string) // the entry's picture of this target is wrong
 
@@ -24,7 +24,7 @@
 	gate *route.Gate
 }
 
-func newTurns(b platform.Backend, s settings.Agent, refused func(entry string)) *turns {
+func newTurns(b outside.Backend, s settings.Agent, refused func(entry string)) *turns {
 	slots := s.Slots
 	if slots == 0 {
 		slots = s.Queue
@@ -40,11 +40,11 @@
 	once  sync.Once
 }
 
-// Run implements platform.Backend. What it refuses itself was not sent.
-func (t *turns) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+// Run implements outside.Backend. What it refuses itself was not sent.
+func (t *turns) Run(ctx context.Context, call *outside.Call) (*outside.Reply, error) {
 	turn, err := t.take(ctx, &call.Sched)
 	if err != nil {
-		return nil, &platform.SendError{Sent: false, Err: err}
+		return nil, &outside.SendError{Sent: false, Err: err}
 	}
 	reply, err := t.backend.Run(ctx, call)
 	if err != nil {
@@ -58,7 +58,7 @@
 func (t *turns) now() time.Duration { return time.Since(t.start) }
 
 // take waits for the request's turn.
-func (t *turns) take(ctx context.Context, s *platform.Sched) (*turn, error) {
+func (t *turns) take(ctx context.Context, s *outside.Sched) (*turn, error) {
 	turn := &turn{turns: t, ready: make(chan struct{})}
 	turn.job = route.Job{
 		Cost: route.Cost{Prompt: float64(s.Prompt), Decode: float64(s.Decode)},
@@ -171,8 +171,8 @@
 	return err
 }
 
-func sched(req *wire.Request) platform.Sched {
-	return platform.Sched{
+func sched(req *wire.Request) outside.Sched {
+	return outside.Sched{
 		Entry:    req.Sched.Entry,
 		Team:     req.Team,
 		Weight:   req.Sched.Weight,
--- a/agent/vouch.go
+++ b/agent/vouch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -139,7 +139,7 @@
 	}
 	for {
 		page, err := w.log.Read(ctx, w.next, rosterPage, rosterWait)
-		if errors.Is(err, platform.ErrTrimmed) && page.First > w.next {
+		if errors.Is(err, outside.ErrTrimmed) && page.First > w.next {
 			w.next = page.First
 			continue
 		}
--- a/agent/witness.go
+++ b/agent/witness.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -32,7 +32,7 @@
 type witness struct {
 	target string
 	inc    uint64
-	log    platform.Log // nil: the roster is the linked entries
+	log    outside.Log // nil: the roster is the linked entries
 	now    func() time.Time
 
 	mu        sync.Mutex
@@ -60,7 +60,7 @@
 	since    time.Time
 }
 
-func newWitness(target string, incarnation uint64, log platform.Log) *witness {
+func newWitness(target string, incarnation uint64, log outside.Log) *witness {
 	return &witness{
 		target:   target,
 		inc:      incarnation,
--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -202,7 +202,7 @@
 	n := control.New(control.Options{
 		Self:        f.peers[i],
 		Incarnation: uint64(i + 1),
-		Log:         &platform.HTTPLog{Addr: f.server.Addr},
+		Log:         &outside.HTTPLog{Addr: f.server.Addr},
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			nc, err := d.DialContext(ctx, "tcp", addr)
 			if err != nil {
--- a/bench/place/reports.go
+++ b/bench/place/reports.go
@@ -14,7 +14,7 @@
 
 	"github.com/heatherrail/heatherrail/agent"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -85,9 +85,9 @@
 // answering is a backend that answers at once.
 type answering struct{}
 
-// Run implements platform.Backend.
-func (answering) Run(context.Context, *platform.Call) (*platform.Reply, error) {
-	return &platform.Reply{Status: 200, Body: io.NopCloser(strings.NewReader("data: x\n\n"))}, nil
+// Run implements outside.Backend.
+func (answering) Run(context.Context, *outside.Call) (*outside.Reply, error) {
+	return &outside.Reply{Status: 200, Body: io.NopCloser(strings.NewReader("data: x\n\n"))}, nil
 }
 
 func countReports(peers int, active bool) (reports, bytes int64, err error) {
--- a/bench/relay/system.go
+++ b/bench/relay/system.go
@@ -13,7 +13,7 @@
 	"github.com/heatherrail/heatherrail/entry"
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -46,7 +46,7 @@
 	if s.server, err = fake.Serve(s.standin); err != nil {
 		return err
 	}
-	backend := platform.NewHTTPBackend(s.server.Addr)
+	backend := outside.NewHTTPBackend(s.server.Addr)
 	backend.WholeEvents = true
 	s.agent, err = agent.Start(agent.Options{
 		Settings:    settings.Agent{Target: target, Listen: loopback, Backend: s.server.Addr, Kind: settings.KindEngine, Queue: places},
@@ -77,7 +77,7 @@
 }
 
 // platform returns a log with the configuration and a VM list with the agent.
-func (s *system) platform() (platform.Log, platform.VMList, error) {
+func (s *system) platform() (outside.Log, outside.VMList, error) {
 	cfg, err := config.Load(map[string]string{"bench.ini": fmt.Sprintf(
 		"[fleet model]\nkind = engine\n[target %s]\nfleet = model\ndata-centre = a\n[service %s]\nfleet = model\nmodel = m\n[team bench]\nkey-hash = %s\nservices = %s\n",
 		target, service, config.HashKey(benchKey), service)})
@@ -92,7 +92,7 @@
 	if _, err := log.Append(context.Background(), [][]byte{raw}); err != nil {
 		return nil, nil, fmt.Errorf("apply: %w", err)
 	}
-	vms.Put(platform.VM{ID: "1", Name: target, Role: platform.RoleTarget, Address: s.agent.Addr(), State: platform.StateLive})
+	vms.Put(outside.VM{ID: "1", Name: target, Role: outside.RoleTarget, Address: s.agent.Addr(), State: outside.StateLive})
 	return log, vms, nil
 }
 
--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -9,7 +9,7 @@
 	"github.com/heatherrail/heatherrail/internal/daemon"
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -40,7 +40,7 @@
 		}
 		defer server.Close()
 	}
-	backend := platform.NewHTTPBackend(file.Agent.Backend)
+	backend := outside.NewHTTPBackend(file.Agent.Backend)
 	backend.WholeEvents = file.Agent.Kind == settings.KindEngine
 	a, err := agent.Start(agent.Options{
 		Settings:    file.Agent,
@@ -49,7 +49,7 @@
 		Logger:      logging.New(os.Stderr, file.Agent.Verbosity),
 		Metrics:     set,
 		Incarnation: daemon.Incarnation(),
-		Log:         &platform.HTTPLog{Addr: file.Platform.Log},
+		Log:         &outside.HTTPLog{Addr: file.Platform.Log},
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/heatherrail-entry/main.go
+++ b/cmd/heatherrail-entry/main.go
@@ -9,7 +9,7 @@
 	"github.com/heatherrail/heatherrail/internal/daemon"
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -35,8 +35,8 @@
 		Settings:     file.Entry,
 		Dial:         file.Network.Dial,
 		PeerListener: ln,
-		Log:          &platform.HTTPLog{Addr: file.Platform.Log},
-		VMs:          &platform.HTTPVMList{Addr: file.Platform.VMs},
+		Log:          &outside.HTTPLog{Addr: file.Platform.Log},
+		VMs:          &outside.HTTPVMList{Addr: file.Platform.VMs},
 		Logger:       logging.New(os.Stderr, file.Entry.Verbosity),
 		Metrics:      metrics.New(),
 		Incarnation:  daemon.Incarnation(),
--- a/cmd/heatherrail/explain.go
+++ b/cmd/heatherrail/explain.go
@@ -12,7 +12,7 @@
 	"text/tabwriter"
 
 	"github.com/heatherrail/heatherrail/entry"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // teamKeyVariable holds the key of the team that owns the request: only that team
@@ -23,7 +23,7 @@
 
 // explain asks the entries of the VM list, one after the other, why a request was
 // placed where it was.
-func explain(ctx context.Context, vms platform.VMList, id string) error {
+func explain(ctx context.Context, vms outside.VMList, id string) error {
 	key := os.Getenv(teamKeyVariable)
 	if key == "" {
 		return &exitError{exitUsage, fmt.Errorf("set %s to a key of the team that sent the request", teamKeyVariable)}
@@ -34,7 +34,7 @@
 	}
 	var failed error
 	for _, vm := range list {
-		if vm.Role != platform.RoleEntry {
+		if vm.Role != outside.RoleEntry {
 			continue
 		}
 		decisions, err := askExplain(ctx, vm.Callers, id, key)
--- a/cmd/heatherrail/explain_test.go
+++ b/cmd/heatherrail/explain_test.go
@@ -11,12 +11,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/entry"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
-type vmList []platform.VM
+type vmList []outside.VM
 
-func (l vmList) List(context.Context) ([]platform.VM, error) { return l, nil }
+func (l vmList) List(context.Context) ([]outside.VM, error) { return l, nil }
 
 // One entry is gone, one does not know the request, the third does: its answer
 // counts. Without the team's key nobody is asked.
@@ -37,9 +37,9 @@
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
 	list := vmList{
-		{Name: "entry-1", Role: platform.RoleEntry, Callers: strings.TrimPrefix(gone.URL, "http://")},
-		{Name: "target-1", Role: platform.RoleTarget},
-		{Name: "entry-2", Role: platform.RoleEntry, Callers: server(`{"decisions":[]}`, http.StatusNotFound)},
+		{Name: "entry-1", Role: outside.RoleEntry, Callers: strings.TrimPrefix(gone.URL, "http://")},
+		{Name: "target-1", Role: outside.RoleTarget},
+		{Name: "entry-2", Role: outside.RoleEntry, Callers: server(`{"decisions":[]}`, http.StatusNotFound)},
 	}
 	t.Setenv(teamKeyVariable, "")
 	g.Expect(explain(t.Context(), list, "R1")).NotTo(Succeed())
@@ -47,7 +47,7 @@
 	t.Setenv(teamKeyVariable, "secret")
 	g.Expect(explain(t.Context(), list, "R1")).To(MatchError(errNoDecision))
 	known := server(`{"decisions":[{"chosen":"t7","candidates":[{"target":"t7"}]}]}`, http.StatusOK)
-	list = append(list, platform.VM{Name: "entry-3", Role: platform.RoleEntry, Callers: known})
+	list = append(list, outside.VM{Name: "entry-3", Role: outside.RoleEntry, Callers: known})
 	g.Expect(explain(t.Context(), list, "R1")).To(Succeed())
 	g.Expect(asked).To(Equal(3))
 }
--- a/cmd/heatherrail/platform.go
+++ b/cmd/heatherrail/platform.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/control"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -22,9 +22,9 @@
 		return nil, nil, err
 	}
 	client := &control.Client{
-		VMs:  &platform.HTTPVMList{Addr: file.Platform.VMs},
+		VMs:  &outside.HTTPVMList{Addr: file.Platform.VMs},
 		Dial: file.Network.Dial,
 	}
-	op := &control.Operator{Log: &platform.HTTPLog{Addr: file.Platform.Log}, State: client.State}
+	op := &control.Operator{Log: &outside.HTTPLog{Addr: file.Platform.Log}, State: client.State}
 	return op, client, nil
 }
--- a/control/apply.go
+++ b/control/apply.go
@@ -9,14 +9,14 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 )
 
 // Operator applies changes for a person. It reads the log itself, so what it
 // reports is what every reader will find.
 type Operator struct {
-	Log platform.Log
+	Log outside.Log
 	// State returns a peer's saved state, for a log that was trimmed; may be nil.
 	State func(context.Context) ([]byte, error)
 
@@ -35,7 +35,7 @@
 	}
 	for {
 		page, err := o.Log.Read(ctx, o.fold.Next(), operatorPage, 0)
-		if errors.Is(err, platform.ErrTrimmed) && page.First > o.fold.Next() {
+		if errors.Is(err, outside.ErrTrimmed) && page.First > o.fold.Next() {
 			o.fold.SkipTo(page.First)
 			_ = o.fromPeer(ctx) // without one, a snapshot on the log may do
 			continue
--- a/control/apply_test.go
+++ b/control/apply_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/internal/fake"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 )
 
@@ -92,7 +92,7 @@
 	}
 }
 
-func operate(t *testing.T, log platform.Log, rng *rand.Rand, client, i int, clock *atomic.Int64) *porcupine.Operation {
+func operate(t *testing.T, log outside.Log, rng *rand.Rand, client, i int, clock *atomic.Int64) *porcupine.Operation {
 	op := &Operator{Log: log}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
--- a/control/client.go
+++ b/control/client.go
@@ -11,14 +11,14 @@
 
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
 // Client asks processes on behalf of an operator.
 type Client struct {
-	VMs  platform.VMList
+	VMs  outside.VMList
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
@@ -55,7 +55,7 @@
 	}
 	err = errors.New("no entries are listed")
 	for _, vm := range vms {
-		if vm.Role != platform.RoleEntry {
+		if vm.Role != outside.RoleEntry {
 			continue
 		}
 		var state []byte
@@ -86,21 +86,21 @@
 
 // Answer is what one process said, or why it did not.
 type Answer struct {
-	VM     platform.VM
+	VM     outside.VM
 	Status *wire.StatusReply
 	Err    error
 }
 
 // Status asks all listed processes of a role (empty: all), in the list's order.
 func (c *Client) Status(ctx context.Context, role string, full bool) ([]Answer, error) {
-	return c.ask(ctx, wire.MethodStatus, &wire.StatusRequest{Full: full}, func(vm *platform.VM) bool {
+	return c.ask(ctx, wire.MethodStatus, &wire.StatusRequest{Full: full}, func(vm *outside.VM) bool {
 		return role == "" || vm.Role == role
 	})
 }
 
 // Drain takes the process of a name out of service, or back in.
 func (c *Client) Drain(ctx context.Context, name string, undo bool) (Answer, error) {
-	answers, err := c.ask(ctx, wire.MethodDrain, &wire.DrainRequest{Undo: undo}, func(vm *platform.VM) bool { return vm.Name == name })
+	answers, err := c.ask(ctx, wire.MethodDrain, &wire.DrainRequest{Undo: undo}, func(vm *outside.VM) bool { return vm.Name == name })
 	if err != nil {
 		return Answer{}, err
 	}
@@ -110,7 +110,7 @@
 	return answers[0], answers[0].Err
 }
 
-func (c *Client) ask(ctx context.Context, m wire.Method, msg note, want func(*platform.VM) bool) ([]Answer, error) {
+func (c *Client) ask(ctx context.Context, m wire.Method, msg note, want func(*outside.VM) bool) ([]Answer, error) {
 	vms, err := c.VMs.List(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
@@ -171,7 +171,7 @@
 // as new, or those that have not when ctx ends.
 func (c *Client) WaitInForce(ctx context.Context, version uint64) ([]Answer, error) {
 	for {
-		answers, err := c.Status(context.WithoutCancel(ctx), platform.RoleEntry, false)
+		answers, err := c.Status(context.WithoutCancel(ctx), outside.RoleEntry, false)
 		if err != nil {
 			return nil, err
 		}
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -14,7 +14,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -179,20 +179,20 @@
 func (l *cutLog) Append(ctx context.Context, records [][]byte) (uint64, error) {
 	if l.c.isCut(l.name, theLog) {
 		<-ctx.Done()
-		return 0, platform.ErrUnknownOutcome
+		return 0, outside.ErrUnknownOutcome
 	}
 	return l.c.log.Append(ctx, records)
 }
 
-func (l *cutLog) Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Page, error) {
+func (l *cutLog) Read(ctx context.Context, from uint64, max int, wait time.Duration) (outside.Page, error) {
 	if l.c.isCut(l.name, theLog) {
 		<-ctx.Done()
-		return platform.Page{}, ctx.Err()
+		return outside.Page{}, ctx.Err()
 	}
 	page, err := l.c.log.Read(ctx, from, max, wait)
 	if l.c.isCut(l.name, theLog) { // the answer is lost
 		<-ctx.Done()
-		return platform.Page{}, ctx.Err()
+		return outside.Page{}, ctx.Err()
 	}
 	return page, err
 }
--- a/control/follow.go
+++ b/control/follow.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pullGrace)
 	defer cancel()
 	page, err := n.opts.Log.Read(ctx, from, pageRecords, n.opts.Timing.LogWait)
-	if errors.Is(err, platform.ErrTrimmed) && page.First > from {
+	if errors.Is(err, outside.ErrTrimmed) && page.First > from {
 		n.opts.Metrics.Count("control_trimmed_total", 1)
 		n.log.Info("log was trimmed past this reader", "next", from, "first", page.First)
 		n.mu.Lock()
--- a/control/node.go
+++ b/control/node.go
@@ -14,7 +14,7 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/wire"
 )
 
@@ -54,7 +54,7 @@
 type Options struct {
 	Self        Peer
 	Incarnation uint64
-	Log         platform.Log
+	Log         outside.Log
 	Dial        func(ctx context.Context, addr string) (net.Conn, error)
 	Logger      logr.Logger
 	Metrics     *metrics.Set
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -16,7 +16,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/entry"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -39,7 +39,7 @@
 	opts    Options
 	mu      sync.Mutex
 	Agents  map[string]*agent.Agent // by target; the control address may replace some
-	vms     map[string]platform.VM  // of the agents, by target
+	vms     map[string]outside.VM   // of the agents, by target
 	nextInc uint64
 }
 
@@ -59,7 +59,7 @@
 		Metrics:  metrics.New(),
 		opts:     o,
 		Agents:   make(map[string]*agent.Agent),
-		vms:      make(map[string]platform.VM),
+		vms:      make(map[string]outside.VM),
 	}
 	if err := f.start(); err != nil {
 		f.Close()
@@ -94,7 +94,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	addr := f.Targets[t.Name].Server.Addr
-	backend := platform.NewHTTPBackend(addr)
+	backend := outside.NewHTTPBackend(addr)
 	backend.WholeEvents = f.Kind(t) == settings.KindEngine
 	a, err := agent.Start(agent.Options{
 		Settings: settings.Agent{
@@ -110,20 +110,20 @@
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
-		Log:         &platform.HTTPLog{Addr: f.Platform},
+		Log:         &outside.HTTPLog{Addr: f.Platform},
 	})
 	if err != nil {
 		return fmt.Errorf("start agent: %w", err)
 	}
 	f.VMs.Remove(f.vms[t.Name].ID)
 	f.Agents[t.Name] = a
-	f.vms[t.Name] = platform.VM{
+	f.vms[t.Name] = outside.VM{
 		ID:         ulid.Make().String(),
 		Name:       t.Name,
-		Role:       platform.RoleTarget,
+		Role:       outside.RoleTarget,
 		Address:    a.Addr(),
 		DataCentre: t.DataCentre,
-		State:      platform.StateLive,
+		State:      outside.StateLive,
 	}
 	f.VMs.Put(f.vms[t.Name])
 	return nil
@@ -183,8 +183,8 @@
 			AnswerLife: f.opts.AnswerLife,
 			Arrival:    f.opts.Arrival,
 		},
-		Log:         &platform.HTTPLog{Addr: f.Platform},
-		VMs:         &platform.HTTPVMList{Addr: f.Platform},
+		Log:         &outside.HTTPLog{Addr: f.Platform},
+		VMs:         &outside.HTTPVMList{Addr: f.Platform},
 		Logger:      f.opts.Logger,
 		Metrics:     f.Metrics,
 		Incarnation: f.incarnation(),
@@ -193,14 +193,14 @@
 		return fmt.Errorf("start entry: %w", err)
 	}
 	f.Entries = append(f.Entries, e)
-	f.VMs.Put(platform.VM{
+	f.VMs.Put(outside.VM{
 		ID:         ulid.Make().String(),
 		Name:       name,
-		Role:       platform.RoleEntry,
+		Role:       outside.RoleEntry,
 		Address:    e.PeerAddr(),
 		Callers:    e.Addr(),
 		DataCentre: dc,
-		State:      platform.StateLive,
+		State:      outside.StateLive,
 	})
 	return nil
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -8,7 +8,7 @@
 
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/control"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -81,16 +81,16 @@
 }
 
 // peers returns the entries of the VM list.
-func peers(vms []platform.VM) []control.Peer {
+func peers(vms []outside.VM) []control.Peer {
 	var list []control.Peer
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == outside.RoleEntry {
 			list = append(list, control.Peer{
 				Name:       vm.Name,
 				Address:    vm.Address,
 				DataCentre: vm.DataCentre,
 				Region:     vm.Region,
-				Leaving:    vm.State == platform.StateLeaving,
+				Leaving:    vm.State == outside.StateLeaving,
 			})
 		}
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 const vmPoll = 500 * time.Millisecond
@@ -57,20 +57,20 @@
 
 // targetVMs returns one VM for each target: while a VM is replaced the list may
 // show the leaving one beside its successor.
-func targetVMs(vms []platform.VM) map[string]platform.VM {
-	chosen := make(map[string]platform.VM)
+func targetVMs(vms []outside.VM) map[string]outside.VM {
+	chosen := make(map[string]outside.VM)
 	for _, vm := range vms {
-		if vm.Role != platform.RoleTarget {
+		if vm.Role != outside.RoleTarget {
 			continue
 		}
-		if other, ok := chosen[vm.Name]; !ok || other.State != platform.StateLive || vm.State == platform.StateLive {
+		if other, ok := chosen[vm.Name]; !ok || other.State != outside.StateLive || vm.State == outside.StateLive {
 			chosen[vm.Name] = vm
 		}
 	}
 	return chosen
 }
 
-func (e *Entry) ensureLink(vm platform.VM) {
+func (e *Entry) ensureLink(vm outside.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ctx.Err() != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,7 +18,7 @@
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
@@ -27,8 +27,8 @@
 // Options are what an entry needs besides its settings.
 type Options struct {
 	Settings    settings.Entry
-	Log         platform.Log
-	VMs         platform.VMList
+	Log         outside.Log
+	VMs         outside.VMList
 	Logger      logr.Logger
 	Metrics     *metrics.Set
 	Incarnation uint64
@@ -55,7 +55,7 @@
 	ln       net.Listener
 	app      *fiber.App
 	current  atomic.Pointer[config.Snapshot]
-	vms      atomic.Pointer[[]platform.VM]
+	vms      atomic.Pointer[[]outside.VM]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	idle     chan struct{}
--- a/entry/fleetview.go
+++ b/entry/fleetview.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -240,7 +240,7 @@
 		return nodes
 	}
 	for _, vm := range *vms {
-		if vm.Role == platform.RoleEntry && vm.State == platform.StateLive && vm.Name != self.Name {
+		if vm.Role == outside.RoleEntry && vm.State == outside.StateLive && vm.Name != self.Name {
 			nodes = append(nodes, route.Node{Name: vm.Name, DataCentre: vm.DataCentre})
 		}
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -11,7 +11,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 )
 
@@ -131,12 +131,12 @@
 	answer := EntriesAnswer{Lifetime: int(e.opts.Settings.AnswerLife.Seconds())}
 	vms := e.vms.Load()
 	if vms == nil {
-		vms = new([]platform.VM)
+		vms = new([]outside.VM)
 	}
 	var others []string
 	for _, vm := range *vms {
 		switch {
-		case vm.Role != platform.RoleEntry || vm.State != platform.StateLive:
+		case vm.Role != outside.RoleEntry || vm.State != outside.StateLive:
 		case vm.Name == e.opts.Settings.Name:
 			if !e.leaving.Load() && e.current.Load() != nil {
 				answer.Entries = append(answer.Entries, vm.Callers)
--- a/entry/link.go
+++ b/entry/link.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -53,7 +53,7 @@
 
 // update takes what the VM list says of the target. A new address means that
 // the VM was replaced.
-func (l *link) update(vm platform.VM) {
+func (l *link) update(vm outside.VM) {
 	l.mu.Lock()
 	moved := vm.Address != l.addr
 	l.addr, l.vmState = vm.Address, vm.State
@@ -168,7 +168,7 @@
 func (l *link) leaving() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.load.Leaving || l.vmState == platform.StateLeaving
+	return l.load.Leaving || l.vmState == outside.StateLeaving
 }
 
 func (l *link) close() {
@@ -246,7 +246,7 @@
 // state is view under l.mu.
 func (l *link) state(t *route.Target) {
 	t.Linked = l.conn != nil && l.hasLoad
-	t.Leaving = l.load.Leaving || l.vmState == platform.StateLeaving
+	t.Leaving = l.load.Leaving || l.vmState == outside.StateLeaving
 	t.EngineUp = l.load.EngineUp
 }
 
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 const (
@@ -61,7 +61,7 @@
 		ctx, cancel := context.WithTimeout(e.ctx, presenceLimit)
 		page, err := e.opts.Log.Read(ctx, next, presencePage, 0)
 		cancel()
-		if errors.Is(err, platform.ErrTrimmed) && page.First > next {
+		if errors.Is(err, outside.ErrTrimmed) && page.First > next {
 			next = page.First
 			continue
 		}
--- a/entry/slowcaller_test.go
+++ b/entry/slowcaller_test.go
@@ -17,7 +17,7 @@
 	"github.com/heatherrail/heatherrail/entry"
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -25,11 +25,11 @@
 // endless is an engine that produces as fast as it is read.
 type endless struct{ produced atomic.Int64 }
 
-func (e *endless) Run(_ context.Context, call *platform.Call) (*platform.Reply, error) {
+func (e *endless) Run(_ context.Context, call *outside.Call) (*outside.Reply, error) {
 	if call.Path == "/short" {
-		return &platform.Reply{Status: 200, Body: io.NopCloser(io.LimitReader(zeros{}, 100<<10))}, nil
+		return &outside.Reply{Status: 200, Body: io.NopCloser(io.LimitReader(zeros{}, 100<<10))}, nil
 	}
-	return &platform.Reply{Status: 200, Body: io.NopCloser(io.TeeReader(zeros{}, e))}, nil
+	return &outside.Reply{Status: 200, Body: io.NopCloser(io.TeeReader(zeros{}, e))}, nil
 }
 
 func (e *endless) Write(p []byte) (int, error) {
@@ -64,7 +64,7 @@
 }
 
 // startPipe joins an entry and an agent by memory alone, in virtual time.
-func startPipe(g *WithT, backend platform.Backend) (*entry.Entry, func()) {
+func startPipe(g *WithT, backend outside.Backend) (*entry.Entry, func()) {
 	cfg, err := config.Load(smallConfig)
 	g.Expect(err).NotTo(HaveOccurred())
 	log, vms := fake.NewLog(), fake.NewVMList(0)
@@ -72,7 +72,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = log.Append(context.Background(), [][]byte{raw})
 	g.Expect(err).NotTo(HaveOccurred())
-	vms.Put(platform.VM{ID: "1", Name: "drafter-01", Role: platform.RoleTarget, Address: "127.0.0.1:1", State: platform.StateLive})
+	vms.Put(outside.VM{ID: "1", Name: "drafter-01", Role: outside.RoleTarget, Address: "127.0.0.1:1", State: outside.StateLive})
 	ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	a, err := agent.Start(agent.Options{
 		Settings:    settings.Agent{Target: "drafter-01", Kind: settings.KindEngine, Queue: 100},
--- a/internal/fake/control.go
+++ b/internal/fake/control.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // Control is the HTTP address through which scenarios put faults into the
@@ -76,7 +76,7 @@
 		return done, f.err
 	})
 	c.Handle("PUT /vms", func(r *http.Request) (any, error) {
-		var vm platform.VM
+		var vm outside.VM
 		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 			return nil, fmt.Errorf("vm: %w", err)
 		}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // Run is one request that a stand-in really ran.
@@ -215,8 +215,8 @@
 
 var errEngineDown = errors.New("engine is down")
 
-// Run implements platform.Backend.
-func (e *Engine) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+// Run implements outside.Backend.
+func (e *Engine) Run(ctx context.Context, call *outside.Call) (*outside.Reply, error) {
 	var req completionRequest
 	if err := json.Unmarshal(call.Body, &req); err != nil {
 		return jsonReply(http.StatusBadRequest, map[string]string{"error": err.Error()}), nil
@@ -231,18 +231,18 @@
 		text: req.text(),
 		left: req.MaxTokens,
 		out:  make(chan string, req.MaxTokens),
-		run:  &Run{Key: platform.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body)},
+		run:  &Run{Key: outside.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body)},
 	}
 	if err := e.waitDelay(ctx); err != nil {
 		cancel()
-		return nil, &platform.SendError{Sent: true, Err: err}
+		return nil, &outside.SendError{Sent: true, Err: err}
 	}
 	e.mu.Lock()
 	kill := e.kill
 	if e.down {
 		e.mu.Unlock()
 		cancel()
-		return nil, &platform.SendError{Sent: false, Err: errEngineDown}
+		return nil, &outside.SendError{Sent: false, Err: errEngineDown}
 	}
 	e.requests = append(e.requests, g)
 	e.runs = append(e.runs, g.run)
@@ -252,7 +252,7 @@
 	if req.Stream {
 		contentType = "text/event-stream"
 	}
-	return &platform.Reply{
+	return &outside.Reply{
 		Status:  http.StatusOK,
 		Headers: [][2]string{{"Content-Type", contentType}, {"Heatherrail-Model", e.Model}},
 		Body:    body,
@@ -274,9 +274,9 @@
 	}
 }
 
-func jsonReply(status int, v any) *platform.Reply {
+func jsonReply(status int, v any) *outside.Reply {
 	text, _ := json.Marshal(v) // maps of strings always encode
-	return &platform.Reply{
+	return &outside.Reply{
 		Status:  status,
 		Headers: [][2]string{{"Content-Type", "application/json"}},
 		Body:    io.NopCloser(strings.NewReader(string(text))),
--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -10,17 +10,17 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // BackendHandler serves a backend over HTTP.
-func BackendHandler(b platform.Backend) http.Handler {
+func BackendHandler(b outside.Backend) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
-		call := &platform.Call{Method: r.Method, Path: r.URL.RequestURI(), Body: body}
+		call := &outside.Call{Method: r.Method, Path: r.URL.RequestURI(), Body: body}
 		for name := range r.Header {
 			call.Headers = append(call.Headers, [2]string{name, r.Header.Get(name)})
 		}
@@ -33,7 +33,7 @@
 	})
 }
 
-func relay(w http.ResponseWriter, reply *platform.Reply) {
+func relay(w http.ResponseWriter, reply *outside.Reply) {
 	for _, h := range reply.Headers {
 		w.Header().Set(h[0], h[1])
 	}
@@ -60,23 +60,23 @@
 // PlatformHandler serves the log and the VM list.
 func PlatformHandler(log *Log, vms *VMList) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathAppend, func(w http.ResponseWriter, r *http.Request) {
-		var req platform.AppendRequest
+	mux.HandleFunc("POST "+outside.PathAppend, func(w http.ResponseWriter, r *http.Request) {
+		var req outside.AppendRequest
 		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		offset, err := log.Append(r.Context(), req.Records)
-		answer(w, platform.AppendReply{Offset: offset}, err)
+		answer(w, outside.AppendReply{Offset: offset}, err)
 	})
-	mux.HandleFunc("GET "+platform.PathRead, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+outside.PathRead, func(w http.ResponseWriter, r *http.Request) {
 		from, _ := strconv.ParseUint(r.FormValue("from"), 10, 64)
 		max, _ := strconv.Atoi(r.FormValue("max"))
 		waitMs, _ := strconv.Atoi(r.FormValue("wait_ms"))
 		page, err := log.Read(r.Context(), from, max, time.Duration(waitMs)*time.Millisecond)
-		answer(w, platform.ReadReply(page), err)
+		answer(w, outside.ReadReply(page), err)
 	})
-	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+outside.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		serveVMs(w, r, vms)
 	})
 	return mux
@@ -101,7 +101,7 @@
 
 func answer(w http.ResponseWriter, v any, err error) {
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, outside.ErrTrimmed):
 		w.WriteHeader(http.StatusGone)
 		_ = json.NewEncoder(w).Encode(v) // says which offset is the oldest
 	case err != nil:
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // ErrDown is what a stand-in answers while it is down.
@@ -74,7 +74,7 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
+// Append implements outside.Log.
 func (l *Log) Append(ctx context.Context, records [][]byte) (uint64, error) {
 	if err := l.delay(ctx); err != nil {
 		return 0, err
@@ -93,15 +93,15 @@
 	l.changed = make(chan struct{})
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
-		return 0, platform.ErrUnknownOutcome
+		return 0, outside.ErrUnknownOutcome
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements outside.Log.
+func (l *Log) Read(ctx context.Context, from uint64, max int, wait time.Duration) (outside.Page, error) {
 	if err := l.delay(ctx); err != nil {
-		return platform.Page{}, err
+		return outside.Page{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -115,24 +115,24 @@
 		case <-timer.C:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return outside.Page{}, ctx.Err()
 		}
 	}
 }
 
-func (l *Log) page(from uint64, max int) (platform.Page, chan struct{}, error) {
+func (l *Log) page(from uint64, max int) (outside.Page, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return platform.Page{}, nil, ErrDown
+		return outside.Page{}, nil, ErrDown
 	}
 	if from < l.first {
-		return platform.Page{First: l.first}, nil, platform.ErrTrimmed
+		return outside.Page{First: l.first}, nil, outside.ErrTrimmed
 	}
 	end := l.first + uint64(len(l.records))
 	from = min(from, end)
 	to := min(from+uint64(max), end)
-	return platform.Page{
+	return outside.Page{
 		First:   l.first,
 		Next:    to,
 		Records: append([][]byte(nil), l.records[from-l.first:to-l.first]...),
--- a/internal/fake/orders.go
+++ b/internal/fake/orders.go
@@ -5,7 +5,7 @@
 	"errors"
 	"sync"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // errAnswerLost is what a caller sees when an order took effect unheard.
@@ -17,7 +17,7 @@
 	Fenced bool
 
 	mu      sync.Mutex
-	state   platform.EngineState
+	state   outside.EngineState
 	highest map[string]uint64
 	fences  []uint64 // of the orders that took effect, in order
 	lose    int
@@ -37,15 +37,15 @@
 	return append([]uint64(nil), e.fences...)
 }
 
-// Order implements platform.Orderer.
-func (e *OrderedEngine) Order(ctx context.Context, resource string, fence uint64, want platform.EngineState) error {
+// Order implements outside.Orderer.
+func (e *OrderedEngine) Order(ctx context.Context, resource string, fence uint64, want outside.EngineState) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.highest == nil {
 		e.highest = make(map[string]uint64)
 	}
 	if e.Fenced && fence < e.highest[resource] {
-		return platform.ErrStaleFence
+		return outside.ErrStaleFence
 	}
 	e.highest[resource] = max(e.highest[resource], fence)
 	e.state = want
@@ -57,8 +57,8 @@
 	return ctx.Err()
 }
 
-// State implements platform.Orderer.
-func (e *OrderedEngine) State(ctx context.Context) (platform.EngineState, error) {
+// State implements outside.Orderer.
+func (e *OrderedEngine) State(ctx context.Context) (outside.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state, ctx.Err()
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // Plain is an ordinary service: POST adds an entry, GET counts them.
@@ -67,23 +67,23 @@
 	return append([]Run(nil), p.runs...)
 }
 
-// Run implements platform.Backend.
-func (p *Plain) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+// Run implements outside.Backend.
+func (p *Plain) Run(ctx context.Context, call *outside.Call) (*outside.Reply, error) {
 	p.mu.Lock()
 	down := p.down
 	p.mu.Unlock()
 	if down {
-		return nil, &platform.SendError{Sent: false, Err: errEngineDown}
+		return nil, &outside.SendError{Sent: false, Err: errEngineDown}
 	}
 	p.set(func() { p.active++ })
 	defer p.set(func() { p.active-- })
 	if err := p.wait(ctx); err != nil {
-		return nil, &platform.SendError{Sent: true, Err: err}
+		return nil, &outside.SendError{Sent: true, Err: err}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if call.Method == http.MethodPost {
-		p.runs = append(p.runs, Run{Key: platform.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body), Finished: true})
+		p.runs = append(p.runs, Run{Key: outside.Header(call.Headers, "Idempotency-Key"), Body: string(call.Body), Finished: true})
 	}
 	return jsonReply(http.StatusOK, map[string]string{
 		"service": p.Name,
--- a/internal/fake/rank.go
+++ b/internal/fake/rank.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"github.com/heatherrail/heatherrail/expert"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // keptMaps is how many maps' weights fit beside each other: the one in use, the
@@ -25,7 +25,7 @@
 	pos  expert.Position
 }
 
-// Position implements platform.Rank.
+// Position implements outside.Rank.
 func (r *Rank) Position(ctx context.Context) (expert.Position, error) {
 	if r.engine.isDown() {
 		return expert.Position{}, errEngineDown
@@ -35,7 +35,7 @@
 	return r.pos, ctx.Err()
 }
 
-// Prepare implements platform.Rank: it fetches what the maps here don't hold.
+// Prepare implements outside.Rank: it fetches what the maps here don't hold.
 func (r *Rank) Prepare(ctx context.Context, _ int, m *expert.Map) error {
 	if r.engine.isDown() {
 		return errEngineDown
@@ -74,7 +74,7 @@
 	r.maps = append(r.maps, m)
 }
 
-// Hold implements platform.Rank.
+// Hold implements outside.Rank.
 func (r *Rank) Hold(ctx context.Context, t expert.Token, at uint64) (before, after expert.Position, err error) {
 	if r.engine.isDown() {
 		return before, after, errEngineDown
@@ -86,7 +86,7 @@
 	return before, r.pos, ctx.Err()
 }
 
-// Release implements platform.Rank.
+// Release implements outside.Rank.
 func (r *Rank) Release(_ context.Context, t expert.Token, start uint64, s expert.Schedule, join uint64) error {
 	if r.engine.isDown() {
 		return errEngineDown
@@ -96,28 +96,28 @@
 	return r.pos.Release(t, start, s, join)
 }
 
-// Lift implements platform.Rank.
+// Lift implements outside.Rank.
 func (r *Rank) Lift(_ context.Context, t expert.Token) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.pos.Lift(t)
 }
 
-// Loads implements platform.Rank.
-func (r *Rank) Loads(ctx context.Context) (platform.RankLoads, error) {
+// Loads implements outside.Rank.
+func (r *Rank) Loads(ctx context.Context) (outside.RankLoads, error) {
 	r.mu.Lock()
 	id := r.pos.Map
 	m := r.find(id)
 	r.mu.Unlock()
 	if m == nil {
-		return platform.RankLoads{}, errEngineDown
+		return outside.RankLoads{}, errEngineDown
 	}
 	tokens, speed := r.group.loadsOf(r.index, m)
 	total := 0.0
 	for _, v := range tokens {
 		total += v
 	}
-	return platform.RankLoads{Map: id, Tokens: tokens, Seconds: total / speed / tokensPerSecond}, ctx.Err()
+	return outside.RankLoads{Map: id, Tokens: tokens, Seconds: total / speed / tokensPerSecond}, ctx.Err()
 }
 
 // tokensPerSecond is what a rank of speed 1 computes.
@@ -132,7 +132,7 @@
 	return nil
 }
 
-// Maps implements platform.Rank.
+// Maps implements outside.Rank.
 func (r *Rank) Maps(ctx context.Context) ([]*expert.Map, error) {
 	if r.engine.isDown() {
 		return nil, errEngineDown
@@ -166,41 +166,41 @@
 			answer(w, v, err)
 		})
 	}
-	get(platform.PathRankPosition, func(ctx context.Context, r *Rank) (any, error) { return r.Position(ctx) })
-	get(platform.PathRankLoads, func(ctx context.Context, r *Rank) (any, error) { return r.Loads(ctx) })
-	get(platform.PathRankMaps, func(ctx context.Context, r *Rank) (any, error) { return r.Maps(ctx) })
-	order := func(path string, run func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) error) {
+	get(outside.PathRankPosition, func(ctx context.Context, r *Rank) (any, error) { return r.Position(ctx) })
+	get(outside.PathRankLoads, func(ctx context.Context, r *Rank) (any, error) { return r.Loads(ctx) })
+	get(outside.PathRankMaps, func(ctx context.Context, r *Rank) (any, error) { return r.Maps(ctx) })
+	order := func(path string, run func(ctx context.Context, r *Rank, o *outside.RankOrder, reply *outside.RankReply) error) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, q *http.Request) { serveRankOrder(w, q, rank(), run) })
 	}
-	order(platform.PathRankPrepare, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+	order(outside.PathRankPrepare, func(ctx context.Context, r *Rank, o *outside.RankOrder, _ *outside.RankReply) error {
 		return r.Prepare(ctx, o.Rank, o.Map)
 	})
-	order(platform.PathRankHold, func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) (err error) {
+	order(outside.PathRankHold, func(ctx context.Context, r *Rank, o *outside.RankOrder, reply *outside.RankReply) (err error) {
 		reply.Before, reply.After, err = r.Hold(ctx, o.Token, o.At)
 		return err
 	})
-	order(platform.PathRankRelease, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+	order(outside.PathRankRelease, func(ctx context.Context, r *Rank, o *outside.RankOrder, _ *outside.RankReply) error {
 		return r.Release(ctx, o.Token, o.Start, o.Schedule, o.Join)
 	})
-	order(platform.PathRankLift, func(ctx context.Context, r *Rank, o *platform.RankOrder, _ *platform.RankReply) error {
+	order(outside.PathRankLift, func(ctx context.Context, r *Rank, o *outside.RankOrder, _ *outside.RankReply) error {
 		return r.Lift(ctx, o.Token)
 	})
 	return mux
 }
 
-type rankOrderFunc func(ctx context.Context, r *Rank, o *platform.RankOrder, reply *platform.RankReply) error
+type rankOrderFunc func(ctx context.Context, r *Rank, o *outside.RankOrder, reply *outside.RankReply) error
 
 func serveRankOrder(w http.ResponseWriter, q *http.Request, r *Rank, run rankOrderFunc) {
 	if r == nil {
 		http.NotFound(w, q)
 		return
 	}
-	var o platform.RankOrder
+	var o outside.RankOrder
 	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var reply platform.RankReply
+	var reply outside.RankReply
 	if err := run(q.Context(), r, &o, &reply); err != nil {
 		reply.Refused = err.Error()
 	}
--- a/internal/fake/targets.go
+++ b/internal/fake/targets.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // standin is what a control can do to any stand-in of a target.
 type standin interface {
-	platform.Backend
+	outside.Backend
 	Kill()
 	Restart()
 	Stall(on bool)
@@ -55,14 +55,14 @@
 // one ends that.
 func (t *TargetServer) CrashOn(text string) { t.crashOn.Store(&text) }
 
-// Run implements platform.Backend.
-func (t *TargetServer) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+// Run implements outside.Backend.
+func (t *TargetServer) Run(ctx context.Context, call *outside.Call) (*outside.Reply, error) {
 	text := t.crashOn.Load()
 	if text != nil && *text != "" && bytes.Contains(call.Body, []byte(*text)) {
 		t.crashes.Add(1)
 		t.Kill()
 		time.AfterFunc(crashRestart, func() { _ = t.Restart() }) // a port that is taken shows as a target that stays away
-		return nil, &platform.SendError{Sent: true, Err: errEngineDown}
+		return nil, &outside.SendError{Sent: true, Err: errEngineDown}
 	}
 	return t.back.Run(ctx, call)
 }
--- a/internal/fake/vms.go
+++ b/internal/fake/vms.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // VMList is the platform's list; readers see changes after Lag.
@@ -18,7 +18,7 @@
 
 type vmVersion struct {
 	at  time.Time
-	vms []platform.VM
+	vms []outside.VM
 }
 
 // NewVMList returns an empty list that shows changes after lag.
@@ -34,32 +34,32 @@
 }
 
 // Put adds or replaces the VM with the same ID.
-func (l *VMList) Put(vm platform.VM) {
-	l.update(func(vms []platform.VM) []platform.VM {
-		vms = slices.DeleteFunc(vms, func(v platform.VM) bool { return v.ID == vm.ID })
+func (l *VMList) Put(vm outside.VM) {
+	l.update(func(vms []outside.VM) []outside.VM {
+		vms = slices.DeleteFunc(vms, func(v outside.VM) bool { return v.ID == vm.ID })
 		return append(vms, vm)
 	})
 }
 
 // Remove drops a VM.
 func (l *VMList) Remove(id string) {
-	l.update(func(vms []platform.VM) []platform.VM {
-		return slices.DeleteFunc(vms, func(v platform.VM) bool { return v.ID == id })
+	l.update(func(vms []outside.VM) []outside.VM {
+		return slices.DeleteFunc(vms, func(v outside.VM) bool { return v.ID == id })
 	})
 }
 
-func (l *VMList) update(change func([]platform.VM) []platform.VM) {
+func (l *VMList) update(change func([]outside.VM) []outside.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var vms []platform.VM
+	var vms []outside.VM
 	if n := len(l.history); n > 0 {
 		vms = slices.Clone(l.history[n-1].vms)
 	}
 	l.history = append(l.history, vmVersion{at: time.Now(), vms: change(vms)})
 }
 
-// List implements platform.VMList.
-func (l *VMList) List(ctx context.Context) ([]platform.VM, error) {
+// List implements outside.VMList.
+func (l *VMList) List(ctx context.Context) ([]outside.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	horizon := time.Now().Add(-l.lag)
--- a/outcomes/cases_test.go
+++ b/outcomes/cases_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/wire"
@@ -353,7 +353,7 @@
 		leaving := homeOf(w, "k", false)
 		g.Expect(w.send("team-0", 0, plainJob("k"), 0).Code).To(Equal(result.OK))
 		for _, name := range []string{leaving, "prog-llm-1"} {
-			w.vms.Put(platform.VM{ID: name, Name: name, Role: platform.RoleTarget, Address: w.targets[name].addr, State: platform.StateLeaving})
+			w.vms.Put(outside.VM{ID: name, Name: name, Role: outside.RoleTarget, Address: w.targets[name].addr, State: outside.StateLeaving})
 		}
 		sign := time.Now()
 		for n := range 200 {
--- a/outcomes/faults.go
+++ b/outcomes/faults.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/fake"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // Fault is one kind of thing that goes wrong.
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
 	w.must(w.agentOf(name).Shutdown(ctx))
-	w.vms.Put(platform.VM{ID: name, Name: name, Role: platform.RoleTarget, Address: t.addr, State: platform.StateLeaving})
+	w.vms.Put(outside.VM{ID: name, Name: name, Role: outside.RoleTarget, Address: t.addr, State: outside.StateLeaving})
 	t.moves++
 	time.Sleep(vmLag)
 	w.must(w.startAgent(name))
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 )
 
@@ -75,7 +75,7 @@
 // recordingBackend records what its target runs. A request whose body holds
 // CrashMark kills the target soon after it began.
 type recordingBackend struct {
-	platform.Backend
+	outside.Backend
 	target  string
 	history *History
 	onCrash func()
@@ -88,13 +88,13 @@
 
 var errBroken = errors.New("lost in mid-run")
 
-// Run implements platform.Backend.
-func (b *recordingBackend) Run(ctx context.Context, call *platform.Call) (*platform.Reply, error) {
+// Run implements outside.Backend.
+func (b *recordingBackend) Run(ctx context.Context, call *outside.Call) (*outside.Reply, error) {
 	if call.Method != "GET" {
 		b.calls.Add(1)
 	}
 	if b.broken.Load() && call.Method != "GET" {
-		return nil, &platform.SendError{Sent: true, Err: errBroken}
+		return nil, &outside.SendError{Sent: true, Err: errBroken}
 	}
 	reply, err := b.Backend.Run(ctx, call)
 	if err != nil || call.Method == "GET" { // a probe
--- a/outcomes/network.go
+++ b/outcomes/network.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // network connects processes in memory and breaks connections on demand.
@@ -166,19 +166,19 @@
 
 // processLog is the log as one process reaches it: not at all while it is paused.
 type processLog struct {
-	platform.Log
+	outside.Log
 	net     *network
 	process string
 }
 
-// Append implements platform.Log.
+// Append implements outside.Log.
 func (l *processLog) Append(ctx context.Context, records [][]byte) (uint64, error) {
 	l.net.wait(l.process)
 	return l.Log.Append(ctx, records)
 }
 
-// Read implements platform.Log.
-func (l *processLog) Read(ctx context.Context, from uint64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements outside.Log.
+func (l *processLog) Read(ctx context.Context, from uint64, max int, wait time.Duration) (outside.Page, error) {
 	l.net.wait(l.process)
 	page, err := l.Log.Read(ctx, from, max, wait)
 	l.net.wait(l.process)
--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -14,7 +14,7 @@
 	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/metrics"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/settings"
 )
 
@@ -216,7 +216,7 @@
 	w.mu.Lock()
 	t.agent, t.addr = a, addr
 	w.mu.Unlock()
-	w.vms.Put(platform.VM{ID: name, Name: name, Role: platform.RoleTarget, Address: addr, State: platform.StateLive})
+	w.vms.Put(outside.VM{ID: name, Name: name, Role: outside.RoleTarget, Address: addr, State: outside.StateLive})
 	return nil
 }
 
--- a/platform/backend_test.go
+++ b/outside/backend_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package outside_test
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // rawServer answers each request on each connection with what answer returns;
@@ -55,7 +55,7 @@
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-func call(b *platform.HTTPBackend, c platform.Call) (string, error) {
+func call(b *outside.HTTPBackend, c outside.Call) (string, error) {
 	reply, err := b.Run(context.Background(), &c)
 	if err != nil {
 		return "", err
@@ -76,17 +76,17 @@
 		}
 		return ""
 	})
-	b := platform.NewHTTPBackend(addr)
+	b := outside.NewHTTPBackend(addr)
 	defer b.Close()
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		before := requests.Load()
 		if before == 0 { // the next call goes over a kept connection
-			_, err := call(b, platform.Call{Method: http.MethodGet, Path: "/"})
+			_, err := call(b, outside.Call{Method: http.MethodGet, Path: "/"})
 			g.Expect(err).NotTo(HaveOccurred())
 			before = requests.Load()
 		}
-		_, err := call(b, platform.Call{Method: method, Path: "/entries", Body: []byte("x")})
-		var send *platform.SendError
+		_, err := call(b, outside.Call{Method: method, Path: "/entries", Body: []byte("x")})
+		var send *outside.SendError
 		g.Expect(errors.As(err, &send)).To(BeTrue())
 		g.Expect(send.Sent).To(BeTrue())
 		g.Expect(requests.Load() - before).To(Equal(int64(1)))
@@ -106,10 +106,10 @@
 	}
 	srv.Start()
 	defer srv.Close()
-	b := platform.NewHTTPBackend(srv.Listener.Addr().String())
+	b := outside.NewHTTPBackend(srv.Listener.Addr().String())
 	defer b.Close()
 	for range 3 {
-		text, err := call(b, platform.Call{Method: http.MethodPost, Path: "/"})
+		text, err := call(b, outside.Call{Method: http.MethodPost, Path: "/"})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(text).To(Equal("ok"))
 		srv.CloseClientConnections()
@@ -151,9 +151,9 @@
 				_, _ = io.WriteString(nc, tc.answer)
 				_ = nc.Close()
 			}()
-			b := platform.NewHTTPBackend(ln.Addr().String())
+			b := outside.NewHTTPBackend(ln.Addr().String())
 			b.WholeEvents = tc.events
-			_, err = call(b, platform.Call{Method: http.MethodPost, Path: "/"})
+			_, err = call(b, outside.Call{Method: http.MethodPost, Path: "/"})
 			g.Expect(err == nil).To(Equal(tc.whole), "%v", err)
 		})
 	}
@@ -164,11 +164,11 @@
 func TestPathCannotCarryASecondRequest(t *testing.T) {
 	g := NewWithT(t)
 	addr, requests := rawServer(t, func(int64) string { return okAnswer })
-	b := platform.NewHTTPBackend(addr)
+	b := outside.NewHTTPBackend(addr)
 	defer b.Close()
 	for _, path := range []string{"/a HTTP/1.1\r\nHost: x\r\n\r\nPOST /smuggled", "/a b", "no-slash", "/\x7f", ""} {
-		_, err := call(b, platform.Call{Method: http.MethodPost, Path: path})
-		var send *platform.SendError
+		_, err := call(b, outside.Call{Method: http.MethodPost, Path: path})
+		var send *outside.SendError
 		g.Expect(errors.As(err, &send)).To(BeTrue())
 		g.Expect(send.Sent).To(BeFalse())
 	}
@@ -181,10 +181,10 @@
 		w.Header().Set("Content-Length", "100")
 	}))
 	defer srv.Close()
-	b := platform.NewHTTPBackend(strings.TrimPrefix(srv.URL, "http://"))
+	b := outside.NewHTTPBackend(strings.TrimPrefix(srv.URL, "http://"))
 	defer b.Close()
 	for range 2 { // the second over the kept connection
-		text, err := call(b, platform.Call{Method: http.MethodHead, Path: "/"})
+		text, err := call(b, outside.Call{Method: http.MethodHead, Path: "/"})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(text).To(BeEmpty())
 	}
--- a/platform/platform.go
+++ b/outside/outside.go
@@ -1,6 +1,6 @@
-// Package platform holds what heatherrail assumes of the platform it runs on:
+// Package outside holds what heatherrail assumes of the platform it runs on:
 // interfaces, and clients for them over HTTP.
-package platform
+package outside
 
 import (
 	"context"
--- a/platform/vmlist.go
+++ b/outside/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
--- a/platform/vmlist_test.go
+++ b/outside/vmlist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package outside_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/internal/fake"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // countingProxy passes one connection after the other on and counts bytes of answers.
@@ -61,14 +61,14 @@
 	g := NewWithT(t)
 	vms := fake.NewVMList(0)
 	for i := range 1510 {
-		vms.Put(platform.VM{ID: fmt.Sprint("vm-", i), Name: fmt.Sprint("drafter-", i), Role: platform.RoleTarget,
-			Address: "10.0.0.1:7000", DataCentre: "hall-a", State: platform.StateLive})
+		vms.Put(outside.VM{ID: fmt.Sprint("vm-", i), Name: fmt.Sprint("drafter-", i), Role: outside.RoleTarget,
+			Address: "10.0.0.1:7000", DataCentre: "hall-a", State: outside.StateLive})
 	}
 	srv, err := fake.Serve(fake.PlatformHandler(fake.NewLog(), vms))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer srv.Close()
 	addr, count := countingProxy(t, srv.Addr)
-	list := &platform.HTTPVMList{Addr: addr}
+	list := &outside.HTTPVMList{Addr: addr}
 	read := func() (int, int64) {
 		before := count.Load()
 		got, err := list.List(context.Background())
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -13,13 +13,13 @@
 	"syscall"
 	"time"
 
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // process is one program under test.
 type process struct {
 	cmd     *exec.Cmd
-	vm      platform.VM
+	vm      outside.VM
 	started chan map[string]string // key=value pairs of its "started" event
 	done    chan struct{}          // closed after its end; err is set then
 	err     error
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -18,7 +18,7 @@
 	"github.com/heatherrail/heatherrail/demo"
 	"github.com/heatherrail/heatherrail/examples"
 	"github.com/heatherrail/heatherrail/internal/testkeys"
-	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/outside"
 )
 
 // patience bounds every wait for something that must happen.
@@ -117,10 +117,10 @@
 		return err
 	}
 	w.vmIDs++
-	p.vm = platform.VM{ID: fmt.Sprintf("vm-%d", w.vmIDs), Name: name, State: platform.StateLive, DataCentre: target.DataCentre}
-	p.vm.Role, p.vm.Address = platform.RoleTarget, values["listen"]
+	p.vm = outside.VM{ID: fmt.Sprintf("vm-%d", w.vmIDs), Name: name, State: outside.StateLive, DataCentre: target.DataCentre}
+	p.vm.Role, p.vm.Address = outside.RoleTarget, values["listen"]
 	if !isAgent {
-		p.vm.Role, p.vm.Callers = platform.RoleEntry, values["callers"]
+		p.vm.Role, p.vm.Callers = outside.RoleEntry, values["callers"]
 		p.vm.DataCentre = w.anyDataCentre()
 		w.addEntry(p)
 	}
