--- a/entry/callerconn.go
+++ b/callers/conn.go
@@ -1,4 +1,6 @@
-package entry
+// Package callers holds the connections of callers, so that one who leaves is
+// noticed while a request runs.
+package callers
 
 import (
 	"io"
@@ -8,12 +10,12 @@
 	"time"
 )
 
-// watchedListener hands out connections that can be watched for a caller that
+// Listener hands out connections that can be watched for a caller that
 // leaves. fasthttp reads a connection only between requests, so by itself it
 // would notice a closed one at the next write, which may be a long prefill away.
 // It also bounds the connections of one address: a caller that opens them and
 // stays silent must not take the places of all others.
-type watchedListener struct {
+type Listener struct {
 	net.Listener
 	perAddress int
 	refused    func(remote net.Addr)
@@ -22,8 +24,10 @@
 	count map[netip.Addr]int
 }
 
-func newWatchedListener(ln net.Listener, maxCallers int, refused func(net.Addr)) *watchedListener {
-	return &watchedListener{
+// NewListener returns a listener that takes at most half of maxCallers connections
+// from one address; refused hears of the others.
+func NewListener(ln net.Listener, maxCallers int, refused func(net.Addr)) *Listener {
+	return &Listener{
 		Listener:   ln,
 		perAddress: max(1, maxCallers/addressShare),
 		refused:    refused,
@@ -36,7 +40,7 @@
 const addressShare = 2
 
 // Accept implements net.Listener.
-func (l *watchedListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
@@ -44,7 +48,7 @@
 		}
 		addr := remoteAddr(nc)
 		if l.take(addr) {
-			return &callerConn{Conn: nc, release: func() { l.leave(addr) }}, nil
+			return &Conn{Conn: nc, release: func() { l.leave(addr) }}, nil
 		}
 		_ = nc.Close() // not worth a goroutine that might have to wait for it
 		l.refused(nc.RemoteAddr())
@@ -58,7 +62,7 @@
 	return netip.Addr{}
 }
 
-func (l *watchedListener) take(addr netip.Addr) bool {
+func (l *Listener) take(addr netip.Addr) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.count[addr] >= l.perAddress {
@@ -68,7 +72,7 @@
 	return true
 }
 
-func (l *watchedListener) leave(addr netip.Addr) {
+func (l *Listener) leave(addr netip.Addr) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.count[addr]--; l.count[addr] == 0 {
@@ -76,9 +80,9 @@
 	}
 }
 
-// callerConn is a caller's connection. While a request runs, one byte is read
+// Conn is a caller's connection. While a request runs, one byte is read
 // ahead; it is kept for the server's next read.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	release func()
 	closing sync.Once
@@ -98,18 +102,18 @@
 
 var gatherPool = sync.Pool{New: func() any { b := make([]byte, 0, gatherMax); return &b }}
 
-// cork makes Write gather until flush. The HTTP library flushes after each piece
+// Cork makes Write gather until Flush. The HTTP library flushes after each piece
 // of a body, which would cost a system call each while more is waiting already.
-func (c *callerConn) cork() { c.corked = true }
+func (c *Conn) Cork() { c.corked = true }
 
-// uncork ends the gathering.
-func (c *callerConn) uncork() error {
+// Uncork ends the gathering.
+func (c *Conn) Uncork() error {
 	c.corked = false
-	return c.flush()
+	return c.Flush()
 }
 
-// flush writes what was gathered.
-func (c *callerConn) flush() error {
+// Flush writes what was gathered.
+func (c *Conn) Flush() error {
 	if c.out == nil {
 		return nil
 	}
@@ -122,7 +126,7 @@
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.hasByte && len(p) > 0 {
 		p[0] = c.ahead[0]
@@ -144,15 +148,15 @@
 const callerStall = 30 * time.Second
 
 // Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if !c.corked || len(p) > gatherMax {
-		if err := c.flush(); err != nil {
+		if err := c.Flush(); err != nil {
 			return 0, err
 		}
 		return c.writeNow(p)
 	}
 	if c.out != nil && len(*c.out)+len(p) > gatherMax {
-		if err := c.flush(); err != nil {
+		if err := c.Flush(); err != nil {
 			return 0, err
 		}
 	}
@@ -163,7 +167,7 @@
 	return len(p), nil
 }
 
-func (c *callerConn) writeNow(p []byte) (int, error) {
+func (c *Conn) writeNow(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(callerStall)); err != nil {
 		return 0, err
 	}
@@ -179,7 +183,7 @@
 // Close implements net.Conn. A caller that still sends when its request is
 // refused, for example a body that is too large, would have its connection reset
 // and lose the refusal; so what it sends is read for a moment and dropped.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	c.closing.Do(func() {
 		tcp, ok := c.Conn.(*net.TCPConn)
 		if !ok || tcp.CloseWrite() != nil {
@@ -196,7 +200,7 @@
 	return nil
 }
 
-func (c *callerConn) end() {
+func (c *Conn) end() {
 	_ = c.Conn.Close() // nothing is left to be said
 	c.release()
 }
@@ -204,9 +208,9 @@
 // aLongTimeAgo is a deadline that ends a pending read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// watch calls gone if the caller closes the connection before stop is called.
+// Watch calls gone if the caller closes the connection before stop is called.
 // stop waits until the watcher no longer touches the connection.
-func (c *callerConn) watch(gone func()) (stop func()) {
+func (c *Conn) Watch(gone func()) (stop func()) {
 	done := make(chan struct{})
 	// A deadline left over from reading the request must not end the watch.
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
--- a/entry/callerconn_test.go
+++ b/callers/conn_test.go
@@ -1,4 +1,4 @@
-package entry
+package callers
 
 import (
 	"io"
@@ -17,7 +17,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = inner.Close() }()
 	refused := make(chan net.Addr, 16)
-	ln := newWatchedListener(inner, 8, func(a net.Addr) { refused <- a })
+	ln := NewListener(inner, 8, func(a net.Addr) { refused <- a })
 	accepted := make(chan net.Conn, 16)
 	go func() {
 		for {
@@ -46,7 +46,7 @@
 	g.Expect(err).To(MatchError(io.EOF))
 	dial("127.0.0.2")
 	<-accepted
-	held[0].(*callerConn).end()
+	held[0].(*Conn).end()
 	dial("127.0.0.1")
 	<-accepted
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -41,9 +42,9 @@
 	b.sse = streamsEvents(&b.x.Answer)
 	resp.Header.Set(HeaderTarget, b.x.Target)
 	resp.Header.Set(HeaderRun, result.RunDone.String())
-	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
+	if conn, ok := c.RequestCtx().Conn().(*callers.Conn); ok {
 		b.conn = conn
-		conn.cork()
+		conn.Cork()
 	}
 	resp.SetBodyStream(b, -1)
 }
@@ -55,7 +56,7 @@
 	entry  *Entry
 	call   *Call
 	x      *Exchange
-	conn   *callerConn // gathers what is written; nil if it can't
+	conn   *callers.Conn // gathers what is written; nil if it can't
 	done   func()
 	begun  time.Time
 	last   time.Time // arrival of the latest chunk; zero before the first
@@ -101,7 +102,7 @@
 		return nil
 	}
 	b.begunBody = b.chunkSeen
-	return b.conn.flush()
+	return b.conn.Flush()
 }
 
 // observe measures event streams: engines send about one event a token.
@@ -156,7 +157,7 @@
 	b.x.Close()
 	var err error
 	if b.conn != nil {
-		err = b.conn.uncork()
+		err = b.conn.Uncork()
 	}
 	b.done()
 	return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 
+	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
@@ -137,7 +138,7 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	ln := newWatchedListener(e.ln, e.opts.Settings.MaxCallers, e.refuseConn)
+	ln := callers.NewListener(e.ln, e.opts.Settings.MaxCallers, e.refuseConn)
 	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && e.ctx.Err() == nil {
 		e.log.Error(err, "caller side stopped")
--- a/entry/http.go
+++ b/entry/http.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
@@ -247,9 +248,9 @@
 }
 
 func watchCaller(c fiber.Ctx, cancel context.CancelCauseFunc) func() {
-	conn, ok := c.RequestCtx().Conn().(*callerConn)
+	conn, ok := c.RequestCtx().Conn().(*callers.Conn)
 	if !ok {
 		return func() {}
 	}
-	return conn.watch(func() { cancel(result.New(result.CallerGone, "caller closed its connection")) })
+	return conn.Watch(func() { cancel(result.New(result.CallerGone, "caller closed its connection")) })
 }
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/upstream"
+)
+
+// tries are the tries of one request.
+type tries struct {
+	g     *Gateway
+	r     *request
+	tried map[string]bool
+	sent  int // targets that may have begun to work on it
+	count int // sends, those that were refused among them
+	last  *result.Error
+}
+
+// exchange is a try whose target answers.
+type exchange struct {
+	target  *serving.Target
+	account *account
+	resp    *upstream.Response
+	reading bool // no answer has come yet
+	tries   *tries
+}
+
+// close ends a try. The connection is kept if the answer was whole.
+func (x *exchange) close() {
+	x.firstByte()
+	x.resp.Close()
+	x.tries.g.book.end(x.account)
+}
+
+// firstByte books that the target has begun to answer.
+func (x *exchange) firstByte() {
+	if x.reading {
+		x.reading = false
+		x.tries.g.book.answered(x.account, x.tries.r.size)
+	}
+}
+
+// triesMax bounds the sends of one request that certainly did not run; each of
+// them costs a round trip.
+const triesMax = 4
+
+// next sends the request to a target, and to others after failures that allow it.
+// It returns an answer to deliver, or the reason why there is none.
+func (t *tries) next(ctx context.Context, resumeAfter string) (*exchange, *result.Error) {
+	for {
+		if e := t.ended(ctx); e != nil {
+			return nil, e
+		}
+		v := t.g.knowledge.view()
+		target := t.g.book.place(v.targets[t.r.service.Name], t.tried, time.Now())
+		if target == nil {
+			return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
+		}
+		x, e := t.send(ctx, target, resumeAfter)
+		if e == nil {
+			return x, nil
+		}
+		t.last = e
+		if !t.mayRetry(e) {
+			if cause := t.ended(ctx); cause != nil {
+				return nil, cause
+			}
+			return nil, e
+		}
+		t.g.opts.Metrics.Retry(e.Code)
+	}
+}
+
+// ended tells why nothing more can be done: the caller has left, or the time is
+// over. Without a try that may have run, the request certainly did not run.
+func (t *tries) ended(ctx context.Context) *result.Error {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return nil
+	case errors.Is(cause, context.DeadlineExceeded) && t.sent == 0:
+		return result.New(result.DeadlineUnmet, "no target took it in time")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return result.New(result.DeadlinePast, "after %d tries", t.sent)
+	}
+	return result.From(cause)
+}
+
+// orLast returns the failure of the last try, which tells more than that nothing
+// is left to be tried. If some try may have run, the answer must not say that the
+// request did not.
+func (t *tries) orLast(e *result.Error) *result.Error {
+	switch {
+	case t.last == nil:
+		return e
+	case t.sent > 0 && t.last.Run() == result.RunNot:
+		return result.New(result.TargetLost, "an earlier try may have run; last: %w", t.last)
+	}
+	return t.last
+}
+
+// mayRetry decides after a failed try.
+func (t *tries) mayRetry(e *result.Error) bool {
+	r := t.r.route
+	switch {
+	case t.count >= triesMax || t.sent >= r.MaxAttempts:
+		return false
+	case e.Run() != result.RunNot && !r.Repeatable():
+		return false
+	case e.Code == result.CallerGone || e.Code == result.DeadlinePast:
+		return false
+	case e.Code == result.Unreachable:
+		return true // nothing arrived anywhere
+	}
+	return t.g.budget(t.r.service.Name).take(time.Now(), t.g.mesh.entries())
+}
+
+// send makes one try.
+func (t *tries) send(ctx context.Context, target *serving.Target, resumeAfter string) (*exchange, *result.Error) {
+	t.tried[target.ID] = true
+	t.count++
+	a := t.g.book.begin(target, t.r.size)
+	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
+	resp, err := a.pool.Send(ctx, m)
+	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
+	if err != nil {
+		t.g.book.answered(a, t.r.size)
+		t.g.book.end(a)
+		return nil, t.lost(ctx, target, err)
+	}
+	if e := t.judge(x); e != nil {
+		x.close()
+		return nil, e
+	}
+	return x, nil
+}
+
+// lost makes a result of a try without an answer.
+func (t *tries) lost(ctx context.Context, target *serving.Target, err error) *result.Error {
+	var failed *upstream.SendError
+	sent := !errors.As(err, &failed) || failed.Sent
+	if sent {
+		t.sent++
+	}
+	if context.Cause(ctx) == nil {
+		t.g.book.report(target, false)
+	}
+	if cause := t.ended(ctx); cause != nil {
+		return cause
+	}
+	if !sent {
+		return result.New(result.Unreachable, "%s at %s: %w", target.ID, target.Address, err)
+	}
+	return result.New(result.TargetLost, "%s: %w", target.ID, err)
+}
+
+// judge looks at the head of an answer: nil means that it is the target's own and
+// to be delivered.
+func (t *tries) judge(x *exchange) *result.Error {
+	p := &t.g.opts.Protocol
+	h := &x.resp.Header
+	status := x.resp.Status
+	notRun := len(h.Peek(p.NotRun)) > 0
+	switch {
+	case status == statusMisdirected:
+		t.g.book.replaced(x.target)
+		return result.New(result.TargetLeaving, "another target has the address of %s", x.target.ID)
+	case notRun:
+		e := result.New(result.TargetBusy, "%s did not run it, status %d", x.target.ID, status)
+		if fault := string(h.Peek(p.FaultAt)); fault != "" {
+			e.Code = result.RankLost
+			e.Detail += ", fault at " + fault
+		} else {
+			t.g.book.report(x.target, false)
+		}
+		e.RetryAfter = retryAfter(string(h.Peek("Retry-After")))
+		return e
+	}
+	t.sent++
+	switch {
+	case status/100 == 2 && len(h.Peek(p.Seal)) == 0:
+		t.g.book.report(x.target, false)
+		return result.New(result.AnswerBroken, "%s answered %d without its proof", x.target.ID, status)
+	case status/100 == 5 && t.r.route.Repeatable() && t.sent < t.r.route.MaxAttempts && t.canSpare():
+		t.g.book.report(x.target, false)
+		return result.New(result.EngineLost, "%s failed with %d", x.target.ID, status)
+	}
+	t.g.book.report(x.target, status/100 != 5)
+	return nil
+}
+
+// canSpare tells whether a failure of a target may be dropped for another try.
+// The failure is an answer too; without another target it is what the caller gets.
+func (t *tries) canSpare() bool {
+	targets := t.g.knowledge.view().targets[t.r.service.Name]
+	return t.g.book.place(targets, t.tried, time.Now()) != nil
+}
+
+const statusMisdirected = 421
--- /dev/null
+++ b/gateway/knowledge.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// view is what requests are decided by. It does not change.
+type view struct {
+	index   *serving.Index
+	targets map[string][]*serving.Target // by service
+}
+
+// knowledge is the gateway's copy of the store's topics. News come from the
+// store and from peers alike.
+type knowledge struct {
+	decodeConfig func(string, []byte) (serving.Config, bool, error)
+	decodeTarget func(string, []byte) (serving.Target, error)
+	log          logr.Logger
+	current      atomic.Pointer[view]
+	changed      func() // called after a new configuration, without the lock
+
+	mu       sync.Mutex
+	replicas [serving.Topics]*serving.Replica
+	fresh    [serving.Topics]time.Time // when the replica was last known to be complete
+	config   *serving.Index
+	targets  *serving.TargetSet
+	outage   outage
+	peers    map[string][]byte // records of entries
+}
+
+// outage is what is known of the store's health from our own calls.
+type outage struct {
+	down  bool
+	since time.Time // when it came back, zero if it was never away
+}
+
+func newKnowledge(o *Options) *knowledge {
+	k := &knowledge{
+		decodeConfig: o.DecodeConfig,
+		decodeTarget: o.DecodeTarget,
+		log:          o.Log,
+		targets:      serving.NewTargetSet(),
+		peers:        make(map[string][]byte),
+	}
+	for i := range k.replicas {
+		k.replicas[i] = serving.NewReplica()
+	}
+	return k
+}
+
+// view returns what is known now, nil before there is a configuration.
+func (k *knowledge) view() *view { return k.current.Load() }
+
+// position returns where to read a topic on, and whether it has been read whole.
+func (k *knowledge) position(t serving.Topic) (next uint64, loaded bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.replicas[t].Next(), k.replicas[t].Loaded()
+}
+
+// age returns how long ago a topic was last known to be complete.
+func (k *knowledge) age(t serving.Topic, now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.fresh[t])
+}
+
+// storeAnswered and storeFailed keep track of outages.
+func (k *knowledge) storeAnswered(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.outage.down {
+		k.outage = outage{since: now}
+		k.log.Info("store regained")
+	}
+}
+
+func (k *knowledge) storeFailed(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.outage.down {
+		k.outage.down = true
+		k.log.Info("store lost", "error", err.Error())
+	}
+}
+
+// changes takes records read from the store, complete up to next at the time asOf.
+func (k *knowledge) changes(t serving.Topic, records []serving.Record, next uint64, asOf time.Time) {
+	k.mu.Lock()
+	news := k.replicas[t].Apply(records, next)
+	k.noteFresh(t, asOf)
+	k.apply(t, news)
+}
+
+// newest takes the newest records of all keys.
+func (k *knowledge) newest(t serving.Topic, records []serving.Record, end uint64, asOf time.Time) {
+	k.mu.Lock()
+	news := k.replicas[t].Reset(records, end)
+	k.noteFresh(t, asOf)
+	k.apply(t, news)
+}
+
+// adopt takes a peer's records.
+func (k *knowledge) adopt(t serving.Topic, records []serving.Record, from, next uint64, asOf time.Time) {
+	k.mu.Lock()
+	if from > k.replicas[t].Next() {
+		k.mu.Unlock()
+		return
+	}
+	news := k.replicas[t].Adopt(records, from, next)
+	k.noteFresh(t, asOf)
+	k.apply(t, news)
+}
+
+func (k *knowledge) noteFresh(t serving.Topic, asOf time.Time) {
+	if asOf.After(k.fresh[t]) {
+		k.fresh[t] = asOf
+	}
+}
+
+// confirm notes that a peer knew all records before next at the time asOf; if we
+// know them too, ours are as fresh.
+func (k *knowledge) confirm(t serving.Topic, next uint64, asOf time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.replicas[t].Loaded() && k.replicas[t].Next() >= next {
+		k.noteFresh(t, asOf)
+	}
+}
+
+// since returns the records of a topic that a peer lacks.
+func (k *knowledge) since(t serving.Topic, next uint64) ([]serving.Record, uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.replicas[t].Since(next), k.replicas[t].Next()
+}
+
+// apply works news into the view. It is called with the lock held and releases it.
+func (k *knowledge) apply(t serving.Topic, news []serving.Record) {
+	now := time.Now()
+	before := k.config
+	changed := false
+	for i := range news {
+		switch t {
+		case serving.TopicConfig:
+			changed = k.applyConfig(&news[i]) || changed
+		case serving.TopicTargets:
+			changed = k.applyTarget(&news[i], now) || changed
+		case serving.TopicEntries:
+			k.peers[news[i].Key] = news[i].Value
+		}
+	}
+	if k.targets.Expire(now, k.outage.down) {
+		changed = true
+	}
+	if changed && k.config != nil {
+		k.current.Store(&view{index: k.config, targets: k.targets.ByService()})
+	}
+	tell := k.config != before && k.changed != nil
+	k.mu.Unlock()
+	if tell {
+		k.changed()
+	}
+}
+
+func (k *knowledge) applyConfig(rec *serving.Record) bool {
+	if len(rec.Value) == 0 {
+		return false // a configuration is never taken back, only replaced
+	}
+	c, ok, err := k.decodeConfig(rec.Key, rec.Value)
+	if !ok {
+		return false
+	}
+	if err != nil {
+		k.log.Error(err, "configuration ignored", "offset", rec.Offset)
+		return false
+	}
+	if k.config != nil && c.Version <= k.config.Version {
+		return false
+	}
+	k.config = serving.NewIndex(c)
+	k.log.Info("configuration in force", "version", c.Version, "offset", rec.Offset,
+		"routes", len(c.Routes), "services", len(c.Services), "teams", len(c.Teams))
+	return true
+}
+
+func (k *knowledge) applyTarget(rec *serving.Record, now time.Time) bool {
+	if len(rec.Value) == 0 {
+		believe := now
+		if k.outage.down || now.Sub(k.outage.since) < serving.ReturnWait {
+			believe = k.outage.since.Add(serving.ReturnWait)
+			if k.outage.down {
+				believe = now.Add(serving.ReturnWait)
+			}
+		}
+		gone := k.targets.Remove(rec.Key, now, believe)
+		k.log.Info("target gone", "target", rec.Key, "believed", gone, "store_down", k.outage.down)
+		return gone
+	}
+	t, err := k.decodeTarget(rec.Key, rec.Value)
+	if err != nil {
+		k.log.Error(err, "target ignored")
+		return false
+	}
+	if !k.targets.Put(t) {
+		return false
+	}
+	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving)
+	return true
+}
+
+// expire drops targets that have not come back after an outage.
+func (k *knowledge) expire() {
+	k.mu.Lock()
+	k.apply(serving.TopicTargets, nil)
+}
+
+// entryRecords returns the records of entries.
+func (k *knowledge) entryRecords() map[string][]byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return maps.Clone(k.peers)
+}
--- /dev/null
+++ b/gateway/mesh.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// mesh are the entries that this one knows. Each asks each other one now and
+// then, and at once when there is news; both sides of a question learn what they
+// lack of the store's topics.
+type mesh struct {
+	g    *Gateway
+	self peers.Presence
+
+	mu      sync.Mutex
+	byName  map[string]*peer
+	stopped bool
+}
+
+// peer is another entry.
+type peer struct {
+	presence peers.Presence
+	client   *peers.Client
+	kick     chan struct{}
+	cancel   context.CancelFunc
+	heard    time.Time
+	topics   []peers.TopicState // what it knew when last heard
+	inFlight uint32
+}
+
+const (
+	heartbeatEvery = 1500 * time.Millisecond // of each entry to each other; the reader's news come between
+	heartbeatLimit = 500 * time.Millisecond  // many times the longest way
+	deadAfter      = 2 * time.Second         // without a word in either direction
+	// forgetAfter ends the questions to an entry that is gone for good.
+	forgetAfter = 30 * time.Second
+)
+
+func newMesh(g *Gateway) *mesh {
+	o := g.opts
+	return &mesh{
+		g: g,
+		self: peers.Presence{
+			Name:        o.Name,
+			Incarnation: o.Incarnation,
+			DataCentre:  o.DataCentre,
+			Callers:     o.Callers,
+			Peers:       o.Peers,
+		},
+		byName: make(map[string]*peer),
+	}
+}
+
+// presence returns what is told of this entry.
+func (m *mesh) presence() peers.Presence {
+	p := m.self
+	p.Ready = m.g.Ready()
+	return p
+}
+
+// meet takes note of an entry, by its record in the store or its heartbeat. An
+// older incarnation of a known one is ignored.
+func (m *mesh) meet(p peers.Presence) *peer {
+	if p.Name == m.self.Name || p.Name == "" {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.byName[p.Name]
+	if known != nil && (known.presence.Incarnation > p.Incarnation || known.presence.Peers == p.Peers) {
+		if p.Incarnation >= known.presence.Incarnation {
+			known.presence = p
+		}
+		return known
+	}
+	if m.stopped {
+		return nil
+	}
+	if known != nil {
+		known.cancel()
+	}
+	ctx, cancel := context.WithCancel(m.g.ctx)
+	n := &peer{presence: p, client: peers.NewClient(p.Peers), kick: make(chan struct{}, 1), cancel: cancel, heard: time.Now()}
+	m.byName[p.Name] = n
+	m.g.opts.Log.Info("entry known", "entry", p.Name, "address", p.Peers)
+	m.g.tasks.Go(func() { m.talk(ctx, n) })
+	return n
+}
+
+// talk asks one entry until it is forgotten.
+func (m *mesh) talk(ctx context.Context, n *peer) {
+	defer n.client.Close()
+	lost := false
+	for ctx.Err() == nil {
+		err := m.ask(ctx, n)
+		if (err != nil) != lost {
+			lost = err != nil
+			m.logLink(n, err)
+		}
+		if m.forget(n) {
+			return
+		}
+		timer := time.NewTimer(heartbeatEvery)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-n.kick:
+		}
+		timer.Stop()
+	}
+}
+
+func (m *mesh) logLink(n *peer, err error) {
+	if err == nil {
+		m.g.opts.Log.Info("entry regained", "entry", n.presence.Name)
+		return
+	}
+	m.g.opts.Log.Info("entry lost", "entry", n.presence.Name, "error", err.Error())
+}
+
+func (m *mesh) forget(n *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Since(n.heard) < forgetAfter {
+		return false
+	}
+	if m.byName[n.presence.Name] == n {
+		delete(m.byName, n.presence.Name)
+	}
+	return true
+}
+
+func (m *mesh) ask(ctx context.Context, n *peer) error {
+	m.mu.Lock()
+	knows := n.topics
+	m.mu.Unlock()
+	question := m.heartbeat(knows)
+	var answer peers.Heartbeat
+	if err := n.client.Ask(ctx, peers.KindHeartbeat, question, &answer, heartbeatLimit); err != nil {
+		return err
+	}
+	m.take(&answer)
+	return nil
+}
+
+// heartbeat returns a sign of life with what a peer that knows so much lacks.
+func (m *mesh) heartbeat(knows []peers.TopicState) *peers.Heartbeat {
+	now := time.Now()
+	k := m.g.knowledge
+	h := &peers.Heartbeat{Entry: m.presence(), InFlight: uint32(m.g.inFlight.Load())}
+	for t := range serving.Topic(serving.Topics) {
+		next, loaded := k.position(t)
+		state := peers.TopicState{}
+		if loaded {
+			state = peers.TopicState{Next: next, AgeMS: uint32(min(k.age(t, now), time.Hour).Milliseconds())}
+		}
+		h.Topics = append(h.Topics, state)
+		if int(t) >= len(knows) || !loaded || knows[t].Next >= next {
+			continue
+		}
+		h.News = append(h.News, m.news(t, knows[t].Next))
+	}
+	return h
+}
+
+func (m *mesh) news(t serving.Topic, from uint64) peers.TopicNews {
+	records, next := m.g.knowledge.since(t, from)
+	n := peers.TopicNews{Topic: uint8(t), From: from, Next: next}
+	for _, r := range records {
+		n.Records = append(n.Records, peers.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return n
+}
+
+// take works in a heartbeat, a question or an answer.
+func (m *mesh) take(h *peers.Heartbeat) {
+	now := time.Now()
+	if n := m.meet(h.Entry); n != nil {
+		m.mu.Lock()
+		if h.Entry.Incarnation >= n.presence.Incarnation {
+			n.presence, n.heard, n.topics, n.inFlight = h.Entry, now, h.Topics, h.InFlight
+		}
+		m.mu.Unlock()
+	}
+	for _, news := range h.News {
+		if int(news.Topic) >= serving.Topics || int(news.Topic) >= len(h.Topics) {
+			continue
+		}
+		records := make([]serving.Record, 0, len(news.Records))
+		for _, r := range news.Records {
+			records = append(records, serving.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		}
+		asOf := now.Add(-time.Duration(h.Topics[news.Topic].AgeMS) * time.Millisecond)
+		m.g.knowledge.adopt(serving.Topic(news.Topic), records, news.From, news.Next, asOf)
+	}
+	// A peer that knows no more than we do may know it for a later moment.
+	for t := range h.Topics {
+		if t < serving.Topics && h.Topics[t].Next > 0 {
+			asOf := now.Add(-time.Duration(h.Topics[t].AgeMS) * time.Millisecond)
+			m.g.knowledge.confirm(serving.Topic(t), h.Topics[t].Next, asOf)
+		}
+	}
+}
+
+// answer answers a peer's heartbeat.
+func (m *mesh) answer(payload []byte) (msgp.Marshaler, error) {
+	var h peers.Heartbeat
+	if _, err := h.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
+	m.take(&h)
+	return m.heartbeat(h.Topics), nil
+}
+
+// tell makes the heartbeats to all entries go out now.
+func (m *mesh) tell() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.byName {
+		select {
+		case n.kick <- struct{}{}:
+		default: // one is due already
+		}
+	}
+}
+
+// position returns how many of the entries that are heard come before this one
+// by name.
+func (m *mesh) position() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for name, n := range m.byName {
+		if name < m.self.Name && time.Since(n.heard) < deadAfter {
+			before++
+		}
+	}
+	return before
+}
+
+// entries returns how many entries are heard, this one among them.
+func (m *mesh) entries() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 1
+	for _, n := range m.byName {
+		if time.Since(n.heard) < deadAfter {
+			count++
+		}
+	}
+	return count
+}
+
+// usable returns the entries that take requests.
+func (m *mesh) usable() []peers.Presence {
+	var list []peers.Presence
+	if m.g.Ready() {
+		list = append(list, m.presence())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.byName {
+		if n.presence.Ready && time.Since(n.heard) < deadAfter {
+			list = append(list, n.presence)
+		}
+	}
+	slices.SortFunc(list, func(a, b peers.Presence) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,64 @@
+// Package gateway is the process that callers connect to. It knows the accepted
+// configuration and the targets from the platform's store and from its peers,
+// tells callers which entries to use, and sends each request straight to a
+// target.
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Protocol names the header fields that callers and targets use.
+type Protocol struct {
+	RequestID   string // of one attempt of a caller; targets echo it
+	Deadline    string // milliseconds that are left
+	Key         string // that a team's caller shows; never passed on
+	Team        string // whose request it is, for the target
+	Instance    string // id of the one run of a target that may take the request
+	NotRun      string // in an answer: the target did not run the request
+	FaultAt     string // in an answer: the target whose fault it is
+	Seal        string // in an answer: the target's proof that it is its own
+	ResumeAfter string // last event that the caller of a stream has
+	Priority    string // 0 is the most urgent
+	Tokens      string // prompt tokens and the most output tokens, joined by a comma
+	LengthHint  string // the caller's estimate of the output tokens
+}
+
+// Options are what a gateway is started with.
+type Options struct {
+	Name        string // of the VM
+	Incarnation uint64
+	DataCentre  string
+	Callers     string // address that callers are told to connect to
+	Peers       string // address that other entries connect to
+	Protocol    Protocol
+	Store       serving.Store
+	// DecodeConfig decodes a record of serving.TopicConfig; ok is false for records
+	// that are something else.
+	DecodeConfig func(key string, value []byte) (c serving.Config, ok bool, err error)
+	// DecodeTarget decodes a record of serving.TopicTargets.
+	DecodeTarget func(id string, value []byte) (serving.Target, error)
+
+	Drain       time.Duration // within it a leaving target gets no more work
+	ConfigApply time.Duration // within it an accepted configuration is in force
+	Grace       time.Duration // between the order to stop and the end
+	LifetimeMax time.Duration // of an answer of the directory
+	Retries     RetryBounds
+	AgentPort   string // on each VM with an engine; where its agent answers peers
+
+	Log     logr.Logger
+	Metrics *metrics.Set
+}
+
+// RetryBounds bound what a service gets beyond the first try of each request,
+// over all entries.
+type RetryBounds struct {
+	Ratio  float64 // retries for each request
+	Slack  float64 // retries beyond that in one window
+	Window time.Duration
+}
--- /dev/null
+++ b/gateway/reader.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Shares of the platform's bounds after which the store is read again. The rest
+// is left for the read itself, one that fails, and the way to the peers.
+const (
+	targetsEvery  = 0.35 // of the time in which a leaving target must get no more work
+	configWait    = 0.6  // of the time in which a configuration must be in force
+	configFollow  = 0.75 // the same, for entries that hear of it from another one
+	entriesEvery  = 10 * time.Second
+	takeOver      = 0.25 // later by this part reads each next entry, should those before it fail
+	takeOverSteps = 3
+	readPauseMin  = 100 * time.Millisecond
+	readPauseMax  = 500 * time.Millisecond
+	expireEvery   = 250 * time.Millisecond
+)
+
+// pace says when an entry reads a topic.
+type pace struct {
+	topic  serving.Topic
+	lead   time.Duration // age at which the first of the entries reads
+	follow time.Duration // age at which the others do
+	wait   time.Duration // that a read of the first stays open for news
+}
+
+// limit returns the age at which the entry at a position reads, and for how long
+// the read may stay open.
+//
+// The calls of all entries add up at the store, and are paid for. So the first
+// of those that hear each other reads, and tells the rest at once; each next one
+// reads by itself a little later if it has heard nothing, so that a reader that
+// dies or is cut off from the store costs a fraction of the bound.
+func (p *pace) limit(position int) (age, wait time.Duration) {
+	if position == 0 {
+		return p.lead, p.wait
+	}
+	step := share(p.follow, takeOver)
+	return p.follow + time.Duration(min(position, takeOverSteps)-1)*step, 0
+}
+
+// follow keeps one topic up to date.
+func (g *Gateway) follow(ctx context.Context, p pace) {
+	pause := readPauseMin
+	for ctx.Err() == nil {
+		limit, wait := p.limit(g.mesh.position())
+		if age := g.knowledge.age(p.topic, time.Now()); age < limit {
+			sleep(ctx, min(limit-age, readPauseMin))
+			continue
+		}
+		err := g.read(ctx, p.topic, wait)
+		switch {
+		case err == nil:
+			pause = readPauseMin
+			g.knowledge.storeAnswered(time.Now())
+			g.mesh.tell()
+		case errors.Is(err, serving.ErrTrimmed):
+			g.opts.Log.Info("store has dropped records, reading the newest", "topic", p.topic.String())
+		default:
+			g.opts.Metrics.Count("store_failures", 1)
+			g.knowledge.storeFailed(err)
+			sleep(ctx, pause)
+			pause = min(2*pause, readPauseMax)
+		}
+	}
+}
+
+// read reads a topic once: the newest of each key at first and after a gap, and
+// what has changed after that.
+func (g *Gateway) read(ctx context.Context, t serving.Topic, wait time.Duration) error {
+	next, loaded := g.knowledge.position(t)
+	g.opts.Metrics.Count("store_reads", 1)
+	begun := time.Now()
+	if loaded {
+		records, after, err := g.opts.Store.Changes(ctx, t, next, wait)
+		if err == nil {
+			if len(records) == 0 {
+				begun = begun.Add(wait) // nothing was written meanwhile
+			}
+			g.knowledge.changes(t, records, after, begun)
+			return nil
+		}
+		if !errors.Is(err, serving.ErrTrimmed) {
+			return err
+		}
+	}
+	records, end, err := g.opts.Store.Newest(ctx, t)
+	if err != nil {
+		return err
+	}
+	g.knowledge.newest(t, records, end, begun)
+	return nil
+}
+
+// sleep waits, or less if ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
+}
--- a/outside/stillopen.go
+++ b/internal/tcp/stillopen.go
@@ -1,4 +1,4 @@
-package outside
+package tcp
 
 import (
 	"errors"
@@ -6,10 +6,10 @@
 	"syscall"
 )
 
-// stillOpen reports whether the peer of a kept connection has neither closed it
+// StillOpen reports whether the peer of a kept connection has neither closed it
 // nor sent anything. It looks without waiting: a read with a short deadline
 // would cost each request the time of a timer.
-func stillOpen(nc net.Conn) bool {
+func StillOpen(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true // no socket, so no peer that could have left unseen
--- a/outside/backend.go
+++ b/outside/backend.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/heatherrail/heatherrail/internal/tcp"
 )
 
 // HTTPBackend speaks HTTP/1.1 to one address. It uses fasthttp's messages on
@@ -223,7 +225,7 @@
 		if bc == nil {
 			break
 		}
-		if time.Since(bc.idledAt) < idleKept && bc.br.Buffered() == 0 && stillOpen(bc.nc) {
+		if time.Since(bc.idledAt) < idleKept && bc.br.Buffered() == 0 && tcp.StillOpen(bc.nc) {
 			return bc, nil
 		}
 		_ = bc.nc.Close()
--- /dev/null
+++ b/peers/schema.go
@@ -0,0 +1,146 @@
+package peers
+
+//go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_gen.go
+
+//msgp:limit arrays:65536 maps:1024
+
+// Kind is the type of a message. Numbers are part of the protocol.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindHeartbeat Kind = 1 // Heartbeat, answered by a Heartbeat
+	KindCollect   Kind = 2 // Collect, answered by a RankState
+	KindOrder     Kind = 3 // RankOrder, answered by an OrderResult
+	KindLoads     Kind = 4 // LoadsQuery, answered by Loads
+)
+
+// Heartbeat is an entry's sign of life, with what the other one lacks.
+//
+//msgp:tuple Heartbeat
+type Heartbeat struct {
+	Entry    Presence
+	Topics   []TopicState
+	News     []TopicNews
+	InFlight uint32 // requests in work
+}
+
+// Presence tells how an entry is reached and whether it takes requests.
+//
+//msgp:tuple Presence
+type Presence struct {
+	Name        string
+	Incarnation uint64 // differs at each start of the process
+	DataCentre  string
+	Callers     string // address that callers connect to
+	Peers       string // address that entries connect to
+	Ready       bool
+}
+
+// TopicState is how far an entry knows a topic of the store.
+//
+//msgp:tuple TopicState
+type TopicState struct {
+	Next  uint64 // all records before this offset are known
+	AgeMS uint32 // since they were last known to be all
+}
+
+// TopicNews are records of a topic that the receiver lacks.
+//
+//msgp:tuple TopicNews
+type TopicNews struct {
+	Topic   uint8
+	From    uint64 // the receiver was to know all records before
+	Next    uint64
+	Records []Record
+}
+
+// Record is the newest record of a key.
+//
+//msgp:tuple Record
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// Collect asks an agent for the state of its rank.
+//
+//msgp:tuple Collect
+type Collect struct {
+	Counts bool // with the experts chosen since the last time they were asked for
+}
+
+// RankState is the state of one rank of a group, fresh from its engine.
+//
+//msgp:tuple RankState
+type RankState struct {
+	Known    bool // the engine answered, and is a rank of a group
+	Group    string
+	Epoch    uint64
+	Rank     int
+	Ranks    int // of the whole group
+	Open     bool
+	Step     uint64 // last pass that was begun
+	Map      uint64 // version in use
+	Prepared uint64 // version that is ready to be armed
+	Armed    uint64 // version that is armed
+	Held     uint64 // pass that waits for a release; 0: none
+	Running  int
+	Waiting  int
+	Counts   []uint32 // choices of each expert, set by set, since the last Collect with Counts
+}
+
+// OrderKind says what an order asks of a rank.
+type OrderKind uint8
+
+// Orders.
+const (
+	OrderPrepare OrderKind = 1 // copy the weights of a map
+	OrderArm     OrderKind = 2 // switch to a prepared map as a pass begins
+	OrderHold    OrderKind = 3 // do not begin a pass
+	OrderGo      OrderKind = 4 // end a hold
+)
+
+// RankOrder is an order to one rank.
+//
+//msgp:tuple RankOrder
+type RankOrder struct {
+	Kind    OrderKind
+	Epoch   uint64
+	Version uint64     // of the map, where the order is about one
+	Step    uint64     // of the pass, where the order is about one
+	Map     [][]uint16 // with OrderPrepare: the experts of each rank, set by set
+}
+
+// OrderResult tells what became of an order.
+//
+//msgp:tuple OrderResult
+type OrderResult struct {
+	Taken   bool // begun, done, or already so
+	Refused bool // the engine refused it, and it has no effect
+}
+
+// LoadsQuery asks an agent for what it last knew of all ranks of its group.
+//
+//msgp:tuple LoadsQuery
+type LoadsQuery struct{}
+
+// Loads are the loads of the ranks of a group.
+//
+//msgp:tuple Loads
+type Loads struct {
+	Known bool
+	Open  bool
+	AgeMS uint32
+	Ranks []RankLoad
+}
+
+// RankLoad is the load of one rank.
+//
+//msgp:tuple RankLoad
+type RankLoad struct {
+	Engine  string // address
+	Running int
+	Waiting int
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -44,6 +44,7 @@
 	ConnsFull      Code = 261
 
 	EntryUnregistered Code = 220
+	RankLost          Code = 222
 	TargetIsolated    Code = 221
 )
 
@@ -146,6 +147,7 @@
 	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortWait, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
 	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortWait, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
 	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortWait, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
+	{RankLost, "rank_lost", http.StatusServiceUnavailable, RunNot, shortWait, "The rank group that would run the request is broken.", "A rank of the group is dead or cut off; the group opens when it is back."},
 	{BallotOld, "ballot_old", http.StatusConflict, RunNot, 0, "A rank has promised a higher ballot.", "Two entries ordered a map switch; the later one wins."},
 	{BallotVoid, "ballot_void", http.StatusConflict, RunNot, 0, "The order belongs to a hold that is over, or to an earlier run of agent or engine.", "Expected after a rank restarts; the owner begins anew."},
 	{RankBusy, "rank_busy", http.StatusServiceUnavailable, RunNot, shortWait, "Orders wait for a rank's engine.", "The engine does not answer; look at its VM."},
--- /dev/null
+++ b/serving/targets.go
@@ -0,0 +1,99 @@
+package serving
+
+import (
+	"slices"
+	"time"
+)
+
+// Target is one engine or one instance of a plain service.
+type Target struct {
+	ID         string // of this run; a restart has another
+	Service    string
+	Address    string
+	DataCentre string
+	Version    string // of its software
+	Slots      int
+	Leaving    bool
+	ColdLeft   time.Duration // how much longer it is slow after its start
+}
+
+// ReturnWait is how long the entry of a target that lapsed during an outage of
+// the store may take to come back after the outage, with a margin for the read
+// that notices. Source: the platform's statement of two seconds.
+const ReturnWait = 2300 * time.Millisecond
+
+// TargetSet is what is known of the targets.
+//
+// Failure: the store forgets targets that can't renew their entries while it is
+// down. Symptom: after an outage of seconds no target is left, and every request
+// is refused though all engines are well. So an entry that lapses around an
+// outage stays usable for ReturnWait after it; then what is missing is gone.
+type TargetSet struct {
+	byID   map[string]*Target
+	lapsed map[string]time.Time // removed around an outage; when to believe it
+}
+
+// NewTargetSet returns an empty set.
+func NewTargetSet() *TargetSet {
+	return &TargetSet{byID: make(map[string]*Target), lapsed: make(map[string]time.Time)}
+}
+
+// Put adds or replaces a target; it reports whether anything changed.
+func (s *TargetSet) Put(t Target) bool {
+	delete(s.lapsed, t.ID)
+	if old := s.byID[t.ID]; old != nil && *old == t {
+		return false
+	}
+	s.byID[t.ID] = &t
+	return true
+}
+
+// Remove takes a target out; if believeAt is later than now it is kept until
+// then. It reports whether anything changed.
+func (s *TargetSet) Remove(id string, now, believeAt time.Time) bool {
+	if s.byID[id] == nil {
+		return false
+	}
+	if believeAt.After(now) {
+		s.lapsed[id] = believeAt
+		return false
+	}
+	delete(s.byID, id)
+	delete(s.lapsed, id)
+	return true
+}
+
+// Expire removes lapsed targets that have not come back; down keeps them, since
+// nothing can come back while the store is away.
+func (s *TargetSet) Expire(now time.Time, down bool) bool {
+	changed := false
+	for id, at := range s.lapsed {
+		if down {
+			s.lapsed[id] = now.Add(ReturnWait)
+			continue
+		}
+		if now.After(at) {
+			delete(s.byID, id)
+			delete(s.lapsed, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// ByService returns the targets by service, each list ordered by id.
+func (s *TargetSet) ByService() map[string][]*Target {
+	lists := make(map[string][]*Target)
+	for _, t := range s.byID {
+		lists[t.Service] = append(lists[t.Service], t)
+	}
+	for _, list := range lists {
+		slices.SortFunc(list, func(a, b *Target) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return lists
+}
