Rank agents: the map of a group follows demand

Cause: engines start with the experts in turn, the most loaded rank had 3.3 times the mean and passes took 110 ms.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -17,7 +17,6 @@
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
-	"github.com/heatherrail/heatherrail/serving"
 )
 
 func main() { os.Exit(run()) }
@@ -31,16 +30,14 @@
 	debug.SetMemoryLimit(s.Memory / memoryShare)
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
-	code := serve(s, out)
-	return code
+	return serve(s, logging.New(out, 0))
 }
 
 // memoryShare: the collector works harder from half of the limit on; the rest is
 // for bytes that the kernel holds.
 const memoryShare = 2
 
-func serve(s *platform.Settings, out *logging.Async) int {
-	log := logging.New(out, 0)
+func serve(s *platform.Settings, log logr.Logger) int {
 	callersLn, err := tcp.Listen(s.Callers)
 	if err != nil {
 		log.Error(err, "can't listen for callers")
@@ -66,20 +63,14 @@
 
 func options(s *platform.Settings, log logr.Logger, peersAddr string) gateway.Options {
 	return gateway.Options{
-		Name:        s.Name,
-		Incarnation: daemon.Incarnation(),
-		DataCentre:  s.DataCentre,
-		Callers:     s.Callers,
-		Peers:       peersAddr,
-		Protocol:    platform.Protocol(),
-		Store:       platform.NewStore(s.Store),
-		DecodeConfig: func(key string, value []byte) (serving.Config, bool, error) {
-			if !platform.IsConfig(key) {
-				return serving.Config{}, false, nil
-			}
-			c, err := platform.DecodeConfig(value)
-			return c, true, err
-		},
+		Name:         s.Name,
+		Incarnation:  daemon.Incarnation(),
+		DataCentre:   s.DataCentre,
+		Callers:      s.Callers,
+		Peers:        peersAddr,
+		Protocol:     platform.Protocol(),
+		Store:        platform.NewStore(s.Store),
+		DecodeConfig: platform.DecodeConfigRecord,
 		DecodeTarget: platform.DecodeTarget,
 		Drain:        s.Drain,
 		ConfigApply:  s.ConfigApply,
--- /dev/null
+++ b/expert/balance.go
@@ -0,0 +1,308 @@
+package expert
+
+import (
+	"math"
+	"slices"
+)
+
+// Layout says which experts each rank holds in one set of layers. Ranks may hold
+// different numbers of them.
+type Layout [][]uint16
+
+// Clone returns a copy that shares no memory.
+func (l Layout) Clone() Layout {
+	c := make(Layout, len(l))
+	for r := range l {
+		c[r] = slices.Clone(l[r])
+	}
+	return c
+}
+
+// FirstLayout returns the layout that engines start with: the experts in turn.
+func FirstLayout(ranks, experts int) Layout {
+	l := make(Layout, ranks)
+	for e := range experts {
+		l[e%ranks] = append(l[e%ranks], uint16(e))
+	}
+	return l
+}
+
+// Longest returns the load of the busiest rank, and of a rank if all were alike.
+// An expert's copies share its load evenly.
+func (l Layout) Longest(loads []float64) (longest, mean float64) {
+	copies := make([]int, len(loads))
+	for _, list := range l {
+		for _, e := range list {
+			copies[e]++
+		}
+	}
+	total := 0.0
+	for _, list := range l {
+		sum := 0.0
+		for _, e := range list {
+			sum += loads[e] / float64(copies[e])
+		}
+		longest = max(longest, sum)
+		total += sum
+	}
+	return longest, total / float64(len(l))
+}
+
+// BalanceLimits bound one change of a layout.
+type BalanceLimits struct {
+	Places int // experts on one rank
+	Fresh  int // experts that a rank gets and did not hold
+	Price  float64
+	Steps  int // of the search
+}
+
+// Balance changes a layout so that its busiest rank has less to do. It goes step
+// by step: each step takes load off the rank that is busiest then, by giving an
+// expert another copy, moving one, or exchanging two. A step counts if it lowers
+// the sum of a high power of all ranks' loads by more than the price of what must
+// be copied: the busiest rank decides, but ranks that are nearly as busy count
+// too, since they come next. The power is high enough for a rank at twice the
+// mean to outweigh sixty at the mean.
+func Balance(l Layout, loads []float64, lim BalanceLimits) Layout {
+	b := newBalance(l, loads, lim)
+	for range lim.Steps {
+		if !b.step() {
+			break
+		}
+	}
+	return b.lists
+}
+
+const balancePower = 6
+
+type balance struct {
+	lim    BalanceLimits
+	lists  Layout
+	loads  []float64 // in means of a rank
+	before []map[uint16]bool
+	fresh  []int
+	copies []int
+	work   []float64 // of each rank
+	at     [][]int   // ranks that hold an expert
+	order  []int     // ranks, those with least work first
+	delta  map[int]float64
+}
+
+// trial is one candidate change: add goes to rank to, in the place of out (if
+// any); the busiest rank a loses drop (if any) and gets back (if any).
+type trial struct {
+	to              int
+	add, drop       int // experts, -1: none
+	out, back       int
+	gain            float64
+	freshTo, freshA int
+}
+
+func newBalance(l Layout, loads []float64, lim BalanceLimits) *balance {
+	b := &balance{
+		lim:    lim,
+		lists:  l.Clone(),
+		loads:  slices.Clone(loads),
+		before: make([]map[uint16]bool, len(l)),
+		fresh:  make([]int, len(l)),
+		copies: make([]int, len(loads)),
+		work:   make([]float64, len(l)),
+		at:     make([][]int, len(loads)),
+		delta:  make(map[int]float64),
+	}
+	total := 0.0
+	for _, v := range loads {
+		total += v
+	}
+	for e := range b.loads {
+		if total > 0 {
+			b.loads[e] *= float64(len(l)) / total
+		}
+	}
+	for r, list := range l {
+		b.before[r] = make(map[uint16]bool)
+		b.order = append(b.order, r)
+		for _, e := range list {
+			b.before[r][e] = true
+			b.copies[e]++
+			b.at[e] = append(b.at[e], r)
+		}
+	}
+	for r, list := range l {
+		for _, e := range list {
+			b.work[r] += b.weight(int(e))
+		}
+	}
+	return b
+}
+
+func (b *balance) weight(e int) float64 { return b.loads[e] / float64(b.copies[e]) }
+
+// receivers bounds the ranks that are looked at for what the busiest one gives.
+const receivers = 16
+
+func (b *balance) step() bool {
+	a := 0
+	for r, w := range b.work {
+		if w > b.work[a] {
+			a = r
+		}
+	}
+	slices.SortFunc(b.order, func(x, y int) int {
+		switch {
+		case b.work[x] < b.work[y]:
+			return -1
+		case b.work[x] > b.work[y]:
+			return 1
+		}
+		return x - y
+	})
+	best := trial{gain: 0}
+	for _, x := range b.lists[a] {
+		for _, r := range b.order[:min(receivers, len(b.order))] {
+			if r != a && !slices.Contains(b.lists[r], x) {
+				b.tryRank(&best, a, r, int(x))
+			}
+		}
+	}
+	if best.gain <= 0 {
+		return false
+	}
+	b.apply(a, best)
+	return true
+}
+
+// tryRank considers what can be done with expert x of rank a and rank r.
+func (b *balance) tryRank(best *trial, a, r, x int) {
+	freshTo := b.freshness(r, x)
+	if b.fresh[r]+freshTo > b.lim.Fresh {
+		b.tryReturn(best, a, r, x)
+		return
+	}
+	if len(b.lists[r]) < b.lim.Places {
+		b.consider(best, a, trial{to: r, add: x, drop: -1, out: -1, back: -1, freshTo: freshTo})
+		b.consider(best, a, trial{to: r, add: x, drop: x, out: -1, back: -1, freshTo: freshTo})
+	}
+	b.tryReplace(best, a, r, x, freshTo)
+}
+
+// tryReturn is for a rank that can take no more new experts: giving back one that
+// came in this change frees the room for another.
+func (b *balance) tryReturn(best *trial, a, r, x int) {
+	for _, z := range b.lists[r] {
+		if !b.before[r][z] && b.copies[z] >= 2 {
+			b.consider(best, a, trial{to: r, add: x, drop: -1, out: int(z), back: -1})
+		}
+	}
+}
+
+func (b *balance) tryReplace(best *trial, a, r, x, freshTo int) {
+	for _, z := range b.lists[r] {
+		if b.copies[z] >= 2 {
+			b.consider(best, a, trial{to: r, add: x, drop: -1, out: int(z), back: -1, freshTo: freshTo})
+		}
+		if b.weight(int(z)) >= b.weight(x) || slices.Contains(b.lists[a], z) {
+			continue
+		}
+		freshA := b.freshness(a, int(z))
+		if b.fresh[a]+freshA <= b.lim.Fresh {
+			b.consider(best, a, trial{to: r, add: x, drop: x, out: int(z), back: int(z), freshTo: freshTo, freshA: freshA})
+		}
+	}
+}
+
+// freshness is 1 if the rank would have to copy the expert.
+func (b *balance) freshness(r, e int) int {
+	if b.before[r][uint16(e)] {
+		return 0
+	}
+	return 1
+}
+
+// consider keeps a trial that gains more than the best one.
+func (b *balance) consider(best *trial, a int, t trial) {
+	clear(b.delta)
+	b.recount(t.add, t.to, t.drop == t.add, a)
+	if t.out >= 0 {
+		if t.back >= 0 {
+			b.delta[t.to] -= b.weight(t.out)
+			b.delta[a] += b.weight(t.out)
+		} else {
+			b.recountWithout(t.out, t.to)
+		}
+	}
+	gain := -b.lim.Price * float64(t.freshTo+t.freshA)
+	for r, d := range b.delta {
+		gain += power(b.work[r]) - power(b.work[r]+d)
+	}
+	if gain > best.gain+minGain {
+		t.gain = gain
+		*best = t
+	}
+}
+
+// minGain keeps the search from following the rounding of floats.
+const minGain = 1e-9
+
+func power(w float64) float64 { return math.Pow(w, balancePower) }
+
+// recount books in delta that rank to gets a copy of expert e; if moved, rank
+// from gives up its own.
+func (b *balance) recount(e, to int, moved bool, from int) {
+	if moved {
+		w := b.weight(e)
+		b.delta[from] -= w
+		b.delta[to] += w
+		return
+	}
+	w := b.loads[e] / float64(b.copies[e]+1)
+	relief := b.weight(e) - w
+	for _, r := range b.at[e] {
+		b.delta[r] -= relief
+	}
+	b.delta[to] += w
+}
+
+// recountWithout books in delta that rank r gives up its copy of expert e.
+func (b *balance) recountWithout(e, r int) {
+	extra := b.loads[e]/float64(b.copies[e]-1) - b.weight(e)
+	for _, h := range b.at[e] {
+		if h != r {
+			b.delta[h] += extra
+		}
+	}
+	b.delta[r] -= b.weight(e)
+}
+
+func (b *balance) apply(a int, t trial) {
+	if t.out >= 0 {
+		b.remove(t.to, t.out)
+	}
+	if t.drop >= 0 {
+		b.remove(a, t.drop)
+	}
+	b.insert(t.to, t.add)
+	if t.back >= 0 {
+		b.insert(a, t.back)
+	}
+	for r := range b.work {
+		b.work[r] = 0
+		for _, e := range b.lists[r] {
+			b.work[r] += b.weight(int(e))
+		}
+	}
+}
+
+func (b *balance) remove(r, e int) {
+	b.lists[r] = slices.DeleteFunc(b.lists[r], func(x uint16) bool { return int(x) == e })
+	b.at[e] = slices.DeleteFunc(b.at[e], func(x int) bool { return x == r })
+	b.copies[e]--
+	b.fresh[r] -= b.freshness(r, e)
+}
+
+func (b *balance) insert(r, e int) {
+	b.lists[r] = append(b.lists[r], uint16(e))
+	b.at[e] = append(b.at[e], r)
+	b.copies[e]++
+	b.fresh[r] += b.freshness(r, e)
+}
--- /dev/null
+++ b/lockstep/agent.go
@@ -0,0 +1,210 @@
+// Package lockstep is the agent beside each model engine whose ranks advance
+// together. The agent of rank 0 leads: it learns from all agents which experts
+// are in demand, plans maps that even out the ranks, and has them switched to.
+// Every agent sees to it that the group is not left standing.
+package lockstep
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Engine takes orders and reports on itself.
+type Engine interface {
+	// State returns the engine's state as a rank.
+	State(ctx context.Context) (peers.RankState, error)
+	// Counts returns how often each expert was chosen since the engine started, set
+	// by set, and the epoch of its group.
+	Counts(ctx context.Context) ([]uint64, uint64, error)
+	// Lists returns the experts of this rank in the map in use, set by set, and the
+	// map's version.
+	Lists(ctx context.Context) ([][]uint16, uint64, error)
+	// Order gives an order. An error leaves open whether it takes effect, now or
+	// seconds later.
+	Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error)
+}
+
+// Options are what an agent is started with.
+type Options struct {
+	Name    string // of the VM
+	Engine  Engine
+	Address string // of the engine
+	Service string // that the engine serves
+	Peers   string // address that other agents and entries connect to
+	Port    string // on which every agent listens
+	Store   serving.Store
+	// Remote returns a client of an engine on another VM.
+	Remote       func(address string) Engine
+	DecodeTarget func(id string, value []byte) (serving.Target, error)
+	DecodeConfig func(key string, value []byte) (c serving.Config, ok bool, err error)
+	Log          logr.Logger
+	Metrics      *metrics.Set
+}
+
+// Agent is a running agent.
+type Agent struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+	server *peers.Server
+
+	mu     sync.Mutex
+	last   []uint64 // counts at the latest question for them
+	epoch  uint64   // of last
+	leader string   // address of the agent that leads
+	loads  peers.Loads
+	loadAt time.Time
+}
+
+// Start starts an agent that answers peers on ln.
+func Start(o Options, ln net.Listener) *Agent {
+	a := &Agent{opts: o}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.server = peers.Serve(ln, map[peers.Kind]peers.Handler{
+		peers.KindCollect: a.answerCollect,
+		peers.KindOrder:   a.answerOrder,
+		peers.KindLoads:   a.answerLoads,
+	}, func(remote string, err error) {
+		o.Log.Info("peer connection failed", "remote", remote, "error", err.Error())
+	})
+	a.tasks.Go(a.run)
+	o.Log.Info("started", "vm", o.Name, "engine", o.Address, "peers", o.Peers)
+	return a
+}
+
+// Shutdown stops. Nothing of the agent's runs on: a switch that it leads is
+// finished by itself after its restart, or by another agent.
+func (a *Agent) Shutdown(context.Context) error {
+	a.opts.Log.Info("stopping")
+	a.cancel()
+	a.server.Close()
+	a.tasks.Wait()
+	a.opts.Log.Info("stopped")
+	return nil
+}
+
+// Paces of the agent's duty.
+const (
+	// roundEvery: demand moves within seconds; a round costs each agent a few
+	// tenths of a millisecond.
+	roundEvery = 200 * time.Millisecond
+	// watchEvery is how often an agent that does not lead looks at its own rank.
+	watchEvery = 500 * time.Millisecond
+)
+
+// run leads while this is the agent of rank 0, and else watches.
+func (a *Agent) run() {
+	l := newLeader(a)
+	w := newWatch(a)
+	for a.ctx.Err() == nil {
+		state, err := a.opts.Engine.State(a.ctx)
+		switch {
+		case err != nil || !state.Known:
+			a.pause(watchEvery)
+		case state.Rank == 0:
+			l.round(state)
+			a.pause(roundEvery)
+		default:
+			w.look(state)
+			a.pause(watchEvery)
+		}
+	}
+}
+
+func (a *Agent) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-a.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// collect returns the state of this rank, with what was chosen since the last
+// time if that is wanted.
+func (a *Agent) collect(withCounts bool) peers.RankState {
+	state, err := a.opts.Engine.State(a.ctx)
+	if err != nil {
+		a.opts.Metrics.Count("engine_failures", 1)
+		return peers.RankState{}
+	}
+	if !withCounts {
+		return state
+	}
+	counts, epoch, err := a.opts.Engine.Counts(a.ctx)
+	if err != nil {
+		a.opts.Metrics.Count("engine_failures", 1)
+		return state
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	// After a restart the engine counts from zero; what it has by then is news.
+	if epoch == a.epoch && len(a.last) == len(counts) {
+		state.Counts = difference(counts, a.last)
+	}
+	a.last, a.epoch = counts, epoch
+	return state
+}
+
+func difference(now, before []uint64) []uint32 {
+	d := make([]uint32, len(now))
+	for i := range now {
+		if now[i] > before[i] {
+			d[i] = uint32(now[i] - before[i])
+		}
+	}
+	return d
+}
+
+func (a *Agent) answerCollect(payload []byte) (msgp.Marshaler, error) {
+	var q peers.Collect
+	if _, err := q.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
+	if q.Leader != "" {
+		a.mu.Lock()
+		a.leader = q.Leader
+		a.mu.Unlock()
+	}
+	state := a.collect(q.Counts)
+	return &state, nil
+}
+
+func (a *Agent) answerOrder(payload []byte) (msgp.Marshaler, error) {
+	var o peers.RankOrder
+	if _, err := o.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
+	result, err := a.opts.Engine.Order(a.ctx, &o)
+	if err != nil {
+		a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "version", o.Version, "step", o.Step, "error", err.Error())
+	}
+	return &result, nil
+}
+
+func (a *Agent) answerLoads([]byte) (msgp.Marshaler, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loads := a.loads
+	loads.Leader = a.leader
+	loads.AgeMS = uint32(min(time.Since(a.loadAt), time.Hour).Milliseconds())
+	return &loads, nil
+}
+
+// publish keeps what entries ask for.
+func (a *Agent) publish(loads peers.Loads) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loads, a.loadAt, a.leader = loads, time.Now(), a.opts.Peers
+}
--- /dev/null
+++ b/lockstep/group.go
@@ -0,0 +1,222 @@
+package lockstep
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// member reaches one engine of the service: through its agent, or directly if
+// the agent does not answer.
+type member struct {
+	engine string // address
+	client *peers.Client
+	direct Engine
+	own    *Agent // if it is this agent's own
+	lostAt time.Time
+}
+
+// Limits of questions to other agents.
+const (
+	// askLimit leaves an agent with a small part of a core time to ask its engine.
+	askLimit = 400 * time.Millisecond
+	// agentRest: an agent that did not answer is passed over for so long.
+	agentRest = time.Second
+)
+
+// group are the engines among which the ranks are.
+type group struct {
+	a       *Agent
+	members map[string]*member // by engine address
+	readAt  time.Time
+	model   *serving.EngineModel
+}
+
+func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
+
+// reread reads the engines of the service from the store, but not more often than
+// every rereadEvery: calls are paid for.
+func (g *group) reread() {
+	if time.Since(g.readAt) < rereadEvery && !g.readAt.IsZero() {
+		return
+	}
+	g.readAt = time.Now()
+	if err := g.readTargets(); err != nil {
+		g.a.opts.Log.Info("engines of the group not read", "error", err.Error())
+	}
+	if g.model != nil {
+		return
+	}
+	if err := g.readModel(); err != nil {
+		g.a.opts.Log.Info("cost model not read", "error", err.Error())
+	}
+}
+
+const rereadEvery = 3 * time.Second
+
+func (g *group) readTargets() error {
+	records, _, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicTargets)
+	if err != nil {
+		return err
+	}
+	seen := make(map[string]bool)
+	for _, rec := range records {
+		if len(rec.Value) == 0 {
+			continue
+		}
+		t, err := g.a.opts.DecodeTarget(rec.Key, rec.Value)
+		if err != nil {
+			g.a.opts.Log.Error(err, "target ignored")
+			continue
+		}
+		if t.Service == g.a.opts.Service {
+			seen[t.Address] = true
+			g.add(t.Address)
+		}
+	}
+	for address, m := range g.members {
+		if !seen[address] && m.own == nil {
+			m.client.Close()
+			delete(g.members, address)
+		}
+	}
+	return nil
+}
+
+func (g *group) add(address string) {
+	if g.members[address] != nil {
+		return
+	}
+	m := &member{engine: address, direct: g.a.opts.Remote(address)}
+	if address == g.a.opts.Address {
+		m.own, m.direct = g.a, g.a.opts.Engine
+	} else if host, _, err := net.SplitHostPort(address); err == nil {
+		m.client = peers.NewClient(net.JoinHostPort(host, g.a.opts.Port))
+	}
+	g.members[address] = m
+}
+
+func (g *group) readModel() error {
+	records, _, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicConfig)
+	if err != nil {
+		return err
+	}
+	for _, rec := range records {
+		c, ok, err := g.a.opts.DecodeConfig(rec.Key, rec.Value)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			continue
+		}
+		if s := serving.NewIndex(c).Service(g.a.opts.Service); s != nil {
+			g.model = s.Engine
+		}
+	}
+	return nil
+}
+
+// rank is a member with the state that it told.
+type rank struct {
+	*member
+	state peers.RankState
+}
+
+// collect asks all members at once and returns those that are ranks of the group,
+// ordered by rank. complete tells whether all ranks of one epoch are there.
+func (g *group) collect(name string, withCounts bool, leader string) (ranks []rank, complete bool) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, m := range g.members {
+		wait.Go(func() {
+			state := m.collect(g.a, withCounts, leader)
+			mu.Lock()
+			defer mu.Unlock()
+			if state.Known && state.Group == name {
+				ranks = append(ranks, rank{member: m, state: state})
+			}
+		})
+	}
+	wait.Wait()
+	slices.SortFunc(ranks, func(x, y rank) int { return x.state.Rank - y.state.Rank })
+	return ranks, isComplete(ranks)
+}
+
+func isComplete(ranks []rank) bool {
+	for i := range ranks {
+		s, first := &ranks[i].state, &ranks[0].state
+		if s.Rank != i || s.Epoch != first.Epoch || s.Ranks != len(ranks) || !s.Open {
+			return false
+		}
+	}
+	return len(ranks) > 0
+}
+
+// hasAgent tells whether the member's agent is worth asking.
+func (m *member) hasAgent() bool {
+	return m.client != nil && time.Since(m.lostAt) > agentRest
+}
+
+func (m *member) collect(a *Agent, withCounts bool, leader string) peers.RankState {
+	if m.own != nil {
+		return m.own.collect(withCounts)
+	}
+	var state peers.RankState
+	if m.hasAgent() {
+		err := m.client.Ask(a.ctx, peers.KindCollect, &peers.Collect{Counts: withCounts, Leader: leader}, &state, askLimit)
+		if err == nil && state.Known {
+			return state
+		}
+		if err != nil {
+			m.lostAt = time.Now()
+			a.opts.Log.Info("agent lost", "engine", m.engine, "error", err.Error())
+		}
+	}
+	// Reports from another VM are paid for, so this way is for the time that an
+	// agent is away; the counts, which would hold up the group, are left out.
+	state, err := m.direct.State(a.ctx)
+	if err != nil {
+		return peers.RankState{}
+	}
+	return state
+}
+
+// order gives an order to a member's engine.
+func (m *member) order(a *Agent, o *peers.RankOrder) peers.OrderResult {
+	if m.own == nil && m.hasAgent() {
+		var result peers.OrderResult
+		if err := m.client.Ask(a.ctx, peers.KindOrder, o, &result, askLimit); err == nil {
+			return result
+		}
+		m.lostAt = time.Now()
+	}
+	result, err := m.direct.Order(a.ctx, o)
+	if err != nil {
+		a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "engine", m.engine, "error", err.Error())
+	}
+	return result
+}
+
+// orderAll gives an order to all ranks at once and returns which took it.
+func orderAll(a *Agent, ranks []rank, o *peers.RankOrder) (taken []bool, refused int) {
+	taken = make([]bool, len(ranks))
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for i := range ranks {
+		wait.Go(func() {
+			result := ranks[i].order(a, o)
+			mu.Lock()
+			defer mu.Unlock()
+			taken[i] = result.Taken
+			if result.Refused {
+				refused++
+			}
+		})
+	}
+	wait.Wait()
+	return taken, refused
+}
--- /dev/null
+++ b/lockstep/leader.go
@@ -0,0 +1,217 @@
+package lockstep
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/peers"
+)
+
+// leader keeps the map of a group in step with demand.
+type leader struct {
+	a       *Agent
+	group   *group
+	epoch   uint64
+	version uint64          // in use, as far as our layouts go
+	layouts []expert.Layout // in use, by set
+	demand  *demand
+	pending *pending
+	newest  uint64 // highest version seen or given
+}
+
+// pending is a map that is being prepared.
+type pending struct {
+	version uint64
+	layouts []expert.Layout
+	begun   time.Time
+	sentAt  time.Time
+}
+
+// Limits of a preparation.
+const (
+	// prepareAgain: an order without effect after so long was lost.
+	prepareAgain = 1500 * time.Millisecond
+	prepareLimit = 6 * time.Second
+)
+
+func newLeader(a *Agent) *leader { return &leader{a: a, group: newGroup(a)} }
+
+// round is one look at the group and what follows from it.
+func (l *leader) round(own peers.RankState) {
+	if len(l.group.members) < own.Ranks || l.group.model == nil {
+		l.group.reread()
+	}
+	l.group.add(l.a.opts.Address)
+	ranks, complete := l.group.collect(own.Group, true, l.a.opts.Peers)
+	l.a.publish(loadsOf(ranks, own))
+	if len(ranks) < own.Ranks {
+		l.group.reread()
+	}
+	if !complete || l.group.model == nil || l.group.model.Sets == 0 {
+		return
+	}
+	if ranks[0].state.Epoch != l.epoch || l.layouts == nil {
+		l.reset(ranks)
+	}
+	l.observe(ranks)
+	holder := ranks[0].member
+	if ranks[0].state.Held != 0 {
+		resolve(l.a, l.group, holder, own.Group)
+		l.pending = nil
+		return
+	}
+	if !l.known(ranks) {
+		return
+	}
+	if l.pending != nil {
+		l.carryOn(holder, ranks)
+		return
+	}
+	l.plan(ranks)
+}
+
+// reset begins anew after the group was formed: it uses the map that engines
+// start with.
+func (l *leader) reset(ranks []rank) {
+	l.epoch = ranks[0].state.Epoch
+	l.pending = nil
+	l.layouts = nil
+	m := l.group.model
+	for range m.Sets {
+		l.layouts = append(l.layouts, expert.FirstLayout(len(ranks), m.Experts))
+	}
+	l.version = 0
+	l.demand = newDemand(m.Sets * m.Experts)
+	l.a.opts.Log.Info("group led", "group", ranks[0].state.Group, "epoch", l.epoch, "ranks", len(ranks), "map", ranks[0].state.Map)
+}
+
+func (l *leader) observe(ranks []rank) {
+	now := time.Now()
+	sum := make([]float64, l.group.model.Sets*l.group.model.Experts)
+	for i := range ranks {
+		s := &ranks[i].state
+		l.newest = max(l.newest, s.Map, s.Prepared, s.Armed)
+		if len(s.Counts) != len(sum) {
+			continue
+		}
+		for e, n := range s.Counts {
+			sum[e] += float64(n)
+		}
+	}
+	l.demand.observe(now, sum)
+}
+
+// known tells whether the map in use is the one that we think it is. After a
+// restart of this agent it may be another; then it is read back from the ranks.
+func (l *leader) known(ranks []rank) bool {
+	inUse := ranks[0].state.Map
+	for i := range ranks {
+		if ranks[i].state.Map != inUse {
+			return false // a switch is on its way through the reports
+		}
+	}
+	if l.pending != nil && inUse == l.pending.version {
+		l.layouts, l.version, l.pending = l.pending.layouts, inUse, nil
+	}
+	if inUse == l.version {
+		return true
+	}
+	return l.readBack(ranks, inUse)
+}
+
+// readBack reads the map in use from all ranks. Those that can't be asked through
+// their agents are asked directly, which is paid for and rare.
+func (l *leader) readBack(ranks []rank, version uint64) bool {
+	m := l.group.model
+	layouts := make([]expert.Layout, m.Sets)
+	for s := range layouts {
+		layouts[s] = make(expert.Layout, len(ranks))
+	}
+	for r := range ranks {
+		lists, inUse, err := ranks[r].direct.Lists(l.a.ctx)
+		if err != nil || inUse != version || len(lists) != m.Sets {
+			return false
+		}
+		for s := range layouts {
+			layouts[s][r] = lists[s]
+		}
+	}
+	l.layouts, l.version = layouts, version
+	l.a.opts.Log.Info("map read back", "epoch", l.epoch, "version", version)
+	return true
+}
+
+// plan looks for a better map and has it prepared.
+func (l *leader) plan(ranks []rank) {
+	m := l.group.model
+	if !l.demand.enough() {
+		return
+	}
+	p := planMaps(l.layouts, l.demand.loads, m)
+	if !p.worth() {
+		return
+	}
+	l.newest = nextVersion(l.newest)
+	l.pending = &pending{version: l.newest, layouts: p.layouts, begun: time.Now()}
+	l.a.opts.Log.Info("map planned", "epoch", l.epoch, "version", l.newest, "from", l.version,
+		"before", round2(p.before), "after", round2(p.after), "copies", p.copies, "copies_of_rank", p.most)
+	l.prepare(ranks)
+}
+
+// versionSteps leaves room for a random part in each version: an agent that has
+// restarted, and does not know all that it gave before, must not give the same
+// number to another map.
+const versionSteps = 1 << 12
+
+func nextVersion(newest uint64) uint64 {
+	return (newest/versionSteps+1)*versionSteps + 1 + rand.Uint64N(versionSteps-1)
+}
+
+func (l *leader) prepare(ranks []rank) {
+	l.pending.sentAt = time.Now()
+	o := &peers.RankOrder{Kind: peers.OrderPrepare, Epoch: l.epoch, Version: l.pending.version}
+	for _, layout := range l.pending.layouts {
+		o.Map = append(o.Map, [][]uint16(layout))
+	}
+	_, refused := orderAll(l.a, ranks, o)
+	if refused > 0 {
+		l.a.opts.Log.Info("map refused", "version", l.pending.version, "ranks", refused)
+	}
+}
+
+// carryOn switches to the pending map once all ranks have it.
+func (l *leader) carryOn(holder *member, ranks []rank) {
+	p := l.pending
+	var missing []rank
+	for _, r := range ranks {
+		if r.state.Prepared != p.version {
+			missing = append(missing, r)
+		}
+	}
+	now := time.Now()
+	switch {
+	case len(missing) == 0:
+		if switchTo(l.a, l.group, holder, ranks, p.version) {
+			l.layouts, l.version = p.layouts, p.version
+		}
+		l.pending = nil
+	case now.Sub(p.begun) > prepareLimit:
+		l.a.opts.Log.Info("map given up", "version", p.version, "missing", len(missing))
+		l.pending = nil
+	case now.Sub(p.sentAt) > prepareAgain:
+		l.prepare(missing)
+	}
+}
+
+// loadsOf returns what entries want to know of the ranks.
+func loadsOf(ranks []rank, own peers.RankState) peers.Loads {
+	loads := peers.Loads{Known: true, Open: own.Open}
+	for i := range ranks {
+		s := &ranks[i].state
+		loads.Ranks = append(loads.Ranks, peers.RankLoad{Engine: ranks[i].engine, Running: s.Running, Waiting: s.Waiting})
+	}
+	return loads
+}
+
+func round2(v float64) float64 { return float64(int(v*100+0.5)) / 100 }
--- /dev/null
+++ b/peers/order.go
@@ -0,0 +1,16 @@
+package peers
+
+// String returns the name used in logs.
+func (k OrderKind) String() string {
+	switch k {
+	case OrderPrepare:
+		return "prepare"
+	case OrderArm:
+		return "arm"
+	case OrderHold:
+		return "hold"
+	case OrderGo:
+		return "go"
+	}
+	return "unknown"
+}
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -68,7 +68,8 @@
 //
 //msgp:tuple Collect
 type Collect struct {
-	Counts bool // with the experts chosen since the last time they were asked for
+	Counts bool   // with the experts chosen since the last time they were asked for
+	Leader string // address of the agent that leads the group and asks this
 }
 
 // RankState is the state of one rank of a group, fresh from its engine.
@@ -108,9 +109,9 @@
 type RankOrder struct {
 	Kind    OrderKind
 	Epoch   uint64
-	Version uint64     // of the map, where the order is about one
-	Step    uint64     // of the pass, where the order is about one
-	Map     [][]uint16 // with OrderPrepare: the experts of each rank, set by set
+	Version uint64       // of the map, where the order is about one
+	Step    uint64       // of the pass, where the order is about one
+	Map     [][][]uint16 // with OrderPrepare: experts by set and rank
 }
 
 // OrderResult tells what became of an order.
@@ -130,10 +131,11 @@
 //
 //msgp:tuple Loads
 type Loads struct {
-	Known bool
-	Open  bool
-	AgeMS uint32
-	Ranks []RankLoad
+	Known  bool
+	Leader string // who knows them, if this agent does not
+	Open   bool
+	AgeMS  uint32
+	Ranks  []RankLoad
 }
 
 // RankLoad is the load of one rank.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -15,9 +15,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Collect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendBool(o, z.Counts)
+	o = msgp.AppendString(o, z.Leader)
 	return
 }
 
@@ -29,8 +30,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	z.Counts, bts, err = msgp.ReadBoolBytes(bts)
@@ -38,13 +39,18 @@
 		err = msgp.WrapError(err, "Counts")
 		return
 	}
+	z.Leader, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Collect) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize
+	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader)
 	return
 }
 
@@ -203,9 +209,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendBool(o, z.Known)
+	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Open)
 	o = msgp.AppendUint32(o, z.AgeMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
@@ -227,8 +234,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -236,6 +243,11 @@
 		err = msgp.WrapError(err, "Known")
 		return
 	}
+	z.Leader, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
 	z.Open, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Open")
@@ -294,7 +306,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Loads) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Ranks {
 		s += 1 + msgp.StringPrefixSize + len(z.Ranks[za0001].Engine) + msgp.IntSize + msgp.IntSize
 	}
@@ -528,7 +540,10 @@
 	for za0001 := range z.Map {
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Map[za0001])))
 		for za0002 := range z.Map[za0001] {
-			o = msgp.AppendUint16(o, z.Map[za0001][za0002])
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Map[za0001][za0002])))
+			for za0003 := range z.Map[za0001][za0002] {
+				o = msgp.AppendUint16(o, z.Map[za0001][za0002][za0003])
+			}
 		}
 	}
 	return
@@ -583,7 +598,7 @@
 	if cap(z.Map) >= int(zb0003) {
 		z.Map = (z.Map)[:zb0003]
 	} else {
-		z.Map = make([][]uint16, zb0003)
+		z.Map = make([][][]uint16, zb0003)
 	}
 	for za0001 := range z.Map {
 		var zb0004 uint32
@@ -599,14 +614,31 @@
 		if cap(z.Map[za0001]) >= int(zb0004) {
 			z.Map[za0001] = (z.Map[za0001])[:zb0004]
 		} else {
-			z.Map[za0001] = make([]uint16, zb0004)
+			z.Map[za0001] = make([][]uint16, zb0004)
 		}
 		for za0002 := range z.Map[za0001] {
-			z.Map[za0001][za0002], bts, err = msgp.ReadUint16Bytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Map", za0001, za0002)
 				return
 			}
+			if zb0005 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Map[za0001][za0002]) >= int(zb0005) {
+				z.Map[za0001][za0002] = (z.Map[za0001][za0002])[:zb0005]
+			} else {
+				z.Map[za0001][za0002] = make([]uint16, zb0005)
+			}
+			for za0003 := range z.Map[za0001][za0002] {
+				z.Map[za0001][za0002][za0003], bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Map", za0001, za0002, za0003)
+					return
+				}
+			}
 		}
 	}
 	o = bts
@@ -617,7 +649,10 @@
 func (z *RankOrder) Msgsize() (s int) {
 	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Map {
-		s += msgp.ArrayHeaderSize + (len(z.Map[za0001]) * (msgp.Uint16Size))
+		s += msgp.ArrayHeaderSize
+		for za0002 := range z.Map[za0001] {
+			s += msgp.ArrayHeaderSize + (len(z.Map[za0001][za0002]) * (msgp.Uint16Size))
+		}
 	}
 	return
 }
