--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -58,7 +58,7 @@
 		log.Error(err, "can't serve readiness checks")
 		return daemon.ExitFail
 	}
-	return daemon.Wait(g, s.Grace)
+	return daemon.WaitAndReload(g, s.Grace, func() { platform.LogReload(log, s) })
 }
 
 func options(s *platform.Settings, log logr.Logger, peersAddr string) gateway.Options {
--- a/cmd/heatherrail-rank/main.go
+++ b/cmd/heatherrail-rank/main.go
@@ -58,5 +58,5 @@
 		Log:          log,
 		Metrics:      metrics.New(),
 	}, ln)
-	return daemon.Wait(a, s.Grace)
+	return daemon.WaitAndReload(a, s.Grace, func() { platform.LogReload(log, s) })
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,21 @@
 // Wait blocks until SIGTERM or SIGINT, then shuts down within grace. A second
 // signal ends the grace at once. It returns the exit code.
 func Wait(s Service, grace time.Duration) int {
+	return WaitAndReload(s, grace, nil)
+}
+
+// WaitAndReload is Wait, and calls reload at each SIGHUP; without a function
+// SIGHUP ends the process, as is usual.
+func WaitAndReload(s Service, grace time.Duration, reload func()) int {
+	if reload != nil {
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		go func() {
+			for range hangups {
+				reload()
+			}
+		}()
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
