Maps: plans rated by time up to a horizon, demand of the last passes

Cause: a plan waited for all copies that could gain anything (0.9 s for 8 of one rank), and demand averaged over half a second hid a shift. Now plans with more and fewer copies are rated by the experts' time up to a horizon.

--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -34,6 +34,7 @@
 	members map[string]*member // by engine address
 	readAt  time.Time
 	model   *serving.EngineModel
+	gapAim  time.Duration // for the pauses in the service's streams
 }
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
@@ -113,8 +114,9 @@
 		if !ok {
 			continue
 		}
-		if s := serving.NewIndex(c).Service(g.a.opts.Service); s != nil {
-			g.model = s.Engine
+		index := serving.NewIndex(c)
+		if s := index.Service(g.a.opts.Service); s != nil {
+			g.model, g.gapAim = s.Engine, index.GapAim(g.a.opts.Service)
 		}
 	}
 	return nil
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -18,6 +18,37 @@
 	demand  *demand
 	pending *pending
 	newest  uint64 // highest version seen or given
+
+	passes passMeter
+}
+
+// passMeter tells how long passes take.
+type passMeter struct {
+	step uint64
+	at   time.Time
+	mean time.Duration // of the latest passes
+	told time.Time
+}
+
+// meterEvery is how often the group's load is logged.
+const meterEvery = time.Second
+
+// take notes a state; it tells once in a while that the load is to be logged.
+func (m *passMeter) take(step uint64, now time.Time) (log bool) {
+	if m.at.IsZero() || step < m.step {
+		m.step, m.at = step, now
+		return false
+	}
+	if step == m.step {
+		return false
+	}
+	m.mean = now.Sub(m.at) / time.Duration(step-m.step)
+	m.step, m.at = step, now
+	if now.Sub(m.told) < meterEvery {
+		return false
+	}
+	m.told = now
+	return true
 }
 
 // pending is a map that is being prepared.
@@ -55,6 +86,7 @@
 		l.reset(ranks)
 	}
 	l.observe(ranks)
+	l.logLoad(ranks)
 	holder := ranks[0].member
 	if ranks[0].state.Held != 0 {
 		resolve(l.a, l.group, holder, own.Group)
@@ -102,6 +134,23 @@
 	l.demand.observe(now, sum)
 }
 
+// logLoad logs now and then how the group fares.
+func (l *leader) logLoad(ranks []rank) {
+	if !l.passes.take(ranks[0].state.Step, time.Now()) {
+		return
+	}
+	mean := l.passes.mean
+	running, waiting, most := 0, 0, 0
+	for i := range ranks {
+		running += ranks[i].state.Running
+		waiting += ranks[i].state.Waiting
+		most = max(most, ranks[i].state.Running)
+	}
+	l.a.opts.Log.Info("group load", "group", ranks[0].state.Group, "pass_ms", round2(float64(mean)/float64(time.Millisecond)),
+		"running", running, "most_of_rank", most, "waiting", waiting,
+		"imbalance", round2(imbalance(l.layouts, l.demand.loads, l.group.model)), "version", l.version)
+}
+
 // known tells whether the map in use is the one that we think it is. After a
 // restart of this agent it may be another; then it is read back from the ranks.
 func (l *leader) known(ranks []rank) bool {
@@ -148,17 +197,27 @@
 	if !l.demand.enough() {
 		return
 	}
-	p := planMaps(l.layouts, l.demand.loads, m)
-	if !p.worth() {
+	pl := planner{model: m, urgency: l.urgency()}
+	p := pl.best(l.layouts, l.demand.loads)
+	if p.copies == 0 {
 		return
 	}
 	l.newest = nextVersion(l.newest)
 	l.pending = &pending{version: l.newest, layouts: p.layouts, begun: time.Now()}
 	l.a.opts.Log.Info("map planned", "epoch", l.epoch, "version", l.newest, "from", l.version,
-		"before", round2(p.before), "after", round2(p.after), "copies", p.copies, "copies_of_rank", p.most)
+		"before", round2(p.before), "after", round2(p.after), "copies", p.copies, "copies_of_rank", p.most,
+		"urgency", round2(pl.urgency))
 	l.prepare(ranks)
 }
 
+// urgency is the time of the latest passes over the longest pause in time.
+func (l *leader) urgency() float64 {
+	if l.group.gapAim == 0 {
+		return 1
+	}
+	return float64(l.passes.mean) / float64(l.group.gapAim)
+}
+
 // versionSteps leaves room for a random part in each version: an agent that has
 // restarted, and does not know all that it gave before, must not give the same
 // number to another map.
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -16,9 +16,10 @@
 
 // Figures of the demand.
 const (
-	// demandHalfLife: demand keeps for some seconds and then moves; half a second
-	// of choices is some hundred thousand, which tell it well.
-	demandHalfLife = 500 * time.Millisecond
+	// demandHalfLife: demand keeps for some seconds and then moves at once. The
+	// choices of a few passes are tens of thousands, which tell it well; older ones
+	// would hide the move.
+	demandHalfLife = 100 * time.Millisecond
 	// enoughChoices for each expert tell demand from chance within a few percent.
 	enoughChoices = 200
 )
@@ -67,48 +68,113 @@
 	before, after float64 // longest rank over the mean, summed over the sets
 	copies        int     // experts that ranks must copy
 	most          int     // by one rank
+	cost          float64 // of the time until the horizon, see planner
+}
+
+// planner chooses among plans that copy more or less.
+//
+// A plan with more copies ends with a better map, later: a rank copies one expert
+// after the other, and passes are slower meanwhile. So each plan is rated by the
+// experts' time summed up to a horizon, before and after the switch, and by what
+// its copies cost. A slow group has no time to lose, and a group that is well
+// within its aims gains nothing by the last percent.
+type planner struct {
+	model   *serving.EngineModel
+	urgency float64 // pass time over the longest pause that is in time
 }
 
 // Figures of a plan.
 const (
 	balanceSteps = 60
-	// copyPrice is what one copied expert must gain in the sum of the powers of the
-	// ranks' loads.
-	copyPrice = 0.02
-	// leastGain is the share of the experts' time that a switch must save; the
-	// copies slow passes by 15 in 100 while they last.
-	leastGain = 0.06
+	// horizon is for how long a gain is counted: demand keeps for some seconds, and
+	// it is not known how long it has kept already.
+	horizon = 2.0 // seconds
+	// switchTime is what a switch takes beyond the copies.
+	switchTime = 0.15 // seconds
+	// copySlows is how much longer passes take while copies come in. Source: the
+	// platform's statement of 15 in 100.
+	copySlows = 0.15
+	// copyCost is what one copy costs a calm group, in means of the experts' time of
+	// one rank, and busyCopyCost a group whose passes are near the limit.
+	copyCost     = 0.02
+	busyCopyCost = 0.004
+	busyUrgency  = 0.6
 )
 
-// planMaps balances all sets.
-func planMaps(layouts []expert.Layout, loads []float64, m *serving.EngineModel) plan {
+// Plans that are compared: how many new experts a rank may get in a set, and what
+// each must gain in the sum of the powers of the ranks' loads.
+var planVariants = []struct {
+	fresh int
+	price float64
+}{{1, 0.3}, {1, 1}, {2, 0.3}, {3, 0.3}, {3, 1}}
+
+// imbalance returns the longest rank over the mean, summed over the sets.
+func imbalance(layouts []expert.Layout, loads []float64, m *serving.EngineModel) float64 {
+	var longest, mean float64
+	for s, layout := range layouts {
+		most, even := layout.Longest(loads[s*m.Experts : (s+1)*m.Experts])
+		longest += most
+		mean += even
+	}
+	if mean == 0 {
+		return 1
+	}
+	return longest / mean
+}
+
+// best returns the best plan, which may be to change nothing.
+func (pl *planner) best(layouts []expert.Layout, loads []float64) plan {
+	stay := imbalance(layouts, loads, pl.model)
+	best := plan{layouts: layouts, before: stay, after: stay, cost: stay * horizon}
+	for _, v := range planVariants {
+		if v.fresh > pl.model.Spare {
+			continue
+		}
+		p := pl.variant(layouts, loads, expert.BalanceLimits{
+			Places: pl.model.Places,
+			Fresh:  v.fresh,
+			Price:  v.price,
+			Steps:  balanceSteps,
+		})
+		if p.copies > 0 && p.cost < best.cost {
+			best = p
+		}
+	}
+	return best
+}
+
+// variant balances all sets within limits.
+func (pl *planner) variant(layouts []expert.Layout, loads []float64, lim expert.BalanceLimits) plan {
+	m := pl.model
 	var p plan
-	var before, after, mean float64
 	fresh := make([]int, len(layouts[0]))
 	for s, layout := range layouts {
-		own := loads[s*m.Experts : (s+1)*m.Experts]
-		next := expert.Balance(layout, own, expert.BalanceLimits{Places: m.Places, Fresh: m.Spare, Price: copyPrice, Steps: balanceSteps})
-		longest, even := layout.Longest(own)
-		better, _ := next.Longest(own)
-		if better >= longest {
-			next, better = layout, longest
-		}
+		next := expert.Balance(layout, loads[s*m.Experts:(s+1)*m.Experts], lim)
 		p.layouts = append(p.layouts, next)
-		before += longest
-		after += better
-		mean += even
 		countFresh(fresh, layout, next)
 	}
-	if mean > 0 {
-		p.before, p.after = before/mean, after/mean
-	}
+	p.before = imbalance(layouts, loads, m)
+	p.after = imbalance(p.layouts, loads, m)
 	for _, n := range fresh {
 		p.copies += n
 		p.most = max(p.most, n)
 	}
+	p.cost = pl.rate(&p)
 	return p
 }
 
+func (pl *planner) rate(p *plan) float64 {
+	delay := switchTime
+	copying := 0.0
+	if pl.model.LinkRate > 0 {
+		copying = float64(p.most) * pl.model.ExpertBytes / pl.model.LinkRate
+	}
+	delay = min(delay+copying, horizon)
+	calm := min(max(1-pl.urgency/busyUrgency, 0), 1)
+	each := busyCopyCost + (copyCost-busyCopyCost)*calm
+	return delay*p.before + copySlows*copying + (horizon-delay)*p.after + each*float64(p.copies)
+}
+
 func countFresh(fresh []int, before, after expert.Layout) {
 	for r, list := range after {
 		had := make(map[uint16]bool, len(before[r]))
@@ -122,6 +188,3 @@
 		}
 	}
 }
-
-// worth tells whether the change pays.
-func (p *plan) worth() bool { return p.copies > 0 && p.before-p.after > leastGain*p.before }
--- a/serving/config.go
+++ b/serving/config.go
@@ -94,6 +94,7 @@
 	Places        int     // experts of a set on one rank
 	Spare         int     // new experts of a set that a rank can take at once
 	ExpertBytes   float64
+	LinkRate      float64 // bytes a second, at which a rank copies experts
 	ExpertShare   float64 // part of the work for tokens that experts do
 }
 
@@ -181,5 +182,21 @@
 // Team returns the team that holds a key, nil if none does.
 func (x *Index) Team(key string) *Team { return x.byKey[key] }
 
+// GapAim returns the shortest aim for the pauses in the streams of a service; 0
+// if it has none.
+func (x *Index) GapAim(service string) time.Duration {
+	least := time.Duration(0)
+	for i := range x.Routes {
+		r := &x.Routes[i]
+		if r.Kind != KindStream || r.GapAim == 0 || (least != 0 && r.GapAim >= least) {
+			continue
+		}
+		if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			least = r.GapAim
+		}
+	}
+	return least
+}
+
 // Service returns a service by its name, nil if there is none.
 func (x *Index) Service(name string) *Service { return x.byService[name] }
