Maps: a rank's copies bounded over all sets, unanswered orders asked again at once

Causes: three experts a set let a rank copy twelve, 1.2 s; an order that got no answer was repeated after 1.5 s (one shift lasted 3.4 s); the layouts in use were taken for switched before their pass began, and the next plan started from the wrong map; the hold waited one pass more than the arms need.

--- a/expert/balance.go
+++ b/expert/balance.go
@@ -50,10 +50,19 @@
 
 // BalanceLimits bound one change of a layout.
 type BalanceLimits struct {
-	Places int // experts on one rank
-	Fresh  int // experts that a rank gets and did not hold
-	Price  float64
-	Steps  int // of the search
+	Places int     // experts on one rank
+	Fresh  int     // experts that a rank gets and did not hold
+	Room   []int   // the same for each rank by itself, where that is less; nil: no bound
+	Price  float64 // that a step must gain for each expert that is copied
+	Steps  int     // of the search
+}
+
+// fresh returns how many new experts a rank may get.
+func (l *BalanceLimits) fresh(rank int) int {
+	if l.Room == nil {
+		return l.Fresh
+	}
+	return min(l.Fresh, l.Room[rank])
 }
 
 // Balance changes a layout so that its busiest rank has less to do. It goes step
@@ -175,7 +184,7 @@
 // tryRank considers what can be done with expert x of rank a and rank r.
 func (b *balance) tryRank(best *trial, a, r, x int) {
 	freshTo := b.freshness(r, x)
-	if b.fresh[r]+freshTo > b.lim.Fresh {
+	if b.fresh[r]+freshTo > b.lim.fresh(r) {
 		b.tryReturn(best, a, r, x)
 		return
 	}
@@ -205,7 +214,7 @@
 			continue
 		}
 		freshA := b.freshness(a, int(z))
-		if b.fresh[a]+freshA <= b.lim.Fresh {
+		if b.fresh[a]+freshA <= b.lim.fresh(a) {
 			b.consider(best, a, trial{to: r, add: x, drop: x, out: int(z), back: int(z), freshTo: freshTo, freshA: freshA})
 		}
 	}
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -98,7 +98,7 @@
 const (
 	// roundEvery: demand moves within seconds; a round costs each agent a few
 	// tenths of a millisecond.
-	roundEvery = 100 * time.Millisecond
+	roundEvery = 60 * time.Millisecond
 	// watchEvery is how often an agent that does not lead looks at its own rank.
 	watchEvery = 500 * time.Millisecond
 )
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -203,22 +203,25 @@
 	return result
 }
 
-// orderAll gives an order to all ranks at once and returns which took it.
-func orderAll(a *Agent, ranks []rank, o *peers.RankOrder) (taken []bool, refused int) {
-	taken = make([]bool, len(ranks))
-	var mu sync.Mutex
+// orderEach gives an order to all ranks at once.
+func orderEach(a *Agent, ranks []rank, o *peers.RankOrder) []peers.OrderResult {
+	results := make([]peers.OrderResult, len(ranks))
 	var wait sync.WaitGroup
 	for i := range ranks {
-		wait.Go(func() {
-			result := ranks[i].order(a, o)
-			mu.Lock()
-			defer mu.Unlock()
-			taken[i] = result.Taken
-			if result.Refused {
-				refused++
-			}
-		})
+		wait.Go(func() { results[i] = ranks[i].order(a, o) })
 	}
 	wait.Wait()
-	return taken, refused
+	return results
+}
+
+// orderAll gives an order to all ranks at once and returns those that neither took
+// nor refused it.
+func orderAll(a *Agent, ranks []rank, o *peers.RankOrder) (open []rank) {
+	results := orderEach(a, ranks, o)
+	for i := range ranks {
+		if !results[i].Taken && !results[i].Refused {
+			open = append(open, ranks[i])
+		}
+	}
+	return open
 }
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -17,6 +17,7 @@
 	layouts []expert.Layout // in use, by set
 	demand  *demand
 	pending *pending
+	armed   *armed
 	newest  uint64 // highest version seen or given
 
 	passes passMeter
@@ -55,14 +56,24 @@
 type pending struct {
 	version uint64
 	layouts []expert.Layout
+	copying time.Duration // that the rank with most copies takes
 	begun   time.Time
 	sentAt  time.Time
 }
 
+// armed is a map that all ranks switch to as a pass begins.
+type armed struct {
+	version uint64
+	layouts []expert.Layout
+	step    uint64
+}
+
 // Limits of a preparation.
 const (
-	// prepareAgain: an order without effect after so long was lost.
-	prepareAgain = 1500 * time.Millisecond
+	prepareTries = 6
+	// prepareSlack is waited beyond the time that the copies take before the order is
+	// given again.
+	prepareSlack = 500 * time.Millisecond
 	prepareLimit = 6 * time.Second
 )
 
@@ -90,7 +101,7 @@
 	holder := ranks[0].member
 	if ranks[0].state.Held != 0 {
 		resolve(l.a, l.group, holder, own.Group)
-		l.pending = nil
+		l.pending, l.armed = nil, nil
 		return
 	}
 	if !l.known(ranks) {
@@ -107,7 +118,7 @@
 // start with.
 func (l *leader) reset(ranks []rank) {
 	l.epoch = ranks[0].state.Epoch
-	l.pending = nil
+	l.pending, l.armed = nil, nil
 	l.layouts = nil
 	m := l.group.model
 	for range m.Sets {
@@ -160,8 +171,14 @@
 			return false // a switch is on its way through the reports
 		}
 	}
-	if l.pending != nil && inUse == l.pending.version {
-		l.layouts, l.version, l.pending = l.pending.layouts, inUse, nil
+	if next := l.armed; next != nil {
+		if inUse != next.version && ranks[0].state.Step < next.step {
+			return false // its pass has not begun yet
+		}
+		l.armed = nil
+		if inUse == next.version {
+			l.layouts, l.version = next.layouts, next.version
+		}
 	}
 	if inUse == l.version {
 		return true
@@ -203,7 +220,7 @@
 		return
 	}
 	l.newest = nextVersion(l.newest)
-	l.pending = &pending{version: l.newest, layouts: p.layouts, begun: time.Now()}
+	l.pending = &pending{version: l.newest, layouts: p.layouts, copying: pl.copying(&p), begun: time.Now()}
 	l.a.opts.Log.Info("map planned", "epoch", l.epoch, "version", l.newest, "from", l.version,
 		"before", round2(p.before), "after", round2(p.after), "copies", p.copies, "copies_of_rank", p.most,
 		"urgency", round2(pl.urgency))
@@ -233,10 +250,16 @@
 	for _, layout := range l.pending.layouts {
 		o.Map = append(o.Map, [][]uint16(layout))
 	}
-	_, refused := orderAll(l.a, ranks, o)
-	if refused > 0 {
-		l.a.opts.Log.Info("map refused", "version", l.pending.version, "ranks", refused)
+	// An order without an answer may take effect seconds later or never; given again
+	// it is taken now, or refused because the first one was.
+	left := ranks
+	for range prepareTries {
+		left = orderAll(l.a, left, o)
+		if len(left) == 0 {
+			return
+		}
 	}
+	l.a.opts.Log.Info("map not prepared everywhere", "version", l.pending.version, "unanswered", len(left))
 }
 
 // carryOn switches to the pending map once all ranks have it.
@@ -251,14 +274,14 @@
 	now := time.Now()
 	switch {
 	case len(missing) == 0:
-		if switchTo(l.a, l.group, holder, ranks, p.version) {
-			l.layouts, l.version = p.layouts, p.version
+		if at, ok := switchTo(l.a, l.group, holder, ranks, p.version); ok {
+			l.armed = &armed{version: p.version, layouts: p.layouts, step: at}
 		}
 		l.pending = nil
 	case now.Sub(p.begun) > prepareLimit:
 		l.a.opts.Log.Info("map given up", "version", p.version, "missing", len(missing))
 		l.pending = nil
-	case now.Sub(p.sentAt) > prepareAgain:
+	case now.Sub(p.sentAt) > p.copying+prepareSlack:
 		l.prepare(missing)
 	}
 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -1,6 +1,8 @@
 package lockstep
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
@@ -101,12 +103,12 @@
 	busyUrgency  = 0.6
 )
 
-// Plans that are compared: how many new experts a rank may get in a set, and what
-// each must gain in the sum of the powers of the ranks' loads.
+// Plans that are compared: how many experts a rank may copy in all sets together,
+// and what each must gain in the sum of the powers of the ranks' loads.
 var planVariants = []struct {
-	fresh int
-	price float64
-}{{1, 0.3}, {1, 1}, {2, 0.3}, {3, 0.3}, {3, 1}}
+	copies int
+	price  float64
+}{{1, 0.3}, {2, 0.3}, {2, 1}, {3, 0.3}, {5, 0.3}, {8, 0.3}}
 
 // imbalance returns the longest rank over the mean, summed over the sets.
 func imbalance(layouts []expert.Layout, loads []float64, m *serving.EngineModel) float64 {
@@ -127,15 +129,7 @@
 	stay := imbalance(layouts, loads, pl.model)
 	best := plan{layouts: layouts, before: stay, after: stay, cost: stay * horizon}
 	for _, v := range planVariants {
-		if v.fresh > pl.model.Spare {
-			continue
-		}
-		p := pl.variant(layouts, loads, expert.BalanceLimits{
-			Places: pl.model.Places,
-			Fresh:  v.fresh,
-			Price:  v.price,
-			Steps:  balanceSteps,
-		})
+		p := pl.variant(layouts, loads, v.copies, v.price)
 		if p.copies > 0 && p.cost < best.cost {
 			best = p
 		}
@@ -143,48 +137,68 @@
 	return best
 }
 
-// variant balances all sets within limits.
-func (pl *planner) variant(layouts []expert.Layout, loads []float64, lim expert.BalanceLimits) plan {
+// variant balances all sets, the worst first, until ranks have copied enough.
+func (pl *planner) variant(layouts []expert.Layout, loads []float64, copies int, price float64) plan {
 	m := pl.model
-	var p plan
-	fresh := make([]int, len(layouts[0]))
-	for s, layout := range layouts {
-		next := expert.Balance(layout, loads[s*m.Experts:(s+1)*m.Experts], lim)
-		p.layouts = append(p.layouts, next)
-		countFresh(fresh, layout, next)
+	p := plan{layouts: slices.Clone(layouts)}
+	room := make([]int, len(layouts[0]))
+	for r := range room {
+		room[r] = copies
+	}
+	for _, s := range worstFirst(layouts, loads, m) {
+		lim := expert.BalanceLimits{Places: m.Places, Fresh: m.Spare, Room: room, Price: price, Steps: balanceSteps}
+		p.layouts[s] = expert.Balance(layouts[s], loads[s*m.Experts:(s+1)*m.Experts], lim)
+		for r, n := range freshOf(layouts[s], p.layouts[s]) {
+			room[r] -= n
+			p.copies += n
+		}
+	}
+	for _, left := range room {
+		p.most = max(p.most, copies-left)
 	}
 	p.before = imbalance(layouts, loads, m)
 	p.after = imbalance(p.layouts, loads, m)
-	for _, n := range fresh {
-		p.copies += n
-		p.most = max(p.most, n)
-	}
 	p.cost = pl.rate(&p)
 	return p
 }
 
-func (pl *planner) rate(p *plan) float64 {
-	delay := switchTime
-	copying := 0.0
-	if pl.model.LinkRate > 0 {
-		copying = float64(p.most) * pl.model.ExpertBytes / pl.model.LinkRate
+// worstFirst returns the sets, the one with the busiest rank first.
+func worstFirst(layouts []expert.Layout, loads []float64, m *serving.EngineModel) []int {
+	order := make([]int, len(layouts))
+	longest := make([]float64, len(layouts))
+	for s := range layouts {
+		order[s] = s
+		longest[s], _ = layouts[s].Longest(loads[s*m.Experts : (s+1)*m.Experts])
 	}
-	delay = min(delay+copying, horizon)
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(longest[b], longest[a]) })
+	return order
+}
+
+func (pl *planner) rate(p *plan) float64 {
+	copying := pl.copying(p).Seconds()
+	delay := min(switchTime+copying, horizon)
 	calm := min(max(1-pl.urgency/busyUrgency, 0), 1)
 	each := busyCopyCost + (copyCost-busyCopyCost)*calm
 	return delay*p.before + copySlows*copying + (horizon-delay)*p.after + each*float64(p.copies)
 }
 
-func countFresh(fresh []int, before, after expert.Layout) {
+// freshOf returns how many experts each rank gets that it did not hold.
+func freshOf(before, after expert.Layout) []int {
+	fresh := make([]int, len(after))
 	for r, list := range after {
-		had := make(map[uint16]bool, len(before[r]))
-		for _, e := range before[r] {
-			had[e] = true
-		}
 		for _, e := range list {
-			if !had[e] {
+			if !slices.Contains(before[r], e) {
 				fresh[r]++
 			}
 		}
 	}
+	return fresh
+}
+
+// copying returns how long the rank with most copies takes for them.
+func (pl *planner) copying(p *plan) time.Duration {
+	if pl.model.LinkRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.most) * pl.model.ExpertBytes / pl.model.LinkRate * float64(time.Second))
 }
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -29,9 +29,9 @@
 
 // Limits of a switch.
 const (
-	// stepsAhead is how many passes ahead the hold is placed: a pass takes some
-	// tens of milliseconds, and so do the arms. If they take longer the group waits.
-	stepsAhead = 2
+	// stepsAhead is how many passes ahead the hold is placed. The arms take ten
+	// milliseconds, less than most passes; if they take longer the group waits.
+	stepsAhead = 1
 	holdTries  = 6
 	// retryPause lets a small engine answer; orders within a VM take a millisecond.
 	retryPause = 10 * time.Millisecond
@@ -40,14 +40,15 @@
 	switchLimit = 8 * time.Second
 )
 
-// switchTo carries out a switch to a version that all ranks have prepared.
-func switchTo(a *Agent, g *group, holder *member, ranks []rank, version uint64) bool {
+// switchTo carries out a switch to a version that all ranks have prepared, and
+// returns the pass with which they switch.
+func switchTo(a *Agent, g *group, holder *member, ranks []rank, version uint64) (at uint64, ok bool) {
 	epoch := ranks[0].state.Epoch
 	at, held := hold(a, holder, epoch)
 	if !held {
-		return false
+		return 0, false
 	}
-	return finish(a, g, holder, ranks, epoch, version, at)
+	return at, finish(a, g, holder, ranks, epoch, version, at)
 }
 
 // hold holds the group before a pass to come, and returns the pass.
@@ -77,14 +78,8 @@
 	left := ranks
 	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: epoch, Version: version, Step: at}
 	for len(left) > 0 && a.ctx.Err() == nil {
-		taken, _ := orderAll(a, left, order)
-		var still []rank
-		for i, ok := range taken {
-			if !ok {
-				still = append(still, left[i])
-			}
-		}
-		left = a.notArmed(still, version, at)
+		results := orderEach(a, left, order)
+		left = a.notArmed(left, results, version)
 		if over, changed := a.abandoned(holder, epoch, at); over {
 			a.opts.Log.Info("switch over", "group", name, "version", version, "step", at, "changed", changed)
 			return false
@@ -98,10 +93,14 @@
 	return ok
 }
 
-// notArmed returns those of the ranks that do not show the arm.
-func (a *Agent) notArmed(ranks []rank, version, at uint64) []rank {
+// notArmed returns those of the ranks that neither took the arm nor show it. A
+// refusal alone proves nothing: the rank may have been armed by another order.
+func (a *Agent) notArmed(ranks []rank, results []peers.OrderResult, version uint64) []rank {
 	var left []rank
-	for _, r := range ranks {
+	for i, r := range ranks {
+		if results[i].Taken {
+			continue
+		}
 		state := r.collect(a, false, "")
 		if state.Known && (state.Armed == version || state.Map == version) {
 			continue
