Maps: a leader that freezes in a switch no longer stops its group; slow ranks hold less

Cause: a VM frozen between hold and release left the group held for as long as it was frozen (4.1 s), its engine takes no orders meanwhile.

--- a/expert/balance.go
+++ b/expert/balance.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -27,9 +28,10 @@
 	return l
 }
 
-// Longest returns the load of the busiest rank, and of a rank if all were alike.
-// An expert's copies share its load evenly.
-func (l Layout) Longest(loads []float64) (longest, mean float64) {
+// Longest returns the time of the rank that takes longest, and of a rank if all
+// were alike. An expert's copies share its load evenly. pace is how many times as
+// long as usual each rank takes; nil: all are alike.
+func (l Layout) Longest(loads, pace []float64) (longest, mean float64) {
 	copies := make([]int, len(loads))
 	for _, list := range l {
 		for _, e := range list {
@@ -37,24 +39,32 @@
 		}
 	}
 	total := 0.0
-	for _, list := range l {
+	for r, list := range l {
 		sum := 0.0
 		for _, e := range list {
 			sum += loads[e] / float64(copies[e])
 		}
-		longest = max(longest, sum)
+		longest = max(longest, sum*paceOf(pace, r))
 		total += sum
 	}
 	return longest, total / float64(len(l))
 }
 
+func paceOf(pace []float64, rank int) float64 {
+	if pace == nil {
+		return 1
+	}
+	return pace[rank]
+}
+
 // BalanceLimits bound one change of a layout.
 type BalanceLimits struct {
-	Places int     // experts on one rank
-	Fresh  int     // experts that a rank gets and did not hold
-	Room   []int   // the same for each rank by itself, where that is less; nil: no bound
-	Price  float64 // that a step must gain for each expert that is copied
-	Steps  int     // of the search
+	Places int       // experts on one rank
+	Fresh  int       // experts that a rank gets and did not hold
+	Room   []int     // the same for each rank by itself, where that is less; nil: no bound
+	Pace   []float64 // how many times as long as usual each rank takes; nil: all are alike
+	Price  float64   // that a step must gain for each expert that is copied
+	Steps  int       // of the search
 }
 
 // fresh returns how many new experts a rank may get.
@@ -145,6 +155,9 @@
 	return b
 }
 
+// time returns how long a rank takes if its work changes by d.
+func (b *balance) time(r int, d float64) float64 { return (b.work[r] + d) * paceOf(b.lim.Pace, r) }
+
 func (b *balance) weight(e int) float64 { return b.loads[e] / float64(b.copies[e]) }
 
 // receivers bounds the ranks that are looked at for what the busiest one gives.
@@ -152,19 +165,13 @@
 
 func (b *balance) step() bool {
 	a := 0
-	for r, w := range b.work {
-		if w > b.work[a] {
+	for r := range b.work {
+		if b.time(r, 0) > b.time(a, 0) {
 			a = r
 		}
 	}
 	slices.SortFunc(b.order, func(x, y int) int {
-		switch {
-		case b.work[x] < b.work[y]:
-			return -1
-		case b.work[x] > b.work[y]:
-			return 1
-		}
-		return x - y
+		return cmp.Or(cmp.Compare(b.time(x, 0), b.time(y, 0)), x-y)
 	})
 	best := trial{gain: 0}
 	for _, x := range b.lists[a] {
@@ -209,6 +216,7 @@
 	for _, z := range b.lists[r] {
 		if b.copies[z] >= 2 {
 			b.consider(best, a, trial{to: r, add: x, drop: -1, out: int(z), back: -1, freshTo: freshTo})
+			b.consider(best, a, trial{to: r, add: x, drop: x, out: int(z), back: -1, freshTo: freshTo})
 		}
 		if b.weight(int(z)) >= b.weight(x) || slices.Contains(b.lists[a], z) {
 			continue
@@ -242,7 +250,7 @@
 	}
 	gain := -b.lim.Price * float64(t.freshTo+t.freshA)
 	for r, d := range b.delta {
-		gain += power(b.work[r]) - power(b.work[r]+d)
+		gain += power(b.time(r, 0)) - power(b.time(r, d))
 	}
 	if gain > best.gain+minGain {
 		t.gain = gain
--- a/expert/balance_test.go
+++ b/expert/balance_test.go
@@ -30,14 +30,14 @@
 			rng := rand.New(rand.NewPCG(seed, 1))
 			loads := skewedLoads(rng, s.experts)
 			layout := expert.FirstLayout(s.ranks, s.experts)
-			start, mean := layout.Longest(loads)
+			start, mean := layout.Longest(loads, nil)
 			lim := expert.BalanceLimits{Places: s.places, Fresh: s.fresh, Steps: 200}
 			for range 4 {
 				next := expert.Balance(layout, loads, lim)
 				checkLayout(g, layout, next, s.experts, s.places, s.fresh)
 				layout = next
 			}
-			end, _ := layout.Longest(loads)
+			end, _ := layout.Longest(loads, nil)
 			t.Logf("%d ranks, seed %d: %.2f to %.2f of the mean", s.ranks, seed, start/mean, end/mean)
 			g.Expect(end/mean).To(BeNumerically("<", 1.35), "%d ranks, seed %d: from %.2f", s.ranks, seed, start/mean)
 		}
@@ -70,6 +70,29 @@
 	}
 }
 
+// One rank has become eight times as slow, and all others wait for it in each
+// pass. The experts that it holds must go to others: what it keeps is held
+// elsewhere too, or little wanted.
+func TestBalanceTakesWorkOffASlowRank(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(3, 1))
+	loads := skewedLoads(rng, 72)
+	pace := make([]float64, 12)
+	for r := range pace {
+		pace[r] = 1
+	}
+	pace[4] = 8
+	layout := expert.FirstLayout(12, 72)
+	start, mean := layout.Longest(loads, pace)
+	for range 5 {
+		next := expert.Balance(layout, loads, expert.BalanceLimits{Places: 8, Fresh: 3, Steps: 100, Pace: pace})
+		checkLayout(g, layout, next, 72, 8, 3)
+		layout = next
+	}
+	end, _ := layout.Longest(loads, pace)
+	g.Expect(end/mean).To(BeNumerically("<", 1.5), "from %.2f", start/mean)
+}
+
 // Demand that all experts share evenly needs no copies: a change would cost
 // transfers and gain nothing.
 func TestBalanceLeavesEvenLoadsAlone(t *testing.T) {
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -65,6 +65,18 @@
 	leader string   // address of the agent that leads
 	loads  peers.Loads
 	loadAt time.Time
+	other  peers.OtherArm
+
+	arming sync.Mutex // held while an arm is given, so that a fence comes before or after it
+	fence  fence
+	// remotes are clients of engines that this agent arms for a leader.
+	remotes map[string]Engine
+}
+
+// fence names passes for which this rank must not be armed any more.
+type fence struct {
+	epoch uint64
+	step  uint64 // and all before it
 }
 
 // Start starts an agent that answers peers on ln.
@@ -101,6 +113,8 @@
 	roundEvery = 60 * time.Millisecond
 	// watchEvery is how often an agent that does not lead looks at its own rank.
 	watchEvery = 500 * time.Millisecond
+	// holderEvery: the rank at which the group is held stalls it while the hold lasts.
+	holderEvery = 60 * time.Millisecond
 )
 
 // run leads while this is the agent of rank 0, and else watches.
@@ -117,7 +131,11 @@
 			a.pause(roundEvery)
 		default:
 			w.look(state)
-			a.pause(watchEvery)
+			if state.Rank == holderRank(state.Ranks) {
+				a.pause(holderEvery)
+			} else {
+				a.pause(watchEvery)
+			}
 		}
 	}
 }
@@ -139,6 +157,9 @@
 		a.opts.Metrics.Count("engine_failures", 1)
 		return peers.RankState{}
 	}
+	a.mu.Lock()
+	state.Other = a.other
+	a.mu.Unlock()
 	if !withCounts {
 		return state
 	}
@@ -177,16 +198,68 @@
 		a.leader = q.Leader
 		a.mu.Unlock()
 	}
+	fenced := q.Fence != 0 && a.setFence(fence{epoch: q.Epoch, step: q.Fence})
 	state := a.collect(q.Counts)
+	state.Fenced = fenced
 	return &state, nil
 }
 
+func (a *Agent) setFence(f fence) bool {
+	a.arming.Lock()
+	defer a.arming.Unlock()
+	if f.epoch != a.fence.epoch || f.step > a.fence.step {
+		a.fence = f
+	}
+	return true
+}
+
+// order gives an order to this agent's engine, or to the one that it names.
+func (a *Agent) order(o *peers.RankOrder) (peers.OrderResult, error) {
+	if o.Kind != peers.OrderArm {
+		return a.opts.Engine.Order(a.ctx, o)
+	}
+	a.arming.Lock()
+	defer a.arming.Unlock()
+	if o.Epoch == a.fence.epoch && o.Step <= a.fence.step {
+		return peers.OrderResult{Refused: true}, nil
+	}
+	if o.Engine == "" {
+		return a.opts.Engine.Order(a.ctx, o)
+	}
+	a.setOther(peers.OtherArm{Epoch: o.Epoch, Step: o.Step})
+	result, err := a.remote(o.Engine).Order(a.ctx, o)
+	if err == nil && result.Taken {
+		a.setOther(peers.OtherArm{Epoch: o.Epoch, Step: o.Step, Taken: true})
+	}
+	return result, err
+}
+
+func (a *Agent) setOther(o peers.OtherArm) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.other.Taken && a.other.Epoch == o.Epoch && a.other.Step == o.Step {
+		return // a later try changes nothing
+	}
+	a.other = o
+}
+
+// remote returns a client of an engine on another VM; the lock of arming is held.
+func (a *Agent) remote(address string) Engine {
+	if a.remotes == nil {
+		a.remotes = make(map[string]Engine)
+	}
+	if a.remotes[address] == nil {
+		a.remotes[address] = a.opts.Remote(address)
+	}
+	return a.remotes[address]
+}
+
 func (a *Agent) answerOrder(payload []byte) (msgp.Marshaler, error) {
 	var o peers.RankOrder
 	if _, err := o.UnmarshalMsg(payload); err != nil {
 		return nil, err
 	}
-	result, err := a.opts.Engine.Order(a.ctx, &o)
+	result, err := a.order(&o)
 	if err != nil {
 		a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "version", o.Version, "step", o.Step, "error", err.Error())
 	}
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -23,7 +23,7 @@
 // Limits of questions to other agents.
 const (
 	// askLimit leaves an agent with a small part of a core time to ask its engine.
-	askLimit = 400 * time.Millisecond
+	askLimit = 250 * time.Millisecond
 	// agentRest: an agent that did not answer is passed over for so long.
 	agentRest = time.Second
 )
@@ -130,12 +130,12 @@
 
 // collect asks all members at once and returns those that are ranks of the group,
 // ordered by rank. complete tells whether all ranks of one epoch are there.
-func (g *group) collect(name string, withCounts bool, leader string) (ranks []rank, complete bool) {
+func (g *group) collect(name string, q *peers.Collect) (ranks []rank, complete bool) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	for _, m := range g.members {
 		wait.Go(func() {
-			state := m.collect(g.a, withCounts, leader)
+			state := m.collect(g.a, q)
 			mu.Lock()
 			defer mu.Unlock()
 			if state.Known && state.Group == name {
@@ -163,13 +163,19 @@
 	return m.client != nil && time.Since(m.lostAt) > agentRest
 }
 
-func (m *member) collect(a *Agent, withCounts bool, leader string) peers.RankState {
+// plain asks for nothing but the state.
+var plain = &peers.Collect{}
+
+func (m *member) collect(a *Agent, q *peers.Collect) peers.RankState {
 	if m.own != nil {
-		return m.own.collect(withCounts)
+		fenced := q.Fence != 0 && a.setFence(fence{epoch: q.Epoch, step: q.Fence})
+		state := a.collect(q.Counts)
+		state.Fenced = fenced
+		return state
 	}
 	var state peers.RankState
 	if m.hasAgent() {
-		err := m.client.Ask(a.ctx, peers.KindCollect, &peers.Collect{Counts: withCounts, Leader: leader}, &state, askLimit)
+		err := m.client.Ask(a.ctx, peers.KindCollect, q, &state, askLimit)
 		if err == nil && state.Known {
 			return state
 		}
@@ -182,6 +188,7 @@
 	// agent is away; the counts, which would hold up the group, are left out.
 	state, err := m.direct.State(a.ctx)
 	if err != nil {
+		a.opts.Log.Info("engine lost", "engine", m.engine, "error", err.Error())
 		return peers.RankState{}
 	}
 	return state
@@ -189,7 +196,14 @@
 
 // order gives an order to a member's engine.
 func (m *member) order(a *Agent, o *peers.RankOrder) peers.OrderResult {
-	if m.own == nil && m.hasAgent() {
+	if m.own != nil {
+		result, err := a.order(o)
+		if err != nil {
+			a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "engine", m.engine, "error", err.Error())
+		}
+		return result
+	}
+	if m.hasAgent() {
 		var result peers.OrderResult
 		if err := m.client.Ask(a.ctx, peers.KindOrder, o, &result, askLimit); err == nil {
 			return result
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -85,7 +85,7 @@
 		l.group.reread()
 	}
 	l.group.add(l.a.opts.Address)
-	ranks, complete := l.group.collect(own.Group, true, l.a.opts.Peers)
+	ranks, complete := l.group.collect(own.Group, &peers.Collect{Counts: true, Leader: l.a.opts.Peers})
 	l.a.publish(loadsOf(ranks, own))
 	if len(ranks) < own.Ranks {
 		l.group.reread()
@@ -98,12 +98,14 @@
 	}
 	l.observe(ranks)
 	l.logLoad(ranks)
-	holder := ranks[0].member
-	if ranks[0].state.Held != 0 {
-		resolve(l.a, l.group, holder, own.Group)
-		l.pending, l.armed = nil, nil
-		return
+	for i := range ranks {
+		if ranks[i].state.Held != 0 {
+			resolve(l.a, l.group, ranks[i].member, own.Group, time.Now())
+			l.pending, l.armed = nil, nil
+			return
+		}
 	}
+	holder := ranks[holderRank(len(ranks))].member
 	if !l.known(ranks) {
 		return
 	}
@@ -114,6 +116,9 @@
 	l.plan(ranks)
 }
 
+// holderRank is the rank at which a group is held; the leader's is rank 0.
+func holderRank(ranks int) int { return min(1, ranks-1) }
+
 // reset begins anew after the group was formed: it uses the map that engines
 // start with.
 func (l *leader) reset(ranks []rank) {
@@ -159,7 +164,7 @@
 	}
 	l.a.opts.Log.Info("group load", "group", ranks[0].state.Group, "pass_ms", round2(float64(mean)/float64(time.Millisecond)),
 		"running", running, "most_of_rank", most, "waiting", waiting,
-		"imbalance", round2(imbalance(l.layouts, l.demand.loads, l.group.model)), "version", l.version)
+		"imbalance", round2(imbalance(l.layouts, l.demand.loads, paces(ranks), l.group.model)), "version", l.version)
 }
 
 // known tells whether the map in use is the one that we think it is. After a
@@ -214,7 +219,7 @@
 	if !l.demand.enough() {
 		return
 	}
-	pl := planner{model: m, urgency: l.urgency()}
+	pl := planner{model: m, urgency: l.urgency(), pace: paces(ranks)}
 	p := pl.best(l.layouts, l.demand.loads)
 	if p.copies == 0 {
 		return
@@ -227,6 +232,15 @@
 	l.prepare(ranks)
 }
 
+// paces returns how many times as long as usual each rank takes.
+func paces(ranks []rank) []float64 {
+	pace := make([]float64, len(ranks))
+	for i := range ranks {
+		pace[i] = ranks[i].state.Pace
+	}
+	return pace
+}
+
 // urgency is the time of the latest passes over the longest pause in time.
 func (l *leader) urgency() float64 {
 	if l.group.gapAim == 0 {
@@ -291,7 +305,7 @@
 	loads := peers.Loads{Known: true, Open: own.Open}
 	for i := range ranks {
 		s := &ranks[i].state
-		loads.Ranks = append(loads.Ranks, peers.RankLoad{Engine: ranks[i].engine, Running: s.Running, Waiting: s.Waiting})
+		loads.Ranks = append(loads.Ranks, peers.RankLoad{Engine: ranks[i].engine, Running: s.Running, Waiting: s.Waiting, Pace: s.Pace})
 	}
 	return loads
 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -82,7 +82,8 @@
 // within its aims gains nothing by the last percent.
 type planner struct {
 	model   *serving.EngineModel
-	urgency float64 // pass time over the longest pause that is in time
+	pace    []float64 // how many times as long as usual each rank takes
+	urgency float64   // pass time over the longest pause that is in time
 }
 
 // Figures of a plan.
@@ -111,10 +112,10 @@
 }{{1, 0.3}, {2, 0.3}, {2, 1}, {3, 0.3}, {5, 0.3}, {8, 0.3}}
 
 // imbalance returns the longest rank over the mean, summed over the sets.
-func imbalance(layouts []expert.Layout, loads []float64, m *serving.EngineModel) float64 {
+func imbalance(layouts []expert.Layout, loads, pace []float64, m *serving.EngineModel) float64 {
 	var longest, mean float64
 	for s, layout := range layouts {
-		most, even := layout.Longest(loads[s*m.Experts : (s+1)*m.Experts])
+		most, even := layout.Longest(loads[s*m.Experts:(s+1)*m.Experts], pace)
 		longest += most
 		mean += even
 	}
@@ -126,7 +127,7 @@
 
 // best returns the best plan, which may be to change nothing.
 func (pl *planner) best(layouts []expert.Layout, loads []float64) plan {
-	stay := imbalance(layouts, loads, pl.model)
+	stay := imbalance(layouts, loads, pl.pace, pl.model)
 	best := plan{layouts: layouts, before: stay, after: stay, cost: stay * horizon}
 	for _, v := range planVariants {
 		p := pl.variant(layouts, loads, v.copies, v.price)
@@ -145,8 +146,8 @@
 	for r := range room {
 		room[r] = copies
 	}
-	for _, s := range worstFirst(layouts, loads, m) {
-		lim := expert.BalanceLimits{Places: m.Places, Fresh: m.Spare, Room: room, Price: price, Steps: balanceSteps}
+	for _, s := range worstFirst(layouts, loads, pl.pace, m) {
+		lim := expert.BalanceLimits{Places: m.Places, Fresh: m.Spare, Room: room, Pace: pl.pace, Price: price, Steps: balanceSteps}
 		p.layouts[s] = expert.Balance(layouts[s], loads[s*m.Experts:(s+1)*m.Experts], lim)
 		for r, n := range freshOf(layouts[s], p.layouts[s]) {
 			room[r] -= n
@@ -156,19 +157,19 @@
 	for _, left := range room {
 		p.most = max(p.most, copies-left)
 	}
-	p.before = imbalance(layouts, loads, m)
-	p.after = imbalance(p.layouts, loads, m)
+	p.before = imbalance(layouts, loads, pl.pace, m)
+	p.after = imbalance(p.layouts, loads, pl.pace, m)
 	p.cost = pl.rate(&p)
 	return p
 }
 
 // worstFirst returns the sets, the one with the busiest rank first.
-func worstFirst(layouts []expert.Layout, loads []float64, m *serving.EngineModel) []int {
+func worstFirst(layouts []expert.Layout, loads, pace []float64, m *serving.EngineModel) []int {
 	order := make([]int, len(layouts))
 	longest := make([]float64, len(layouts))
 	for s := range layouts {
 		order[s] = s
-		longest[s], _ = layouts[s].Longest(loads[s*m.Experts : (s+1)*m.Experts])
+		longest[s], _ = layouts[s].Longest(loads[s*m.Experts:(s+1)*m.Experts], pace)
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(longest[b], longest[a]) })
 	return order
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -14,6 +14,10 @@
 // maps. The hold excludes it: between the hold and the release no rank can begin
 // the pass, so an arm that is late, lost or refused is seen in time.
 //
+// Who dies or freezes in the middle leaves the group held. So the hold is placed
+// at another rank than the leader's, by the leader itself and not through that
+// rank's agent: of the leader and that agent one is left to release it.
+//
 //   - Arms are given only once all ranks have the map prepared and the hold is
 //     confirmed. From then on there is only one way: forward. An arm without an
 //     answer may take effect seconds later, so nothing is called off; it is given
@@ -24,6 +28,12 @@
 //     and lets the group go; else no arm can have been given, and it lets the group
 //     go with the map in use. Two who do so at once, or one who wakes up in the
 //     middle, give the same orders.
+//   - The leader's rank is armed last, once all others are, and by the agent of
+//     another one. So if the leader's VM can't be reached it is still known whether
+//     its rank is armed. If it is, so are all, and the group is let go with the new
+//     map. If not, the other agents are told to arm no more for that pass, which
+//     stops the leader should it wake up; the arms that were given are taken back,
+//     and the group goes on with the map in use.
 //   - Each order names the epoch. After a rank has restarted, the group has
 //     another one, and whatever was on its way is refused.
 
@@ -54,7 +64,7 @@
 // hold holds the group before a pass to come, and returns the pass.
 func hold(a *Agent, holder *member, epoch uint64) (uint64, bool) {
 	for range holdTries {
-		state := holder.collect(a, false, "")
+		state := holder.collect(a, plain)
 		switch {
 		case !state.Known || state.Epoch != epoch || !state.Open:
 			return 0, false
@@ -62,8 +72,8 @@
 			return state.Held, true
 		}
 		at := state.Step + stepsAhead
-		result := holder.order(a, &peers.RankOrder{Kind: peers.OrderHold, Epoch: epoch, Step: at})
-		if result.Taken {
+		result, err := holder.direct.Order(a.ctx, &peers.RankOrder{Kind: peers.OrderHold, Epoch: epoch, Step: at})
+		if err == nil && result.Taken {
 			return at, true
 		}
 		a.pause(retryPause)
@@ -75,24 +85,52 @@
 func finish(a *Agent, g *group, holder *member, ranks []rank, epoch, version, at uint64) bool {
 	begun := time.Now()
 	name := ranks[0].state.Group
-	left := ranks
 	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: epoch, Version: version, Step: at}
-	for len(left) > 0 && a.ctx.Err() == nil {
-		results := orderEach(a, left, order)
-		left = a.notArmed(left, results, version)
-		if over, changed := a.abandoned(holder, epoch, at); over {
-			a.opts.Log.Info("switch over", "group", name, "version", version, "step", at, "changed", changed)
-			return false
-		}
-		if len(left) > 0 {
-			a.pause(retryPause)
-		}
+	if !armAll(a, holder, ranks[1:], order) || !armLeader(a, holder, ranks, order) {
+		return false
 	}
 	ok := release(a, holder, epoch, at)
 	a.opts.Log.Info("map switched", "group", name, "version", version, "step", at, "released", ok, "ms", time.Since(begun).Milliseconds())
 	return ok
 }
 
+// proxyRank is the rank whose agent arms the leader's.
+const proxyRank = 2
+
+// armLeader arms rank 0 through the agent of another rank, or directly in a group
+// that is too small for that.
+func armLeader(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
+	if len(ranks) <= proxyRank || !ranks[proxyRank].hasAgent() {
+		return armAll(a, holder, ranks[:1], o)
+	}
+	byProxy := *o
+	byProxy.Engine = ranks[0].engine
+	ranks[proxyRank].order(a, &byProxy)
+	// Whatever came of it, the arm is seen or given again.
+	return len(a.notArmed(ranks[:1], make([]peers.OrderResult, 1), o.Version)) == 0 || armAll(a, holder, ranks[:1], o)
+}
+
+// armAll arms ranks until each is seen to be armed; false if the switch is over.
+func armAll(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
+	left := ranks
+	for len(left) > 0 {
+		if a.ctx.Err() != nil {
+			return false
+		}
+		results := orderEach(a, left, o)
+		left = a.notArmed(left, results, o.Version)
+		if len(left) == 0 {
+			return true
+		}
+		if over, changed := a.abandoned(holder, o.Epoch, o.Step); over {
+			a.opts.Log.Info("switch over", "version", o.Version, "step", o.Step, "changed", changed)
+			return false
+		}
+		a.pause(retryPause)
+	}
+	return true
+}
+
 // notArmed returns those of the ranks that neither took the arm nor show it. A
 // refusal alone proves nothing: the rank may have been armed by another order.
 func (a *Agent) notArmed(ranks []rank, results []peers.OrderResult, version uint64) []rank {
@@ -101,7 +139,7 @@
 		if results[i].Taken {
 			continue
 		}
-		state := r.collect(a, false, "")
+		state := r.collect(a, plain)
 		if state.Known && (state.Armed == version || state.Map == version) {
 			continue
 		}
@@ -113,7 +151,7 @@
 // abandoned tells whether a switch is over without us: the group has another
 // epoch, or the pass has begun.
 func (a *Agent) abandoned(holder *member, epoch, at uint64) (over, changed bool) {
-	state := holder.collect(a, false, "")
+	state := holder.collect(a, plain)
 	if !state.Known {
 		return false, false
 	}
@@ -128,7 +166,7 @@
 func release(a *Agent, holder *member, epoch, at uint64) bool {
 	for a.ctx.Err() == nil {
 		holder.order(a, &peers.RankOrder{Kind: peers.OrderGo, Epoch: epoch, Step: at})
-		state := holder.collect(a, false, "")
+		state := holder.collect(a, plain)
 		switch {
 		case !state.Known:
 		case state.Epoch != epoch || !state.Open:
@@ -141,18 +179,19 @@
 	return false
 }
 
-// resolve brings on a group that is held and whose switch nobody carries out.
-func resolve(a *Agent, g *group, holder *member, name string) {
-	first := holder.collect(a, false, "")
+// resolve brings on a group that is held, as was seen first at a time, and whose
+// switch nobody carries out.
+func resolve(a *Agent, g *group, holder *member, name string, seen time.Time) {
+	first := holder.collect(a, plain)
 	if !first.Known || first.Held == 0 || !first.Open {
 		return
 	}
 	g.reread()
 	// The hold was seen before the ranks are asked: whoever placed it to switch had
 	// seen all of them prepared before.
-	ranks, complete := g.collect(name, false, "")
+	ranks, complete := g.collect(name, plain)
 	if !complete || ranks[0].state.Epoch != first.Epoch {
-		a.opts.Log.Info("group held, not all ranks seen", "group", name, "step", first.Held, "ranks", len(ranks))
+		resolveWithoutLeader(a, g, holder, name, first, seen)
 		return
 	}
 	version := commonPrepared(ranks)
@@ -164,6 +203,68 @@
 	finish(a, g, holder, ranks, first.Epoch, version, first.Held)
 }
 
+// lateArm is how long after it was given an arm without an answer may take effect
+// at the earliest, with a margin. Source: the platform's statement of two to
+// twelve seconds. A group that is let go sooner has begun the pass by then, and the
+// arm is refused.
+const lateArm = 1500 * time.Millisecond
+
+// resolveWithoutLeader brings on a group whose leader's VM can't be reached.
+func resolveWithoutLeader(a *Agent, g *group, holder *member, name string, first peers.RankState, seen time.Time) {
+	ranks, _ := g.collect(name, &peers.Collect{Fence: first.Held, Epoch: first.Epoch})
+	if !allButLeader(ranks, first) || time.Since(seen) > lateArm {
+		a.opts.Log.Info("group held, not all ranks seen", "group", name, "step", first.Held, "ranks", len(ranks))
+		return
+	}
+	other := ranks[proxyRank-1].state.Other
+	given := other.Epoch == first.Epoch && other.Step == first.Held
+	switch {
+	case given && !other.Taken:
+		a.opts.Log.Info("group held, leader's rank may be armed", "group", name, "step", first.Held)
+		return
+	case !given && !disarmAll(a, ranks):
+		a.opts.Log.Info("group held, arms not taken back", "group", name, "step", first.Held)
+		return
+	}
+	ok := release(a, holder, first.Epoch, first.Held)
+	a.opts.Log.Info("group let go without its leader", "group", name, "step", first.Held, "switched", given, "released", ok)
+}
+
+// allButLeader tells whether all ranks but the leader's have answered, and fenced
+// the pass that the group is held at.
+func allButLeader(ranks []rank, first peers.RankState) bool {
+	if len(ranks) != first.Ranks-1 || len(ranks) < proxyRank {
+		return false
+	}
+	for i := range ranks {
+		s := &ranks[i].state
+		if s.Rank != i+1 || s.Epoch != first.Epoch || !s.Open || !s.Fenced {
+			return false
+		}
+	}
+	return true
+}
+
+// disarmAll takes back the arms of ranks that are armed; false if that is not
+// known to have been done.
+func disarmAll(a *Agent, ranks []rank) bool {
+	for range holdTries {
+		done := true
+		for _, r := range ranks {
+			if r.state.Armed == 0 {
+				continue
+			}
+			r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: r.state.Armed})
+			state := r.collect(a, plain)
+			done = done && state.Known && state.Armed == 0
+		}
+		if done {
+			return true
+		}
+	}
+	return false
+}
+
 // commonPrepared returns the version that all ranks have prepared and do not use
 // yet; 0 if there is none. A rank that is armed has it prepared.
 func commonPrepared(ranks []rank) uint64 {
--- a/lockstep/watch.go
+++ b/lockstep/watch.go
@@ -17,7 +17,11 @@
 	group *group
 	step  uint64
 	epoch uint64
-	since time.Time
+	since time.Time // it has stood still, or was looked into
+	still time.Time // when the pass was seen first that it stands at
+
+	held      uint64 // pass that this rank is held at
+	heldSince time.Time
 }
 
 // Patience with a group that stands still: far longer than any pass, plus a part
@@ -25,12 +29,22 @@
 const (
 	stillAfter   = 700 * time.Millisecond
 	stillPerRank = 50 * time.Millisecond
+	// heldAfter is several times what the arms take while the leader lives.
+	heldAfter = 150 * time.Millisecond
 )
 
 func newWatch(a *Agent) *watch { return &watch{a: a, group: newGroup(a)} }
 
+// look takes a state of this rank.
 func (w *watch) look(s peers.RankState) {
 	now := time.Now()
+	if w.leftHeld(s, now) {
+		w.a.opts.Log.Info("this rank is left held", "group", s.Group, "step", s.Held)
+		w.group.reread()
+		w.group.add(w.a.opts.Address)
+		resolve(w.a, w.group, w.group.members[w.a.opts.Address], s.Group, w.heldSince)
+		return
+	}
 	busy := s.Open && s.Running+s.Waiting > 0
 	if !busy || s.Step != w.step || s.Epoch != w.epoch {
 		w.step, w.epoch, w.since = s.Step, s.Epoch, now
@@ -39,14 +53,23 @@
 	if now.Sub(w.since) < stillAfter+time.Duration(s.Rank)*stillPerRank {
 		return
 	}
-	w.since = now
+	w.still, w.since = w.since, now
 	w.group.reread()
-	ranks, _ := w.group.collect(s.Group, false, "")
+	ranks, _ := w.group.collect(s.Group, plain)
 	for _, r := range ranks {
 		if r.state.Held != 0 {
 			w.a.opts.Log.Info("group stands still", "group", s.Group, "step", s.Step, "held", r.state.Held, "at_rank", r.state.Rank)
-			resolve(w.a, w.group, r.member, s.Group)
+			resolve(w.a, w.group, r.member, s.Group, w.still)
 			return
 		}
 	}
 }
+
+// leftHeld tells whether this rank is held for longer than a switch takes.
+func (w *watch) leftHeld(s peers.RankState, now time.Time) bool {
+	if s.Held == 0 || s.Held != w.held {
+		w.held, w.heldSince = s.Held, now
+		return false
+	}
+	return now.Sub(w.heldSince) > heldAfter
+}
--- a/peers/order.go
+++ b/peers/order.go
@@ -11,6 +11,8 @@
 		return "hold"
 	case OrderGo:
 		return "go"
+	case OrderDisarm:
+		return "disarm"
 	}
 	return "unknown"
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -70,6 +70,8 @@
 type Collect struct {
 	Counts bool   // with the experts chosen since the last time they were asked for
 	Leader string // address of the agent that leads the group and asks this
+	Fence  uint64 // a pass for which the agent must arm its rank no more; 0: none
+	Epoch  uint64 // of the group, with Fence
 }
 
 // RankState is the state of one rank of a group, fresh from its engine.
@@ -77,6 +79,7 @@
 //msgp:tuple RankState
 type RankState struct {
 	Known    bool // the engine answered, and is a rank of a group
+	Fenced   bool // the agent keeps to the fence that was asked for
 	Group    string
 	Epoch    uint64
 	Rank     int
@@ -89,9 +92,20 @@
 	Held     uint64 // pass that waits for a release; 0: none
 	Running  int
 	Waiting  int
+	Other    OtherArm // what became of an arm that the agent gave to another engine
+	Pace     float64  // how many times as long as usual the engine takes
 	Counts   []uint32 // choices of each expert, set by set, since the last Collect with Counts
 }
 
+// OtherArm is an arm that an agent gave to an engine on another VM.
+//
+//msgp:tuple OtherArm
+type OtherArm struct {
+	Epoch uint64
+	Step  uint64
+	Taken bool // false: it is not known whether it was
+}
+
 // OrderKind says what an order asks of a rank.
 type OrderKind uint8
 
@@ -101,6 +115,7 @@
 	OrderArm     OrderKind = 2 // switch to a prepared map as a pass begins
 	OrderHold    OrderKind = 3 // do not begin a pass
 	OrderGo      OrderKind = 4 // end a hold
+	OrderDisarm  OrderKind = 5 // take an arm back
 )
 
 // RankOrder is an order to one rank.
@@ -112,6 +127,7 @@
 	Version uint64       // of the map, where the order is about one
 	Step    uint64       // of the pass, where the order is about one
 	Map     [][][]uint16 // with OrderPrepare: experts by set and rank
+	Engine  string       // address of the engine, if it is not the agent's own
 }
 
 // OrderResult tells what became of an order.
@@ -145,4 +161,5 @@
 	Engine  string // address
 	Running int
 	Waiting int
+	Pace    float64 // how many times as long as usual it takes
 }
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -13,12 +13,14 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z Collect) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Collect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendBool(o, z.Counts)
 	o = msgp.AppendString(o, z.Leader)
+	o = msgp.AppendUint64(o, z.Fence)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -30,8 +32,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Counts, bts, err = msgp.ReadBoolBytes(bts)
@@ -44,13 +46,23 @@
 		err = msgp.WrapError(err, "Leader")
 		return
 	}
+	z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fence")
+		return
+	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Collect) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader)
+func (z *Collect) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -217,11 +229,11 @@
 	o = msgp.AppendUint32(o, z.AgeMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
 	for za0001 := range z.Ranks {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Ranks[za0001].Engine)
-		o = msgp.AppendInt(o, z.Ranks[za0001].Running)
-		o = msgp.AppendInt(o, z.Ranks[za0001].Waiting)
+		o, err = z.Ranks[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001)
+			return
+		}
 	}
 	return
 }
@@ -274,31 +286,11 @@
 		z.Ranks = make([]RankLoad, zb0002)
 	}
 	for za0001 := range z.Ranks {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Ranks[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Ranks", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Ranks[za0001].Engine, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Engine")
-			return
-		}
-		z.Ranks[za0001].Running, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Running")
-			return
-		}
-		z.Ranks[za0001].Waiting, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Waiting")
-			return
-		}
 	}
 	o = bts
 	return
@@ -308,7 +300,7 @@
 func (z *Loads) Msgsize() (s int) {
 	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Ranks {
-		s += 1 + msgp.StringPrefixSize + len(z.Ranks[za0001].Engine) + msgp.IntSize + msgp.IntSize
+		s += z.Ranks[za0001].Msgsize()
 	}
 	return
 }
@@ -413,6 +405,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z OtherArm) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Step)
+	o = msgp.AppendBool(o, z.Taken)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OtherArm) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	z.Step, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Taken, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Taken")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OtherArm) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -480,13 +520,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Engine)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt(o, z.Waiting)
+	o = msgp.AppendFloat64(o, z.Pace)
 	return
 }
 
@@ -498,8 +539,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Engine, bts, err = msgp.ReadStringBytes(bts)
@@ -517,21 +558,26 @@
 		err = msgp.WrapError(err, "Waiting")
 		return
 	}
+	z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RankLoad) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Engine) + msgp.IntSize + msgp.IntSize
+func (z *RankLoad) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Engine) + msgp.IntSize + msgp.IntSize + msgp.Float64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RankOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendUint64(o, z.Version)
@@ -546,6 +592,7 @@
 			}
 		}
 	}
+	o = msgp.AppendString(o, z.Engine)
 	return
 }
 
@@ -557,8 +604,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -641,6 +688,11 @@
 			}
 		}
 	}
+	z.Engine, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Engine")
+		return
+	}
 	o = bts
 	return
 }
@@ -654,15 +706,17 @@
 			s += msgp.ArrayHeaderSize + (len(z.Map[za0001][za0002]) * (msgp.Uint16Size))
 		}
 	}
+	s += msgp.StringPrefixSize + len(z.Engine)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RankState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 14
-	o = append(o, 0x9e)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendBool(o, z.Known)
+	o = msgp.AppendBool(o, z.Fenced)
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendInt(o, z.Rank)
@@ -675,6 +729,12 @@
 	o = msgp.AppendUint64(o, z.Held)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt(o, z.Waiting)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Other.Epoch)
+	o = msgp.AppendUint64(o, z.Other.Step)
+	o = msgp.AppendBool(o, z.Other.Taken)
+	o = msgp.AppendFloat64(o, z.Pace)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
 	for za0001 := range z.Counts {
 		o = msgp.AppendUint32(o, z.Counts[za0001])
@@ -690,8 +750,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 14 {
-		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -699,6 +759,11 @@
 		err = msgp.WrapError(err, "Known")
 		return
 	}
+	z.Fenced, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fenced")
+		return
+	}
 	z.Group, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Group")
@@ -761,18 +826,48 @@
 	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Other")
+		return
+	}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
+		return
+	}
+	z.Other.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Other", "Epoch")
+		return
+	}
+	z.Other.Step, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Other", "Step")
+		return
+	}
+	z.Other.Taken, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Other", "Taken")
+		return
+	}
+	z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Counts")
 		return
 	}
-	if zb0002 > zb417a25dlimitArrays {
+	if zb0003 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Counts) >= int(zb0002) {
-		z.Counts = (z.Counts)[:zb0002]
+	if cap(z.Counts) >= int(zb0003) {
+		z.Counts = (z.Counts)[:zb0003]
 	} else {
-		z.Counts = make([]uint32, zb0002)
+		z.Counts = make([]uint32, zb0003)
 	}
 	for za0001 := range z.Counts {
 		z.Counts[za0001], bts, err = msgp.ReadUint32Bytes(bts)
@@ -787,7 +882,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RankState) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Group) + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Counts) * (msgp.Uint32Size))
+	s = 3 + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Group) + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Float64Size + msgp.ArrayHeaderSize + (len(z.Counts) * (msgp.Uint32Size))
 	return
 }
 
