--- a/gateway/book.go
+++ b/gateway/book.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/serving"
 	"github.com/heatherrail/heatherrail/upstream"
@@ -15,6 +16,7 @@
 	mu         sync.Mutex
 	accounts   map[string]*account // by target id
 	ejector    *route.Ejector
+	groups     map[string]groupState // by service
 }
 
 // account is one target's.
@@ -30,12 +32,13 @@
 // reportedLoad is what an engine's agent says that runs there.
 type reportedLoad struct {
 	running, waiting int
+	pace             float64
 	at               time.Time
-	ownThen          int // requests of this entry when the report came
+	ownThen          int // requests of this entry that the report counts
 }
 
 func newBook(dataCentre string) *book {
-	return &book{dataCentre: dataCentre, accounts: make(map[string]*account), ejector: route.NewEjector()}
+	return &book{dataCentre: dataCentre, accounts: make(map[string]*account), ejector: route.NewEjector(), groups: make(map[string]groupState)}
 }
 
 // account returns a target's account; the lock must be held.
@@ -49,6 +52,57 @@
 	return a
 }
 
+// reported takes what agents tell of engines.
+func (b *book) reported(targets []*serving.Target, loads map[string]peers.RankLoad, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range targets {
+		l, ok := loads[t.Address]
+		if !ok {
+			continue
+		}
+		a := b.account(t)
+		a.others = reportedLoad{
+			running: int(l.Running),
+			waiting: int(l.Waiting),
+			pace:    max(float64(l.Pace), 1),
+			at:      at,
+			ownThen: a.running,
+		}
+	}
+}
+
+func (b *book) setGroup(service string, s groupState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.groups[service] = s
+}
+
+// limit returns how many streams a target of a service may run now. late tells
+// that requests wait for so long that throughput is all that counts.
+func (b *book) limit(s *serving.Service, gapAim time.Duration, late bool, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.groups[s.Name]
+	if now.Sub(state.at) > reportLife {
+		return limit(s.Engine, gapAim, calmImbalance)
+	}
+	if late {
+		return limit(s.Engine, gapAim, state.imbalance)
+	}
+	return limit(s.Engine, gapAim, max(state.imbalance, min(state.worst, 1.0)))
+}
+
+// reserve books a try at the target with the least work that runs fewer requests
+// than most; nil if there is none.
+func (b *book) reserve(targets []*serving.Target, most int, s size, now time.Time) *serving.Target {
+	t := b.place(targets, func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
+	if t != nil {
+		b.begin(t, s)
+	}
+	return t
+}
+
 // begin books a try.
 func (b *book) begin(t *serving.Target, s size) *account {
 	b.mu.Lock()
@@ -59,6 +113,13 @@
 	return a
 }
 
+// accountOf returns a target's account.
+func (b *book) accountOf(t *serving.Target) *account {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account(t)
+}
+
 // answered books that a target has begun to answer.
 func (b *book) answered(a *account, s size) {
 	b.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -33,7 +33,7 @@
 func (x *exchange) close() {
 	x.firstByte()
 	x.resp.Close()
-	x.tries.g.book.end(x.account)
+	x.tries.g.endTry(x.account)
 }
 
 // firstByte books that the target has begun to answer.
@@ -55,10 +55,9 @@
 		if e := t.ended(ctx); e != nil {
 			return nil, e
 		}
-		v := t.g.knowledge.view()
-		target := t.g.book.place(v.targets[t.r.service.Name], t.tried, time.Now())
-		if target == nil {
-			return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
+		target, e := t.target(ctx)
+		if e != nil {
+			return nil, e
 		}
 		x, e := t.send(ctx, target, resumeAfter)
 		if e == nil {
@@ -75,6 +74,59 @@
 	}
 }
 
+// target returns the target of the next try, with the try booked there.
+func (t *tries) target(ctx context.Context) (*serving.Target, *result.Error) {
+	if gt := t.g.gate(t.r.service); gt != nil && t.count == 0 {
+		return t.wait(ctx, gt)
+	}
+	v := t.g.knowledge.view()
+	target := t.g.book.place(v.targets[t.r.service.Name], t.had, time.Now())
+	if target == nil {
+		return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
+	}
+	t.g.book.begin(target, t.r.size)
+	return target, nil
+}
+
+// had tells whether a target has had this request.
+func (t *tries) had(target *serving.Target) bool { return t.tried[target.ID] }
+
+// wait waits at the gate for a target.
+func (t *tries) wait(ctx context.Context, gt *gate) (*serving.Target, *result.Error) {
+	w, comeBack, ok := gt.enter(t.r, time.Now())
+	if !ok {
+		e := result.New(result.WaitTooLong, "the wait would be %d ms", comeBack.Milliseconds())
+		e.RetryAfter = comeBack
+		return nil, e
+	}
+	t.g.regate(t.r.service.Name)
+	timer := time.NewTimer(t.r.maxWait())
+	defer timer.Stop()
+	select {
+	case target := <-w.granted:
+		return target, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if !gt.leave(w) {
+		target := <-w.granted
+		if ctx.Err() == nil {
+			return target, nil
+		}
+		a := t.g.book.accountOf(target)
+		t.g.book.answered(a, t.r.size)
+		t.g.endTry(a)
+	}
+	if e := t.ended(ctx); e != nil {
+		return nil, e
+	}
+	if len(t.g.knowledge.view().targets[t.r.service.Name]) == 0 {
+		return nil, result.New(result.NoTarget, "no target of %s", t.r.service.Name)
+	}
+	e := result.New(result.WaitTooLong, "waited %d ms", time.Since(w.since).Milliseconds())
+	return nil, e
+}
+
 // ended tells why nothing more can be done: the caller has left, or the time is
 // over. Without a try that may have run, the request certainly did not run.
 func (t *tries) ended(ctx context.Context) *result.Error {
@@ -123,13 +175,13 @@
 func (t *tries) send(ctx context.Context, target *serving.Target, resumeAfter string) (*exchange, *result.Error) {
 	t.tried[target.ID] = true
 	t.count++
-	a := t.g.book.begin(target, t.r.size)
+	a := t.g.book.accountOf(target)
 	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
 	resp, err := a.pool.Send(ctx, m)
 	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
 	if err != nil {
 		t.g.book.answered(a, t.r.size)
-		t.g.book.end(a)
+		t.g.endTry(a)
 		return nil, t.lost(ctx, target, err)
 	}
 	if e := t.judge(x); e != nil {
@@ -197,7 +249,13 @@
 // The failure is an answer too; without another target it is what the caller gets.
 func (t *tries) canSpare() bool {
 	targets := t.g.knowledge.view().targets[t.r.service.Name]
-	return t.g.book.place(targets, t.tried, time.Now()) != nil
+	return t.g.book.place(targets, t.had, time.Now()) != nil
+}
+
+// endTry books the end of a try, which may let another request go.
+func (g *Gateway) endTry(a *account) {
+	g.book.end(a)
+	g.regate(a.target.Service)
 }
 
 const statusMisdirected = 421
--- /dev/null
+++ b/gateway/gate.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// gate lets requests for one service with model engines go to targets.
+//
+// Engines of a group run each pass together, so a pass takes longer for all the
+// more streams run anywhere, and far longer right after demand has moved and the
+// map no longer fits. With as many streams as engines have slots, that moment
+// makes every stream late; with fewer it does not, and the ones that wait here
+// for a moment are still in time. So the gate keeps the streams of each target to
+// what the group bears, and lets those that wait go by priority, then in order of
+// arrival.
+type gate struct {
+	mu      sync.Mutex
+	waiting []*waiter
+	rate    rate // of requests let go
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	r       *request
+	since   time.Time
+	granted chan *serving.Target
+}
+
+// Figures of the gate.
+const (
+	// gapShare of the aim for pauses is what passes may take; the rest is for prompts
+	// that are read and for the way to the caller.
+	gapShare = 0.9
+	// copySlows: passes take longer by 15 in 100 while ranks copy experts, which they
+	// do whenever demand has moved. Source: the platform's statement.
+	copySlows = 1.15
+	// calmImbalance is expected where nothing is known of the group's map yet.
+	calmImbalance = 2.5
+	// longWait: once requests wait longer than this they are late for their first
+	// event, and what is left to save is throughput.
+	longWait = 250 * time.Millisecond
+	// leastRunning keeps a target useful whatever the figures say.
+	leastRunning = 3
+)
+
+// groupState is what an agent told of a group.
+type groupState struct {
+	open             bool
+	imbalance, worst float64
+	at               time.Time
+}
+
+// limit returns how many streams a target may run.
+func limit(m *serving.EngineModel, gapAim time.Duration, imbalance float64) int {
+	if gapAim <= 0 || m.StepPerWriter <= 0 {
+		return m.Slots
+	}
+	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)
+	budget := float64(gapAim) * gapShare / copySlows / factor / float64(max(m.Stride, 1))
+	n := int((budget - float64(m.Step)) / float64(m.StepPerWriter))
+	return min(max(n, leastRunning), m.Slots)
+}
+
+// enter puts a request into the queue. ok is false if it would wait for longer
+// than its caller does; wait is then when to come back.
+func (g *gate) enter(r *request, now time.Time) (w *waiter, wait time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := 0
+	for _, o := range g.waiting {
+		if o.r.priority <= r.priority {
+			before++
+		}
+	}
+	expected := g.rate.expect(before+1, now)
+	if before > 0 && expected > r.maxWait() {
+		return nil, expected, false
+	}
+	w = &waiter{r: r, since: now, granted: make(chan *serving.Target, 1)}
+	g.waiting = append(g.waiting, w)
+	slices.SortStableFunc(g.waiting, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.r.priority, b.r.priority), a.since.Compare(b.since))
+	})
+	return w, 0, true
+}
+
+// leave takes a request out; false if it has been granted a target meanwhile.
+func (g *gate) leave(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := slices.Index(g.waiting, w)
+	if at < 0 {
+		return false
+	}
+	g.waiting = slices.Delete(g.waiting, at, at+1)
+	return true
+}
+
+// oldest returns how long the first request has waited.
+func (g *gate) oldest(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var longest time.Duration
+	for _, w := range g.waiting {
+		longest = max(longest, now.Sub(w.since))
+	}
+	return longest
+}
+
+// grant hands targets to requests that wait, as long as place finds any.
+func (g *gate) grant(now time.Time, place func(r *request) *serving.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.waiting) > 0 {
+		w := g.waiting[0]
+		t := place(w.r)
+		if t == nil {
+			return
+		}
+		g.waiting = slices.Delete(g.waiting, 0, 1)
+		g.rate.count(now)
+		w.granted <- t
+	}
+}
+
+// rate tells how fast requests are let go.
+type rate struct {
+	times [rateMemory]time.Time
+	n     int
+}
+
+const rateMemory = 16
+
+func (r *rate) count(now time.Time) {
+	r.times[r.n%rateMemory] = now
+	r.n++
+}
+
+// expect returns how long it takes until so many more have been let go.
+func (r *rate) expect(n int, now time.Time) time.Duration {
+	if r.n < rateMemory {
+		return 0
+	}
+	span := now.Sub(r.times[r.n%rateMemory])
+	return span / rateMemory * time.Duration(n)
+}
+
+// firstEventShare of a caller's patience is kept for the engine's own work on the
+// first event.
+const firstEventShare = 0.25
+
+// maxWait is how long a request may wait at the gate: callers leave when the first
+// event does not come.
+func (r *request) maxWait() time.Duration {
+	left := r.deadline.Sub(r.arrived)
+	if r.route.Patience > 0 {
+		left = min(left, r.route.Patience)
+	}
+	return share(left, 1-firstEventShare)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retryBudget // by service
+	gates   map[string]*gate        // by service
 }
 
 // Limits on callers.
@@ -54,6 +55,7 @@
 		opts:     o,
 		book:     newBook(o.DataCentre),
 		budgets:  make(map[string]*retryBudget),
+		gates:    make(map[string]*gate),
 		listener: callersLn,
 		setByUs:  make(map[string]bool),
 	}
@@ -111,11 +113,16 @@
 // housekeep does what comes up now and then.
 func (g *Gateway) housekeep() {
 	met := make(map[string]string)
+	followed := make(map[string]bool)
 	for g.ctx.Err() == nil {
 		sleep(g.ctx, expireEvery)
 		g.knowledge.expire()
 		if v := g.knowledge.view(); v != nil {
 			g.book.sweep(v.targets)
+			g.startLoads(followed)
+			for i := range v.index.Services {
+				g.regate(v.index.Services[i].Name)
+			}
 		}
 		for name, value := range g.knowledge.entryRecords() {
 			if met[name] == string(value) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -11,12 +11,17 @@
 const (
 	distanceWeight = 0.1    // another data centre; decides only between equals
 	readWeight     = 0.0015 // a prompt token that is still to be read
-	reportLife     = 2 * time.Second
+	// slowWeight is for each time that a target takes as long as usual beyond the
+	// first: all ranks of a group wait for a slow one, so it gets work last.
+	slowWeight = 10.0
+	slowPace   = 1.3
+	// reportLife is how long a report is believed.
+	reportLife = 2 * time.Second
 )
 
-// place chooses the target of a try among those of a service that have not had
-// it yet; nil if there is none.
-func (b *book) place(targets []*serving.Target, tried map[string]bool, now time.Time) *serving.Target {
+// place chooses the target of a try: the one with the least work of those that
+// drop does not exclude; nil if there is none. drop is called with the lock held.
+func (b *book) place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	names := make([]string, 0, len(targets))
@@ -24,9 +29,9 @@
 		names = append(names, t.ID)
 	}
 	skip := b.ejector.Skip(names, now, rand.Float64)
-	best := b.least(targets, func(t *serving.Target) bool { return tried[t.ID] || skip[t.ID] }, now)
-	if best == nil {
-		best = b.least(targets, func(t *serving.Target) bool { return tried[t.ID] }, now)
+	best := b.least(targets, func(t *serving.Target) bool { return drop(t) || skip[t.ID] }, now)
+	if best == nil && len(skip) > 0 {
+		best = b.least(targets, drop, now)
 	}
 	return best
 }
@@ -54,8 +59,9 @@
 	return best
 }
 
+// work rates what a target has to do.
 func (b *book) work(t *serving.Target, now time.Time) float64 {
-	work := 0.0
+	work := float64(b.load(t, now))
 	if t.DataCentre != b.dataCentre {
 		work += distanceWeight
 	}
@@ -63,10 +69,22 @@
 	if a == nil {
 		return work
 	}
-	work += float64(a.running) + readWeight*a.reading
-	if now.Sub(a.others.at) < reportLife {
-		others := a.others.running + a.others.waiting - a.others.ownThen
-		work += float64(max(others, 0))
+	work += readWeight * a.reading
+	if now.Sub(a.others.at) < reportLife && a.others.pace > slowPace {
+		work += slowWeight * (a.others.pace - 1)
 	}
 	return work
 }
+
+// load returns how many requests a target has: this entry's, and those of others
+// by the latest report.
+func (b *book) load(t *serving.Target, now time.Time) int {
+	a := b.accounts[t.ID]
+	if a == nil {
+		return 0
+	}
+	if now.Sub(a.others.at) > reportLife {
+		return a.running
+	}
+	return a.running + max(a.others.running+a.others.waiting-a.others.ownThen, 0)
+}
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -266,12 +266,19 @@
 	return &result, nil
 }
 
-func (a *Agent) answerLoads([]byte) (msgp.Marshaler, error) {
+func (a *Agent) answerLoads(payload []byte) (msgp.Marshaler, error) {
+	var q peers.LoadsQuery
+	if _, err := q.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	loads := a.loads
 	loads.Leader = a.leader
 	loads.AgeMS = uint32(min(time.Since(a.loadAt), time.Hour).Milliseconds())
+	if q.Roster == loads.Roster {
+		loads.Engines = nil
+	}
 	return &loads, nil
 }
 
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
@@ -21,6 +22,7 @@
 	newest  uint64 // highest version seen or given
 
 	passes passMeter
+	worst  worstSeen
 }
 
 // passMeter tells how long passes take.
@@ -86,7 +88,7 @@
 	}
 	l.group.add(l.a.opts.Address)
 	ranks, complete := l.group.collect(own.Group, &peers.Collect{Counts: true, Leader: l.a.opts.Peers})
-	l.a.publish(loadsOf(ranks, own))
+	l.a.publish(l.loads(ranks, own))
 	if len(ranks) < own.Ranks {
 		l.group.reread()
 	}
@@ -148,6 +150,12 @@
 		}
 	}
 	l.demand.observe(now, sum)
+	if l.demand.moved(l.layouts, l.group.model) {
+		l.a.opts.Log.V(1).Info("demand moved", "epoch", l.epoch)
+	}
+	if l.demand.enough() && l.version != 0 {
+		l.worst.take(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
+	}
 }
 
 // logLoad logs now and then how the group fares.
@@ -164,7 +172,7 @@
 	}
 	l.a.opts.Log.Info("group load", "group", ranks[0].state.Group, "pass_ms", round2(float64(mean)/float64(time.Millisecond)),
 		"running", running, "most_of_rank", most, "waiting", waiting,
-		"imbalance", round2(imbalance(l.layouts, l.demand.loads, paces(ranks), l.group.model)), "version", l.version)
+		"imbalance", round2(imbalance(l.layouts, l.demand.loads(), paces(ranks), l.group.model)), "version", l.version)
 }
 
 // known tells whether the map in use is the one that we think it is. After a
@@ -220,7 +228,7 @@
 		return
 	}
 	pl := planner{model: m, urgency: l.urgency(), pace: paces(ranks)}
-	p := pl.best(l.layouts, l.demand.loads)
+	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
 	}
@@ -300,14 +308,46 @@
 	}
 }
 
-// loadsOf returns what entries want to know of the ranks.
-func loadsOf(ranks []rank, own peers.RankState) peers.Loads {
-	loads := peers.Loads{Known: true, Open: own.Open}
+// loads returns what entries want to know of the ranks.
+func (l *leader) loads(ranks []rank, own peers.RankState) peers.Loads {
+	loads := peers.Loads{
+		Known:     true,
+		Open:      own.Open,
+		PassMS:    float32(l.passes.mean.Seconds() * 1e3),
+		Imbalance: float32(l.worst.now),
+		Worst:     float32(l.worst.most),
+	}
+	roster := fnv.New64a()
 	for i := range ranks {
 		s := &ranks[i].state
-		loads.Ranks = append(loads.Ranks, peers.RankLoad{Engine: ranks[i].engine, Running: s.Running, Waiting: s.Waiting, Pace: s.Pace})
+		_, _ = roster.Write([]byte(ranks[i].engine + "\n")) // never fails
+		loads.Engines = append(loads.Engines, ranks[i].engine)
+		loads.Ranks = append(loads.Ranks, peers.RankLoad{
+			Running: uint16(s.Running),
+			Waiting: uint16(s.Waiting),
+			Pace:    float32(s.Pace),
+		})
 	}
+	loads.Roster = roster.Sum64()
 	return loads
 }
 
+// worstSeen remembers the most imbalance of the last while: demand that has moved
+// once will move again.
+type worstSeen struct {
+	now, most float64
+	at        time.Time
+}
+
+// worstHalfLife: a group that has seen no move for so long counts with half of it.
+const worstHalfLife = 30 * time.Second
+
+func (w *worstSeen) take(imbalance float64, now time.Time) {
+	if !w.at.IsZero() {
+		w.most = 1 + (w.most-1)*halved(now.Sub(w.at), worstHalfLife)
+	}
+	w.now, w.at = imbalance, now
+	w.most = max(w.most, imbalance)
+}
+
 func round2(v float64) float64 { return float64(int(v*100+0.5)) / 100 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -9,46 +9,93 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// demand is how much each expert is wanted lately.
+// demand is how much each expert is wanted.
+//
+// Demand keeps for some seconds and then moves at once. The choices of the last
+// passes show a move soonest, but follow the chance of which requests run just
+// then, and maps that follow chance cost copies for nothing. So two means are
+// kept, over a short and a long while. The long one counts, until the map fits the
+// short one so much worse that demand must have moved; then it begins anew from
+// there.
 type demand struct {
+	recent, steady mean
+	last           time.Time
+}
+
+// mean is a mean of choices that fades.
+type mean struct {
+	half  time.Duration
 	loads []float64
-	total float64 // choices that loads rest on, aged alike
-	last  time.Time
+	total float64
 }
 
 // Figures of the demand.
 const (
-	// demandHalfLife: demand keeps for some seconds and then moves at once. The
-	// choices of a few passes are tens of thousands, which tell it well; older ones
-	// would hide the move.
-	demandHalfLife = 100 * time.Millisecond
+	recentHalfLife = 80 * time.Millisecond // one or two passes
+	steadyHalfLife = 700 * time.Millisecond
+	// movedShare and movedLeast: by chance the map fits the last passes worse by a
+	// tenth; a move makes it about twice as bad.
+	movedShare = 1.2
+	movedLeast = 0.05
 	// enoughChoices for each expert tell demand from chance within a few percent.
 	enoughChoices = 200
 )
 
-func newDemand(experts int) *demand { return &demand{loads: make([]float64, experts)} }
+func newDemand(experts int) *demand {
+	return &demand{
+		recent: mean{half: recentHalfLife, loads: make([]float64, experts)},
+		steady: mean{half: steadyHalfLife, loads: make([]float64, experts)},
+	}
+}
 
 // observe takes the choices since the last time.
 func (d *demand) observe(now time.Time, counts []float64) {
+	since := time.Duration(0)
+	if !d.last.IsZero() {
+		since = now.Sub(d.last)
+	}
+	d.last = now
 	sum := 0.0
 	for _, n := range counts {
 		sum += n
 	}
 	if sum == 0 {
-		d.last = now
 		return
 	}
-	keep := 0.0
-	if !d.last.IsZero() {
-		keep = halved(now.Sub(d.last), demandHalfLife)
+	d.recent.add(counts, sum, since)
+	d.steady.add(counts, sum, since)
+}
+
+func (m *mean) add(counts []float64, sum float64, since time.Duration) {
+	keep := halved(since, m.half)
+	m.total = m.total*keep + sum
+	for e := range m.loads {
+		m.loads[e] = m.loads[e]*keep + counts[e]
 	}
-	d.last = now
-	d.total = d.total*keep + sum
-	for e := range d.loads {
-		d.loads[e] = d.loads[e]*keep + counts[e]
+}
+
+// moved notes whether demand has moved, by how well the map in use fits.
+func (d *demand) moved(layouts []expert.Layout, m *serving.EngineModel) bool {
+	if !d.enough() {
+		return false
+	}
+	recent, steady := imbalance(layouts, d.recent.loads, nil, m), imbalance(layouts, d.steady.loads, nil, m)
+	if recent < steady*movedShare+movedLeast {
+		return false
 	}
+	copy(d.steady.loads, d.recent.loads)
+	d.steady.total = d.recent.total
+	return true
 }
 
+// enough tells whether what is known is more than chance.
+func (d *demand) enough() bool {
+	return d.recent.total > enoughChoices*float64(len(d.recent.loads))
+}
+
+// loads returns the demand to plan for.
+func (d *demand) loads() []float64 { return d.steady.loads }
+
 // halved returns what is left of 1 after a time, linearly within a half-life.
 func halved(t, half time.Duration) float64 {
 	left := 1.0
@@ -62,8 +109,6 @@
 	return left
 }
 
-func (d *demand) enough() bool { return d.total > enoughChoices*float64(len(d.loads)) }
-
 // plan is a change of the maps of all sets.
 type plan struct {
 	layouts       []expert.Layout
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -141,25 +141,31 @@
 // LoadsQuery asks an agent for what it last knew of all ranks of its group.
 //
 //msgp:tuple LoadsQuery
-type LoadsQuery struct{}
+type LoadsQuery struct {
+	Roster uint64 // of the engines that the asker knows; 0: none
+}
 
 // Loads are the loads of the ranks of a group.
 //
 //msgp:tuple Loads
 type Loads struct {
-	Known  bool
-	Leader string // who knows them, if this agent does not
-	Open   bool
-	AgeMS  uint32
-	Ranks  []RankLoad
+	Known     bool
+	Leader    string // who knows them, if this agent does not
+	Open      bool
+	AgeMS     uint32
+	PassMS    float32  // time of the latest passes
+	Imbalance float32  // how many times as long as even loads the ranks take for their experts
+	Worst     float32  // the most of it lately
+	Roster    uint64   // names the list of engines
+	Engines   []string // addresses by rank; left out if the asker knows them
+	Ranks     []RankLoad
 }
 
 // RankLoad is the load of one rank.
 //
 //msgp:tuple RankLoad
 type RankLoad struct {
-	Engine  string // address
-	Running int
-	Waiting int
-	Pace    float64 // how many times as long as usual it takes
+	Running uint16
+	Waiting uint16
+	Pace    float32 // how many times as long as usual it takes
 }
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -221,19 +221,27 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Open)
 	o = msgp.AppendUint32(o, z.AgeMS)
+	o = msgp.AppendFloat32(o, z.PassMS)
+	o = msgp.AppendFloat32(o, z.Imbalance)
+	o = msgp.AppendFloat32(o, z.Worst)
+	o = msgp.AppendUint64(o, z.Roster)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Engines)))
+	for za0001 := range z.Engines {
+		o = msgp.AppendString(o, z.Engines[za0001])
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
-	for za0001 := range z.Ranks {
-		o, err = z.Ranks[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001)
-			return
-		}
+	for za0002 := range z.Ranks {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint16(o, z.Ranks[za0002].Running)
+		o = msgp.AppendUint16(o, z.Ranks[za0002].Waiting)
+		o = msgp.AppendFloat32(o, z.Ranks[za0002].Pace)
 	}
 	return
 }
@@ -246,8 +254,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -270,25 +278,87 @@
 		err = msgp.WrapError(err, "AgeMS")
 		return
 	}
+	z.PassMS, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PassMS")
+		return
+	}
+	z.Imbalance, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Imbalance")
+		return
+	}
+	z.Worst, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Worst")
+		return
+	}
+	z.Roster, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Roster")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Ranks")
+		err = msgp.WrapError(err, "Engines")
 		return
 	}
 	if zb0002 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Ranks) >= int(zb0002) {
-		z.Ranks = (z.Ranks)[:zb0002]
+	if cap(z.Engines) >= int(zb0002) {
+		z.Engines = (z.Engines)[:zb0002]
 	} else {
-		z.Ranks = make([]RankLoad, zb0002)
+		z.Engines = make([]string, zb0002)
 	}
-	for za0001 := range z.Ranks {
-		bts, err = z.Ranks[za0001].UnmarshalMsg(bts)
+	for za0001 := range z.Engines {
+		z.Engines[za0001], bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001)
+			err = msgp.WrapError(err, "Engines", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ranks")
+		return
+	}
+	if zb0003 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Ranks) >= int(zb0003) {
+		z.Ranks = (z.Ranks)[:zb0003]
+	} else {
+		z.Ranks = make([]RankLoad, zb0003)
+	}
+	for za0002 := range z.Ranks {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0002)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Ranks[za0002].Running, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0002, "Running")
+			return
+		}
+		z.Ranks[za0002].Waiting, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0002, "Waiting")
+			return
+		}
+		z.Ranks[za0002].Pace, bts, err = msgp.ReadFloat32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0002, "Pace")
 			return
 		}
 	}
@@ -298,18 +368,20 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Loads) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Ranks {
-		s += z.Ranks[za0001].Msgsize()
+	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.Uint32Size + msgp.Float32Size + msgp.Float32Size + msgp.Float32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Engines {
+		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
+	s += msgp.ArrayHeaderSize + (len(z.Ranks) * (22 + msgp.Uint16Size + msgp.Uint16Size + msgp.Float32Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z LoadsQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 0
-	o = append(o, 0x90)
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.Roster)
 	return
 }
 
@@ -321,8 +393,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 0 {
-		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Roster, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Roster")
 		return
 	}
 	o = bts
@@ -331,7 +408,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z LoadsQuery) Msgsize() (s int) {
-	s = 1
+	s = 1 + msgp.Uint64Size
 	return
 }
 
@@ -520,14 +597,13 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendString(o, z.Engine)
-	o = msgp.AppendInt(o, z.Running)
-	o = msgp.AppendInt(o, z.Waiting)
-	o = msgp.AppendFloat64(o, z.Pace)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint16(o, z.Running)
+	o = msgp.AppendUint16(o, z.Waiting)
+	o = msgp.AppendFloat32(o, z.Pace)
 	return
 }
 
@@ -539,26 +615,21 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Engine, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Engine")
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Running, bts, err = msgp.ReadIntBytes(bts)
+	z.Running, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Running")
 		return
 	}
-	z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+	z.Waiting, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Waiting")
 		return
 	}
-	z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+	z.Pace, bts, err = msgp.ReadFloat32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Pace")
 		return
@@ -568,8 +639,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RankLoad) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Engine) + msgp.IntSize + msgp.IntSize + msgp.Float64Size
+func (z RankLoad) Msgsize() (s int) {
+	s = 1 + msgp.Uint16Size + msgp.Uint16Size + msgp.Float32Size
 	return
 }
 
--- a/serving/config.go
+++ b/serving/config.go
@@ -49,6 +49,7 @@
 	Timeout     time.Duration // longest that a request may be kept waiting
 	Aim         time.Duration // an answer within it has its whole worth
 	GapAim      time.Duration // longest pause between events of an answer in time
+	Patience    time.Duration // callers leave if the first event takes longer
 	Priority    int           // 0 is the most urgent
 	Shares      []Share
 	MaxAttempts int // targets that one request may be sent to
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -139,7 +139,11 @@
 	c := r.conn
 	r.conn = nil
 	running := r.stop()
-	if !running || !r.ended || !r.reusable || r.keep == 0 || c.br.Buffered() > 0 {
+	if !r.ended {
+		c.abort()
+		return
+	}
+	if !running || !r.reusable || r.keep == 0 || c.br.Buffered() > 0 {
 		_ = c.nc.Close()
 		return
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -89,11 +89,15 @@
 	if err != nil {
 		return nil, &SendError{Err: fmt.Errorf("connect to %s: %w", p.addr, err)}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	if ctx.Err() != nil {
+		p.give(c, idleDefault)
+		return nil, &SendError{Err: context.Cause(ctx)}
+	}
+	stop := context.AfterFunc(ctx, c.abort)
 	r, err := c.exchange(req)
 	if err != nil {
 		stop()
-		_ = c.nc.Close()
+		c.abort()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -103,6 +107,16 @@
 	return r, nil
 }
 
+// abort resets the connection. What is still on its way to the target is thrown
+// away by that: after a close it would arrive when a frozen or cut off VM is back,
+// and the target would begin to work on a request whose caller has long left.
+func (c *conn) abort() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // else it is a usual close
+	}
+	_ = c.nc.Close()
+}
+
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
 // bodyAside is the size from which a body is written by itself and not copied.
