--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -31,15 +31,15 @@
 	fresh    [serving.Topics]time.Time // when the replica was last known to be complete
 	config   *serving.Index
 	targets  *serving.TargetSet
-	outage   outage
+	regained time.Time         // when the store was back after an outage for all entries
+	failing  bool              // our own calls to the store
 	peers    map[string][]byte // records of entries
 }
 
-// outage is what is known of the store's health from our own calls.
-type outage struct {
-	down  bool
-	since time.Time // when it came back, zero if it was never away
-}
+// outageGap is how long nobody may have read the targets for an outage to count.
+// Targets renew their records every second or so and lose them after several times
+// that, so a shorter outage costs none.
+const outageGap = 1500 * time.Millisecond
 
 func newKnowledge(o *Options) *knowledge {
 	k := &knowledge{
@@ -72,12 +72,12 @@
 	return now.Sub(k.fresh[t])
 }
 
-// storeAnswered and storeFailed keep track of outages.
-func (k *knowledge) storeAnswered(now time.Time) {
+// storeAnswered and storeFailed log when this entry loses and regains the store.
+func (k *knowledge) storeAnswered() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.outage.down {
-		k.outage = outage{since: now}
+	if k.failing {
+		k.failing = false
 		k.log.Info("store regained")
 	}
 }
@@ -85,8 +85,8 @@
 func (k *knowledge) storeFailed(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.outage.down {
-		k.outage.down = true
+	if !k.failing {
+		k.failing = true
 		k.log.Info("store lost", "error", err.Error())
 	}
 }
@@ -119,10 +119,24 @@
 	k.apply(t, news)
 }
 
+// noteFresh notes that a topic was complete at a time, by our own reading or a
+// peer's. A store that turned away this entry only was away for nobody else, and
+// no target lost its record.
 func (k *knowledge) noteFresh(t serving.Topic, asOf time.Time) {
-	if asOf.After(k.fresh[t]) {
-		k.fresh[t] = asOf
+	if !asOf.After(k.fresh[t]) {
+		return
+	}
+	if t == serving.TopicTargets && !k.fresh[t].IsZero() && asOf.Sub(k.fresh[t]) > outageGap {
+		k.regained = time.Now()
+		k.log.Info("targets known again after an outage", "ms", asOf.Sub(k.fresh[t]).Milliseconds())
 	}
+	k.fresh[t] = asOf
+}
+
+// outage tells whether the store has been away for all entries for so long that
+// records of targets may have lapsed.
+func (k *knowledge) outage(now time.Time) bool {
+	return now.Sub(k.fresh[serving.TopicTargets]) > outageGap
 }
 
 // confirm notes that a peer knew all records before next at the time asOf; if we
@@ -157,7 +171,7 @@
 			k.peers[news[i].Key] = news[i].Value
 		}
 	}
-	if k.targets.Expire(now, k.outage.down) {
+	if k.targets.Expire(now, k.outage(now)) {
 		changed = true
 	}
 	if changed && k.config != nil {
@@ -194,14 +208,11 @@
 func (k *knowledge) applyTarget(rec *serving.Record, now time.Time) bool {
 	if len(rec.Value) == 0 {
 		believe := now
-		if k.outage.down || now.Sub(k.outage.since) < serving.ReturnWait {
-			believe = k.outage.since.Add(serving.ReturnWait)
-			if k.outage.down {
-				believe = now.Add(serving.ReturnWait)
-			}
+		if now.Sub(k.regained) < serving.ReturnWait {
+			believe = k.regained.Add(serving.ReturnWait)
 		}
 		gone := k.targets.Remove(rec.Key, now, believe)
-		k.log.Info("target gone", "target", rec.Key, "believed", gone, "store_down", k.outage.down)
+		k.log.Info("target gone", "target", rec.Key, "believed", gone, "after_outage_ms", now.Sub(k.regained).Milliseconds())
 		return gone
 	}
 	t, err := k.decodeTarget(rec.Key, rec.Value)
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -58,7 +58,7 @@
 		switch {
 		case err == nil:
 			pause = readPauseMin
-			g.knowledge.storeAnswered(time.Now())
+			g.knowledge.storeAnswered()
 			g.mesh.tell()
 		case errors.Is(err, serving.ErrTrimmed):
 			g.opts.Log.Info("store has dropped records, reading the newest", "topic", p.topic.String())
