--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -76,7 +76,7 @@
 
 // target returns the target of the next try, with the try booked there.
 func (t *tries) target(ctx context.Context) (*serving.Target, *result.Error) {
-	if gt := t.g.gate(t.r.service); gt != nil && t.count == 0 {
+	if gt := t.g.gate(t.r.service); gt != nil && t.atGate() {
 		return t.wait(ctx, gt)
 	}
 	v := t.g.knowledge.view()
@@ -88,6 +88,12 @@
 	return target, nil
 }
 
+// atGate tells whether the request waits at the gate for its target: at first, and
+// after a refusal that concerned all targets alike.
+func (t *tries) atGate() bool {
+	return t.count == 0 || (t.sent == 0 && t.last != nil && (t.last.Code == result.RankLost || t.last.Code == result.TargetBusy))
+}
+
 // had tells whether a target has had this request.
 func (t *tries) had(target *serving.Target) bool { return t.tried[target.ID] }
 
@@ -100,7 +106,7 @@
 		return nil, e
 	}
 	t.g.regate(t.r.service.Name)
-	timer := time.NewTimer(t.r.maxWait())
+	timer := time.NewTimer(time.Until(t.r.arrived.Add(t.r.maxWait())))
 	defer timer.Stop()
 	select {
 	case target := <-w.granted:
@@ -123,8 +129,7 @@
 	if len(t.g.knowledge.view().targets[t.r.service.Name]) == 0 {
 		return nil, result.New(result.NoTarget, "no target of %s", t.r.service.Name)
 	}
-	e := result.New(result.WaitTooLong, "waited %d ms", time.Since(w.since).Milliseconds())
-	return nil, e
+	return nil, t.orLast(result.New(result.WaitTooLong, "waited %d ms", time.Since(w.since).Milliseconds()))
 }
 
 // ended tells why nothing more can be done: the caller has left, or the time is
@@ -159,7 +164,9 @@
 func (t *tries) mayRetry(e *result.Error) bool {
 	r := t.r.route
 	switch {
-	case t.count >= triesMax || t.sent >= r.MaxAttempts:
+	case t.sent >= r.MaxAttempts:
+		return false
+	case t.count >= triesMax && e.Code != result.RankLost:
 		return false
 	case e.Run() != result.RunNot && !r.Repeatable():
 		return false
@@ -173,7 +180,6 @@
 
 // send makes one try.
 func (t *tries) send(ctx context.Context, target *serving.Target, resumeAfter string) (*exchange, *result.Error) {
-	t.tried[target.ID] = true
 	t.count++
 	a := t.g.book.accountOf(target)
 	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
@@ -188,6 +194,7 @@
 		x.close()
 		return nil, e
 	}
+	t.tried[target.ID] = true
 	return x, nil
 }
 
@@ -195,6 +202,7 @@
 func (t *tries) lost(ctx context.Context, target *serving.Target, err error) *result.Error {
 	var failed *upstream.SendError
 	sent := !errors.As(err, &failed) || failed.Sent
+	t.tried[target.ID] = true
 	if sent {
 		t.sent++
 	}
@@ -226,6 +234,9 @@
 		if fault := string(h.Peek(p.FaultAt)); fault != "" {
 			e.Code = result.RankLost
 			e.Detail += ", fault at " + fault
+			if gt := t.g.gate(t.r.service); gt != nil {
+				gt.refused(time.Now())
+			}
 		} else {
 			t.g.book.report(x.target, false)
 		}
@@ -233,6 +244,9 @@
 		return e
 	}
 	t.sent++
+	if gt := t.g.gate(t.r.service); gt != nil && status/100 == 2 {
+		gt.answered()
+	}
 	switch {
 	case status/100 == 2 && len(h.Peek(p.Seal)) == 0:
 		t.g.book.report(x.target, false)
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -22,6 +22,35 @@
 	mu      sync.Mutex
 	waiting []*waiter
 	rate    rate // of requests let go
+	breaker breaker
+}
+
+// breaker keeps requests at the gate while the group is broken: every engine
+// refuses then, and each refusal is an arrival that the retry budget pays for. Now
+// and then one request is let through to see.
+type breaker struct {
+	broken bool
+	next   time.Time // when one may go
+}
+
+// Paces of the breaker. A group is back within a second or so of its ranks.
+const (
+	probePause = 120 * time.Millisecond
+	probeLimit = 400 * time.Millisecond // without a result
+)
+
+// refused notes that the group is broken.
+func (g *gate) refused(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.breaker = breaker{broken: true, next: now.Add(probePause)}
+}
+
+// answered notes that the group runs requests.
+func (g *gate) answered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.breaker.broken = false
 }
 
 // waiter is a request that waits.
@@ -75,6 +104,9 @@
 func (g *gate) enter(r *request, now time.Time) (w *waiter, wait time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.breaker.broken {
+		return g.push(r), 0, true
+	}
 	before := 0
 	for _, o := range g.waiting {
 		if o.r.priority <= r.priority {
@@ -85,12 +117,17 @@
 	if before > 0 && expected > r.maxWait() {
 		return nil, expected, false
 	}
-	w = &waiter{r: r, since: now, granted: make(chan *serving.Target, 1)}
+	return g.push(r), 0, true
+}
+
+// push adds a request; one that comes back goes before those that came after it.
+func (g *gate) push(r *request) *waiter {
+	w := &waiter{r: r, since: r.arrived, granted: make(chan *serving.Target, 1)}
 	g.waiting = append(g.waiting, w)
 	slices.SortStableFunc(g.waiting, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.r.priority, b.r.priority), a.since.Compare(b.since))
 	})
-	return w, 0, true
+	return w
 }
 
 // leave takes a request out; false if it has been granted a target meanwhile.
@@ -121,6 +158,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for len(g.waiting) > 0 {
+		if g.breaker.broken {
+			if now.Before(g.breaker.next) {
+				return
+			}
+			g.breaker.next = now.Add(probeLimit)
+		}
 		w := g.waiting[0]
 		t := place(w.r)
 		if t == nil {
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -19,7 +19,7 @@
 	takeOverSteps = 3
 	readPauseMin  = 100 * time.Millisecond
 	readPauseMax  = 500 * time.Millisecond
-	expireEvery   = 250 * time.Millisecond
+	expireEvery   = 100 * time.Millisecond
 )
 
 // pace says when an entry reads a topic.
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -132,7 +132,10 @@
 		l.layouts = append(l.layouts, expert.FirstLayout(len(ranks), m.Experts))
 	}
 	l.version = 0
-	l.demand = newDemand(m.Sets * m.Experts)
+	// What was wanted before a rank restarted is wanted after it.
+	if l.demand == nil || len(l.demand.steady.loads) != m.Sets*m.Experts {
+		l.demand = newDemand(m.Sets * m.Experts)
+	}
 	l.a.opts.Log.Info("group led", "group", ranks[0].state.Group, "epoch", l.epoch, "ranks", len(ranks), "map", ranks[0].state.Map)
 }
 
