--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,6 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.knowledge = newKnowledge(&o)
 	g.mesh = newMesh(g)
-	g.knowledge.changed = g.mesh.tell
 	g.peers = peers.Serve(peersLn, map[peers.Kind]peers.Handler{
 		peers.KindHeartbeat: func(payload []byte) (msgp.Marshaler, error) { return g.mesh.answer(payload) },
 	}, g.peerFailed)
@@ -79,9 +78,19 @@
 func (g *Gateway) startDuties() {
 	o := &g.opts
 	paces := []pace{
-		{topic: serving.TopicConfig, follow: share(o.ConfigApply, configFollow), wait: share(o.ConfigApply, configWait)},
-		{topic: serving.TopicTargets, lead: share(o.Drain, targetsEvery), follow: share(o.Drain, targetsEvery+takeOver/2)},
-		{topic: serving.TopicEntries, lead: entriesEvery, follow: entriesEvery},
+		{
+			topic:  serving.TopicConfig,
+			follow: share(o.ConfigApply, configFollow),
+			spread: share(o.ConfigApply, takeOver),
+			wait:   share(o.ConfigApply, configWait),
+		},
+		{
+			topic:  serving.TopicTargets,
+			lead:   share(o.Drain, targetsEvery),
+			follow: share(o.Drain, targetsFollow),
+			spread: share(o.Drain, takeOver),
+		},
+		{topic: serving.TopicEntries, lead: entriesEvery, follow: entriesEvery, spread: entriesEvery},
 	}
 	for _, p := range paces {
 		g.tasks.Go(func() { g.follow(g.ctx, p) })
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -24,11 +24,11 @@
 	decodeTarget func(string, []byte) (serving.Target, error)
 	log          logr.Logger
 	current      atomic.Pointer[view]
-	changed      func() // called after a new configuration, without the lock
 
 	mu       sync.Mutex
 	replicas [serving.Topics]*serving.Replica
 	fresh    [serving.Topics]time.Time // when the replica was last known to be complete
+	read     [serving.Topics]time.Time // the same, by our own reading
 	config   *serving.Index
 	targets  *serving.TargetSet
 	regained time.Time         // when the store was back after an outage for all entries
@@ -50,11 +50,19 @@
 		peers:        make(map[string][]byte),
 	}
 	for i := range k.replicas {
-		k.replicas[i] = serving.NewReplica()
+		k.replicas[i] = serving.NewReplica(nil)
 	}
+	k.replicas[serving.TopicTargets] = serving.NewReplica(k.sameTarget)
 	return k
 }
 
+// sameTarget tells whether two records of a target say the same.
+func (k *knowledge) sameTarget(id string, old, new []byte) bool {
+	a, errA := k.decodeTarget(id, old)
+	b, errB := k.decodeTarget(id, new)
+	return errA == nil && errB == nil && a == b
+}
+
 // view returns what is known now, nil before there is a configuration.
 func (k *knowledge) view() *view { return k.current.Load() }
 
@@ -72,6 +80,22 @@
 	return now.Sub(k.fresh[t])
 }
 
+// readAge returns how long ago this entry itself read a topic. Only that is told
+// to peers: if each passed on what it heard, every pass would add the time on the
+// way, and a topic that nobody reads any more would seem fresh for good.
+func (k *knowledge) readAge(t serving.Topic, now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.read[t])
+}
+
+// reachesStore tells whether our latest call to the store was answered.
+func (k *knowledge) reachesStore() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.failing
+}
+
 // storeAnswered and storeFailed log when this entry loses and regains the store.
 func (k *knowledge) storeAnswered() {
 	k.mu.Lock()
@@ -95,6 +119,7 @@
 func (k *knowledge) changes(t serving.Topic, records []serving.Record, next uint64, asOf time.Time) {
 	k.mu.Lock()
 	news := k.replicas[t].Apply(records, next)
+	k.read[t] = asOf
 	k.noteFresh(t, asOf)
 	k.apply(t, news)
 }
@@ -103,6 +128,7 @@
 func (k *knowledge) newest(t serving.Topic, records []serving.Record, end uint64, asOf time.Time) {
 	k.mu.Lock()
 	news := k.replicas[t].Reset(records, end)
+	k.read[t] = asOf
 	k.noteFresh(t, asOf)
 	k.apply(t, news)
 }
@@ -159,7 +185,6 @@
 // apply works news into the view. It is called with the lock held and releases it.
 func (k *knowledge) apply(t serving.Topic, news []serving.Record) {
 	now := time.Now()
-	before := k.config
 	changed := false
 	for i := range news {
 		switch t {
@@ -177,11 +202,7 @@
 	if changed && k.config != nil {
 		k.current.Store(&view{index: k.config, targets: k.targets.ByService()})
 	}
-	tell := k.config != before && k.changed != nil
 	k.mu.Unlock()
-	if tell {
-		k.changed()
-	}
 }
 
 func (k *knowledge) applyConfig(rec *serving.Record) bool {
--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	byName  map[string]*peer
 	stopped bool
+
+	wanting uint8 // topics of which some peer is being asked
 }
 
 // peer is another entry.
@@ -36,9 +38,16 @@
 }
 
 const (
-	heartbeatEvery = 1500 * time.Millisecond // of each entry to each other; the reader's news come between
-	heartbeatLimit = 500 * time.Millisecond  // many times the longest way
-	deadAfter      = 2 * time.Second         // without a word in either direction
+	heartbeatLimit = 500 * time.Millisecond // many times the longest way
+	// heartbeatPerEntry keeps the heartbeats that one entry handles at some forty a
+	// second however many entries there are; news come between.
+	heartbeatPerEntry = 50 * time.Millisecond
+	heartbeatLeast    = 800 * time.Millisecond
+	heartbeatMost     = 3 * time.Second
+	// An entry counts as dead after two heartbeats that did not come in either
+	// direction, and a margin.
+	deadBeats  = 2
+	deadMargin = 400 * time.Millisecond
 	// forgetAfter ends the questions to an entry that is gone for good.
 	forgetAfter = 30 * time.Second
 )
@@ -58,10 +67,27 @@
 	}
 }
 
+// every returns the pause between two heartbeats to one entry.
+func (m *mesh) every() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.everyLocked()
+}
+
+func (m *mesh) everyLocked() time.Duration {
+	return min(max(time.Duration(len(m.byName))*heartbeatPerEntry, heartbeatLeast), heartbeatMost)
+}
+
+// alive tells whether an entry has been heard lately; the lock must be held.
+func (m *mesh) alive(n *peer) bool {
+	return time.Since(n.heard) < deadBeats*m.everyLocked()+deadMargin
+}
+
 // presence returns what is told of this entry.
 func (m *mesh) presence() peers.Presence {
 	p := m.self
 	p.Ready = m.g.Ready()
+	p.Store = m.g.knowledge.reachesStore()
 	return p
 }
 
@@ -107,7 +133,7 @@
 		if m.forget(n) {
 			return
 		}
-		timer := time.NewTimer(heartbeatEvery)
+		timer := time.NewTimer(m.every())
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -138,10 +164,9 @@
 }
 
 func (m *mesh) ask(ctx context.Context, n *peer) error {
-	m.mu.Lock()
-	knows := n.topics
-	m.mu.Unlock()
-	question := m.heartbeat(knows)
+	question := m.heartbeat()
+	question.Wants = m.want(n)
+	defer m.wanted(question.Wants)
 	var answer peers.Heartbeat
 	if err := n.client.Ask(ctx, peers.KindHeartbeat, question, &answer, heartbeatLimit); err != nil {
 		return err
@@ -150,8 +175,35 @@
 	return nil
 }
 
-// heartbeat returns a sign of life with what a peer that knows so much lacks.
-func (m *mesh) heartbeat(knows []peers.TopicState) *peers.Heartbeat {
+// want returns the topics to ask a peer for: those of which it knows more, and of
+// which no other peer is being asked. A fleet would otherwise fill its links with
+// each new configuration, sent by each to each. A topic of which nothing is known
+// yet is read from the store, unless that does not answer.
+func (m *mesh) want(n *peer) uint8 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var wants uint8
+	for t := range serving.Topic(serving.Topics) {
+		if m.wanting&(1<<t) != 0 || int(t) >= len(n.topics) {
+			continue
+		}
+		next, loaded := m.g.knowledge.position(t)
+		if n.topics[t].Next > next && (loaded || !m.g.knowledge.reachesStore()) {
+			wants |= 1 << t
+		}
+	}
+	m.wanting |= wants
+	return wants
+}
+
+func (m *mesh) wanted(wants uint8) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wanting &^= wants
+}
+
+// heartbeat returns a sign of life.
+func (m *mesh) heartbeat() *peers.Heartbeat {
 	now := time.Now()
 	k := m.g.knowledge
 	h := &peers.Heartbeat{Entry: m.presence(), InFlight: uint32(m.g.inFlight.Load())}
@@ -159,13 +211,9 @@
 		next, loaded := k.position(t)
 		state := peers.TopicState{}
 		if loaded {
-			state = peers.TopicState{Next: next, AgeMS: uint32(min(k.age(t, now), time.Hour).Milliseconds())}
+			state = peers.TopicState{Next: next, AgeMS: uint32(min(k.readAge(t, now), time.Hour).Milliseconds())}
 		}
 		h.Topics = append(h.Topics, state)
-		if int(t) >= len(knows) || !loaded || knows[t].Next >= next {
-			continue
-		}
-		h.News = append(h.News, m.news(t, knows[t].Next))
 	}
 	return h
 }
@@ -176,23 +224,32 @@
 	for _, r := range records {
 		n.Records = append(n.Records, peers.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
+	if err := n.Pack(); err != nil {
+		m.g.opts.Log.Error(err, "records not packed", "topic", t.String())
+	}
 	return n
 }
 
 // take works in a heartbeat, a question or an answer.
 func (m *mesh) take(h *peers.Heartbeat) {
 	now := time.Now()
-	if n := m.meet(h.Entry); n != nil {
+	n := m.meet(h.Entry)
+	if n != nil {
 		m.mu.Lock()
 		if h.Entry.Incarnation >= n.presence.Incarnation {
 			n.presence, n.heard, n.topics, n.inFlight = h.Entry, now, h.Topics, h.InFlight
 		}
 		m.mu.Unlock()
 	}
-	for _, news := range h.News {
+	for i := range h.News {
+		news := &h.News[i]
 		if int(news.Topic) >= serving.Topics || int(news.Topic) >= len(h.Topics) {
 			continue
 		}
+		if err := news.Unpack(); err != nil {
+			m.g.opts.Log.Error(err, "news of an entry ignored", "entry", h.Entry.Name)
+			continue
+		}
 		records := make([]serving.Record, 0, len(news.Records))
 		for _, r := range news.Records {
 			records = append(records, serving.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
@@ -216,7 +273,43 @@
 		return nil, err
 	}
 	m.take(&h)
-	return m.heartbeat(h.Topics), nil
+	if n := m.known(h.Entry.Name); n != nil && m.lacks(n) {
+		kick(n) // it knows more: ask it now
+	}
+	answer := m.heartbeat()
+	for t := range serving.Topic(serving.Topics) {
+		if h.Wants&(1<<t) != 0 && int(t) < len(h.Topics) && h.Topics[t].Next < answer.Topics[t].Next {
+			answer.News = append(answer.News, m.news(t, h.Topics[t].Next))
+		}
+	}
+	return answer, nil
+}
+
+func (m *mesh) known(name string) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byName[name]
+}
+
+// lacks tells whether a peer knows more of a topic than this entry.
+func (m *mesh) lacks(n *peer) bool {
+	m.mu.Lock()
+	topics := n.topics
+	m.mu.Unlock()
+	for t := range topics {
+		if next, loaded := m.g.knowledge.position(serving.Topic(t)); loaded && topics[t].Next > next {
+			return true
+		}
+	}
+	return false
+}
+
+// kick makes the next heartbeat to an entry go out now.
+func kick(n *peer) {
+	select {
+	case n.kick <- struct{}{}:
+	default: // one is due already
+	}
 }
 
 // tell makes the heartbeats to all entries go out now.
@@ -224,25 +317,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range m.byName {
-		select {
-		case n.kick <- struct{}{}:
-		default: // one is due already
-		}
+		kick(n)
 	}
 }
 
-// position returns how many of the entries that are heard come before this one
-// by name.
-func (m *mesh) position() int {
+// position returns this entry's place among those that may read the store, and
+// how many there are. Those that do not reach the store come last.
+func (m *mesh) position() (place, of int) {
+	reaches := m.g.knowledge.reachesStore()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := 0
+	of = 1
 	for name, n := range m.byName {
-		if name < m.self.Name && time.Since(n.heard) < deadAfter {
-			before++
+		if !m.alive(n) {
+			continue
+		}
+		of++
+		if n.presence.Store && (!reaches || name < m.self.Name) || !n.presence.Store && !reaches && name < m.self.Name {
+			place++
 		}
 	}
-	return before
+	return place, of
 }
 
 // entries returns how many entries are heard, this one among them.
@@ -251,7 +346,7 @@
 	defer m.mu.Unlock()
 	count := 1
 	for _, n := range m.byName {
-		if time.Since(n.heard) < deadAfter {
+		if m.alive(n) {
 			count++
 		}
 	}
@@ -267,7 +362,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range m.byName {
-		if n.presence.Ready && time.Since(n.heard) < deadAfter {
+		if n.presence.Ready && m.alive(n) {
 			list = append(list, n.presence)
 		}
 	}
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -12,37 +12,40 @@
 // is left for the read itself, one that fails, and the way to the peers.
 const (
 	targetsEvery  = 0.35 // of the time in which a leaving target must get no more work
-	configWait    = 0.6  // of the time in which a configuration must be in force
-	configFollow  = 0.75 // the same, for entries that hear of it from another one
+	targetsFollow = 0.5  // the same, for entries that hear of it from another one
+	configWait    = 0.45 // of the time in which a configuration must be in force
+	configFollow  = 0.6
 	entriesEvery  = 10 * time.Second
-	takeOver      = 0.25 // later by this part reads each next entry, should those before it fail
-	takeOverSteps = 3
-	readPauseMin  = 100 * time.Millisecond
-	readPauseMax  = 500 * time.Millisecond
-	expireEvery   = 100 * time.Millisecond
+	// takeOver is the part of the bound over which the entries follow each other
+	// in reading, should those before them fail.
+	takeOver     = 0.25
+	readPauseMin = 100 * time.Millisecond
+	readPauseMax = 500 * time.Millisecond
+	expireEvery  = 100 * time.Millisecond
 )
 
 // pace says when an entry reads a topic.
 type pace struct {
 	topic  serving.Topic
 	lead   time.Duration // age at which the first of the entries reads
-	follow time.Duration // age at which the others do
+	follow time.Duration // age at which the next one does
+	spread time.Duration // by how much later the last one does
 	wait   time.Duration // that a read of the first stays open for news
 }
 
-// limit returns the age at which the entry at a position reads, and for how long
-// the read may stay open.
+// limit returns the age at which the entry at a place among several reads, and
+// for how long the read may stay open.
 //
 // The calls of all entries add up at the store, and are paid for. So the first
 // of those that hear each other reads, and tells the rest at once; each next one
 // reads by itself a little later if it has heard nothing, so that a reader that
-// dies or is cut off from the store costs a fraction of the bound.
-func (p *pace) limit(position int) (age, wait time.Duration) {
-	if position == 0 {
+// dies or is cut off from the store costs a part of the bound and no more, and
+// many that fail do not make all others read at once.
+func (p *pace) limit(place, of int) (age, wait time.Duration) {
+	if place == 0 {
 		return p.lead, p.wait
 	}
-	step := share(p.follow, takeOver)
-	return p.follow + time.Duration(min(position, takeOverSteps)-1)*step, 0
+	return p.follow + p.spread*time.Duration(place)/time.Duration(of), 0
 }
 
 // follow keeps one topic up to date.
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -15,7 +15,7 @@
 	KindLoads     Kind = 4 // LoadsQuery, answered by Loads
 )
 
-// Heartbeat is an entry's sign of life, with what the other one lacks.
+// Heartbeat is an entry's sign of life; an answer brings what the other one lacks.
 //
 //msgp:tuple Heartbeat
 type Heartbeat struct {
@@ -23,6 +23,7 @@
 	Topics   []TopicState
 	News     []TopicNews
 	InFlight uint32 // requests in work
+	Wants    uint8  // a bit for each topic of which the sender asks for what it lacks
 }
 
 // Presence tells how an entry is reached and whether it takes requests.
@@ -35,6 +36,7 @@
 	Callers     string // address that callers connect to
 	Peers       string // address that entries connect to
 	Ready       bool
+	Store       bool // it reaches the store
 }
 
 // TopicState is how far an entry knows a topic of the store.
@@ -42,7 +44,7 @@
 //msgp:tuple TopicState
 type TopicState struct {
 	Next  uint64 // all records before this offset are known
-	AgeMS uint32 // since they were last known to be all
+	AgeMS uint32 // since this entry itself read them all from the store
 }
 
 // TopicNews are records of a topic that the receiver lacks.
@@ -53,8 +55,12 @@
 	From    uint64 // the receiver was to know all records before
 	Next    uint64
 	Records []Record
+	Packed  []byte // Records, msgpack in DEFLATE, where that is shorter
 }
 
+// Records are the records of a topic.
+type Records []Record
+
 // Record is the newest record of a key.
 //
 //msgp:tuple Record
@@ -130,7 +136,7 @@
 	Map     [][][]uint16 // with OrderPrepare: experts by set and rank, or
 	Base    uint64       // the version that Changes lead on from, if it is not 0
 	Changes []ListChange
-	Engine  string       // address of the engine, if it is not the agent's own
+	Engine  string // address of the engine, if it is not the agent's own
 }
 
 // ListChange replaces the experts of one rank in one set.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -69,8 +69,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Entry.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Entry")
@@ -92,6 +92,7 @@
 		}
 	}
 	o = msgp.AppendUint32(o, z.InFlight)
+	o = msgp.AppendUint8(o, z.Wants)
 	return
 }
 
@@ -103,8 +104,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Entry.UnmarshalMsg(bts)
@@ -176,6 +177,11 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Wants, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wants")
+		return
+	}
 	o = bts
 	return
 }
@@ -186,7 +192,7 @@
 	for za0002 := range z.News {
 		s += z.News[za0002].Msgsize()
 	}
-	s += msgp.Uint32Size
+	s += msgp.Uint32Size + msgp.Uint8Size
 	return
 }
 
@@ -607,14 +613,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendString(o, z.DataCentre)
 	o = msgp.AppendString(o, z.Callers)
 	o = msgp.AppendString(o, z.Peers)
 	o = msgp.AppendBool(o, z.Ready)
+	o = msgp.AppendBool(o, z.Store)
 	return
 }
 
@@ -626,8 +633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -660,13 +667,18 @@
 		err = msgp.WrapError(err, "Ready")
 		return
 	}
+	z.Store, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Store")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Presence) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(z.Callers) + msgp.StringPrefixSize + len(z.Peers) + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(z.Callers) + msgp.StringPrefixSize + len(z.Peers) + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
@@ -1137,11 +1149,98 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Records) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendArrayHeader(o, uint32(len(z)))
+	for za0001 := range z {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z[za0001].Key)
+		o = msgp.AppendBytes(o, z[za0001].Value)
+		o = msgp.AppendUint64(o, z[za0001].Offset)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Records) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap((*z)) >= int(zb0002) {
+		(*z) = (*z)[:zb0002]
+	} else {
+		(*z) = make(Records, zb0002)
+	}
+	for zb0001 := range *z {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		(*z)[zb0001].Key, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Key")
+			return
+		}
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Value")
+			return
+		}
+		if zb0004 > zb417a25dlimitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if (*z)[zb0001].Value == nil || uint32(cap((*z)[zb0001].Value)) < zb0004 {
+			(*z)[zb0001].Value = make([]byte, zb0004)
+		} else {
+			(*z)[zb0001].Value = (*z)[zb0001].Value[:zb0004]
+		}
+		if uint32(len(bts)) < zb0004 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy((*z)[zb0001].Value, bts[:zb0004])
+		bts = bts[zb0004:]
+		(*z)[zb0001].Offset, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Offset")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Records) Msgsize() (s int) {
+	s = msgp.ArrayHeaderSize
+	for zb0005 := range z {
+		s += 1 + msgp.StringPrefixSize + len(z[zb0005].Key) + msgp.BytesPrefixSize + len(z[zb0005].Value) + msgp.Uint64Size
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TopicNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint8(o, z.Topic)
 	o = msgp.AppendUint64(o, z.From)
 	o = msgp.AppendUint64(o, z.Next)
@@ -1153,6 +1252,7 @@
 		o = msgp.AppendBytes(o, z.Records[za0001].Value)
 		o = msgp.AppendUint64(o, z.Records[za0001].Offset)
 	}
+	o = msgp.AppendBytes(o, z.Packed)
 	return
 }
 
@@ -1164,8 +1264,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Topic, bts, err = msgp.ReadUint8Bytes(bts)
@@ -1241,6 +1341,27 @@
 			return
 		}
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
+	if zb0005 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Packed == nil || uint32(cap(z.Packed)) < zb0005 {
+		z.Packed = make([]byte, zb0005)
+	} else {
+		z.Packed = z.Packed[:zb0005]
+	}
+	if uint32(len(bts)) < zb0005 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Packed, bts[:zb0005])
+	bts = bts[zb0005:]
 	o = bts
 	return
 }
@@ -1251,6 +1372,7 @@
 	for za0001 := range z.Records {
 		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value) + msgp.Uint64Size
 	}
+	s += msgp.BytesPrefixSize + len(z.Packed)
 	return
 }
 
--- a/serving/replica.go
+++ b/serving/replica.go
@@ -51,13 +51,18 @@
 // a peer, in any order, late and doubled: a key's record is replaced by one with
 // a higher offset only, so nothing known is ever replaced by something older.
 type Replica struct {
+	same    func(key string, old, new []byte) bool
 	records map[string]Record
 	next    uint64 // all records before it are known
 	loaded  bool
 }
 
-// NewReplica returns an empty copy.
-func NewReplica() *Replica { return &Replica{records: make(map[string]Record)} }
+// NewReplica returns an empty copy. same tells whether two records of a key mean
+// the same, as those do that a target writes only to show that it lives: the
+// second is then no news, and peers need not hear of it. nil: all are news.
+func NewReplica(same func(key string, old, new []byte) bool) *Replica {
+	return &Replica{same: same, records: make(map[string]Record)}
+}
 
 // Loaded tells whether the whole topic has been seen once.
 func (r *Replica) Loaded() bool { return r.loaded }
@@ -78,13 +83,18 @@
 }
 
 func (r *Replica) put(rec Record) bool {
-	if old, ok := r.records[rec.Key]; ok && old.Offset >= rec.Offset {
+	old, ok := r.records[rec.Key]
+	if ok && (old.Offset >= rec.Offset || r.means(old, rec)) {
 		return false
 	}
 	r.records[rec.Key] = rec
 	return true
 }
 
+func (r *Replica) means(old, rec Record) bool {
+	return r.same != nil && len(old.Value) > 0 && len(rec.Value) > 0 && r.same(rec.Key, old.Value, rec.Value)
+}
+
 // Reset takes the newest records of all keys, as of an offset; keys that are not
 // among them, and are not newer than that offset, are gone. It returns the news,
 // removals among them.
