Agents tested in virtual time: late orders, frozen VMs, a frozen leader

A group of ranks that begins passes, loses and delays orders, and VMs that freeze. What the agent gives is serialised by a token instead of a mutex, on which virtual time can't wait.

--- a/cmd/heatherrail-rank/main.go
+++ b/cmd/heatherrail-rank/main.go
@@ -53,6 +53,7 @@
 		Port:         strconv.Itoa(s.PeerPort),
 		Store:        platform.NewStore(s.Store),
 		Remote:       func(address string) lockstep.Engine { return platform.NewEngine(address) },
+		Dial:         lockstep.DialPeer,
 		DecodeTarget: platform.DecodeTarget,
 		DecodeConfig: platform.DecodeConfigRecord,
 		Log:          log,
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -35,6 +35,17 @@
 	Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error)
 }
 
+// Asker asks another agent; *peers.Client is one.
+type Asker interface {
+	// Ask sends a question and decodes the answer, both within limit.
+	Ask(ctx context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error
+	// Close ends the connection.
+	Close()
+}
+
+// DialPeer is the usual Dial.
+func DialPeer(address string) Asker { return peers.NewClient(address) }
+
 // Options are what an agent is started with.
 type Options struct {
 	Name    string // of the VM
@@ -45,7 +56,9 @@
 	Port    string // on which every agent listens
 	Store   serving.Store
 	// Remote returns a client of an engine on another VM.
-	Remote       func(address string) Engine
+	Remote func(address string) Engine
+	// Dial returns a client of the agent at an address.
+	Dial         func(address string) Asker
 	DecodeTarget func(id string, value []byte) (serving.Target, error)
 	DecodeConfig func(key string, value []byte) (c serving.Config, ok bool, err error)
 	Log          logr.Logger
@@ -68,8 +81,8 @@
 	loadAt time.Time
 	other  peers.OtherArm
 
-	arming sync.Mutex // held while an arm is given, so that a fence comes before or after it
-	fence  fence
+	arming chan struct{} // holds one token, taken while an arm is given, so that a fence comes before or after it
+	fence  fence         // guarded by arming
 	maps   knownMaps
 	// remotes are clients of engines that this agent arms for a leader.
 	remotes map[string]Engine
@@ -83,13 +96,8 @@
 
 // Start starts an agent that answers peers on ln.
 func Start(o Options, ln net.Listener) *Agent {
-	a := &Agent{opts: o}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.server = peers.Serve(ln, map[peers.Kind]peers.Handler{
-		peers.KindCollect: a.answerCollect,
-		peers.KindOrder:   a.answerOrder,
-		peers.KindLoads:   a.answerLoads,
-	}, func(remote string, err error) {
+	a := newAgent(o)
+	a.server = peers.Serve(ln, a.handlers(), func(remote string, err error) {
 		o.Log.Info("peer connection failed", "remote", remote, "error", err.Error())
 	})
 	a.tasks.Go(a.run)
@@ -97,6 +105,20 @@
 	return a
 }
 
+func newAgent(o Options) *Agent {
+	a := &Agent{opts: o, arming: make(chan struct{}, 1)}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
+}
+
+func (a *Agent) handlers() map[peers.Kind]peers.Handler {
+	return map[peers.Kind]peers.Handler{
+		peers.KindCollect: a.answerCollect,
+		peers.KindOrder:   a.answerOrder,
+		peers.KindLoads:   a.answerLoads,
+	}
+}
+
 // Shutdown stops. Nothing of the agent's runs on: a switch that it leads is
 // finished by itself after its restart, or by another agent.
 func (a *Agent) Shutdown(context.Context) error {
@@ -207,8 +229,8 @@
 }
 
 func (a *Agent) setFence(f fence) bool {
-	a.arming.Lock()
-	defer a.arming.Unlock()
+	a.arming <- struct{}{}
+	defer func() { <-a.arming }()
 	if f.epoch != a.fence.epoch || f.step > a.fence.step {
 		a.fence = f
 	}
@@ -223,8 +245,8 @@
 	if o.Kind != peers.OrderArm {
 		return a.opts.Engine.Order(a.ctx, o)
 	}
-	a.arming.Lock()
-	defer a.arming.Unlock()
+	a.arming <- struct{}{}
+	defer func() { <-a.arming }()
 	if o.Epoch == a.fence.epoch && o.Step <= a.fence.step {
 		return peers.OrderResult{Refused: true}, nil
 	}
@@ -248,7 +270,7 @@
 	a.other = o
 }
 
-// remote returns a client of an engine on another VM; the lock of arming is held.
+// remote returns a client of an engine on another VM; the token of arming is held.
 func (a *Agent) remote(address string) Engine {
 	if a.remotes == nil {
 		a.remotes = make(map[string]Engine)
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -14,7 +14,7 @@
 // the agent does not answer.
 type member struct {
 	engine string // address
-	client *peers.Client
+	client Asker
 	direct Engine
 	own    *Agent // if it is this agent's own
 	lostAt time.Time
@@ -105,7 +105,7 @@
 	if address == g.a.opts.Address {
 		m.own, m.direct = g.a, g.a.opts.Engine
 	} else if host, _, err := net.SplitHostPort(address); err == nil {
-		m.client = peers.NewClient(net.JoinHostPort(host, g.a.opts.Port))
+		m.client = g.a.opts.Dial(net.JoinHostPort(host, g.a.opts.Port))
 	}
 	g.members[address] = m
 }
--- /dev/null
+++ b/lockstep/sim_test.go
@@ -0,0 +1,455 @@
+package lockstep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// simGroup is a group of ranks in virtual time: it begins passes unless a rank
+// holds it, switches armed ranks as their pass begins, and notes a pass that
+// begins while two ranks use different maps.
+type simGroup struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	epoch   uint64
+	step    uint64
+	ranks   []*simRank
+	mixed   []uint64 // passes that began with different maps
+	lost    float64  // share of orders without an answer
+	late    bool     // those take effect 2 to 12 s later, else never
+	loads   []float64
+	sets    int
+	experts int
+	passes  int
+	held    time.Duration // longest time without a pass
+}
+
+type simRank struct {
+	group    *simGroup
+	index    int
+	version  uint64
+	lists    [][]uint16
+	prepared uint64
+	next     [][]uint16
+	highest  uint64
+	armed    uint64
+	armedAt  uint64
+	heldAt   uint64
+	counts   []uint64
+	vm       *simVM
+}
+
+// simVM is the VM of a rank and its agent. While it is frozen its agent does
+// nothing, and neither agent nor engine can be reached from elsewhere.
+type simVM struct {
+	mu     sync.Mutex
+	frozen bool
+	thaw   chan struct{}
+}
+
+func (v *simVM) freeze() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.frozen {
+		v.frozen, v.thaw = true, make(chan struct{})
+	}
+}
+
+func (v *simVM) wake() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.frozen {
+		v.frozen = false
+		close(v.thaw)
+	}
+}
+
+func (v *simVM) isFrozen() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.frozen
+}
+
+// run waits until the VM is not frozen.
+func (v *simVM) run() {
+	for {
+		v.mu.Lock()
+		frozen, thaw := v.frozen, v.thaw
+		v.mu.Unlock()
+		if !frozen {
+			return
+		}
+		<-thaw
+	}
+}
+
+const (
+	simPass   = 40 * time.Millisecond
+	simCopy   = 80 * time.Millisecond
+	simTravel = time.Millisecond
+	simPort   = "7000"
+)
+
+func newSimGroup(ranks, sets, experts int, seed uint64) *simGroup {
+	g := &simGroup{rng: rand.New(rand.NewPCG(seed, 7)), epoch: 1, sets: sets, experts: experts}
+	for r := range ranks {
+		rank := &simRank{group: g, index: r, counts: make([]uint64, sets*experts), vm: new(simVM)}
+		rank.lists = firstLists(r, ranks, sets, experts)
+		g.ranks = append(g.ranks, rank)
+	}
+	g.move()
+	return g
+}
+
+func firstLists(rank, ranks, sets, experts int) [][]uint16 {
+	lists := make([][]uint16, sets)
+	for s := range lists {
+		for e := rank; e < experts; e += ranks {
+			lists[s] = append(lists[s], uint16(e))
+		}
+	}
+	return lists
+}
+
+// move draws which experts are in demand.
+func (g *simGroup) move() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loads = make([]float64, g.sets*g.experts)
+	for s := range g.sets {
+		for i, e := range g.rng.Perm(g.experts) {
+			g.loads[s*g.experts+e] = 20000 / float64(i+1)
+		}
+	}
+}
+
+// run begins passes until ctx ends.
+func (g *simGroup) run(ctx context.Context) {
+	stood := time.Duration(0)
+	for ctx.Err() == nil {
+		time.Sleep(simPass)
+		g.mu.Lock()
+		if g.begin() {
+			stood = 0
+		} else {
+			stood += simPass
+			g.held = max(g.held, stood)
+		}
+		g.mu.Unlock()
+	}
+}
+
+func (g *simGroup) begin() bool {
+	next := g.step + 1
+	for _, r := range g.ranks {
+		if r.heldAt == next {
+			return false
+		}
+	}
+	g.step = next
+	g.passes++
+	for _, r := range g.ranks {
+		if r.armed != 0 && r.armedAt == next {
+			r.version, r.lists = r.armed, r.next
+			r.armed, r.prepared = 0, 0
+		}
+		for e := range r.counts {
+			r.counts[e] += uint64(g.loads[e])
+		}
+	}
+	for _, r := range g.ranks {
+		if r.version != g.ranks[0].version {
+			g.mixed = append(g.mixed, next)
+			break
+		}
+	}
+	return true
+}
+
+// State implements Engine.
+func (r *simRank) State(context.Context) (peers.RankState, error) {
+	time.Sleep(simTravel / 2)
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return peers.RankState{
+		Known: true, Group: "g", Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Open: true,
+		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: 4, Pace: 1,
+	}, nil
+}
+
+// Counts implements Engine.
+func (r *simRank) Counts(context.Context) ([]uint64, uint64, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return append([]uint64(nil), r.counts...), r.group.epoch, nil
+}
+
+// Lists implements Engine.
+func (r *simRank) Lists(context.Context) ([][]uint16, uint64, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return r.lists, r.version, nil
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// Order implements Engine: some orders get no answer, and take effect seconds
+// later or never.
+func (r *simRank) Order(_ context.Context, o *peers.RankOrder) (peers.OrderResult, error) {
+	time.Sleep(simTravel)
+	g := r.group
+	g.mu.Lock()
+	dropped := g.rng.Float64() < g.lost
+	delay := 2*time.Second + time.Duration(g.rng.Int64N(int64(10*time.Second)))
+	late := g.late
+	g.mu.Unlock()
+	if dropped {
+		if late {
+			again := *o
+			time.AfterFunc(delay, func() { r.apply(&again) })
+		}
+		time.Sleep(50 * time.Millisecond)
+		return peers.OrderResult{}, errNoAnswer
+	}
+	ok := r.apply(o)
+	return peers.OrderResult{Taken: ok, Refused: !ok}, nil
+}
+
+// apply carries out an order as engines do.
+func (r *simRank) apply(o *peers.RankOrder) bool {
+	g := r.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if o.Epoch != g.epoch {
+		return false
+	}
+	switch o.Kind {
+	case peers.OrderPrepare:
+		return r.prepare(o)
+	case peers.OrderArm:
+		if r.armed == o.Version && r.armedAt == o.Step {
+			return true
+		}
+		if r.prepared != o.Version || o.Step <= g.step {
+			return false
+		}
+		r.armed, r.armedAt = o.Version, o.Step
+	case peers.OrderDisarm:
+		if r.version == o.Version {
+			return false
+		}
+		if r.armed == o.Version {
+			r.armed = 0
+		}
+	case peers.OrderHold:
+		if o.Step <= g.step {
+			return false
+		}
+		r.heldAt = o.Step
+	case peers.OrderGo:
+		if r.heldAt == o.Step {
+			r.heldAt = 0
+		}
+	}
+	return true
+}
+
+func (r *simRank) prepare(o *peers.RankOrder) bool {
+	if o.Version <= r.highest || r.armed != 0 {
+		return false
+	}
+	r.highest, r.prepared = o.Version, 0
+	var next [][]uint16
+	for s := range o.Map {
+		next = append(next, o.Map[s][r.index])
+	}
+	version := o.Version
+	time.AfterFunc(simCopy, func() {
+		r.group.mu.Lock()
+		defer r.group.mu.Unlock()
+		if r.highest == version {
+			r.prepared, r.next = version, next
+		}
+	})
+	return true
+}
+
+// simEngine is an engine as seen from a VM.
+type simEngine struct {
+	*simRank
+	from *simVM
+}
+
+// reach waits while the asking VM is frozen, and fails if the engine's is.
+func (e *simEngine) reach() error {
+	e.from.run()
+	if e.vm != e.from && e.vm.isFrozen() {
+		time.Sleep(70 * time.Millisecond)
+		return errNoAnswer
+	}
+	return nil
+}
+
+// State implements Engine.
+func (e *simEngine) State(ctx context.Context) (peers.RankState, error) {
+	if err := e.reach(); err != nil {
+		return peers.RankState{}, err
+	}
+	return e.simRank.State(ctx)
+}
+
+// Order implements Engine.
+func (e *simEngine) Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error) {
+	if err := e.reach(); err != nil {
+		return peers.OrderResult{}, err
+	}
+	result, err := e.simRank.Order(ctx, o)
+	e.from.run()
+	return result, err
+}
+
+// simAsker asks the agent of a rank.
+type simAsker struct {
+	f    *simFleet
+	rank int
+	from *simVM
+}
+
+// Ask implements Asker.
+func (s *simAsker) Ask(_ context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
+	s.from.run()
+	payload, err := question.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	done := make(chan []byte, 1)
+	go func() {
+		vm := s.f.group.ranks[s.rank].vm
+		time.Sleep(simTravel)
+		vm.run()
+		m, err := s.f.agents[s.rank].handlers()[kind](payload)
+		if err != nil {
+			return
+		}
+		vm.run()
+		time.Sleep(simTravel)
+		if text, err := m.MarshalMsg(nil); err == nil {
+			done <- text
+		}
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case text := <-done:
+		s.from.run()
+		_, err := answer.UnmarshalMsg(text)
+		return err
+	case <-timer.C:
+		s.from.run()
+		return errNoAnswer
+	}
+}
+
+// Close implements Asker.
+func (s *simAsker) Close() {}
+
+// simFleet is a group with its agents.
+type simFleet struct {
+	group  *simGroup
+	agents []*Agent
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func engineAddress(rank int) string { return fmt.Sprintf("10.0.0.%d:80", rank+1) }
+
+func rankOf(address string) int {
+	host, _, _ := net.SplitHostPort(address)
+	return int(net.ParseIP(host).To4()[3]) - 1
+}
+
+func startFleet(g *simGroup) *simFleet {
+	f := &simFleet{group: g}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for r, rank := range g.ranks {
+		vm := rank.vm
+		a := newAgent(Options{
+			Name:    fmt.Sprintf("vm-%d", r),
+			Engine:  &simEngine{simRank: rank, from: vm},
+			Address: engineAddress(r),
+			Service: "s",
+			Peers:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", r+1), simPort),
+			Port:    simPort,
+			Store:   simStore{ranks: len(g.ranks)},
+			Remote: func(address string) Engine {
+				return &simEngine{simRank: g.ranks[rankOf(address)], from: vm}
+			},
+			Dial: func(address string) Asker { return &simAsker{f: f, rank: rankOf(address), from: vm} },
+			DecodeTarget: func(id string, value []byte) (serving.Target, error) {
+				return serving.Target{ID: id, Service: "s", Address: string(value)}, nil
+			},
+			DecodeConfig: func(string, []byte) (serving.Config, bool, error) { return simConfig(g), true, nil },
+			Log:          logr.Discard(),
+			Metrics:      metrics.New(),
+		})
+		f.agents = append(f.agents, a)
+	}
+	f.done.Go(func() { g.run(ctx) })
+	for _, a := range f.agents {
+		f.done.Go(a.run)
+	}
+	return f
+}
+
+func (f *simFleet) stop() {
+	for i, a := range f.agents {
+		a.cancel()
+		f.group.ranks[i].vm.wake()
+	}
+	f.cancel()
+	f.done.Wait()
+}
+
+func simConfig(g *simGroup) serving.Config {
+	return serving.Config{Version: 1, Services: []serving.Service{{Name: "s", Engine: &serving.EngineModel{
+		Slots: 12, Stride: 4, Sets: g.sets, Experts: g.experts, Places: g.experts/len(g.ranks) + 2, Spare: 3,
+		ExpertBytes: 1e9, LinkRate: 2e10, ExpertShare: 0.85,
+	}}}}
+}
+
+// simStore lists the engines.
+type simStore struct{ ranks int }
+
+// Newest implements serving.Store.
+func (s simStore) Newest(_ context.Context, t serving.Topic) ([]serving.Record, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	if t == serving.TopicConfig {
+		return []serving.Record{{Key: "config", Value: []byte("x")}}, 1, nil
+	}
+	var records []serving.Record
+	for r := range s.ranks {
+		records = append(records, serving.Record{Key: fmt.Sprint(r), Value: []byte(engineAddress(r)), Offset: uint64(r)})
+	}
+	return records, uint64(s.ranks), nil
+}
+
+// Changes implements serving.Store.
+func (s simStore) Changes(context.Context, serving.Topic, uint64, time.Duration) ([]serving.Record, uint64, error) {
+	return nil, 0, nil
+}
+
+// Put implements serving.Store.
+func (s simStore) Put(context.Context, serving.Topic, string, []byte) error { return nil }
--- /dev/null
+++ b/lockstep/switch_test.go
@@ -0,0 +1,108 @@
+package lockstep
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// play runs a group of ranks with its agents for a time; during is called beside.
+func play(t *testing.T, g *simGroup, d time.Duration, during func(f *simFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(g)
+		if during != nil {
+			f.done.Go(func() { during(f) })
+		}
+		time.Sleep(d)
+		f.stop()
+	})
+}
+
+// Demand moves every few seconds on a calm day. The group must follow it with
+// maps of its own, in some passes, and never with two maps in one pass.
+func TestMapsFollowDemand(t *testing.T) {
+	g := NewWithT(t)
+	group := newSimGroup(12, 4, 72, 1)
+	play(t, group, 12*time.Second, func(*simFleet) {
+		for range 3 {
+			time.Sleep(4 * time.Second)
+			group.move()
+		}
+	})
+	g.Expect(group.mixed).To(BeEmpty())
+	g.Expect(group.ranks[0].version).NotTo(BeZero())
+	g.Expect(group.passes).To(BeNumerically(">", 250), "of 300")
+}
+
+// Engines leave a third of the orders without an answer and carry them out 2 to
+// 12 s later, after newer ones. A late arm must find its pass begun, a late hold
+// must not leave the group standing, and no pass may see two maps.
+func TestLateOrdersNeverMixMaps(t *testing.T) {
+	for seed := range uint64(12) {
+		g := NewWithT(t)
+		group := newSimGroup(9, 2, 36, seed)
+		group.lost, group.late = 0.35, true
+		play(t, group, 20*time.Second, func(*simFleet) {
+			for range 9 {
+				time.Sleep(2 * time.Second)
+				group.move()
+			}
+		})
+		g.Expect(group.mixed).To(BeEmpty(), "seed %d", seed)
+		g.Expect(group.held).To(BeNumerically("<", 2*time.Second), "seed %d", seed)
+		g.Expect(group.passes).To(BeNumerically(">", 300), "seed %d", seed)
+	}
+}
+
+// Any VM freezes for four seconds at any moment, that of the leader in the middle
+// of a switch among them, while orders go unanswered. When it wakes up its agent
+// goes on where it stopped. No pass may see two maps.
+func TestFrozenVMsNeverMixMaps(t *testing.T) {
+	for seed := range uint64(16) {
+		g := NewWithT(t)
+		group := newSimGroup(10, 2, 40, seed)
+		group.lost, group.late = 0.1, true
+		rng := rand.New(rand.NewPCG(seed, 2))
+		play(t, group, 30*time.Second, func(f *simFleet) {
+			for range 4 {
+				time.Sleep(time.Duration(500+rng.IntN(1500)) * time.Millisecond)
+				group.move()
+				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+				vm := group.ranks[rng.IntN(len(group.ranks))].vm
+				vm.freeze()
+				time.Sleep(4 * time.Second)
+				vm.wake()
+			}
+		})
+		g.Expect(group.mixed).To(BeEmpty(), "seed %d", seed)
+		g.Expect(group.passes).To(BeNumerically(">", 100), "seed %d", seed)
+	}
+}
+
+// The leader's VM freezes right after it has placed the hold. Its engine can't be
+// reached either, so nobody can see whether its rank is armed. The others know
+// that it is armed last, and must let the group go within a second or so, not when
+// the VM is back.
+func TestFrozenLeaderDoesNotStopTheGroup(t *testing.T) {
+	g := NewWithT(t)
+	group := newSimGroup(12, 4, 72, 3)
+	frozen := false
+	play(t, group, 10*time.Second, func(f *simFleet) {
+		for !frozen {
+			time.Sleep(time.Millisecond)
+			group.mu.Lock()
+			frozen = group.ranks[holderRank(12)].heldAt != 0
+			group.mu.Unlock()
+		}
+		group.ranks[0].vm.freeze()
+		time.Sleep(4 * time.Second)
+		group.ranks[0].vm.wake()
+	})
+	g.Expect(frozen).To(BeTrue())
+	g.Expect(group.mixed).To(BeEmpty())
+	g.Expect(group.held).To(BeNumerically("<", 1500*time.Millisecond))
+}
