--- /dev/null
+++ b/gateway/kit_test.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// testProtocol has field names of its own: nothing in the package may depend on
+// those of one platform.
+var testProtocol = Protocol{
+	RequestID: "Rid", Deadline: "Left", Key: "Key", Team: "Team", Instance: "Run-Id", NotRun: "Not-Run",
+	FaultAt: "Fault-At", Seal: "Seal", ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
+}
+
+// memStore keeps topics in memory and can be away.
+type memStore struct {
+	mu     sync.Mutex
+	topics [serving.Topics][]serving.Record
+	away   bool
+	reads  int
+}
+
+var errAway = errors.New("store is away")
+
+// Newest implements serving.Store.
+func (s *memStore) Newest(_ context.Context, t serving.Topic) ([]serving.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.away {
+		return nil, 0, errAway
+	}
+	newest := make(map[string]serving.Record)
+	for _, r := range s.topics[t] {
+		newest[r.Key] = r
+	}
+	var list []serving.Record
+	for _, r := range newest {
+		list = append(list, r)
+	}
+	return list, uint64(len(s.topics[t])), nil
+}
+
+// Changes implements serving.Store.
+func (s *memStore) Changes(ctx context.Context, t serving.Topic, from uint64, wait time.Duration) ([]serving.Record, uint64, error) {
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			return nil, 0, errAway
+		}
+		have := s.topics[t]
+		s.mu.Unlock()
+		if uint64(len(have)) > from || !time.Now().Before(end) || ctx.Err() != nil {
+			return have[min(from, uint64(len(have))):], max(from, uint64(len(have))), nil
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// Put implements serving.Store.
+func (s *memStore) Put(_ context.Context, t serving.Topic, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return errAway
+	}
+	s.topics[t] = append(s.topics[t], serving.Record{Key: key, Value: value, Offset: uint64(len(s.topics[t]))})
+	return nil
+}
+
+func (s *memStore) put(t serving.Topic, key string, value any) {
+	var text []byte
+	if value != nil {
+		text, _ = json.Marshal(value) // test data always encodes
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[t] = append(s.topics[t], serving.Record{Key: key, Value: text, Offset: uint64(len(s.topics[t]))})
+}
+
+func (s *memStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func decodeTestConfig(key string, value []byte) (serving.Config, bool, error) {
+	var c serving.Config
+	err := json.Unmarshal(value, &c)
+	return c, key == "config", err
+}
+
+func decodeTestTarget(id string, value []byte) (serving.Target, error) {
+	var t serving.Target
+	err := json.Unmarshal(value, &t)
+	t.ID = id
+	return t, err
+}
+
+// testTarget is a target whose answers a test writes by hand.
+type testTarget struct {
+	id   string
+	addr string
+	mu   sync.Mutex
+	seen []*http.Request
+	gone chan struct{} // one for each connection that its caller closed
+}
+
+// startTarget starts a target; serve answers one request and tells whether the
+// connection goes on.
+func startTarget(t *testing.T, id string, serve func(w net.Conn, r *http.Request) bool) *testTarget {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() })
+	target := &testTarget{id: id, addr: ln.Addr().String(), gone: make(chan struct{}, 64)}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go target.run(nc, serve)
+		}
+	}()
+	return target
+}
+
+func (target *testTarget) run(nc net.Conn, serve func(w net.Conn, r *http.Request) bool) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			target.gone <- struct{}{}
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		target.mu.Lock()
+		target.seen = append(target.seen, r)
+		target.mu.Unlock()
+		if !serve(nc, r) {
+			return
+		}
+	}
+}
+
+func (target *testTarget) arrivals() []*http.Request {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return append([]*http.Request(nil), target.seen...)
+}
+
+// reply writes a whole answer.
+func reply(w net.Conn, r *http.Request, status int, fields, body string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\nRid: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Rid"), fields, len(body), body)
+	return err == nil
+}
+
+const sealed = "Seal: yes\r\n"
+
+// streamHead begins a stream of events.
+func streamHead(w net.Conn, r *http.Request) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nRid: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Rid"), sealed)
+}
+
+func chunk(w net.Conn, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func reset(w net.Conn) bool {
+	_ = w.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// fleet is a gateway with a store and targets.
+type fleet struct {
+	t     *testing.T
+	store *memStore
+	gw    *Gateway
+	addr  string
+	rid   int
+}
+
+func testConfig() serving.Config {
+	stream := serving.Route{
+		Name: "stream", Host: "h", Prefix: "/s/", Kind: serving.KindStream, Timeout: 5 * time.Second,
+		Shares: []serving.Share{{Service: "llm", Weight: 1}}, MaxAttempts: 3, Resumable: true, Patience: 2 * time.Second,
+	}
+	cut := stream
+	cut.Name, cut.Prefix, cut.Resumable = "cut", "/cut/", false
+	once := stream
+	once.Name, once.Prefix, once.Kind, once.Shares = "once", "/once/", serving.KindOnce, []serving.Share{{Service: "plain", Weight: 1}}
+	idem := once
+	idem.Name, idem.Prefix, idem.Kind = "idem", "/idem/", serving.KindIdempotent
+	return serving.Config{
+		Version:  7,
+		Routes:   []serving.Route{stream, cut, once, idem},
+		Services: []serving.Service{{Name: "llm"}, {Name: "plain"}},
+		Teams:    []serving.Team{{Name: "kitchen", Keys: []string{"k1"}}},
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return ln
+}
+
+func testOptions(name string, store serving.Store) Options {
+	return Options{
+		Name: name, Incarnation: 1, DataCentre: "a", Protocol: testProtocol, Store: store,
+		DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget,
+		Drain: 400 * time.Millisecond, ConfigApply: 400 * time.Millisecond, Grace: 2 * time.Second, LifetimeMax: 5 * time.Second,
+		Retries: RetryBounds{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, AgentPort: "1",
+		Log: logr.Discard(), Metrics: metrics.New(),
+	}
+}
+
+func startGateway(t *testing.T, name string, store *memStore) *fleet {
+	t.Helper()
+	callersLn, peersLn := listen(t), listen(t)
+	o := testOptions(name, store)
+	o.Callers, o.Peers = callersLn.Addr().String(), peersLn.Addr().String()
+	f := &fleet{t: t, store: store, addr: o.Callers}
+	f.gw = Start(o, callersLn, peersLn)
+	t.Cleanup(func() {
+		f.gw.cancel()
+		f.gw.peers.Close()
+		_ = callersLn.Close()
+	})
+	return f
+}
+
+// startFleet starts a gateway that knows a configuration and targets.
+func startFleet(t *testing.T, service string, targets ...*testTarget) *fleet {
+	t.Helper()
+	store := new(memStore)
+	store.put(serving.TopicConfig, "config", testConfig())
+	for _, target := range targets {
+		store.put(serving.TopicTargets, target.id, serving.Target{Service: service, Address: target.addr, DataCentre: "a"})
+	}
+	f := startGateway(t, "gw", store)
+	NewWithT(t).Eventually(func() int {
+		if v := f.gw.knowledge.view(); v != nil {
+			return len(v.targets[service])
+		}
+		return -1
+	}, "5s", "5ms").Should(Equal(len(targets)))
+	return f
+}
+
+// ask sends one request on a connection of its own and reads the whole answer.
+func (f *fleet) ask(method, path, key, body string, fields ...string) (*http.Response, string, error) {
+	f.rid++
+	req, err := http.NewRequest(method, "http://"+f.addr+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "h"
+	req.Header.Set("Rid", fmt.Sprintf("r%d", f.rid))
+	req.Header.Set("Left", "4000")
+	if key != "" {
+		req.Header.Set("Key", key)
+	}
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
