A target that spoilt an answer is not tried again for the same request

Decisions of the gateway have tests: limit, order, breaker, budget in every window, outages, freshness, take-over of readers, news of peers, events in pieces.

--- /dev/null
+++ b/gateway/decide_test.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+func testModel() *serving.EngineModel {
+	return &serving.EngineModel{
+		Slots: 12, Stride: 4, Step: 4550 * time.Microsecond, StepPerWriter: 905 * time.Microsecond, ExpertShare: 0.85,
+	}
+}
+
+// Demand moves, the map fits half as well, and passes take twice as long. With as
+// many streams as the limit allows a pass must stay within the aim for pauses, or
+// every stream in the group is late at once.
+func TestTheLimitKeepsPassesWithinTheAim(t *testing.T) {
+	g := NewWithT(t)
+	m := testModel()
+	aim := 120 * time.Millisecond
+	for _, imbalance := range []float64{1, 1.5, 2, 2.5} {
+		n := limit(m, aim, imbalance)
+		factor := 0.15 + 0.85*imbalance
+		pass := time.Duration(float64(m.Stride) * (float64(m.Step) + float64(n)*float64(m.StepPerWriter)) * factor * copySlows)
+		g.Expect(n == m.Slots || pass <= aim).To(BeTrue(), "imbalance %.1f: %d streams, passes of %s", imbalance, n, pass)
+		g.Expect(n == leastRunning || pass > aim/3).To(BeTrue(), "imbalance %.1f: %d streams leave the group idle", imbalance, n)
+	}
+	g.Expect(limit(m, aim, 1)).To(Equal(12))
+	g.Expect(limit(m, aim, 100)).To(Equal(leastRunning))
+	g.Expect(limit(m, 0, 2)).To(Equal(12), "without an aim there is nothing to keep")
+}
+
+func waiting(priority int, arrived time.Time) *request {
+	return &request{
+		priority: priority, arrived: arrived, deadline: arrived.Add(8 * time.Second),
+		route: &serving.Route{Patience: 2 * time.Second},
+	}
+}
+
+// More requests come than targets have room for. The more urgent go first, and
+// equals in the order of their arrival.
+func TestTheGateGoesByPriorityThenArrival(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(gate)
+	now := time.Now()
+	reqs := []*request{waiting(2, now), waiting(1, now.Add(1)), waiting(1, now.Add(2)), waiting(0, now.Add(3))}
+	for _, r := range reqs {
+		_, _, ok := gt.enter(r, now)
+		g.Expect(ok).To(BeTrue())
+	}
+	var order []*request
+	gt.grant(now, func(r *request) *serving.Target {
+		order = append(order, r)
+		return &serving.Target{}
+	})
+	g.Expect(order).To(Equal([]*request{reqs[3], reqs[1], reqs[2], reqs[0]}))
+}
+
+// The queue moves at ten requests a second, and callers stay for two seconds. Who
+// would wait for longer is refused on arrival with the time after which there is
+// room, and not after having waited in vain.
+func TestTheGateRefusesAtOnceWhoWouldWaitTooLong(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(gate)
+	now := time.Now()
+	for range rateMemory {
+		gt.rate.count(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	accepted := 0
+	var wait time.Duration
+	for range 30 {
+		_, w, ok := gt.enter(waiting(1, now), now)
+		if !ok {
+			wait = w
+			break
+		}
+		accepted++
+	}
+	g.Expect(accepted).To(BeNumerically("~", 15, 2), "three quarters of two seconds at ten a second")
+	g.Expect(wait).To(BeNumerically("~", 1600*time.Millisecond, 200*time.Millisecond))
+	_, _, ok := gt.enter(waiting(0, now), now)
+	g.Expect(ok).To(BeTrue(), "a more urgent request does not wait behind the others")
+}
+
+// A rank has died and every engine of its group refuses. Requests wait; one at a
+// time is let through to see, and the first that is answered opens the gate.
+func TestABrokenGroupIsProbedByOne(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(gate)
+	now := time.Now()
+	for range 5 {
+		_, _, ok := gt.enter(waiting(1, now), now)
+		g.Expect(ok).To(BeTrue())
+	}
+	let := 0
+	place := func(*request) *serving.Target {
+		let++
+		return &serving.Target{}
+	}
+	gt.refused(now)
+	gt.grant(now, place)
+	g.Expect(let).To(BeZero())
+	now = now.Add(probePause)
+	gt.grant(now, place)
+	gt.grant(now, place)
+	g.Expect(let).To(Equal(1))
+	gt.answered()
+	gt.grant(now, place)
+	g.Expect(let).To(Equal(5))
+}
+
+// Several entries retry as much as each may, with requests and failures at random
+// times. In no window of the bound's length do their retries together exceed it.
+func TestRetriesStayWithinTheBoundInEveryWindow(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		bounds := RetryBounds{Ratio: 0.2, Slack: 92, Window: 10 * time.Second}
+		const entries = 8
+		start := time.Now()
+		var budgets [entries]*retryBudget
+		for i := range budgets {
+			budgets[i] = newRetryBudget(bounds, start)
+		}
+		var requests, retries []time.Time
+		now := start
+		for range 6000 {
+			now = now.Add(time.Duration(rng.Int64N(int64(10 * time.Millisecond))))
+			b := budgets[rng.IntN(entries)]
+			if rng.Float64() < 0.4 {
+				b.request(now)
+				requests = append(requests, now)
+			}
+			if b.take(now, entries) {
+				retries = append(retries, now)
+			}
+		}
+		g.Expect(len(retries)).To(BeNumerically(">", 100), "the budget must be of use")
+		for _, from := range retries {
+			sent, asked := count(retries, from, bounds.Window), count(requests, from, bounds.Window)
+			g.Expect(float64(sent)).To(BeNumerically("<=", bounds.Ratio*float64(asked)+bounds.Slack), "seed %d", seed)
+		}
+	}
+}
+
+func count(times []time.Time, from time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
+func testKnowledge() *knowledge {
+	return newKnowledge(&Options{DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget, Log: logr.Discard()})
+}
+
+func targetRecord(offset uint64, key, value string) serving.Record {
+	return serving.Record{Key: key, Value: []byte(value), Offset: offset}
+}
+
+// The store is away for seconds, and the records of targets lapse that could not
+// renew them. They must stay usable until the targets had time to come back; one
+// that is still missing then is gone.
+func TestTargetsSurviveAnOutageOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.config = serving.NewIndex(testConfig())
+	k.newest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain"}`)}, 2, now.Add(-5*time.Second))
+	k.changes(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", "")}, 3, now)
+	g.Expect(k.view().targets["plain"]).To(HaveLen(1))
+	k.mu.Lock()
+	changed := k.targets.Expire(now.Add(serving.ReturnWait+time.Second), false)
+	k.mu.Unlock()
+	g.Expect(changed).To(BeTrue())
+}
+
+// The store turns this entry away and serves the others; a peer tells that a
+// target has been taken out. There was no outage for the targets, so it is gone at
+// once and gets no more requests.
+func TestATargetGoesAtOnceIfOnlyThisEntryLostTheStore(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.config = serving.NewIndex(testConfig())
+	k.newest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain"}`)}, 2, now.Add(-time.Second))
+	k.storeFailed(errAway)
+	k.adopt(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", "")}, 2, 3, now)
+	g.Expect(k.view().targets["plain"]).To(BeEmpty())
+}
+
+// A target writes its record at every heartbeat. That it lives is no news to
+// peers: only what it says of itself is.
+func TestRecordsThatOnlyShowLifeAreNoNews(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.newest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain","sequence":1}`)}, 2, now)
+	k.changes(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", `{"Service":"plain","sequence":2}`)}, 3, now)
+	records, next := k.since(serving.TopicTargets, 2)
+	g.Expect(records).To(BeEmpty())
+	g.Expect(next).To(Equal(uint64(3)))
+	k.changes(serving.TopicTargets, []serving.Record{targetRecord(3, "i1", `{"Service":"plain","Leaving":true}`)}, 4, now)
+	records, _ = k.since(serving.TopicTargets, 3)
+	g.Expect(records).To(HaveLen(1))
+}
+
+// A peer passes on what it has heard from a third one. If that counted as fresh,
+// entries would keep each other from reading a store that only they could reach.
+func TestOnlyOwnReadingsAreToldAsFresh(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.newest(serving.TopicConfig, nil, 1, now.Add(-3*time.Second))
+	k.confirm(serving.TopicConfig, 1, now)
+	g.Expect(k.age(serving.TopicConfig, now)).To(BeNumerically("<=", time.Millisecond))
+	g.Expect(k.readAge(serving.TopicConfig, now)).To(BeNumerically(">=", 3*time.Second))
+}
+
+// A configuration never goes back: neither an older record that comes late from a
+// peer nor a store that reads stale replaces a newer one.
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.newest(serving.TopicConfig, []serving.Record{targetRecord(5, "config", `{"Version":9}`)}, 6, now)
+	k.adopt(serving.TopicConfig, []serving.Record{targetRecord(3, "config", `{"Version":7}`)}, 0, 4, now)
+	g.Expect(k.view().index.Version).To(Equal(uint64(9)))
+	k.newest(serving.TopicConfig, []serving.Record{targetRecord(3, "config", `{"Version":7}`)}, 4, now)
+	k.newest(serving.TopicConfig, []serving.Record{targetRecord(8, "config", `{"Version":8}`)}, 9, now)
+	g.Expect(k.view().index.Version).To(Equal(uint64(9)))
+}
+
+// Of many entries the first reads the store and the others follow it. If it fails,
+// exactly the next takes over first, the rest one after the other, all within the
+// bound; not all at the same moment.
+func TestReadersTakeOverOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	bound := 3 * time.Second
+	p := pace{lead: share(bound, targetsEvery), follow: share(bound, targetsFollow), spread: share(bound, takeOver)}
+	last := time.Duration(0)
+	for place := range 46 {
+		age, _ := p.limit(place, 46)
+		g.Expect(age).To(BeNumerically(">", last))
+		g.Expect(age).To(BeNumerically("<", bound*9/10))
+		last = age
+	}
+}
+
+// An entry that the store turns away stands behind all that it serves, whatever
+// its name: it would keep them waiting for its news.
+func TestWhoDoesNotReachTheStoreReadsLast(t *testing.T) {
+	g := NewWithT(t)
+	f := startGateway(t, "b", new(memStore))
+	meet := func(name string, reaches bool) {
+		f.gw.mesh.meet(peers.Presence{Name: name, Peers: "127.0.0.1:1", Incarnation: 1, Store: reaches})
+	}
+	meet("a", false)
+	meet("c", true)
+	place, of := f.gw.mesh.position()
+	g.Expect(place).To(Equal(0))
+	g.Expect(of).To(Equal(3))
+	f.gw.knowledge.storeFailed(errAway)
+	place, _ = f.gw.mesh.position()
+	g.Expect(place).To(Equal(2))
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -191,6 +191,7 @@
 		return nil, t.lost(ctx, target, err)
 	}
 	if e := t.judge(x); e != nil {
+		t.tried[target.ID] = e.Code != result.RankLost // it is as good as any once the group is back
 		x.close()
 		return nil, e
 	}
--- /dev/null
+++ b/gateway/events_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Targets repeat events after a resumption, leave some out, or stop in the middle
+// of one. Only whole events with the next id may reach the caller.
+func TestEventsFollowEachOther(t *testing.T) {
+	g := NewWithT(t)
+	s := eventScanner{last: -1}
+	out, err := s.add(nil, []byte(event(0)+event(1)[:4]))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(out)).To(Equal(event(0)))
+	g.Expect(s.half()).To(BeTrue())
+	out, err = s.add(nil, []byte(event(1)[4:]+event(1)+event(2)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(out)).To(Equal(event(1)+event(2)), "the repeated event is left out")
+	_, err = s.add(nil, []byte(event(4)))
+	g.Expect(err).To(MatchError(errEventGap))
+}
+
+// Whatever the pieces in which a stream arrives, what is passed on is the same.
+func FuzzEventsDoNotDependOnPieces(f *testing.F) {
+	f.Add(event(0)+event(1)+event(2), uint8(3))
+	f.Add("data: no id\r\n\r\nid: 5\ndata: x\n\nid: 6\n\n", uint8(1))
+	f.Fuzz(func(t *testing.T, stream string, size uint8) {
+		whole := eventScanner{last: -1}
+		want, wantErr := whole.add(nil, []byte(stream))
+		pieces := eventScanner{last: -1}
+		var got []byte
+		var gotErr error
+		step := int(size) + 1
+		for rest := stream; rest != "" && gotErr == nil; {
+			n := min(step, len(rest))
+			got, gotErr = pieces.add(got, []byte(rest[:n]))
+			rest = rest[n:]
+		}
+		if strings.Contains(stream, "\r") {
+			return // a carriage return at the edge of a piece may join an event to the next
+		}
+		if string(want) != string(got) || (wantErr == nil) != (gotErr == nil) {
+			t.Errorf("whole: %q, %v; in pieces of %d: %q, %v", want, wantErr, step, got, gotErr)
+		}
+	})
+}
