--- /dev/null
+++ b/logging/async_test.go
@@ -0,0 +1,46 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/logging"
+)
+
+// blockedWriter stands for a reader of the log that has stopped reading.
+type blockedWriter struct {
+	mu      sync.Mutex
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// Nobody reads the log. Whoever logs must go on all the same; when it is read
+// again, it says how many lines are missing.
+func TestALogThatNobodyReadsHoldsNobodyUp(t *testing.T) {
+	g := NewWithT(t)
+	w := &blockedWriter{release: make(chan struct{})}
+	a := logging.NewAsync(w)
+	for range 5000 {
+		n, err := a.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(5))
+	}
+	dropped := a.Dropped()
+	g.Expect(dropped).To(BeNumerically(">", 0))
+	close(w.release)
+	a.Close()
+	text := w.text.String()
+	g.Expect(text).To(ContainSubstring("log lines dropped"))
+	g.Expect(int64(strings.Count(text, "line\n"))).To(Equal(5000 - dropped))
+}
