--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -49,7 +49,11 @@
 		log.Error(err, "can't listen for peers")
 		return daemon.ExitFail
 	}
-	g := gateway.Start(options(s, log, peersAddr), callersLn, peersLn)
+	set := metrics.New()
+	g := gateway.Start(options(s, log, set, peersAddr), callersLn, peersLn)
+	if err := serveMetrics(s, set); err != nil {
+		log.Error(err, "can't serve metrics")
+	}
 	if err := platform.ServeDirectory(s.Directory, g.Entries); err != nil {
 		log.Error(err, "can't serve the directory")
 		return daemon.ExitFail
@@ -61,7 +65,7 @@
 	return daemon.WaitAndReload(g, s.Grace, func() { platform.LogReload(log, s) })
 }
 
-func options(s *platform.Settings, log logr.Logger, peersAddr string) gateway.Options {
+func options(s *platform.Settings, log logr.Logger, set *metrics.Set, peersAddr string) gateway.Options {
 	return gateway.Options{
 		Name:         s.Name,
 		Incarnation:  daemon.Incarnation(),
@@ -83,6 +87,14 @@
 		},
 		AgentPort: strconv.Itoa(s.PeerPort),
 		Log:       log,
-		Metrics:   metrics.New(),
+		Metrics:   set,
 	}
 }
+
+// metricsPort is the port that the deploy file names for metrics.
+const metricsPort = "9464"
+
+func serveMetrics(s *platform.Settings, set *metrics.Set) error {
+	_, err := set.Serve(net.JoinHostPort(s.IP, metricsPort))
+	return err
+}
--- a/cmd/heatherrail-rank/main.go
+++ b/cmd/heatherrail-rank/main.go
@@ -44,6 +44,10 @@
 		log.Error(err, "can't listen for peers")
 		return daemon.ExitFail
 	}
+	set := metrics.New()
+	if err := serveMetrics(s, set); err != nil {
+		log.Error(err, "can't serve metrics")
+	}
 	a := lockstep.Start(lockstep.Options{
 		Name:         s.Name,
 		Engine:       platform.NewEngine(s.Engine),
@@ -57,7 +61,15 @@
 		DecodeTarget: platform.DecodeTarget,
 		DecodeConfig: platform.DecodeConfigRecord,
 		Log:          log,
-		Metrics:      metrics.New(),
+		Metrics:      set,
 	}, ln)
 	return daemon.WaitAndReload(a, s.Grace, func() { platform.LogReload(log, s) })
 }
+
+// metricsPort is the port that the deploy file names for metrics.
+const metricsPort = "9464"
+
+func serveMetrics(s *platform.Settings, set *metrics.Set) error {
+	_, err := set.Serve(net.JoinHostPort(s.IP, metricsPort))
+	return err
+}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -80,11 +80,12 @@
 	g.Expect(err).To(MatchError(ErrFrame))
 }
 
-// A configuration of hundreds of routes is sent to each entry of a fleet. Packed it
-// must be a fraction of its size, and come out as it went in.
+// A configuration of thousands of routes is sent to each entry of a fleet. Packed
+// it must be a fraction of its size, and come out as it went in; a limit of the
+// codec that it exceeds would leave entries without it that the store turns away.
 func TestLargeNewsArePacked(t *testing.T) {
 	g := NewWithT(t)
-	value := []byte(strings.Repeat(`{"name":"r-1","host":"h","path-prefix":"/x/","timeout-ms":8000},`, 500))
+	value := []byte(strings.Repeat(`{"name":"r-1","host":"h","path-prefix":"/x/","timeout-ms":8000},`, 20000))
 	news := TopicNews{Topic: 1, From: 2, Next: 9, Records: []Record{{Key: "config", Value: value, Offset: 8}}}
 	want := news.Records
 	g.Expect(news.Pack()).To(Succeed())
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_gen.go
 
-//msgp:limit arrays:65536 maps:1024
+//msgp:limit arrays:8388608 maps:1024
 
 // Kind is the type of a message. Numbers are part of the protocol.
 type Kind uint8
