A fault soak with real processes, and the story of a request from logs

heatherrail soak: gateways as processes, a store behind a proxy for each, signals, targets that drop and cut, configurations; it checks at most once, honest refusals, whole answers, recovery.

--- a/cmd/heatherrail/main.go
+++ b/cmd/heatherrail/main.go
@@ -23,6 +23,8 @@
 	Apply   applyCommand   `command:"apply" description:"put configuration files in force, whole or not at all"`
 	Status  statusCommand  `command:"status" description:"show versions, leases and targets of all processes"`
 	Drain   drainCommand   `command:"drain" description:"take an entry or a target out of service"`
+	Story   storyCommand   `command:"story" description:"read logs of any number of processes from standard input and tell what became of one request"`
+	Soak    soakCommand    `command:"soak" description:"run real processes under random faults and check what is promised"`
 	Bench   benchCommand   `command:"bench" description:"measure this build; each bench compares within one run"`
 	Version versionCommand `command:"version" description:"print the version"`
 }
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform/standin"
+)
+
+// Times of faults.
+const (
+	faultPause = 400 * time.Millisecond // mean, between the beginnings of two
+	faultLeast = 200 * time.Millisecond
+	faultMost  = 2500 * time.Millisecond
+)
+
+// fault begins one fault and waits a moment; faults overlap.
+func (s *soak) fault(ctx context.Context) {
+	e := s.fleet.entries[s.rng.IntN(len(s.fleet.entries))]
+	at := s.rng.IntN(64)
+	last := faultLeast + time.Duration(s.rng.Int64N(int64(faultMost-faultLeast)))
+	s.faults++
+	switch s.rng.IntN(14) {
+	case 0:
+		s.during("freeze "+e.name, last, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
+	case 1:
+		s.restart(e, syscall.SIGKILL, last/4)
+	case 2:
+		s.restart(e, syscall.SIGTERM, 0)
+	case 3:
+		s.note("hang up %s", e.name)
+		e.signal(syscall.SIGHUP)
+	case 4:
+		s.storeFault("store down", last, standin.Faults{Down: true})
+	case 5:
+		s.storeFault("store slow", last, standin.Faults{Slow: 300 * time.Millisecond})
+	case 6:
+		s.storeFault("store silent", last, standin.Faults{Silent: true})
+	case 7:
+		s.note("store forgets its history")
+		s.fleet.store.Forget()
+	case 8:
+		s.proxyFault(e, "cut off from the store", last, proxyFaults{Refuse: true, Silent: true})
+	case 9:
+		s.proxyFault(e, "hears nothing from the store", last, proxyFaults{OneWay: true, Delay: 5 * time.Millisecond})
+	case 10:
+		s.note("reset %s's connections to the store", e.name)
+		e.proxy.reset()
+	case 11:
+		s.targetFault(at, last, standin.TargetFaults{Lost: 0.2, Cut: 0.2, Full: 0.2, Fail: 0.1})
+	case 12:
+		s.note("target %d is replaced", at)
+		if err := s.fleet.replaceTarget(at); err != nil {
+			s.note("no other target: %v", err)
+		}
+	case 13:
+		s.note("new configuration")
+		s.fleet.configure()
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(s.rng.Int64N(int64(2 * faultPause)))):
+	}
+}
+
+// during begins something and ends it after a time.
+func (s *soak) during(what string, d time.Duration, begin, end func()) {
+	s.note("%s for %s", what, d.Round(time.Millisecond))
+	begin()
+	time.AfterFunc(d, func() {
+		s.note("end of: %s", what)
+		end()
+	})
+}
+
+func (s *soak) storeFault(what string, d time.Duration, f standin.Faults) {
+	s.during(what, d, func() { s.fleet.store.SetFaults(f) }, func() { s.fleet.store.SetFaults(standin.Faults{}) })
+}
+
+func (s *soak) proxyFault(e *entryProc, what string, d time.Duration, f proxyFaults) {
+	s.during(e.name+" "+what, d, func() { e.proxy.set(f) }, func() {
+		e.proxy.set(proxyFaults{})
+		e.proxy.reset() // what it swallowed can't be made up for
+	})
+}
+
+func (s *soak) targetFault(at int, d time.Duration, f standin.TargetFaults) {
+	s.during("bad target", d, func() { s.fleet.setTargetFaults(at, f) }, func() { s.fleet.setTargetFaults(at, standin.TargetFaults{}) })
+}
+
+// restart ends the process of an entry by a signal and starts it again.
+func (s *soak) restart(e *entryProc, sig syscall.Signal, pause time.Duration) {
+	s.note("%s to %s", sig, e.name)
+	e.signal(syscall.SIGCONT)
+	e.signal(sig)
+	if !e.restarting.TryLock() {
+		return // it is on its way out already
+	}
+	go func() {
+		defer e.restarting.Unlock()
+		e.wait()
+		time.Sleep(pause)
+		if err := s.fleet.start(e); err != nil {
+			s.note("%s does not start: %v", e.name, err)
+			return
+		}
+		s.note("%s started again", e.name)
+	}()
+}
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,292 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/heatherrail/heatherrail/platform/standin"
+)
+
+// Ports of each entry, on a loopback address of its own.
+const (
+	portCallers = 18227 + iota
+	portReady
+	portDirectory
+	portPeers
+)
+
+// fleet are the processes and the stand-ins.
+type fleet struct {
+	s       *soak
+	store   *standin.Store
+	storeAt string
+	entries []*entryProc
+	version int
+
+	mu      sync.Mutex
+	targets []*targetProc
+	number  int
+}
+
+// entryProc is one gateway process, and the proxy between it and the store.
+type entryProc struct {
+	name   string
+	ip     string
+	config string
+	proxy  *proxy
+	log    *os.File
+
+	restarting sync.Mutex // held while the process is ended and started again
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func (e *entryProc) address(port int) string { return fmt.Sprintf("%s:%d", e.ip, port) }
+
+// targetProc is one target and its record.
+type targetProc struct {
+	*standin.Target
+	service string
+	server  *http.Server
+	address string
+	leaving bool
+}
+
+func startFleet(s *soak, dir string) (*fleet, error) {
+	f := &fleet{s: s, store: standin.NewStore()}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.storeAt = ln.Addr().String()
+	go func() { _ = (&http.Server{Handler: f.store}).Serve(ln) }() // ends with the process
+	f.configure()
+	for range s.opts.Targets {
+		if err := f.addTarget("llm"); err != nil {
+			return nil, err
+		}
+		if err := f.addTarget("plain"); err != nil {
+			return nil, err
+		}
+	}
+	// The addresses differ from seed to seed, so that soaks can run side by side.
+	net2, net3 := 1+s.opts.Seed%200, 1+uint64(os.Getpid())%250
+	for i := range s.opts.Entries {
+		e := &entryProc{name: fmt.Sprintf("entry-%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", net2, net3, i+1)}
+		if err := f.prepare(e, dir); err != nil {
+			return nil, err
+		}
+		if err := f.start(e); err != nil {
+			return nil, err
+		}
+		f.entries = append(f.entries, e)
+	}
+	return f, nil
+}
+
+const settings = `node-name = %q
+ip = %q
+zone = "z"
+region = "r"
+internal-ports = [%d,%d]
+[listen]
+front = %q
+ready = %q
+directory = %q
+[limits]
+cpu-share = 1.0
+memory-mb = 256
+[bounds]
+drain-ms = 2000
+grace-s = 4
+config-apply-ms = 2000
+retry-ratio = 0.2
+retry-window-s = 10
+retry-slack = 90
+ttl_max_s = 5
+[platform]
+address = %q
+`
+
+func (f *fleet) prepare(e *entryProc, dir string) error {
+	var err error
+	if e.proxy, err = startProxy(f.storeAt); err != nil {
+		return err
+	}
+	e.config = filepath.Join(dir, e.name+".toml")
+	text := fmt.Sprintf(settings, e.name, e.ip, portPeers, portPeers, e.address(portCallers), e.address(portReady),
+		e.address(portDirectory), e.proxy.address())
+	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
+		return err
+	}
+	e.log, err = os.Create(filepath.Join(dir, e.name+".log"))
+	return err
+}
+
+func (f *fleet) start(e *entryProc) error {
+	cmd := exec.Command(f.s.opts.Program)
+	cmd.Env = append(os.Environ(), "HEATHERRAIL_CONFIG="+e.config)
+	cmd.Stdout, cmd.Stderr = e.log, e.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", e.name, err)
+	}
+	e.mu.Lock()
+	e.cmd = cmd
+	e.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the process of an entry, if it runs.
+func (e *entryProc) signal(sig os.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil {
+		_ = e.cmd.Process.Signal(sig) // it may have ended by itself
+	}
+}
+
+// endLimit is longer than a process takes that was told to stop.
+const endLimit = 8 * time.Second
+
+// wait waits for the process to end and kills it if it does not.
+func (e *entryProc) wait() {
+	e.mu.Lock()
+	cmd := e.cmd
+	e.cmd = nil
+	e.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	timer := time.AfterFunc(endLimit, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	_ = cmd.Wait() // it was told to end, or killed
+}
+
+// configure writes a new version of the configuration.
+func (f *fleet) configure() {
+	f.version += 3
+	route := func(name, prefix, kind, service string) map[string]any {
+		return map[string]any{"name": name, "host": host, "path-prefix": prefix, "kind": kind, "timeout-ms": 4000,
+			"target-latency-ms": 500, "gap-aim-ms": 120, "service": service, "max-attempts": 3, "resumable": kind == "stream"}
+	}
+	f.store.PutConfig(map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("once", paths[once], "non_idempotent", "plain"),
+			route("idem", paths[idempotent], "idempotent", "plain"),
+			route("stream", paths[stream], "stream", "llm"),
+			route(fmt.Sprintf("extra-%d", f.version), fmt.Sprintf("/extra%d/", f.version), "idempotent", "plain"),
+		},
+		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "llm"}},
+		"tenants":  []any{map[string]any{"name": team, "api-keys": []string{key}}},
+	})
+}
+
+func (f *fleet) addTarget(service string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number++
+	t := &targetProc{service: service, Target: standin.NewTarget(fmt.Sprintf("i-%d", f.number), f.s.opts.Seed+uint64(f.number), f.s.books.ran)}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	t.address, t.server = ln.Addr().String(), &http.Server{Handler: t.Target}
+	go func() { _ = t.server.Serve(ln) }() // ends with the server
+	f.targets = append(f.targets, t)
+	f.register(t)
+	return nil
+}
+
+func (f *fleet) register(t *targetProc) {
+	state := "ready"
+	if t.leaving {
+		state = "draining"
+	}
+	f.store.PutTarget(t.ID, map[string]any{"service": t.service, "address": t.address, "zone": "z", "slots": 8, "state": state})
+}
+
+const heartbeat = 400 * time.Millisecond
+
+// keepTargets renews the records of targets.
+func (f *fleet) keepTargets(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(heartbeat)
+		f.mu.Lock()
+		for _, t := range f.targets {
+			f.register(t)
+		}
+		f.mu.Unlock()
+	}
+}
+
+// leaveTime is how long a target goes on serving after it said that it leaves.
+const leaveTime = 3 * time.Second
+
+// replaceTarget lets one target leave as another comes.
+func (f *fleet) replaceTarget(at int) error {
+	f.mu.Lock()
+	t := f.targets[at%len(f.targets)]
+	already := t.leaving
+	t.leaving = true
+	f.register(t)
+	f.mu.Unlock()
+	if already {
+		return nil
+	}
+	if err := f.addTarget(t.service); err != nil {
+		return err
+	}
+	time.AfterFunc(leaveTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i := range f.targets {
+			if f.targets[i] == t {
+				f.targets = append(f.targets[:i:i], f.targets[i+1:]...)
+				break
+			}
+		}
+		f.store.PutTarget(t.ID, nil)
+		_ = t.server.Close() // nothing is left to be served
+	})
+	return nil
+}
+
+func (f *fleet) setTargetFaults(at int, faults standin.TargetFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[at%len(f.targets)].SetFaults(faults)
+}
+
+// heal ends all faults.
+func (f *fleet) heal() {
+	f.store.SetFaults(standin.Faults{})
+	f.mu.Lock()
+	for _, t := range f.targets {
+		t.SetFaults(standin.TargetFaults{})
+	}
+	f.mu.Unlock()
+	for _, e := range f.entries {
+		e.proxy.set(proxyFaults{})
+		e.signal(syscall.SIGCONT)
+	}
+}
+
+func (f *fleet) stop() {
+	for _, e := range f.entries {
+		e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+		e.wait()
+		e.proxy.close()
+		_ = e.log.Close() // its text is dropped with the folder
+	}
+}
