--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -166,7 +166,7 @@
 	switch {
 	case t.sent >= r.MaxAttempts:
 		return false
-	case t.count >= triesMax && e.Code != result.RankLost:
+	case t.count >= triesMax && e.Code != result.RankLost && e.Code != result.TargetLeaving:
 		return false
 	case e.Run() != result.RunNot && !r.Repeatable():
 		return false
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -241,7 +241,7 @@
 		k.log.Error(err, "target ignored")
 		return false
 	}
-	if !k.targets.Put(t) {
+	if !k.targets.Put(t, rec.Offset) {
 		return false
 	}
 	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving)
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -110,13 +110,13 @@
 	g := NewWithT(t)
 	s := NewTargetSet()
 	now := time.Now()
-	s.Put(Target{ID: "back", Service: "s"})
-	s.Put(Target{ID: "gone", Service: "s"})
+	s.Put(Target{ID: "back", Service: "s", Address: "a"}, 1)
+	s.Put(Target{ID: "gone", Service: "s", Address: "b"}, 2)
 	believe := now.Add(ReturnWait)
 	g.Expect(s.Remove("back", now, believe)).To(BeFalse())
 	g.Expect(s.Remove("gone", now, believe)).To(BeFalse())
 	g.Expect(s.ByService()["s"]).To(HaveLen(2))
-	s.Put(Target{ID: "back", Service: "s"})
+	s.Put(Target{ID: "back", Service: "s", Address: "a"}, 3)
 	g.Expect(s.Expire(now.Add(ReturnWait/2), false)).To(BeFalse())
 	s.Expire(now.Add(2*ReturnWait), true)
 	g.Expect(s.ByService()["s"]).To(HaveLen(2), "the store is away again")
@@ -125,3 +125,20 @@
 	g.Expect(left).To(HaveLen(1))
 	g.Expect(left[0].ID).To(Equal("back"))
 }
+
+// All targets lose power and come back as new runs at their addresses, while the
+// records of the old runs have not lapsed. Only the new runs take requests; a
+// request for an old one would be turned away.
+func TestALaterRunReplacesAnEarlierAtItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	s := NewTargetSet()
+	s.Put(Target{ID: "z-old", Service: "s", Address: "a"}, 5)
+	s.Put(Target{ID: "a-new", Service: "s", Address: "a"}, 9)
+	s.Put(Target{ID: "other", Service: "t", Address: "b"}, 6)
+	lists := s.ByService()
+	g.Expect(lists["s"]).To(HaveLen(1))
+	g.Expect(lists["s"][0].ID).To(Equal("a-new"))
+	g.Expect(lists["t"]).To(HaveLen(1))
+	g.Expect(s.Remove("z-old", time.Now(), time.Now())).To(BeTrue())
+	g.Expect(s.ByService()["s"]).To(HaveLen(1))
+}
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -30,17 +30,20 @@
 // outage stays usable for ReturnWait after it; then what is missing is gone.
 type TargetSet struct {
 	byID   map[string]*Target
+	offset map[string]uint64    // of the record of each
 	lapsed map[string]time.Time // removed around an outage; when to believe it
 }
 
 // NewTargetSet returns an empty set.
 func NewTargetSet() *TargetSet {
-	return &TargetSet{byID: make(map[string]*Target), lapsed: make(map[string]time.Time)}
+	return &TargetSet{byID: make(map[string]*Target), offset: make(map[string]uint64), lapsed: make(map[string]time.Time)}
 }
 
-// Put adds or replaces a target; it reports whether anything changed.
-func (s *TargetSet) Put(t Target) bool {
+// Put adds or replaces a target by its record at an offset; it reports whether
+// anything changed.
+func (s *TargetSet) Put(t Target, offset uint64) bool {
 	delete(s.lapsed, t.ID)
+	s.offset[t.ID] = offset
 	if old := s.byID[t.ID]; old != nil && *old == t {
 		return false
 	}
@@ -58,9 +61,14 @@
 		s.lapsed[id] = believeAt
 		return false
 	}
+	s.drop(id)
+	return true
+}
+
+func (s *TargetSet) drop(id string) {
 	delete(s.byID, id)
+	delete(s.offset, id)
 	delete(s.lapsed, id)
-	return true
 }
 
 // Expire removes lapsed targets that have not come back; down keeps them, since
@@ -73,8 +81,7 @@
 			continue
 		}
 		if now.After(at) {
-			delete(s.byID, id)
-			delete(s.lapsed, id)
+			s.drop(id)
 			changed = true
 		}
 	}
@@ -82,9 +89,20 @@
 }
 
 // ByService returns the targets by service, each list ordered by id.
+//
+// Of two records with one address the later is true: the earlier run has ended
+// without a word, and its record takes seconds to lapse. After a loss of power
+// half of all records are such, and requests for them are turned away one after
+// the other.
 func (s *TargetSet) ByService() map[string][]*Target {
-	lists := make(map[string][]*Target)
+	holder := make(map[string]*Target, len(s.byID))
 	for _, t := range s.byID {
+		if h := holder[t.Address]; h == nil || s.offset[h.ID] < s.offset[t.ID] {
+			holder[t.Address] = t
+		}
+	}
+	lists := make(map[string][]*Target)
+	for _, t := range holder {
 		lists[t.Service] = append(lists[t.Service], t)
 	}
 	for _, list := range lists {
