--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -139,6 +139,7 @@
 	g.Expect(lists["s"]).To(HaveLen(1))
 	g.Expect(lists["s"][0].ID).To(Equal("a-new"))
 	g.Expect(lists["t"]).To(HaveLen(1))
-	g.Expect(s.Remove("z-old", time.Now(), time.Now())).To(BeTrue())
+	now := time.Now()
+	g.Expect(s.Remove("z-old", now, now)).To(BeTrue())
 	g.Expect(s.ByService()["s"]).To(HaveLen(1))
 }
