--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,7 +23,6 @@
 	events eventScanner
 	out    []byte // whole events that the caller does not have yet
 	sent   int    // of them, bytes already handed over
-	count  int    // events are counted by the bytes' reads; for the log only
 	ended  error  // io.EOF after the whole stream
 	reason *result.Error
 	first  time.Time // when the first event came
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -45,9 +45,6 @@
 	holdTries  = 6
 	// retryPause lets a small engine answer; orders within a VM take a millisecond.
 	retryPause = 10 * time.Millisecond
-	// switchLimit ends a switch that does not come about, as when a rank is gone;
-	// the group is left held then only if some rank may be armed.
-	switchLimit = 8 * time.Second
 )
 
 // switchTo carries out a switch to a version that all ranks have prepared, and
