--- a/soak/books.go
+++ b/soak/books.go
@@ -50,11 +50,11 @@
 }
 
 func (b *books) saw(r Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.corrupt != nil {
 		r = b.corrupt(r)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.records = append(b.records, r)
 }
 
