--- /dev/null
+++ b/lockstep/simfleet_test.go
@@ -0,0 +1,184 @@
+package lockstep
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// simEngine is an engine as seen from a VM.
+type simEngine struct {
+	*simRank
+	from *simVM
+}
+
+// reach waits while the asking VM is frozen, and fails if the engine's is.
+func (e *simEngine) reach() error {
+	e.from.run()
+	if e.vm != e.from && e.vm.isFrozen() {
+		time.Sleep(70 * time.Millisecond)
+		return errNoAnswer
+	}
+	return nil
+}
+
+// State implements Engine.
+func (e *simEngine) State(ctx context.Context) (peers.RankState, error) {
+	if err := e.reach(); err != nil {
+		return peers.RankState{}, err
+	}
+	return e.simRank.State(ctx)
+}
+
+// Order implements Engine.
+func (e *simEngine) Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error) {
+	if err := e.reach(); err != nil {
+		return peers.OrderResult{}, err
+	}
+	result, err := e.simRank.Order(ctx, o)
+	e.from.run()
+	return result, err
+}
+
+// simAsker asks the agent of a rank.
+type simAsker struct {
+	f    *simFleet
+	rank int
+	from *simVM
+}
+
+// Ask implements Asker.
+func (s *simAsker) Ask(_ context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
+	s.from.run()
+	payload, err := question.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	done := make(chan []byte, 1)
+	go func() {
+		vm := s.f.group.ranks[s.rank].vm
+		time.Sleep(simTravel)
+		vm.run()
+		m, err := s.f.agents[s.rank].handlers()[kind](payload)
+		if err != nil {
+			return
+		}
+		vm.run()
+		time.Sleep(simTravel)
+		if text, err := m.MarshalMsg(nil); err == nil {
+			done <- text
+		}
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case text := <-done:
+		s.from.run()
+		_, err := answer.UnmarshalMsg(text)
+		return err
+	case <-timer.C:
+		s.from.run()
+		return errNoAnswer
+	}
+}
+
+// Close implements Asker.
+func (s *simAsker) Close() {}
+
+// simFleet is a group with its agents.
+type simFleet struct {
+	group  *simGroup
+	agents []*Agent
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func engineAddress(rank int) string { return fmt.Sprintf("10.0.0.%d:80", rank+1) }
+
+func rankOf(address string) int {
+	host, _, _ := net.SplitHostPort(address)
+	return int(net.ParseIP(host).To4()[3]) - 1
+}
+
+func startFleet(g *simGroup) *simFleet {
+	f := &simFleet{group: g}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for r, rank := range g.ranks {
+		vm := rank.vm
+		a := newAgent(Options{
+			Name:    fmt.Sprintf("vm-%d", r),
+			Engine:  &simEngine{simRank: rank, from: vm},
+			Address: engineAddress(r),
+			Service: "s",
+			Peers:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", r+1), simPort),
+			Port:    simPort,
+			Store:   simStore{ranks: len(g.ranks)},
+			Remote: func(address string) Engine {
+				return &simEngine{simRank: g.ranks[rankOf(address)], from: vm}
+			},
+			Dial: func(address string) Asker { return &simAsker{f: f, rank: rankOf(address), from: vm} },
+			DecodeTarget: func(id string, value []byte) (serving.Target, error) {
+				return serving.Target{ID: id, Service: "s", Address: string(value)}, nil
+			},
+			DecodeConfig: func(string, []byte) (serving.Config, bool, error) { return simConfig(g), true, nil },
+			Log:          logr.Discard(),
+			Metrics:      metrics.New(),
+		})
+		f.agents = append(f.agents, a)
+	}
+	f.done.Go(func() { g.run(ctx) })
+	for _, a := range f.agents {
+		f.done.Go(a.run)
+	}
+	return f
+}
+
+func (f *simFleet) stop() {
+	for i, a := range f.agents {
+		a.cancel()
+		f.group.ranks[i].vm.wake()
+	}
+	f.cancel()
+	f.done.Wait()
+}
+
+func simConfig(g *simGroup) serving.Config {
+	return serving.Config{Version: 1, Services: []serving.Service{{Name: "s", Engine: &serving.EngineModel{
+		Slots: 12, Stride: 4, Sets: g.sets, Experts: g.experts, Places: g.experts/len(g.ranks) + 2, Spare: 3,
+		ExpertBytes: 1e9, LinkRate: 2e10, ExpertShare: 0.85,
+	}}}}
+}
+
+// simStore lists the engines.
+type simStore struct{ ranks int }
+
+// Newest implements serving.Store.
+func (s simStore) Newest(_ context.Context, t serving.Topic) ([]serving.Record, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	if t == serving.TopicConfig {
+		return []serving.Record{{Key: "config", Value: []byte("x")}}, 1, nil
+	}
+	var records []serving.Record
+	for r := range s.ranks {
+		records = append(records, serving.Record{Key: fmt.Sprint(r), Value: []byte(engineAddress(r)), Offset: uint64(r)})
+	}
+	return records, uint64(s.ranks), nil
+}
+
+// Changes implements serving.Store.
+func (s simStore) Changes(context.Context, serving.Topic, uint64, time.Duration) ([]serving.Record, uint64, error) {
+	return nil, 0, nil
+}
+
+// Put implements serving.Store.
+func (s simStore) Put(context.Context, serving.Topic, string, []byte) error { return nil }
--- a/soak/books.go
+++ b/soak/books.go
@@ -11,13 +11,10 @@
 
 // Record is what a caller saw of one request.
 type Record struct {
-	ID     string
-	Kind   kind
-	Sent   time.Time
-	Status int    // 0: the connection ended without an answer
-	Body   string // as far as it came
-	Whole  bool   // the answer's framing says that it is whole
-	Sealed bool
+	standin.Answer
+	ID   string
+	Kind kind
+	Sent time.Time
 }
 
 type kind uint8
@@ -112,8 +109,8 @@
 		broken = append(broken, fmt.Sprintf("%s was answered %d and ran at %s", rec.ID, rec.Status, runs[0].Target))
 	}
 	for _, run := range runs {
-		if run.Tenant != team {
-			broken = append(broken, fmt.Sprintf("%s ran for team %q", rec.ID, run.Tenant))
+		if run.Team != team {
+			broken = append(broken, fmt.Sprintf("%s ran for team %q", rec.ID, run.Team))
 		}
 	}
 	if rec.Status != http.StatusOK || !rec.Whole {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/heatherrail/heatherrail/platform/standin"
 )
 
 // Names that callers use.
@@ -53,48 +52,14 @@
 	e := s.fleet.entries[rng.IntN(len(s.fleet.entries))]
 	ctx, cancel := context.WithTimeout(ctx, resolveTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address(portDirectory)+"/heatherrail/resolve?name="+host+"&zone=z", nil)
-	if err != nil {
-		return nil
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil
-	}
-	defer resp.Body.Close()
-	var body struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(resp.Body).Decode(&body) != nil {
-		return nil
-	}
-	return body.Addresses
+	return standin.Resolve(ctx, e.address(portDirectory), host, "z")
 }
 
-// one sends a request and records what came back. It uses the transport itself,
-// which does not send a request again but where nothing of it was read.
+// one sends a request and records what came back.
 func one(t *http.Transport, address, id string, k kind) Record {
 	rec := Record{ID: id, Kind: k, Sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+paths[k]+"x", io.NopCloser(strings.NewReader("body of "+id)))
-	if err != nil {
-		return rec
-	}
-	req.Host = host
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
-	req.Header.Set("X-Key", key)
-	if k == stream {
-		req.Header.Set("X-Token-Count", "100,50")
-	}
-	resp, err := t.RoundTrip(req)
-	if err != nil {
-		return rec
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	rec.Status, rec.Body, rec.Whole = resp.StatusCode, string(body), err == nil
-	rec.Sealed = resp.Header.Get("X-Server-Seal") != ""
+	rec.Answer = standin.Send(t, address, standin.Call{
+		Host: host, Path: paths[k] + "x", ID: id, Key: key, Left: callTime, Stream: k == stream,
+	})
 	return rec
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/platform/standin"
 )
 
@@ -93,29 +94,11 @@
 	return f, nil
 }
 
-const settings = `node-name = %q
-ip = %q
-zone = "z"
-region = "r"
-internal-ports = [%d,%d]
-[listen]
-front = %q
-ready = %q
-directory = %q
-[limits]
-cpu-share = 1.0
-memory-mb = 256
-[bounds]
-drain-ms = 2000
-grace-s = 4
-config-apply-ms = 2000
-retry-ratio = 0.2
-retry-window-s = 10
-retry-slack = 90
-ttl_max_s = 5
-[platform]
-address = %q
-`
+// Bounds that the processes are told.
+const (
+	graceSeconds = 4
+	boundSeconds = 2
+)
 
 func (f *fleet) prepare(e *entryProc, dir string) error {
 	var err error
@@ -123,8 +106,17 @@
 		return err
 	}
 	e.config = filepath.Join(dir, e.name+".toml")
-	text := fmt.Sprintf(settings, e.name, e.ip, portPeers, portPeers, e.address(portCallers), e.address(portReady),
-		e.address(portDirectory), e.proxy.address())
+	text := standin.Entry{
+		Name:         e.name,
+		IP:           e.ip,
+		PeerPort:     portPeers,
+		Callers:      e.address(portCallers),
+		Ready:        e.address(portReady),
+		Directory:    e.address(portDirectory),
+		Store:        e.proxy.address(),
+		GraceSeconds: graceSeconds,
+		BoundSeconds: boundSeconds,
+	}.Settings()
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -134,7 +126,7 @@
 
 func (f *fleet) start(e *entryProc) error {
 	cmd := exec.Command(f.s.opts.Program)
-	cmd.Env = append(os.Environ(), "HEATHERRAIL_CONFIG="+e.config)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+e.config)
 	cmd.Stdout, cmd.Stderr = e.log, e.log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", e.name, err)
@@ -174,21 +166,15 @@
 // configure writes a new version of the configuration.
 func (f *fleet) configure() {
 	f.version += 3
-	route := func(name, prefix, kind, service string) map[string]any {
-		return map[string]any{"name": name, "host": host, "path-prefix": prefix, "kind": kind, "timeout-ms": 4000,
-			"target-latency-ms": 500, "gap-aim-ms": 120, "service": service, "max-attempts": 3, "resumable": kind == "stream"}
+	route := func(name, prefix, kind, service string) standin.Route {
+		return standin.Route{Name: name, Host: host, Prefix: prefix, Kind: kind, Service: service, TimeoutMS: int(callTime.Milliseconds())}
 	}
-	f.store.PutConfig(map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("once", paths[once], "non_idempotent", "plain"),
-			route("idem", paths[idempotent], "idempotent", "plain"),
-			route("stream", paths[stream], "stream", "llm"),
-			route(fmt.Sprintf("extra-%d", f.version), fmt.Sprintf("/extra%d/", f.version), "idempotent", "plain"),
-		},
-		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "llm"}},
-		"tenants":  []any{map[string]any{"name": team, "api-keys": []string{key}}},
-	})
+	f.store.PutConfig(standin.Config(f.version, team, key, []string{"plain", "llm"}, []standin.Route{
+		route("once", paths[once], standin.KindOnce, "plain"),
+		route("idem", paths[idempotent], standin.KindIdempotent, "plain"),
+		route("stream", paths[stream], standin.KindStream, "llm"),
+		route(fmt.Sprintf("extra-%d", f.version), fmt.Sprintf("/extra%d/", f.version), standin.KindIdempotent, "plain"),
+	}))
 }
 
 func (f *fleet) addTarget(service string) error {
@@ -208,11 +194,7 @@
 }
 
 func (f *fleet) register(t *targetProc) {
-	state := "ready"
-	if t.leaving {
-		state = "draining"
-	}
-	f.store.PutTarget(t.ID, map[string]any{"service": t.service, "address": t.address, "zone": "z", "slots": 8, "state": state})
+	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.address, t.leaving))
 }
 
 const heartbeat = 400 * time.Millisecond
