--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -7,6 +7,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // play runs a group of ranks with its agents for a time; during is called beside.
@@ -106,3 +111,75 @@
 	g.Expect(group.mixed).To(BeEmpty())
 	g.Expect(group.held).To(BeNumerically("<", 1500*time.Millisecond))
 }
+
+// The others have given up on a frozen leader and let the group go. When it wakes
+// up, its arms for that pass arrive: the agents refuse them, and only those.
+func TestAFencedPassIsNotArmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newSimGroup(4, 1, 8, 1)
+		f := &simFleet{group: group}
+		rank := group.ranks[1]
+		a := newAgent(Options{Engine: &simEngine{simRank: rank, from: rank.vm}, Metrics: metrics.New()})
+		f.agents = append(f.agents, a)
+		rank.prepared, rank.highest = 7, 7
+		g.Expect(a.setFence(fence{epoch: 1, step: 5})).To(BeTrue())
+		arm := &peers.RankOrder{Kind: peers.OrderArm, Epoch: 1, Version: 7, Step: 5}
+		result, err := a.order(arm)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Refused).To(BeTrue())
+		g.Expect(rank.armed).To(BeZero())
+		arm.Step = 6
+		result, err = a.order(arm)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Taken).To(BeTrue())
+	})
+}
+
+// An agent that was not given the map that the changes lead on from says so, and
+// does not make a map of its own of them.
+func TestChangesNeedTheirBase(t *testing.T) {
+	g := NewWithT(t)
+	var k knownMaps
+	k.put(1, 10, [][][]uint16{{{0, 1}, {2, 3}}})
+	changes := []peers.ListChange{{Set: 0, Rank: 1, Experts: []uint16{4}}}
+	sets, ok := k.apply(1, 10, changes)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(sets).To(Equal([][][]uint16{{{0, 1}, {4}}}))
+	again, ok := k.apply(1, 10, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(again).To(Equal([][][]uint16{{{0, 1}, {2, 3}}}), "the base is as it was")
+	_, ok = k.apply(1, 11, changes)
+	g.Expect(ok).To(BeFalse())
+	_, ok = k.apply(2, 10, changes)
+	g.Expect(ok).To(BeFalse(), "another epoch begins with other maps")
+}
+
+// Demand is as it was, and the choices of the last passes differ by chance: that is
+// no move. Then it does move, and is seen within two looks.
+func TestAMoveOfDemandIsToldFromChance(t *testing.T) {
+	g := NewWithT(t)
+	m := &serving.EngineModel{Sets: 1, Experts: 12}
+	layouts := []expert.Layout{expert.FirstLayout(4, 12)}
+	rng := rand.New(rand.NewPCG(4, 4))
+	d := newDemand(12)
+	now := time.Now()
+	look := func(wanted int) bool {
+		counts := make([]float64, 12)
+		for e := range counts {
+			counts[e] = 1000 * (0.9 + 0.2*rng.Float64())
+		}
+		counts[wanted] *= 8
+		now = now.Add(100 * time.Millisecond)
+		d.observe(now, counts)
+		return d.moved(layouts, m)
+	}
+	for range 50 {
+		g.Expect(look(0)).To(BeFalse())
+	}
+	layouts[0] = expert.Balance(layouts[0], d.loads(), expert.BalanceLimits{Places: 4, Fresh: 3, Steps: 50})
+	for range 50 {
+		g.Expect(look(0)).To(BeFalse())
+	}
+	g.Expect(look(7) || look(7)).To(BeTrue())
+}
