A target without a report is not taken for empty

Cause: a rank whose agent is away is left out of the loads, and every entry took it for empty. Queues of single ranks are still long: open.

--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -37,6 +37,21 @@
 	g.Expect(limit(m, 0, 2)).To(Equal(12), "without an aim there is nothing to keep")
 }
 
+// The agent of one target is away, so the reports of its group leave it out. It
+// must not look empty, or every entry sends to it and requests queue there while
+// others have room.
+func TestATargetWithoutAReportIsNotTakenForEmpty(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := newBook("a")
+	known, away := &serving.Target{ID: "k", Service: "s", Address: "1"}, &serving.Target{ID: "x", Service: "s", Address: "2"}
+	b.reported([]*serving.Target{known, away}, map[string]peers.RankLoad{"1": {Running: 5, Waiting: 1}}, now)
+	b.setGroup("s", groupState{open: true, mean: 6, at: now})
+	g.Expect(b.load(known, now)).To(Equal(6))
+	g.Expect(b.load(away, now)).To(Equal(6))
+	g.Expect(b.load(away, now.Add(2*reportLife))).To(BeZero(), "nothing is known of the group any more")
+}
+
 func waiting(priority int, arrived time.Time) *request {
 	return &request{
 		priority: priority, arrived: arrived, deadline: arrived.Add(8 * time.Second),
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -85,6 +85,7 @@
 type groupState struct {
 	open             bool
 	imbalance, worst float64
+	mean             int // requests of a target, running and waiting
 	at               time.Time
 }
 
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -103,7 +103,12 @@
 	}
 	v := l.g.knowledge.view()
 	l.g.book.reported(v.targets[l.service], byAddress, at)
+	total := 0
+	for _, rank := range loads.Ranks {
+		total += int(rank.Running) + int(rank.Waiting)
+	}
 	l.g.book.setGroup(l.service, groupState{
+		mean:      total / max(len(loads.Ranks), 1),
 		open:      loads.Open,
 		imbalance: float64(loads.Imbalance),
 		worst:     float64(loads.Worst),
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -83,14 +83,20 @@
 }
 
 // load returns how many requests a target has: this entry's, and those of others
-// by the latest report.
+// by the latest report. A target that the reports of its group leave out, since its
+// agent is away, counts as one like the others: if it counted as empty, all entries
+// would send to it.
 func (b *book) load(t *serving.Target, now time.Time) int {
+	own := 0
 	a := b.accounts[t.ID]
-	if a == nil {
-		return 0
+	if a != nil {
+		own = a.running
+		if now.Sub(a.others.at) < reportLife {
+			return own + max(a.others.running+a.others.waiting-a.others.ownThen, 0)
+		}
 	}
-	if now.Sub(a.others.at) > reportLife {
-		return a.running
+	if state := b.groups[t.Service]; now.Sub(state.at) < reportLife {
+		return max(own, state.mean)
 	}
-	return a.running + max(a.others.running+a.others.waiting-a.others.ownThen, 0)
+	return own
 }
