The room of a target is shared by the entries; who can still be in time goes first

Cause: in a full group 46 entries saw the one target with room and each sent there what waited: queues of 27 to 51 requests at one engine beside free places at others.

--- a/gateway/book.go
+++ b/gateway/book.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	pace             float64
 	at               time.Time
 	ownThen          int // requests of this entry that the report counts
+
+	shared bool // the room that the report shows has been divided
+	part   int  // of it this entry's
+	taken  int  // of that, less what has ended since
 }
 
 func newBook(dataCentre string) *book {
@@ -101,15 +106,45 @@
 }
 
 // reserve books a try at the target with the least work that runs fewer requests
-// than most; nil if there is none.
-func (b *book) reserve(targets []*serving.Target, most int, s size, now time.Time) *serving.Target {
-	t := b.place(targets, func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
+// than most, and of whose room a part is this entry's; nil if there is none.
+func (b *book) reserve(targets []*serving.Target, most, entries int, s size, now time.Time) *serving.Target {
+	t := b.place(targets, func(t *serving.Target) bool { return !b.hasRoom(t, most, entries, now) }, now)
 	if t != nil {
 		b.begin(t, s)
+		b.take(t)
 	}
 	return t
 }
 
+// hasRoom tells whether this entry may send to a target; the lock must be held.
+//
+// Failure: all targets are full but one, and all entries have that report.
+// Symptom: each of 46 sends there what waits, and fifty requests queue at one
+// engine while others get room. So the room that a report shows is divided by the
+// number of entries; the rest of the division is drawn, so that in the mean all of
+// it is used. What this entry's own requests free is its own.
+func (b *book) hasRoom(t *serving.Target, most, entries int, now time.Time) bool {
+	room := most - b.load(t, now)
+	if room <= 0 {
+		return false
+	}
+	a := b.accounts[t.ID]
+	if a == nil || now.Sub(a.others.at) > reportLife {
+		return true
+	}
+	if !a.others.shared {
+		a.others.shared = true
+		a.others.part = int(float64(room)/float64(max(entries, 1)) + rand.Float64())
+	}
+	return a.others.taken < a.others.part
+}
+
+func (b *book) take(t *serving.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(t).others.taken++
+}
+
 // begin books a try.
 func (b *book) begin(t *serving.Target, s size) *account {
 	b.mu.Lock()
@@ -139,6 +174,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
+	a.others.taken--
 }
 
 // report books whether a target did what it should.
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -52,6 +52,43 @@
 	g.Expect(b.load(away, now.Add(2*reportLife))).To(BeZero(), "nothing is known of the group any more")
 }
 
+// All targets are full but one, with room for four, and 46 entries with requests
+// that wait have the same report. Together they may send about four, not one or
+// more each.
+func TestTheRoomOfATargetIsSharedByTheEntries(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	const entries, rounds = 46, 50
+	sent := 0
+	for range rounds {
+		for range entries {
+			b := newBook("a")
+			b.reported([]*serving.Target{target}, map[string]peers.RankLoad{"1": {Running: 6}}, now)
+			b.setGroup("s", groupState{open: true, mean: 6, at: now})
+			for b.reserve([]*serving.Target{target}, 10, entries, size{}, now) != nil {
+				sent++
+			}
+		}
+	}
+	g.Expect(float64(sent) / rounds).To(BeNumerically("~", 4, 1.5))
+}
+
+// A request of this entry ends at a target that is full otherwise: the place that
+// it frees is for the next of this entry's.
+func TestAnEntryUsesAgainWhatItsOwnRequestsFree(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	b := newBook("a")
+	a := b.begin(target, size{})
+	b.reported([]*serving.Target{target}, map[string]peers.RankLoad{"1": {Running: 10}}, now)
+	g.Expect(b.reserve([]*serving.Target{target}, 10, 46, size{}, now)).To(BeNil())
+	b.end(a)
+	g.Expect(b.reserve([]*serving.Target{target}, 10, 46, size{}, now)).NotTo(BeNil())
+	g.Expect(b.reserve([]*serving.Target{target}, 10, 46, size{}, now)).To(BeNil())
+}
+
 func waiting(priority int, arrived time.Time) *request {
 	return &request{
 		priority: priority, arrived: arrived, deadline: arrived.Add(8 * time.Second),
@@ -78,6 +115,28 @@
 	g.Expect(order).To(Equal([]*request{reqs[3], reqs[1], reqs[2], reqs[0]}))
 }
 
+// Two requests have waited for longer than their aim allows and two have not. Those
+// that can still be in time go first, whatever comes after goes in order.
+func TestWhoCanStillBeInTimeGoesFirst(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(gate)
+	now := time.Now()
+	var reqs []*request
+	for _, age := range []time.Duration{900, 700, 200, 100} {
+		r := waiting(1, now.Add(-age*time.Millisecond))
+		r.route.Aim = 500 * time.Millisecond
+		reqs = append(reqs, r)
+		_, _, ok := gt.enter(r, now)
+		g.Expect(ok).To(BeTrue())
+	}
+	var order []*request
+	gt.grant(now, func(r *request) *serving.Target {
+		order = append(order, r)
+		return &serving.Target{}
+	})
+	g.Expect(order).To(Equal([]*request{reqs[2], reqs[3], reqs[0], reqs[1]}))
+}
+
 // The queue moves at ten requests a second, and callers stay for two seconds. Who
 // would wait for longer is refused on arrival with the time after which there is
 // room, and not after having waited in vain.
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -165,17 +165,38 @@
 			}
 			g.breaker.next = now.Add(probeLimit)
 		}
-		w := g.waiting[0]
+		at := g.next(now)
+		w := g.waiting[at]
 		t := place(w.r)
 		if t == nil {
 			return
 		}
-		g.waiting = slices.Delete(g.waiting, 0, 1)
+		g.waiting = slices.Delete(g.waiting, at, at+1)
 		g.rate.count(now)
 		w.granted <- t
 	}
 }
 
+// next returns the request to let go next: of the most urgent ones the oldest that
+// can still be in time for its first event, and only then those that can't. A late
+// answer is worth the same whether it comes a little or much too late, so letting
+// late ones go first would make all that wait behind them late too.
+func (g *gate) next(now time.Time) int {
+	for i, w := range g.waiting {
+		if w.r.priority != g.waiting[0].r.priority {
+			break
+		}
+		if aim := w.r.route.Aim; aim == 0 || now.Sub(w.since) < share(aim, inTimeShare) {
+			return i
+		}
+	}
+	return 0
+}
+
+// inTimeShare of the aim for the first event may pass at the gate; the rest is what
+// engines take for it at usual load.
+const inTimeShare = 0.5
+
 // rate tells how fast requests are let go.
 type rate struct {
 	times [rateMemory]time.Time
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -167,7 +167,10 @@
 	most := g.book.limit(s, v.index.GapAim(service), late, now)
 	most -= g.unseen(gt, len(v.targets[service]), g.book.reportAge(service, now), now)
 	most = max(most, 1)
-	gt.grant(now, func(r *request) *serving.Target { return g.book.reserve(v.targets[service], most, r.size, now) })
+	entries := g.mesh.entries()
+	gt.grant(now, func(r *request) *serving.Target {
+		return g.book.reserve(v.targets[service], most, entries, r.size, now)
+	})
 }
 
 // unseen returns how many requests other entries have sent to each target since
