--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -338,7 +338,7 @@
 	g := NewWithT(t)
 	f := startGateway(t, "b", new(memStore))
 	meet := func(name string, reaches bool) {
-		f.gw.mesh.meet(peers.Presence{Name: name, Peers: "127.0.0.1:1", Incarnation: 1, Store: reaches})
+		f.gw.mesh.take(&peers.Heartbeat{Entry: peers.Presence{Name: name, Peers: "127.0.0.1:1", Incarnation: 1, Store: reaches}})
 	}
 	meet("a", false)
 	meet("c", true)
@@ -349,3 +349,29 @@
 	place, _ = f.gw.mesh.position()
 	g.Expect(place).To(Equal(2))
 }
+
+// The time of day of a VM is set back, and its entry starts again there. What it
+// says of itself must count although its incarnation looks older; an older record
+// in the store must not.
+func TestAnEntryWhoseClockWasSetBackIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	f := startGateway(t, "a", new(memStore))
+	m := f.gw.mesh
+	before := peers.Presence{Name: "b", Peers: "127.0.0.1:1", Callers: "old", Incarnation: 9, Ready: true}
+	after := peers.Presence{Name: "b", Peers: "127.0.0.1:2", Callers: "new", Incarnation: 4, Ready: true}
+	callers := func() []string {
+		var list []string
+		for _, p := range m.usable() {
+			list = append(list, p.Callers)
+		}
+		return list
+	}
+	m.take(&peers.Heartbeat{Entry: before})
+	g.Expect(callers()).To(Equal([]string{"old"}))
+	m.take(&peers.Heartbeat{Entry: after})
+	g.Expect(callers()).To(Equal([]string{"new"}))
+	older := before
+	older.Incarnation = 2
+	m.read(older)
+	g.Expect(callers()).To(Equal([]string{"new"}))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,8 +143,7 @@
 				g.opts.Log.Error(err, "record of an entry ignored", "entry", name)
 				continue
 			}
-			p.Ready = false // until it says so itself
-			g.mesh.meet(p)
+			g.mesh.read(p)
 		}
 	}
 }
--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -19,22 +19,21 @@
 	g    *Gateway
 	self peers.Presence
 
-	mu      sync.Mutex
-	byName  map[string]*peer
-	stopped bool
+	mu     sync.Mutex
+	byName map[string]*peer
 
 	wanting uint8 // topics of which some peer is being asked
 }
 
 // peer is another entry.
 type peer struct {
+	name     string
 	presence peers.Presence
 	client   *peers.Client
 	kick     chan struct{}
 	cancel   context.CancelFunc
 	heard    time.Time
 	topics   []peers.TopicState // what it knew when last heard
-	inFlight uint32
 }
 
 const (
@@ -91,29 +90,45 @@
 	return p
 }
 
-// meet takes note of an entry, by its record in the store or its heartbeat. An
-// older incarnation of a known one is ignored.
+// read takes note of an entry by its record in the store. A record may be older
+// than what the entry said itself, and says nothing of whether it takes requests.
+func (m *mesh) read(p peers.Presence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.byName[p.Name]
+	if known != nil && (known.presence.Peers == p.Peers || known.presence.Incarnation > p.Incarnation) {
+		return
+	}
+	p.Ready = false
+	m.meet(p)
+}
+
+// meet takes note of an entry by its record or its own word; the lock must be held.
+//
+// An entry's own word always counts, whatever its incarnation: that comes from the
+// time of day, which may have been set back before the process started again, and
+// its peers would take it for dead.
 func (m *mesh) meet(p peers.Presence) *peer {
 	if p.Name == m.self.Name || p.Name == "" {
 		return nil
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	known := m.byName[p.Name]
-	if known != nil && (known.presence.Incarnation > p.Incarnation || known.presence.Peers == p.Peers) {
-		if p.Incarnation >= known.presence.Incarnation {
-			known.presence = p
-		}
+	if known != nil && known.presence.Peers == p.Peers {
+		known.presence = p
 		return known
 	}
-	if m.stopped {
-		return nil
-	}
 	if known != nil {
 		known.cancel()
 	}
 	ctx, cancel := context.WithCancel(m.g.ctx)
-	n := &peer{presence: p, client: peers.NewClient(p.Peers), kick: make(chan struct{}, 1), cancel: cancel, heard: time.Now()}
+	n := &peer{
+		name:     p.Name,
+		presence: p,
+		client:   peers.NewClient(p.Peers),
+		kick:     make(chan struct{}, 1),
+		cancel:   cancel,
+		heard:    time.Now(),
+	}
 	m.byName[p.Name] = n
 	m.g.opts.Log.Info("entry known", "entry", p.Name, "address", p.Peers)
 	m.g.tasks.Go(func() { m.talk(ctx, n) })
@@ -145,10 +160,10 @@
 
 func (m *mesh) logLink(n *peer, err error) {
 	if err == nil {
-		m.g.opts.Log.Info("entry regained", "entry", n.presence.Name)
+		m.g.opts.Log.Info("entry regained", "entry", n.name)
 		return
 	}
-	m.g.opts.Log.Info("entry lost", "entry", n.presence.Name, "error", err.Error())
+	m.g.opts.Log.Info("entry lost", "entry", n.name, "error", err.Error())
 }
 
 func (m *mesh) forget(n *peer) bool {
@@ -157,8 +172,8 @@
 	if time.Since(n.heard) < forgetAfter {
 		return false
 	}
-	if m.byName[n.presence.Name] == n {
-		delete(m.byName, n.presence.Name)
+	if m.byName[n.name] == n {
+		delete(m.byName, n.name)
 	}
 	return true
 }
@@ -206,7 +221,7 @@
 func (m *mesh) heartbeat() *peers.Heartbeat {
 	now := time.Now()
 	k := m.g.knowledge
-	h := &peers.Heartbeat{Entry: m.presence(), InFlight: uint32(m.g.inFlight.Load())}
+	h := &peers.Heartbeat{Entry: m.presence()}
 	for t := range serving.Topic(serving.Topics) {
 		next, loaded := k.position(t)
 		state := peers.TopicState{}
@@ -233,14 +248,11 @@
 // take works in a heartbeat, a question or an answer.
 func (m *mesh) take(h *peers.Heartbeat) {
 	now := time.Now()
-	n := m.meet(h.Entry)
-	if n != nil {
-		m.mu.Lock()
-		if h.Entry.Incarnation >= n.presence.Incarnation {
-			n.presence, n.heard, n.topics, n.inFlight = h.Entry, now, h.Topics, h.InFlight
-		}
-		m.mu.Unlock()
+	m.mu.Lock()
+	if n := m.meet(h.Entry); n != nil {
+		n.heard, n.topics = now, h.Topics
 	}
+	m.mu.Unlock()
 	for i := range h.News {
 		news := &h.News[i]
 		if int(news.Topic) >= serving.Topics || int(news.Topic) >= len(h.Topics) {
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -22,7 +22,7 @@
 	away := new(memStore)
 	away.setAway(true)
 	cut := startGateway(t, "b", away)
-	cut.gw.mesh.meet(served.gw.mesh.presence())
+	cut.gw.mesh.read(served.gw.mesh.presence())
 	g.Eventually(cut.gw.Ready, "5s", "5ms").Should(BeTrue())
 	g.Eventually(func() int { return len(cut.gw.knowledge.view().targets["plain"]) }, "5s", "5ms").Should(Equal(1))
 
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -22,8 +22,7 @@
 	Entry    Presence
 	Topics   []TopicState
 	News     []TopicNews
-	InFlight uint32 // requests in work
-	Wants    uint8  // a bit for each topic of which the sender asks for what it lacks
+	Wants    uint8 // a bit for each topic of which the sender asks for what it lacks
 }
 
 // Presence tells how an entry is reached and whether it takes requests.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -69,8 +69,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 4
+	o = append(o, 0x94)
 	o, err = z.Entry.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Entry")
@@ -91,7 +91,6 @@
 			return
 		}
 	}
-	o = msgp.AppendUint32(o, z.InFlight)
 	o = msgp.AppendUint8(o, z.Wants)
 	return
 }
@@ -104,8 +103,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	bts, err = z.Entry.UnmarshalMsg(bts)
@@ -172,11 +171,6 @@
 			return
 		}
 	}
-	z.InFlight, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
-		return
-	}
 	z.Wants, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Wants")
@@ -192,7 +186,7 @@
 	for za0002 := range z.News {
 		s += z.News[za0002].Msgsize()
 	}
-	s += msgp.Uint32Size + msgp.Uint8Size
+	s += msgp.Uint8Size
 	return
 }
 
