A group that is held is resolved behind a fence

Found in reading the change: whoever resolved a hold decided by what the ranks had prepared, and a leader that took over a hold left behind could arm for the pass that another agent was just letting go. Now the agents are first told to arm no more for that pass, and what is armed decides; a leader uses only holds that it placed.

--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -237,6 +237,13 @@
 	return true
 }
 
+// fenced tells whether this agent has been told to arm no more for an order's pass.
+func (a *Agent) fenced(o *peers.RankOrder) bool {
+	a.arming <- struct{}{}
+	defer func() { <-a.arming }()
+	return !o.Resolve && o.Epoch == a.fence.epoch && o.Step <= a.fence.step
+}
+
 // order gives an order to this agent's engine, or to the one that it names.
 func (a *Agent) order(o *peers.RankOrder) (peers.OrderResult, error) {
 	if o.Kind == peers.OrderPrepare {
@@ -247,7 +254,7 @@
 	}
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	if o.Epoch == a.fence.epoch && o.Step <= a.fence.step {
+	if !o.Resolve && o.Epoch == a.fence.epoch && o.Step <= a.fence.step {
 		return peers.OrderResult{Refused: true}, nil
 	}
 	if o.Engine == "" {
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -304,7 +304,7 @@
 	now := time.Now()
 	switch {
 	case len(missing) == 0:
-		if at, ok := switchTo(l.a, l.group, holder, ranks, p.version); ok {
+		if at, ok := switchTo(l.a, holder, ranks, p.version); ok {
 			l.armed = &armed{version: p.version, layouts: p.layouts, step: at}
 		}
 		l.pending = nil
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -23,11 +23,11 @@
 //     answer may take effect seconds later, so nothing is called off; it is given
 //     again until each rank is seen to be armed. A late copy finds the pass begun
 //     and is refused.
-//   - Whoever finds the group held by nobody he knows of does the same: if all
-//     ranks have one map prepared that is newer than the one in use, it arms them
-//     and lets the group go; else no arm can have been given, and it lets the group
-//     go with the map in use. Two who do so at once, or one who wakes up in the
-//     middle, give the same orders.
+//   - Whoever finds the group held for longer than a switch takes first tells all
+//     agents to arm no more for that pass: the fence. What is armed then stays so.
+//     If any rank is armed it arms the others and lets the group go; if none is, it
+//     lets the group go with the map in use. Two who do so at once see the same and
+//     give the same orders, and a leader that wakes up in the middle is refused.
 //   - The leader's rank is armed last, once all others are, and by the agent of
 //     another one. So if the leader's VM can't be reached it is still known whether
 //     its rank is armed. If it is, so are all, and the group is let go with the new
@@ -49,26 +49,29 @@
 
 // switchTo carries out a switch to a version that all ranks have prepared, and
 // returns the pass with which they switch.
-func switchTo(a *Agent, g *group, holder *member, ranks []rank, version uint64) (at uint64, ok bool) {
+func switchTo(a *Agent, holder *member, ranks []rank, version uint64) (at uint64, ok bool) {
 	epoch := ranks[0].state.Epoch
 	at, held := hold(a, holder, epoch)
 	if !held {
 		return 0, false
 	}
-	return at, finish(a, g, holder, ranks, epoch, version, at)
+	return at, finish(a, holder, ranks, version, at, false)
 }
 
 // hold holds the group before a pass to come, and returns the pass.
 func hold(a *Agent, holder *member, epoch uint64) (uint64, bool) {
+	tried := uint64(0)
 	for range holdTries {
 		state := holder.collect(a, plain)
 		switch {
 		case !state.Known || state.Epoch != epoch || !state.Open:
 			return 0, false
 		case state.Held != 0:
-			return state.Held, true
+			// One that is not ours may be let go by whoever resolves it at any moment.
+			return state.Held, state.Held == tried
 		}
 		at := state.Step + stepsAhead
+		tried = at
 		result, err := holder.direct.Order(a.ctx, &peers.RankOrder{Kind: peers.OrderHold, Epoch: epoch, Step: at})
 		if err == nil && result.Taken {
 			return at, true
@@ -78,11 +81,13 @@
 	return 0, false
 }
 
-// finish arms all ranks for a pass that is held, and lets the group go.
-func finish(a *Agent, g *group, holder *member, ranks []rank, epoch, version, at uint64) bool {
+// finish arms all ranks for a pass that is held, and lets the group go. resolving
+// tells that the pass has been fenced, by this agent.
+func finish(a *Agent, holder *member, ranks []rank, version, at uint64, resolving bool) bool {
+	epoch := ranks[0].state.Epoch
 	begun := time.Now()
 	name := ranks[0].state.Group
-	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: epoch, Version: version, Step: at}
+	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: epoch, Version: version, Step: at, Resolve: resolving}
 	if !armAll(a, holder, ranks[1:], order) || !armLeader(a, holder, ranks, order) {
 		return false
 	}
@@ -111,7 +116,7 @@
 func armAll(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
 	left := ranks
 	for len(left) > 0 {
-		if a.ctx.Err() != nil {
+		if a.ctx.Err() != nil || a.fenced(o) {
 			return false
 		}
 		results := orderEach(a, left, o)
@@ -184,20 +189,28 @@
 		return
 	}
 	g.reread()
-	// The hold was seen before the ranks are asked: whoever placed it to switch had
-	// seen all of them prepared before.
-	ranks, complete := g.collect(name, plain)
+	ranks, complete := g.collect(name, &peers.Collect{Fence: first.Held, Epoch: first.Epoch})
 	if !complete || ranks[0].state.Epoch != first.Epoch {
-		resolveWithoutLeader(a, g, holder, name, first, seen)
+		resolveWithoutLeader(a, holder, name, ranks, first, seen)
 		return
 	}
-	version := commonPrepared(ranks)
+	version := armedVersion(ranks)
 	a.opts.Log.Info("group held by nobody", "group", name, "step", first.Held, "version", version)
 	if version == 0 {
 		release(a, holder, first.Epoch, first.Held)
 		return
 	}
-	finish(a, g, holder, ranks, first.Epoch, version, first.Held)
+	finish(a, holder, ranks, version, first.Held, true)
+}
+
+// armedVersion returns the version for which some rank is armed; 0 if none is.
+func armedVersion(ranks []rank) uint64 {
+	for i := range ranks {
+		if v := ranks[i].state.Armed; v != 0 {
+			return v
+		}
+	}
+	return 0
 }
 
 // lateArm is how long after it was given an arm without an answer may take effect
@@ -207,8 +220,7 @@
 const lateArm = 1500 * time.Millisecond
 
 // resolveWithoutLeader brings on a group whose leader's VM can't be reached.
-func resolveWithoutLeader(a *Agent, g *group, holder *member, name string, first peers.RankState, seen time.Time) {
-	ranks, _ := g.collect(name, &peers.Collect{Fence: first.Held, Epoch: first.Epoch})
+func resolveWithoutLeader(a *Agent, holder *member, name string, ranks []rank, first peers.RankState, seen time.Time) {
 	if !allButLeader(ranks, first) || time.Since(seen) > lateArm {
 		a.opts.Log.Info("group held, not all ranks seen", "group", name, "step", first.Held, "ranks", len(ranks))
 		return
@@ -261,18 +273,3 @@
 	}
 	return false
 }
-
-// commonPrepared returns the version that all ranks have prepared and do not use
-// yet; 0 if there is none. A rank that is armed has it prepared.
-func commonPrepared(ranks []rank) uint64 {
-	version := uint64(0)
-	for i := range ranks {
-		s := &ranks[i].state
-		v := max(s.Prepared, s.Armed)
-		if v <= s.Map || (i > 0 && v != version) {
-			return 0
-		}
-		version = v
-	}
-	return version
-}
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -136,6 +136,7 @@
 	Base    uint64       // the version that Changes lead on from, if it is not 0
 	Changes []ListChange
 	Engine  string // address of the engine, if it is not the agent's own
+	Resolve bool // with OrderArm: from who has fenced the pass and finishes the switch
 }
 
 // ListChange replaces the experts of one rank in one set.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -727,8 +727,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendUint64(o, z.Version)
@@ -753,6 +753,7 @@
 		}
 	}
 	o = msgp.AppendString(o, z.Engine)
+	o = msgp.AppendBool(o, z.Resolve)
 	return
 }
 
@@ -764,8 +765,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	{
@@ -880,6 +881,11 @@
 		err = msgp.WrapError(err, "Engine")
 		return
 	}
+	z.Resolve, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Resolve")
+		return
+	}
 	o = bts
 	return
 }
@@ -897,7 +903,7 @@
 	for za0004 := range z.Changes {
 		s += z.Changes[za0004].Msgsize()
 	}
-	s += msgp.StringPrefixSize + len(z.Engine)
+	s += msgp.StringPrefixSize + len(z.Engine) + msgp.BoolSize
 	return
 }
 
