--- a/peers/schema.go
+++ b/peers/schema.go
@@ -19,10 +19,10 @@
 //
 //msgp:tuple Heartbeat
 type Heartbeat struct {
-	Entry    Presence
-	Topics   []TopicState
-	News     []TopicNews
-	Wants    uint8 // a bit for each topic of which the sender asks for what it lacks
+	Entry  Presence
+	Topics []TopicState
+	News   []TopicNews
+	Wants  uint8 // a bit for each topic of which the sender asks for what it lacks
 }
 
 // Presence tells how an entry is reached and whether it takes requests.
@@ -136,7 +136,7 @@
 	Base    uint64       // the version that Changes lead on from, if it is not 0
 	Changes []ListChange
 	Engine  string // address of the engine, if it is not the agent's own
-	Resolve bool // with OrderArm: from who has fenced the pass and finishes the switch
+	Resolve bool   // with OrderArm: from who has fenced the pass and finishes the switch
 }
 
 // ListChange replaces the experts of one rank in one set.
