A log that is closed can still be written to; one set-up for both mains

Found in reading the change. Closing the log closed the channel that goroutines still wrote to as a process ended: a panic in place of exit code 0 (the new test panics with the old code). Behaviour else as it was.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -3,75 +3,43 @@
 package main
 
 import (
-	"fmt"
-	"net"
 	"os"
-	"runtime/debug"
-	"strconv"
-
-	"github.com/go-logr/logr"
 
 	"github.com/heatherrail/heatherrail/gateway"
 	"github.com/heatherrail/heatherrail/internal/daemon"
+	"github.com/heatherrail/heatherrail/internal/hosted"
 	"github.com/heatherrail/heatherrail/internal/tcp"
-	"github.com/heatherrail/heatherrail/logging"
-	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
 )
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(hosted.Run(serve)) }
 
-func run() int {
-	s, err := platform.LoadSettings()
+func serve(p *hosted.Process) int {
+	callers, err := tcp.Listen(p.Settings.Callers)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return daemon.ExitSettings
-	}
-	debug.SetMemoryLimit(s.Memory / memoryShare)
-	out := logging.NewAsync(os.Stdout)
-	defer out.Close()
-	return serve(s, logging.New(out, 0))
-}
-
-// memoryShare: the collector works harder from half of the limit on; the rest is
-// for bytes that the kernel holds.
-const memoryShare = 2
-
-func serve(s *platform.Settings, log logr.Logger) int {
-	callersLn, err := tcp.Listen(s.Callers)
-	if err != nil {
-		log.Error(err, "can't listen for callers")
+		p.Log.Error(err, "can't listen for callers")
 		return daemon.ExitFail
 	}
-	peersAddr := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
-	peersLn, err := tcp.Listen(peersAddr)
-	if err != nil {
-		log.Error(err, "can't listen for peers")
+	g := gateway.Start(options(p), callers, p.Peers)
+	if err := platform.ServeDirectory(p.Settings.Directory, g.Entries); err != nil {
+		p.Log.Error(err, "can't serve the directory")
 		return daemon.ExitFail
 	}
-	set := metrics.New()
-	g := gateway.Start(options(s, log, set, peersAddr), callersLn, peersLn)
-	if err := serveMetrics(s, set); err != nil {
-		log.Error(err, "can't serve metrics")
-	}
-	if err := platform.ServeDirectory(s.Directory, g.Entries); err != nil {
-		log.Error(err, "can't serve the directory")
-		return daemon.ExitFail
-	}
-	if err := platform.ServeReady(s.Ready, g.Ready); err != nil {
-		log.Error(err, "can't serve readiness checks")
+	if err := platform.ServeReady(p.Settings.Ready, g.Ready); err != nil {
+		p.Log.Error(err, "can't serve readiness checks")
 		return daemon.ExitFail
 	}
-	return daemon.WaitAndReload(g, s.Grace, func() { platform.LogReload(log, s) })
+	return p.Wait(g)
 }
 
-func options(s *platform.Settings, log logr.Logger, set *metrics.Set, peersAddr string) gateway.Options {
+func options(p *hosted.Process) gateway.Options {
+	s := p.Settings
 	return gateway.Options{
 		Name:         s.Name,
 		Incarnation:  daemon.Incarnation(),
 		DataCentre:   s.DataCentre,
 		Callers:      s.Callers,
-		Peers:        peersAddr,
+		Peers:        p.PeersAddr,
 		Protocol:     platform.Protocol(),
 		Store:        platform.NewStore(s.Store),
 		DecodeConfig: platform.DecodeConfigRecord,
@@ -85,16 +53,8 @@
 			Slack:  s.RetrySlack,
 			Window: s.RetryWindow,
 		},
-		AgentPort: strconv.Itoa(s.PeerPort),
-		Log:       log,
-		Metrics:   set,
+		AgentPort: p.PeersPort,
+		Log:       p.Log,
+		Metrics:   p.Metrics,
 	}
 }
-
-// metricsPort is the port that the deploy file names for metrics.
-const metricsPort = "9464"
-
-func serveMetrics(s *platform.Settings, set *metrics.Set) error {
-	_, err := set.Serve(net.JoinHostPort(s.IP, metricsPort))
-	return err
-}
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -46,7 +46,7 @@
 	b := newBook("a")
 	known, away := &serving.Target{ID: "k", Service: "s", Address: "1"}, &serving.Target{ID: "x", Service: "s", Address: "2"}
 	b.reported([]*serving.Target{known, away}, map[string]peers.RankLoad{"1": {Running: 5, Waiting: 1}}, now)
-	b.setGroup("s", groupState{open: true, mean: 6, at: now})
+	b.setGroup("s", groupState{mean: 6, at: now})
 	g.Expect(b.load(known, now)).To(Equal(6))
 	g.Expect(b.load(away, now)).To(Equal(6))
 	g.Expect(b.load(away, now.Add(2*reportLife))).To(BeZero(), "nothing is known of the group any more")
@@ -65,7 +65,7 @@
 		for range entries {
 			b := newBook("a")
 			b.reported([]*serving.Target{target}, map[string]peers.RankLoad{"1": {Running: 6}}, now)
-			b.setGroup("s", groupState{open: true, mean: 6, at: now})
+			b.setGroup("s", groupState{mean: 6, at: now})
 			for b.reserve([]*serving.Target{target}, 10, entries, size{}, now) != nil {
 				sent++
 			}
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -83,7 +83,6 @@
 
 // groupState is what an agent told of a group.
 type groupState struct {
-	open             bool
 	imbalance, worst float64
 	mean             int // requests of a target, running and waiting
 	at               time.Time
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -109,7 +109,6 @@
 	}
 	l.g.book.setGroup(l.service, groupState{
 		mean:      total / max(len(loads.Ranks), 1),
-		open:      loads.Open,
 		imbalance: float64(loads.Imbalance),
 		worst:     float64(loads.Worst),
 		at:        at,
--- a/logging/async.go
+++ b/logging/async.go
@@ -14,6 +14,7 @@
 	w       io.Writer
 	lines   chan string
 	dropped atomic.Int64
+	quit    chan struct{}
 	done    chan struct{}
 }
 
@@ -26,7 +27,7 @@
 
 // NewAsync returns a writer in front of w. Each Write must be one line.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{w: w, lines: make(chan string, asyncLines), done: make(chan struct{})}
+	a := &Async{w: w, lines: make(chan string, asyncLines), quit: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -47,25 +48,35 @@
 func (a *Async) run() {
 	defer close(a.done)
 	var batch []byte
-	for line := range a.lines {
-		batch = append(batch[:0], line...)
-		batch = a.gather(batch)
-		if n := a.dropped.Swap(0); n > 0 {
-			batch = fmt.Appendf(batch, "level=info event=\"log lines dropped\" lines=%d\n", n)
+	for {
+		select {
+		case line := <-a.lines:
+			batch = a.write(append(batch[:0], line...))
+			time.Sleep(asyncPause)
+		case <-a.quit:
+			for len(a.lines) > 0 {
+				batch = a.write(batch[:0])
+			}
+			return
 		}
-		_, _ = a.w.Write(batch) // a process must not stop because its log does
-		time.Sleep(asyncPause)
 	}
 }
 
+// write writes a batch, with the lines that wait, and returns it for its memory.
+func (a *Async) write(batch []byte) []byte {
+	batch = a.gather(batch)
+	if n := a.dropped.Swap(0); n > 0 {
+		batch = fmt.Appendf(batch, "level=info event=\"log lines dropped\" lines=%d\n", n)
+	}
+	_, _ = a.w.Write(batch) // a process must not stop because its log does
+	return batch
+}
+
 // gather appends the lines that wait, up to a batch.
 func (a *Async) gather(batch []byte) []byte {
 	for len(batch) < asyncBatch {
 		select {
-		case line, ok := <-a.lines:
-			if !ok {
-				return batch
-			}
+		case line := <-a.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
@@ -74,8 +85,9 @@
 	return batch
 }
 
-// Close writes what waits; nothing may be written after it.
+// Close writes what waits. Lines that come later are lost: goroutines that still
+// run as the process ends may go on logging.
 func (a *Async) Close() {
-	close(a.lines)
+	close(a.quit)
 	<-a.done
 }
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -25,6 +25,21 @@
 	return w.text.Write(p)
 }
 
+// The process ends and closes its log while a goroutine still logs. That must not
+// end the process in a panic, and what was logged before is written.
+func TestALogThatIsClosedCanStillBeWrittenTo(t *testing.T) {
+	g := NewWithT(t)
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	a := logging.NewAsync(w)
+	_, err := a.Write([]byte("before\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Close()
+	g.Expect(w.text.String()).To(Equal("before\n"))
+	_, err = a.Write([]byte("after\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Nobody reads the log. Whoever logs must go on all the same; when it is read
 // again, it says how many lines are missing.
 func TestALogThatNobodyReadsHoldsNobodyUp(t *testing.T) {
