--- a/expert/balance.go
+++ b/expert/balance.go
@@ -98,7 +98,9 @@
 	before [][]bool  // by rank and expert
 	fresh  []int
 	copies []int
+	part   []float64 // of each expert's load, at one of the ranks that hold it
 	work   []float64 // of each rank
+	power  []float64 // of each rank's time, see power
 	at     [][]int   // ranks that hold an expert
 	order  []int     // ranks, those with least work first
 	delta  []float64 // change of the work of each rank in a trial
@@ -123,7 +125,9 @@
 		before: make([][]bool, len(l)),
 		fresh:  make([]int, len(l)),
 		copies: make([]int, len(loads)),
+		part:   make([]float64, len(loads)),
 		work:   make([]float64, len(l)),
+		power:  make([]float64, len(l)),
 		at:     make([][]int, len(loads)),
 		delta:  make([]float64, len(l)),
 	}
@@ -145,18 +149,31 @@
 			b.at[e] = append(b.at[e], r)
 		}
 	}
-	for r, list := range l {
+	for e := range b.loads {
+		b.share(e)
+	}
+	b.sumUp()
+	return b
+}
+
+// share books an expert's load at each rank that holds it.
+func (b *balance) share(e int) { b.part[e] = b.loads[e] / float64(b.copies[e]) }
+
+// sumUp books the work of all ranks.
+func (b *balance) sumUp() {
+	for r, list := range b.lists {
+		b.work[r] = 0
 		for _, e := range list {
-			b.work[r] += b.weight(int(e))
+			b.work[r] += b.part[e]
 		}
+		b.power[r] = power(b.time(r, 0))
 	}
-	return b
 }
 
 // time returns how long a rank takes if its work changes by d.
 func (b *balance) time(r int, d float64) float64 { return (b.work[r] + d) * paceOf(b.lim.Pace, r) }
 
-func (b *balance) weight(e int) float64 { return b.loads[e] / float64(b.copies[e]) }
+func (b *balance) weight(e int) float64 { return b.part[e] }
 
 // receivers bounds the ranks that are looked at for what the busiest one gives.
 const receivers = 16
@@ -236,6 +253,9 @@
 
 // consider keeps a trial that gains more than the best one.
 func (b *balance) consider(best *trial, a int, t trial) {
+	if b.inVain(a, &t) {
+		return
+	}
 	b.clean()
 	b.recount(t.add, t.to, t.drop == t.add, a)
 	if t.out >= 0 {
@@ -248,7 +268,7 @@
 	}
 	gain := -b.lim.Price * float64(t.freshTo+t.freshA)
 	for _, r := range b.dirty {
-		gain += power(b.time(r, 0)) - power(b.time(r, b.delta[r]))
+		gain += b.power[r] - power(b.time(r, b.delta[r]))
 	}
 	if gain > best.gain+minGain {
 		t.gain = gain
@@ -256,6 +276,19 @@
 	}
 }
 
+// inVain tells whether the rank that gets an expert would be as busy as the busiest
+// one is. Most trials are such, and telling it takes a fifth of trying them.
+func (b *balance) inVain(a int, t *trial) bool {
+	gets := b.part[t.add]
+	if t.drop != t.add {
+		gets = b.loads[t.add] / float64(b.copies[t.add]+1)
+	}
+	if t.out >= 0 {
+		gets -= b.part[t.out]
+	}
+	return b.time(t.to, gets) >= b.time(a, 0)
+}
+
 // minGain keeps the search from following the rounding of floats.
 const minGain = 1e-9
 
@@ -319,18 +352,14 @@
 	if t.back >= 0 {
 		b.insert(a, t.back)
 	}
-	for r := range b.work {
-		b.work[r] = 0
-		for _, e := range b.lists[r] {
-			b.work[r] += b.weight(int(e))
-		}
-	}
+	b.sumUp()
 }
 
 func (b *balance) remove(r, e int) {
 	b.lists[r] = slices.DeleteFunc(b.lists[r], func(x uint16) bool { return int(x) == e })
 	b.at[e] = slices.DeleteFunc(b.at[e], func(x int) bool { return x == r })
 	b.copies[e]--
+	b.share(e)
 	b.fresh[r] -= b.freshness(r, e)
 }
 
@@ -338,5 +367,6 @@
 	b.lists[r] = append(b.lists[r], uint16(e))
 	b.at[e] = append(b.at[e], r)
 	b.copies[e]++
+	b.share(e)
 	b.fresh[r] += b.freshness(r, e)
 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -160,10 +160,21 @@
 
 // Plans that are compared: how many experts a rank may copy in all sets together,
 // and what each must gain in the sum of the powers of the ranks' loads.
-var planVariants = []struct {
+type planVariant struct {
 	copies int
 	price  float64
-}{{1, 0.3}, {2, 0.3}, {2, 1}, {3, 0.3}, {5, 0.3}, {8, 0.3}}
+}
+
+var (
+	// smallPlans improve a map that fits nearly.
+	smallPlans = []planVariant{{1, 0.3}, {2, 0.3}, {2, 1}, {3, 0.3}}
+	// largePlans answer demand that has moved. Each plan takes a leader with a small
+	// part of a core some ten milliseconds, in which every pass is a long one.
+	largePlans = []planVariant{{3, 0.3}, {5, 0.3}, {8, 0.3}}
+)
+
+// farOff is the imbalance from which a map does not fit any more.
+const farOff = 1.35
 
 // imbalance returns the longest rank over the mean, summed over the sets.
 func imbalance(layouts []expert.Layout, loads, pace []float64, m *serving.EngineModel) float64 {
@@ -186,7 +197,11 @@
 	if stay < evenEnough {
 		return best
 	}
-	for _, v := range planVariants {
+	variants := smallPlans
+	if stay > farOff {
+		variants = largePlans
+	}
+	for _, v := range variants {
 		p := pl.variant(layouts, loads, v.copies, v.price)
 		if p.copies > 0 && p.cost < best.cost {
 			best = p
