Agents pass maps on; plans go on from each other

Cause: a map with changes for a hundred lists is 1.7 KB, and the leader sent it 63 times over a link of 8 Mbit/s: 107 ms, in which every pass was a long one. And each plan began anew from the map in use.

Change: in groups of more than 16 ranks one agent of each eight passes a map on to its neighbours. A plan with more copies goes on from the one with fewer; plans that save less than a pass against the next larger one are left out.

--- a/expert/balance.go
+++ b/expert/balance.go
@@ -58,6 +58,7 @@
 
 // BalanceLimits bound one change of a layout.
 type BalanceLimits struct {
+	Base   Layout    // what ranks hold and need not copy; nil: the layout itself
 	Places int       // experts on one rank
 	Fresh  int       // experts that a rank gets and did not hold
 	Room   []int     // the same for each rank by itself, where that is less; nil: no bound
@@ -140,13 +141,20 @@
 			b.loads[e] *= float64(len(l)) / total
 		}
 	}
+	base := lim.Base
+	if base == nil {
+		base = l
+	}
 	for r, list := range l {
 		b.before[r] = make([]bool, len(loads))
 		b.order = append(b.order, r)
-		for _, e := range list {
+		for _, e := range base[r] {
 			b.before[r][e] = true
+		}
+		for _, e := range list {
 			b.copies[e]++
 			b.at[e] = append(b.at[e], r)
+			b.fresh[r] += b.freshness(r, int(e))
 		}
 	}
 	for e := range b.loads {
--- a/lockstep/gather_test.go
+++ b/lockstep/gather_test.go
@@ -92,3 +92,57 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// prepared has a fleet's leader order a map, and returns how many ranks have it.
+func prepared(f *simFleet) int {
+	l := newLeader(f.agents[0])
+	l.group.reread()
+	l.group.add(engineAddress(0))
+	ranks, _ := l.group.collect("g", plain)
+	ranks, _ = l.group.collect("g", plain)
+	l.epoch, l.newest = 1, 1
+	l.pending = &pending{version: 5}
+	for range f.group.sets {
+		l.pending.layouts = append(l.pending.layouts, expert.FirstLayout(len(f.group.ranks), f.group.experts))
+	}
+	l.layouts = l.pending.layouts
+	l.prepare(ranks)
+	time.Sleep(2 * simCopy)
+	have := 0
+	for _, r := range f.group.ranks {
+		f.group.mu.Lock()
+		if r.prepared == 5 {
+			have++
+		}
+		f.group.mu.Unlock()
+	}
+	return have
+}
+
+// A map for a large group is ordered. If the leader sent it to each rank itself its
+// link would be full for longer than a pass, so the agents pass it on.
+func TestTheAgentsPassAMapOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := gatherFleet()
+		g.Expect(prepared(f)).To(Equal(gatherTestRanks))
+		g.Expect(f.orders.Load()).To(BeNumerically("<=", gatherTestRanks/gatherRanks))
+	})
+}
+
+// The agent that should pass a map on stands still. The ranks behind it must get the
+// map all the same, or no switch takes place until the agent is back.
+func TestAMapReachesRanksBehindAFrozenAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := gatherFleet()
+		frozen := f.group.ranks[gatherRanks+gatheringOne]
+		time.AfterFunc(10*time.Millisecond, frozen.vm.freeze)
+		have := 0
+		f.done.Go(func() { have = prepared(f) })
+		f.done.Wait()
+		frozen.vm.wake()
+		g.Expect(have).To(BeNumerically(">=", gatherTestRanks-1))
+		time.Sleep(time.Second)
+	})
+}
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -306,15 +306,3 @@
 	wait.Wait()
 	return results
 }
-
-// orderAll gives an order to all ranks at once and returns those that neither took
-// nor refused it.
-func orderAll(a *Agent, ranks []rank, o *peers.RankOrder) (open []rank) {
-	results := orderEach(a, ranks, o)
-	for i := range ranks {
-		if !results[i].Taken && !results[i].Refused {
-			open = append(open, ranks[i])
-		}
-	}
-	return open
-}
--- a/lockstep/maps.go
+++ b/lockstep/maps.go
@@ -90,11 +90,10 @@
 // agent knows that, and returns those that neither took nor refused it.
 func prepareAll(a *Agent, ranks []rank, whole *peers.RankOrder, base uint64, changes []peers.ListChange) (open []rank) {
 	short := *whole
-	short.Map, short.Base, short.Changes = nil, base, changes
-	if base == 0 {
-		return orderAll(a, ranks, whole)
+	if base != 0 {
+		short.Map, short.Base, short.Changes = nil, base, changes
 	}
-	results := orderEach(a, ranks, &short)
+	results := relayEach(a, ranks, &short)
 	var again []rank
 	for i, r := range ranks {
 		switch {
@@ -104,5 +103,11 @@
 			open = append(open, r)
 		}
 	}
-	return append(open, orderAll(a, again, whole)...)
+	results = relayEach(a, again, whole)
+	for i, r := range again {
+		if !results[i].Taken && !results[i].Refused {
+			open = append(open, r)
+		}
+	}
+	return open
 }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -158,21 +158,18 @@
 	evenEnough = 1.08
 )
 
-// Plans that are compared: how many experts a rank may copy in all sets together,
-// and what each must gain in the sum of the powers of the ranks' loads.
-type planVariant struct {
-	copies int
-	price  float64
-}
-
+// Plans that are compared: how many experts a rank may copy in all sets together.
+// Each goes on from the one before.
 var (
 	// smallPlans improve a map that fits nearly.
-	smallPlans = []planVariant{{1, 0.3}, {2, 0.3}, {2, 1}, {3, 0.3}}
-	// largePlans answer demand that has moved. Each plan takes a leader with a small
-	// part of a core some ten milliseconds, in which every pass is a long one.
-	largePlans = []planVariant{{3, 0.3}, {5, 0.3}, {8, 0.3}}
+	smallPlans = []int{1, 2, 3}
+	// largePlans answer demand that has moved.
+	largePlans = []int{1, 2, 3, 5, 8}
 )
 
+// copyPrice is what each copy must gain in the sum of the powers of the ranks' loads.
+const copyPrice = 0.3
+
 // farOff is the imbalance from which a map does not fit any more.
 const farOff = 1.35
 
@@ -199,28 +196,54 @@
 	}
 	variants := smallPlans
 	if stay > farOff {
-		variants = largePlans
+		variants = pl.worthwhile(largePlans)
 	}
-	for _, v := range variants {
-		p := pl.variant(layouts, loads, v.copies, v.price)
+	next := layouts
+	for _, copies := range variants {
+		p := pl.variant(layouts, next, loads, copies)
 		if p.copies > 0 && p.cost < best.cost {
 			best = p
 		}
+		next = p.layouts
 	}
 	return best
 }
 
-// variant balances all sets, the worst first, until ranks have copied enough.
-func (pl *planner) variant(layouts []expert.Layout, loads []float64, copies int, price float64) plan {
+// worthwhile leaves out plans that save hardly any time against the next larger one.
+// Each plan takes a leader with a small part of a core some ten milliseconds, in
+// which every pass is a long one.
+func (pl *planner) worthwhile(copies []int) []int {
+	for len(copies) > 1 && pl.copyTime(copies[1]) < quickCopies {
+		copies = copies[1:]
+	}
+	return copies
+}
+
+// quickCopies is less than a pass takes.
+const quickCopies = 50 * time.Millisecond
+
+// variant balances all sets, the worst first, until ranks have copied enough. It goes
+// on from a plan with fewer copies.
+func (pl *planner) variant(layouts, from []expert.Layout, loads []float64, copies int) plan {
 	m := pl.model
-	p := plan{layouts: slices.Clone(layouts)}
+	p := plan{layouts: slices.Clone(from)}
 	room := make([]int, len(layouts[0]))
 	for r := range room {
 		room[r] = copies
 	}
-	for _, s := range worstFirst(layouts, loads, pl.pace, m) {
-		lim := expert.BalanceLimits{Places: m.Places, Fresh: m.Spare, Room: room, Pace: pl.pace, Price: price, Steps: balanceSteps}
-		p.layouts[s] = expert.Balance(layouts[s], loads[s*m.Experts:(s+1)*m.Experts], lim)
+	for s := range from {
+		for r, n := range freshOf(layouts[s], from[s]) {
+			room[r] -= n
+		}
+	}
+	for _, s := range worstFirst(from, loads, pl.pace, m) {
+		for r, n := range freshOf(layouts[s], from[s]) {
+			room[r] += n
+		}
+		lim := expert.BalanceLimits{
+			Base: layouts[s], Places: m.Places, Fresh: m.Spare, Room: room, Pace: pl.pace, Price: copyPrice, Steps: balanceSteps,
+		}
+		p.layouts[s] = expert.Balance(from[s], loads[s*m.Experts:(s+1)*m.Experts], lim)
 		for r, n := range freshOf(layouts[s], p.layouts[s]) {
 			room[r] -= n
 			p.copies += n
@@ -271,9 +294,12 @@
 }
 
 // copying returns how long the rank with most copies takes for them.
-func (pl *planner) copying(p *plan) time.Duration {
+func (pl *planner) copying(p *plan) time.Duration { return pl.copyTime(p.most) }
+
+// copyTime returns how long a rank takes for some copies.
+func (pl *planner) copyTime(copies int) time.Duration {
 	if pl.model.LinkRate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(p.most) * pl.model.ExpertBytes / pl.model.LinkRate * float64(time.Second))
+	return time.Duration(float64(copies) * pl.model.ExpertBytes / pl.model.LinkRate * float64(time.Second))
 }
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -59,6 +60,9 @@
 // Ask implements Asker.
 func (s *simAsker) Ask(_ context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
 	s.from.run()
+	if kind == peers.KindOrder && s.from == s.f.group.ranks[0].vm {
+		s.f.orders.Add(1)
+	}
 	payload, err := question.MarshalMsg(nil)
 	if err != nil {
 		return err
@@ -97,6 +101,7 @@
 // simFleet is a group with its agents.
 type simFleet struct {
 	group  *simGroup
+	orders atomic.Int64 // that rank 0's agent has sent to others
 	agents []*Agent
 	cancel context.CancelFunc
 	done   sync.WaitGroup
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -136,8 +136,9 @@
 	Map     [][][]uint16 // with OrderPrepare: experts by set and rank, or
 	Base    uint64       // the version that Changes lead on from, if it is not 0
 	Changes []ListChange
-	Engine  string // address of the engine, if it is not the agent's own
-	Resolve bool   // with OrderArm: from who has fenced the pass and finishes the switch
+	Engine  string   // address of the engine, if it is not the agent's own
+	Resolve bool     // with OrderArm: from who has fenced the pass and finishes the switch
+	Relay   []string // addresses of other agents that the order is passed on to
 }
 
 // ListChange replaces the experts of one rank in one set.
@@ -153,9 +154,10 @@
 //
 //msgp:tuple OrderResult
 type OrderResult struct {
-	Taken   bool // begun, done, or already so
-	Refused bool // the engine refused it, and it has no effect
-	NoBase  bool // the agent does not know the map that the changes lead on from
+	Taken   bool          // begun, done, or already so
+	Refused bool          // the engine refused it, and it has no effect
+	NoBase  bool          // the agent does not know the map that the changes lead on from
+	Others  []OrderResult // what became of it at the agents that it was passed on to
 }
 
 // LoadsQuery asks an agent for what it last knew of all ranks of its group.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -539,13 +539,21 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z OrderResult) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OrderResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendBool(o, z.Taken)
 	o = msgp.AppendBool(o, z.Refused)
 	o = msgp.AppendBool(o, z.NoBase)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Others)))
+	for za0001 := range z.Others {
+		o, err = z.Others[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Others", za0001)
+			return
+		}
+	}
 	return
 }
 
@@ -557,8 +565,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Taken, bts, err = msgp.ReadBoolBytes(bts)
@@ -576,13 +584,38 @@
 		err = msgp.WrapError(err, "NoBase")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Others")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Others) >= int(zb0002) {
+		z.Others = (z.Others)[:zb0002]
+	} else {
+		z.Others = make([]OrderResult, zb0002)
+	}
+	for za0001 := range z.Others {
+		bts, err = z.Others[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Others", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z OrderResult) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
+func (z *OrderResult) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0001 := range z.Others {
+		s += z.Others[za0001].Msgsize()
+	}
 	return
 }
 
@@ -757,8 +790,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendUint64(o, z.Version)
@@ -784,6 +817,10 @@
 	}
 	o = msgp.AppendString(o, z.Engine)
 	o = msgp.AppendBool(o, z.Resolve)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Relay)))
+	for za0005 := range z.Relay {
+		o = msgp.AppendString(o, z.Relay[za0005])
+	}
 	return
 }
 
@@ -795,8 +832,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -916,6 +953,28 @@
 		err = msgp.WrapError(err, "Resolve")
 		return
 	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Relay")
+		return
+	}
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Relay) >= int(zb0007) {
+		z.Relay = (z.Relay)[:zb0007]
+	} else {
+		z.Relay = make([]string, zb0007)
+	}
+	for za0005 := range z.Relay {
+		z.Relay[za0005], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Relay", za0005)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -933,7 +992,10 @@
 	for za0004 := range z.Changes {
 		s += z.Changes[za0004].Msgsize()
 	}
-	s += msgp.StringPrefixSize + len(z.Engine) + msgp.BoolSize
+	s += msgp.StringPrefixSize + len(z.Engine) + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0005 := range z.Relay {
+		s += msgp.StringPrefixSize + len(z.Relay[za0005])
+	}
 	return
 }
 
