Streams are limited by what a pass costs, also when requests wait long

Cause: the limit took a pass for longer by the imbalance as a whole.

Change: the fixed part of a step and the part for streams are told apart, the slowest rank's pace is counted, and the limit holds while requests wait. Where no number of streams keeps the aim all places are used. A request that can be in time is not refused for the number of those that can't, since it goes before them.

--- a/gateway/book.go
+++ b/gateway/book.go
@@ -90,19 +90,39 @@
 	return now.Sub(b.groups[service].at)
 }
 
-// limit returns how many streams a target of a service may run now. late tells
-// that requests wait for so long that throughput is all that counts.
-func (b *book) limit(s *serving.Service, gapAim time.Duration, late bool, now time.Time) int {
+// limit returns how many streams a target of a service may run now.
+func (b *book) limit(s *serving.Service, gapAim time.Duration, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.groups[s.Name]
 	if now.Sub(state.at) > reportLife {
-		return limit(s.Engine, gapAim, calmImbalance)
+		return limit(s.Engine, gapAim, calmImbalance, 1)
 	}
-	if late {
-		return limit(s.Engine, gapAim, state.imbalance)
+	return limit(s.Engine, gapAim, max(state.imbalance, min(state.worst, bornImbalance)), state.pace)
+}
+
+// assume reckons what other entries have running at each target, as long as nobody
+// reports it: as much as this one.
+//
+// Failure: the agent that reports for a group stands still. Symptom: every entry
+// sees only its own requests, fills all targets by itself, and those that wait
+// inside the engines are late or given up by their callers. Entries get about the
+// same share of the callers, so what each assumes adds up to about what runs.
+func (b *book) assume(service string, targets, entries int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.groups[service]
+	state.assumed = 0
+	if now.Sub(state.at) >= reportLife && targets > 0 {
+		own := 0
+		for _, a := range b.accounts {
+			if a.target.Service == service {
+				own += a.running
+			}
+		}
+		state.assumed = float64(own*(entries-1)) / float64(targets)
 	}
-	return limit(s.Engine, gapAim, max(state.imbalance, min(state.worst, bornImbalance)))
+	b.groups[service] = state
 }
 
 // reserve books a try at the target with the least work that runs fewer requests
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -62,21 +62,14 @@
 
 // Figures of the gate.
 const (
-	// gapShare of the aim for pauses is what passes may take; the rest is for prompts
-	// that are read and for the way to the caller.
-	gapShare = 0.9
 	// copySlows: passes take longer by 15 in 100 while ranks copy experts, which they
 	// do whenever demand has moved. Source: the platform's statement.
 	copySlows = 1.15
 	// bornImbalance is the most that the gate makes room for: with fewer streams than
-	// that allows, the group would not keep up with its usual load. Twenty-four runs
-	// each of 1.0, 2.0 and 2.4 gave 0.690, 0.693 and 0.692 of the worth.
-	bornImbalance = 2.2
+	// that allows, the group would not keep up with its usual load.
+	bornImbalance = 2.8
 	// calmImbalance is expected where nothing is known of the group's map yet.
 	calmImbalance = 2.5
-	// longWait: once requests wait longer than this they are late for their first
-	// event, and what is left to save is throughput.
-	longWait = 250 * time.Millisecond
 	// leastRunning keeps a target useful whatever the figures say.
 	leastRunning = 3
 )
@@ -84,19 +77,31 @@
 // groupState is what an agent told of a group.
 type groupState struct {
 	imbalance, worst float64
-	mean             int // requests of a target, running and waiting
+	pace             float64 // of the slowest rank, in times as long as usual
+	mean             int     // requests of a target, running and waiting
 	at               time.Time
+	// assumed are the requests of other entries at each target while nothing is
+	// reported.
+	assumed float64
 }
 
-// limit returns how many streams a target may run.
-func limit(m *serving.EngineModel, gapAim time.Duration, imbalance float64) int {
+// limit returns how many streams a target may run, so that passes stay within the
+// aim for pauses: each has a fixed part, for which the group waits for its slowest
+// rank, and a part for each stream, most of it with the busiest expert.
+//
+// If no number of streams keeps passes that short, all are late whatever is done,
+// and as many run as the target takes: what is left to save is throughput.
+func limit(m *serving.EngineModel, gapAim time.Duration, imbalance, pace float64) int {
 	if gapAim <= 0 || m.StepPerWriter <= 0 {
 		return m.Slots
 	}
 	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)
-	budget := float64(gapAim) * gapShare / copySlows / factor / float64(max(m.Stride, 1))
-	n := int((budget - float64(m.Step)) / float64(m.StepPerWriter))
-	return min(max(n, leastRunning), m.Slots)
+	step := float64(gapAim) / copySlows / float64(max(m.Stride, 1))
+	n := int((step - float64(m.Step)*max(pace, 1)) / (float64(m.StepPerWriter) * factor))
+	if n < leastRunning {
+		return m.Slots
+	}
+	return min(n, m.Slots)
 }
 
 // enter puts a request into the queue. ok is false if it would wait for longer
@@ -107,14 +112,21 @@
 	if g.breaker.broken {
 		return g.push(r), 0, true
 	}
-	before := 0
+	before, inTime := 0, 0
 	for _, o := range g.waiting {
-		if o.r.priority <= r.priority {
-			before++
+		if o.r.priority > r.priority {
+			continue
+		}
+		before++
+		if o.inTime(now) {
+			inTime++
 		}
 	}
+	if inTime == 0 || g.rate.expect(inTime+1, now) <= share(r.route.Aim, inTimeShare) {
+		return g.push(r), 0, true
+	}
 	expected := g.rate.expect(before+1, now)
-	if before > 0 && expected > r.maxWait() {
+	if expected > r.maxWait() {
 		return nil, expected, false
 	}
 	return g.push(r), 0, true
@@ -142,17 +154,6 @@
 	return true
 }
 
-// oldest returns how long the first request has waited.
-func (g *gate) oldest(now time.Time) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var longest time.Duration
-	for _, w := range g.waiting {
-		longest = max(longest, now.Sub(w.since))
-	}
-	return longest
-}
-
 // grant hands targets to requests that wait, as long as place finds any.
 func (g *gate) grant(now time.Time, place func(r *request) *serving.Target) {
 	g.mu.Lock()
@@ -185,7 +186,7 @@
 		if w.r.priority != g.waiting[0].r.priority {
 			break
 		}
-		if aim := w.r.route.Aim; aim == 0 || now.Sub(w.since) < share(aim, inTimeShare) {
+		if w.inTime(now) {
 			return i
 		}
 	}
@@ -196,6 +197,12 @@
 // engines take for it at usual load.
 const inTimeShare = 0.5
 
+// inTime tells whether a request that waits can still have its first event in time.
+func (w *waiter) inTime(now time.Time) bool {
+	aim := w.r.route.Aim
+	return aim == 0 || now.Sub(w.since) < share(aim, inTimeShare)
+}
+
 // rate tells how fast requests are let go.
 type rate struct {
 	times [rateMemory]time.Time
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -103,14 +103,16 @@
 	}
 	v := l.g.knowledge.view()
 	l.g.book.reported(v.targets[l.service], byAddress, at)
-	total := 0
+	total, pace := 0, 1.0
 	for _, rank := range loads.Ranks {
 		total += int(rank.Running) + int(rank.Waiting)
+		pace = max(pace, float64(rank.Pace))
 	}
 	l.g.book.setGroup(l.service, groupState{
 		mean:      total / max(len(loads.Ranks), 1),
 		imbalance: float64(loads.Imbalance),
 		worst:     float64(loads.Worst),
+		pace:      pace,
 		at:        at,
 	})
 	l.g.regate(l.service)
@@ -162,12 +164,12 @@
 		return
 	}
 	now := time.Now()
-	late := gt.oldest(now) > longWait
-	most := g.book.limit(s, v.index.GapAim(service), late, now)
+	most := g.book.limit(s, v.index.GapAim(service), now)
 	most -= g.unseen(gt, len(v.targets[service]), g.book.reportAge(service, now), now)
 	most = max(most, 1)
 	entries := g.mesh.entries()
 	gt.grant(now, func(r *request) *serving.Target {
+		g.book.assume(service, len(v.targets[service]), entries, now)
 		return g.book.reserve(v.targets[service], most, entries, r.size, now)
 	})
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -95,8 +95,9 @@
 			return own + max(a.others.running+a.others.waiting-a.others.ownThen, 0)
 		}
 	}
-	if state := b.groups[t.Service]; now.Sub(state.at) < reportLife {
+	state := b.groups[t.Service]
+	if now.Sub(state.at) < reportLife {
 		return max(own, state.mean)
 	}
-	return own
+	return own + int(state.assumed+0.5)
 }
