Decisions on waiting, limits and places stand apart in package placing

The gateway's gate, limit and book of targets knew sockets (each account held its connections) and drew from the global generator. They are now package placing: times and the generator are arguments, connections stay with the gateway.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
 	"github.com/heatherrail/heatherrail/upstream"
@@ -23,7 +24,7 @@
 // exchange is a try whose target answers.
 type exchange struct {
 	target  *serving.Target
-	account *account
+	account *placing.Account
 	resp    *upstream.Response
 	reading bool // no answer has come yet
 	tries   *tries
@@ -40,7 +41,7 @@
 func (x *exchange) firstByte() {
 	if x.reading {
 		x.reading = false
-		x.tries.g.book.answered(x.account, x.tries.r.size)
+		x.tries.g.book.Answered(x.account, x.tries.r.wish.Size)
 	}
 }
 
@@ -80,11 +81,11 @@
 		return t.wait(ctx, gt)
 	}
 	v := t.g.knowledge.view()
-	target := t.g.book.place(v.targets[t.r.service.Name], t.had, time.Now())
+	target := t.g.book.Place(v.targets[t.r.service.Name], t.had, time.Now())
 	if target == nil {
 		return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
 	}
-	t.g.book.begin(target, t.r.size)
+	t.g.book.Begin(target, t.r.wish.Size)
 	return target, nil
 }
 
@@ -98,29 +99,29 @@
 func (t *tries) had(target *serving.Target) bool { return t.tried[target.ID] }
 
 // wait waits at the gate for a target.
-func (t *tries) wait(ctx context.Context, gt *gate) (*serving.Target, *result.Error) {
-	w, comeBack, ok := gt.enter(t.r, time.Now())
+func (t *tries) wait(ctx context.Context, gt *placing.Gate) (*serving.Target, *result.Error) {
+	w, comeBack, ok := gt.Enter(&t.r.wish, time.Now())
 	if !ok {
 		e := result.New(result.WaitTooLong, "the wait would be %d ms", comeBack.Milliseconds())
 		e.RetryAfter = comeBack
 		return nil, e
 	}
 	t.g.regate(t.r.service.Name)
-	timer := time.NewTimer(time.Until(t.r.arrived.Add(t.r.maxWait())))
+	timer := time.NewTimer(time.Until(t.r.arrived.Add(t.r.wish.MaxWait)))
 	defer timer.Stop()
 	select {
-	case target := <-w.granted:
+	case target := <-w.Granted():
 		return target, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if !gt.leave(w) {
-		target := <-w.granted
+	if !gt.Leave(w) {
+		target := <-w.Granted()
 		if ctx.Err() == nil {
 			return target, nil
 		}
-		a := t.g.book.accountOf(target)
-		t.g.book.answered(a, t.r.size)
+		a := t.g.book.Account(target)
+		t.g.book.Answered(a, t.r.wish.Size)
 		t.g.endTry(a)
 	}
 	if e := t.ended(ctx); e != nil {
@@ -129,7 +130,7 @@
 	if len(t.g.knowledge.view().targets[t.r.service.Name]) == 0 {
 		return nil, result.New(result.NoTarget, "no target of %s", t.r.service.Name)
 	}
-	return nil, t.orLast(result.New(result.WaitTooLong, "waited %d ms", time.Since(w.since).Milliseconds()))
+	return nil, t.orLast(result.New(result.WaitTooLong, "waited %d ms", time.Since(t.r.arrived).Milliseconds()))
 }
 
 // ended tells why nothing more can be done: the caller has left, or the time is
@@ -181,12 +182,12 @@
 // send makes one try.
 func (t *tries) send(ctx context.Context, target *serving.Target, resumeAfter string) (*exchange, *result.Error) {
 	t.count++
-	a := t.g.book.accountOf(target)
+	a := t.g.book.Account(target)
 	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
-	resp, err := a.pool.Send(ctx, m)
+	resp, err := t.g.pools.of(target).Send(ctx, m)
 	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
 	if err != nil {
-		t.g.book.answered(a, t.r.size)
+		t.g.book.Answered(a, t.r.wish.Size)
 		t.g.endTry(a)
 		return nil, t.lost(ctx, target, err)
 	}
@@ -208,7 +209,7 @@
 		t.sent++
 	}
 	if context.Cause(ctx) == nil {
-		t.g.book.report(target, false)
+		t.g.book.Outcome(target, false, time.Now())
 	}
 	if cause := t.ended(ctx); cause != nil {
 		return cause
@@ -228,7 +229,7 @@
 	notRun := len(h.Peek(p.NotRun)) > 0
 	switch {
 	case status == statusMisdirected:
-		t.g.book.replaced(x.target)
+		t.g.book.Replaced(x.target)
 		return result.New(result.TargetLeaving, "another target has the address of %s", x.target.ID)
 	case notRun:
 		e := result.New(result.TargetBusy, "%s did not run it, status %d", x.target.ID, status)
@@ -236,27 +237,27 @@
 			e.Code = result.RankLost
 			e.Detail += ", fault at " + fault
 			if gt := t.g.gate(t.r.service); gt != nil {
-				gt.refused(time.Now())
+				gt.Refused(time.Now())
 			}
 		} else {
-			t.g.book.report(x.target, false)
+			t.g.book.Outcome(x.target, false, time.Now())
 		}
 		e.RetryAfter = retryAfter(string(h.Peek("Retry-After")))
 		return e
 	}
 	t.sent++
 	if gt := t.g.gate(t.r.service); gt != nil && status/100 == 2 {
-		gt.answered()
+		gt.Answered()
 	}
 	switch {
 	case status/100 == 2 && len(h.Peek(p.Seal)) == 0:
-		t.g.book.report(x.target, false)
+		t.g.book.Outcome(x.target, false, time.Now())
 		return result.New(result.AnswerBroken, "%s answered %d without its proof", x.target.ID, status)
 	case status/100 == 5 && t.r.route.Repeatable() && t.sent < t.r.route.MaxAttempts && t.canSpare():
-		t.g.book.report(x.target, false)
+		t.g.book.Outcome(x.target, false, time.Now())
 		return result.New(result.EngineLost, "%s failed with %d", x.target.ID, status)
 	}
-	t.g.book.report(x.target, status/100 != 5)
+	t.g.book.Outcome(x.target, status/100 != 5, time.Now())
 	return nil
 }
 
@@ -264,13 +265,13 @@
 // The failure is an answer too; without another target it is what the caller gets.
 func (t *tries) canSpare() bool {
 	targets := t.g.knowledge.view().targets[t.r.service.Name]
-	return t.g.book.place(targets, t.had, time.Now()) != nil
+	return t.g.book.Place(targets, t.had, time.Now()) != nil
 }
 
 // endTry books the end of a try, which may let another request go.
-func (g *Gateway) endTry(a *account) {
-	g.book.end(a)
-	g.regate(a.target.Service)
+func (g *Gateway) endTry(a *placing.Account) {
+	g.book.End(a)
+	g.regate(a.Service())
 }
 
 const statusMisdirected = 421
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -26,7 +28,8 @@
 	tasks     conc.WaitGroup
 	knowledge *knowledge
 	mesh      *mesh
-	book      *book
+	book      *placing.Book
+	pools     *pools
 	setByUs   map[string]bool // fields that callers can't set
 	http      *fasthttp.Server
 	listener  net.Listener
@@ -36,8 +39,8 @@
 	stopAt    atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
-	budgets map[string]*retryBudget // by service
-	gates   map[string]*gate        // by service
+	budgets map[string]*retryBudget  // by service
+	gates   map[string]*placing.Gate // by service
 }
 
 // Limits on callers.
@@ -53,9 +56,10 @@
 func Start(o Options, callersLn, peersLn net.Listener) *Gateway {
 	g := &Gateway{
 		opts:     o,
-		book:     newBook(o.DataCentre),
+		book:     placing.NewBook(o.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		pools:    newPools(),
 		budgets:  make(map[string]*retryBudget),
-		gates:    make(map[string]*gate),
+		gates:    make(map[string]*placing.Gate),
 		listener: callersLn,
 		setByUs:  make(map[string]bool),
 	}
@@ -127,7 +131,7 @@
 		sleep(g.ctx, expireEvery)
 		g.knowledge.expire()
 		if v := g.knowledge.view(); v != nil {
-			g.book.sweep(v.targets)
+			g.sweep(v.targets)
 			g.startLoads(followed)
 			for i := range v.index.Services {
 				g.regate(v.index.Services[i].Name)
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -56,7 +57,7 @@
 		l.client = peers.NewClient(loads.Leader)
 		return true
 	}
-	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > reportLife {
+	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportLife() {
 		l.drop(nil)
 		return false
 	}
@@ -97,24 +98,13 @@
 	}
 	now := time.Now()
 	at := now.Add(-time.Duration(loads.AgeMS) * time.Millisecond)
-	byAddress := make(map[string]peers.RankLoad, len(l.engines))
+	byAddress := make(map[string]placing.RankLoad, len(l.engines))
 	for i, engine := range l.engines {
-		byAddress[engine] = loads.Ranks[i]
+		r := loads.Ranks[i]
+		byAddress[engine] = placing.RankLoad{Running: int(r.Running), Waiting: int(r.Waiting), Pace: float64(r.Pace)}
 	}
-	v := l.g.knowledge.view()
-	l.g.book.reported(v.targets[l.service], byAddress, at)
-	total, pace := 0, 1.0
-	for _, rank := range loads.Ranks {
-		total += int(rank.Running) + int(rank.Waiting)
-		pace = max(pace, float64(rank.Pace))
-	}
-	l.g.book.setGroup(l.service, groupState{
-		mean:      total / max(len(loads.Ranks), 1),
-		imbalance: float64(loads.Imbalance),
-		worst:     float64(loads.Worst),
-		pace:      pace,
-		at:        at,
-	})
+	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), at)
+	l.g.book.Reported(l.service, l.g.knowledge.view().targets[l.service], byAddress, state)
 	l.g.regate(l.service)
 }
 
@@ -135,7 +125,7 @@
 }
 
 // gate returns the gate of a service; nil if it needs none.
-func (g *Gateway) gate(s *serving.Service) *gate {
+func (g *Gateway) gate(s *serving.Service) *placing.Gate {
 	if s.Engine == nil || s.Engine.Sets == 0 {
 		return nil
 	}
@@ -143,7 +133,7 @@
 	defer g.mu.Unlock()
 	gt := g.gates[s.Name]
 	if gt == nil {
-		gt = new(gate)
+		gt = new(placing.Gate)
 		g.gates[s.Name] = gt
 	}
 	return gt
@@ -163,25 +153,10 @@
 	if gt == nil {
 		return
 	}
-	now := time.Now()
-	most := g.book.limit(s, v.index.GapAim(service), now)
-	most -= g.unseen(gt, len(v.targets[service]), g.book.reportAge(service, now), now)
-	most = max(most, 1)
-	entries := g.mesh.entries()
-	gt.grant(now, func(r *request) *serving.Target {
-		g.book.assume(service, len(v.targets[service]), entries, now)
-		return g.book.reserve(v.targets[service], most, entries, r.size, now)
-	})
-}
-
-// unseen returns how many requests other entries have sent to each target since
-// its load was reported, if they send as this one does. With many entries and
-// reports a few hundred milliseconds old it is several, and targets that seem to
-// have room fill their own queues.
-func (g *Gateway) unseen(gt *gate, targets int, age time.Duration, now time.Time) int {
-	others := g.mesh.entries() - 1
-	if targets == 0 || age > reportLife {
-		return 0
-	}
-	return int(gt.perSecond(now)*float64(others)/float64(targets)*age.Seconds() + 0.5)
+	placing.LetGo(gt, g.book, placing.Lane{
+		Service: s,
+		GapAim:  v.index.GapAim(service),
+		Targets: v.targets[service],
+		Entries: g.mesh.entries(),
+	}, time.Now())
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
 	"github.com/heatherrail/heatherrail/upstream"
@@ -24,17 +25,11 @@
 	service  *serving.Service
 	team     *serving.Team // nil on a public route
 	priority int
-	size     size
+	wish     placing.Request // what placing needs to know
 	message  upstream.Request
 	resumeAt string // last event that the caller had before it asked
 }
 
-// size is the work that a request asks of a model engine.
-type size struct {
-	prompt float64 // tokens to read
-	answer float64 // tokens to write, as far as can be told
-}
-
 // hopFields concern one connection only and are not passed on.
 var hopFields = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
@@ -80,7 +75,13 @@
 		r.deadline = end
 	}
 	r.resumeAt = string(h.Peek(p.ResumeAfter))
-	r.size = sizeOf(string(h.Peek(p.Tokens)), string(h.Peek(p.LengthHint)), r.service.Engine)
+	r.wish = placing.Request{
+		Arrived:  r.arrived,
+		Priority: r.priority,
+		Aim:      r.route.Aim,
+		MaxWait:  r.maxWait(),
+		Size:     sizeOf(string(h.Peek(p.Tokens)), string(h.Peek(p.LengthHint)), r.service.Engine),
+	}
 	r.message = g.message(ctx, r)
 	return r, nil
 }
@@ -102,21 +103,21 @@
 
 // sizeOf reads what a request tells of its size. Hints are right at the median
 // and often far off; the model's usual answer stands in where there is none.
-func sizeOf(tokens, hint string, model *serving.EngineModel) size {
-	var s size
+func sizeOf(tokens, hint string, model *serving.EngineModel) placing.Size {
+	var s placing.Size
 	if model == nil {
 		return s
 	}
-	s = size{prompt: model.UsualPrompt, answer: model.UsualAnswer}
+	s = placing.Size{Prompt: model.UsualPrompt, Answer: model.UsualAnswer}
 	prompt, most, ok := strings.Cut(tokens, ",")
 	if n, err := strconv.ParseFloat(strings.TrimSpace(prompt), 64); err == nil && ok {
-		s.prompt = n
+		s.Prompt = n
 	}
 	if n, err := strconv.ParseFloat(hint, 64); err == nil {
-		s.answer = n
+		s.Answer = n
 	}
 	if n, err := strconv.ParseFloat(strings.TrimSpace(most), 64); err == nil && ok {
-		s.answer = min(s.answer, n)
+		s.Answer = min(s.Answer, n)
 	}
 	return s
 }
@@ -178,3 +179,17 @@
 	}
 	return &m
 }
+
+// firstEventShare of a caller's patience is kept for the engine's own work on the
+// first event.
+const firstEventShare = 0.25
+
+// maxWait is how long a request may wait at the gate: callers leave when the first
+// event does not come.
+func (r *request) maxWait() time.Duration {
+	left := r.deadline.Sub(r.arrived)
+	if r.route.Patience > 0 {
+		left = min(left, r.route.Patience)
+	}
+	return share(left, 1-firstEventShare)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,7 +119,7 @@
 	b.events.restart()
 	b.reason = b.t.ended(b.ctx)
 	if b.reason == nil {
-		b.g.book.report(lost.target, false)
+		b.g.book.Outcome(lost.target, false, time.Now())
 		b.reason = result.New(result.AnswerBroken, "%s: %w", lost.target.ID, err)
 		b.t.last = b.reason
 		if b.t.mayRetry(b.reason) {
--- /dev/null
+++ b/placing/book.go
@@ -0,0 +1,119 @@
+package placing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/route"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Book keeps what one entry has learnt of each target and has running there.
+type Book struct {
+	dataCentre string
+	mu         sync.Mutex
+	rng        *rand.Rand
+	accounts   map[string]*Account // by target id
+	ejector    *route.Ejector
+	groups     map[string]GroupState // by service
+}
+
+// Account is one target's.
+type Account struct {
+	target  *serving.Target
+	running int     // requests of this entry
+	reading float64 // prompt tokens of those that have no answer yet
+	gone    bool    // another target has its address
+	others  reportedLoad
+}
+
+// Service returns the service of the target.
+func (a *Account) Service() string { return a.target.Service }
+
+// NewBook returns a book of an entry in a data centre. rng draws among targets.
+func NewBook(dataCentre string, rng *rand.Rand) *Book {
+	return &Book{
+		dataCentre: dataCentre,
+		rng:        rng,
+		accounts:   make(map[string]*Account),
+		ejector:    route.NewEjector(),
+		groups:     make(map[string]GroupState),
+	}
+}
+
+// account returns a target's account; the lock must be held.
+func (b *Book) account(t *serving.Target) *Account {
+	a := b.accounts[t.ID]
+	if a == nil {
+		a = new(Account)
+		b.accounts[t.ID] = a
+	}
+	a.target = t
+	return a
+}
+
+// Account returns a target's account.
+func (b *Book) Account(t *serving.Target) *Account {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account(t)
+}
+
+// Begin books a try.
+func (b *Book) Begin(t *serving.Target, s Size) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(t, s)
+}
+
+func (b *Book) begin(t *serving.Target, s Size) *Account {
+	a := b.account(t)
+	a.running++
+	a.reading += s.Prompt
+	return a
+}
+
+// Answered books that a target has begun to answer.
+func (b *Book) Answered(a *Account, s Size) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.reading -= s.Prompt
+}
+
+// End books the end of a try.
+func (b *Book) End(a *Account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.running--
+	a.others.taken--
+}
+
+// Outcome books whether a target did what it should.
+func (b *Book) Outcome(t *serving.Target, ok bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ejector.Report(t.ID, ok, now)
+}
+
+// Replaced notes that another target has this one's address.
+func (b *Book) Replaced(t *serving.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(t).gone = true
+}
+
+// Forget drops the accounts of targets that are not known any more and have nothing
+// running, and returns their ids.
+func (b *Book) Forget(known func(id string) bool) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var forgotten []string
+	for id, a := range b.accounts {
+		if a.running == 0 && !known(id) {
+			delete(b.accounts, id)
+			forgotten = append(forgotten, id)
+		}
+	}
+	return forgotten
+}
--- /dev/null
+++ b/placing/gate.go
@@ -0,0 +1,160 @@
+package placing
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Gate lets requests for one service with model engines go to targets.
+//
+// Engines of a group run each pass together, so a pass takes longer for all the
+// more streams run anywhere, and far longer right after demand has moved and the
+// map no longer fits. With as many streams as engines have slots, that moment
+// makes every stream late; with fewer it does not, and the ones that wait here
+// for a moment are still in time. So the gate keeps the streams of each target to
+// what the group bears, and lets those that wait go by priority, then in order of
+// arrival.
+type Gate struct {
+	mu      sync.Mutex
+	waiting []*Waiter
+	rate    rate // of requests let go
+	breaker breaker
+}
+
+// breaker keeps requests at the gate while the group is broken: every engine
+// refuses then, and each refusal is an arrival that the retry budget pays for. Now
+// and then one request is let through to see.
+type breaker struct {
+	broken bool
+	next   time.Time // when one may go
+}
+
+// Paces of the breaker. A group is back within a second or so of its ranks.
+const (
+	probePause = 120 * time.Millisecond
+	probeLimit = 400 * time.Millisecond // without a result
+)
+
+// Refused notes that the group is broken.
+func (g *Gate) Refused(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.breaker = breaker{broken: true, next: now.Add(probePause)}
+}
+
+// Answered notes that the group runs requests.
+func (g *Gate) Answered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.breaker.broken = false
+}
+
+// Waiter is a request that waits.
+type Waiter struct {
+	r       *Request
+	granted chan *serving.Target
+}
+
+// Granted receives the target that the request goes to.
+func (w *Waiter) Granted() <-chan *serving.Target { return w.granted }
+
+// Enter puts a request into the queue. ok is false if it would wait for longer
+// than its caller does; wait is then when to come back.
+//
+// Those that wait and can't be in time any more count only against others like
+// them: whoever can be in time goes before them.
+func (g *Gate) Enter(r *Request, now time.Time) (w *Waiter, wait time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.breaker.broken {
+		return g.push(r), 0, true
+	}
+	before, inTime := 0, 0
+	for _, o := range g.waiting {
+		if o.r.Priority > r.Priority {
+			continue
+		}
+		before++
+		if o.r.inTime(now) {
+			inTime++
+		}
+	}
+	if inTime == 0 || g.rate.expect(inTime+1, now) <= r.waitInTime() {
+		return g.push(r), 0, true
+	}
+	expected := g.rate.expect(before+1, now)
+	if expected > r.MaxWait {
+		return nil, expected, false
+	}
+	return g.push(r), 0, true
+}
+
+func (g *Gate) push(r *Request) *Waiter {
+	w := &Waiter{r: r, granted: make(chan *serving.Target, 1)}
+	g.waiting = append(g.waiting, w)
+	slices.SortStableFunc(g.waiting, func(a, b *Waiter) int {
+		return cmp.Or(cmp.Compare(a.r.Priority, b.r.Priority), a.r.Arrived.Compare(b.r.Arrived))
+	})
+	return w
+}
+
+// Leave takes a request out; false if it has been granted a target meanwhile.
+func (g *Gate) Leave(w *Waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := slices.Index(g.waiting, w)
+	if at < 0 {
+		return false
+	}
+	g.waiting = slices.Delete(g.waiting, at, at+1)
+	return true
+}
+
+// grant hands targets to requests that wait, as long as place finds any.
+func (g *Gate) grant(now time.Time, place func(r *Request) *serving.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.waiting) > 0 {
+		if g.breaker.broken {
+			if now.Before(g.breaker.next) {
+				return
+			}
+			g.breaker.next = now.Add(probeLimit)
+		}
+		at := g.next(now)
+		w := g.waiting[at]
+		t := place(w.r)
+		if t == nil {
+			return
+		}
+		g.waiting = slices.Delete(g.waiting, at, at+1)
+		g.rate.count(now)
+		w.granted <- t
+	}
+}
+
+// next returns the request to let go next: of the most urgent ones the oldest that
+// can still be in time for its first event, and only then those that can't. A late
+// answer is worth the same whether it comes a little or much too late, so letting
+// late ones go first would make all that wait behind them late too.
+func (g *Gate) next(now time.Time) int {
+	for i, w := range g.waiting {
+		if w.r.Priority != g.waiting[0].r.Priority {
+			break
+		}
+		if w.r.inTime(now) {
+			return i
+		}
+	}
+	return 0
+}
+
+func (g *Gate) perSecond(now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate.perSecond(now)
+}
--- a/gateway/place.go
+++ b/placing/place.go
@@ -1,7 +1,6 @@
-package gateway
+package placing
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/heatherrail/heatherrail/serving"
@@ -15,20 +14,22 @@
 	// first: all ranks of a group wait for a slow one, so it gets work last.
 	slowWeight = 10.0
 	slowPace   = 1.3
-	// reportLife is how long a report is believed.
-	reportLife = 2 * time.Second
 )
 
-// place chooses the target of a try: the one with the least work of those that
-// drop does not exclude; nil if there is none. drop is called with the lock held.
-func (b *book) place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
+// Place chooses the target of a try: the one with the least work of those that
+// drop does not exclude; nil if there is none. drop must not use the book.
+func (b *Book) Place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.place(targets, drop, now)
+}
+
+func (b *Book) place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
 	names := make([]string, 0, len(targets))
 	for _, t := range targets {
 		names = append(names, t.ID)
 	}
-	skip := b.ejector.Skip(names, now, rand.Float64)
+	skip := b.ejector.Skip(names, now, b.rng.Float64)
 	best := b.least(targets, func(t *serving.Target) bool { return drop(t) || skip[t.ID] }, now)
 	if best == nil && len(skip) > 0 {
 		best = b.least(targets, drop, now)
@@ -42,7 +43,7 @@
 const sample = 3
 
 // least returns the target with the least work among some that are drawn.
-func (b *book) least(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
+func (b *Book) least(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
 	usable := make([]*serving.Target, 0, len(targets))
 	for _, t := range targets {
 		if t.Leaving || drop(t) {
@@ -56,7 +57,7 @@
 	var best *serving.Target
 	var bestWork float64
 	for i := range min(sample, len(usable)) {
-		j := i + rand.IntN(len(usable)-i)
+		j := i + b.rng.IntN(len(usable)-i)
 		usable[i], usable[j] = usable[j], usable[i]
 		if work := b.work(usable[i], now); best == nil || work < bestWork {
 			best, bestWork = usable[i], work
@@ -66,7 +67,7 @@
 }
 
 // work rates what a target has to do.
-func (b *book) work(t *serving.Target, now time.Time) float64 {
+func (b *Book) work(t *serving.Target, now time.Time) float64 {
 	work := float64(b.load(t, now))
 	if t.DataCentre != b.dataCentre {
 		work += distanceWeight
@@ -76,28 +77,8 @@
 		return work
 	}
 	work += readWeight * a.reading
-	if now.Sub(a.others.at) < reportLife && a.others.pace > slowPace {
-		work += slowWeight * (a.others.pace - 1)
+	if now.Sub(a.others.at) < reportLife && a.others.Pace > slowPace {
+		work += slowWeight * (a.others.Pace - 1)
 	}
 	return work
 }
-
-// load returns how many requests a target has: this entry's, and those of others
-// by the latest report. A target that the reports of its group leave out, since its
-// agent is away, counts as one like the others: if it counted as empty, all entries
-// would send to it.
-func (b *book) load(t *serving.Target, now time.Time) int {
-	own := 0
-	a := b.accounts[t.ID]
-	if a != nil {
-		own = a.running
-		if now.Sub(a.others.at) < reportLife {
-			return own + max(a.others.running+a.others.waiting-a.others.ownThen, 0)
-		}
-	}
-	state := b.groups[t.Service]
-	if now.Sub(state.at) < reportLife {
-		return max(own, state.mean)
-	}
-	return own + int(state.assumed+0.5)
-}
--- /dev/null
+++ b/placing/placing_test.go
@@ -0,0 +1,254 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+var testRandom = rand.New(rand.NewPCG(1, 1))
+
+func testBook() *Book { return NewBook("a", testRandom) }
+
+func testLane(entries int, targets ...*serving.Target) Lane {
+	return Lane{Service: &serving.Service{Name: "s"}, Targets: targets, Entries: entries}
+}
+
+func testModel() *serving.EngineModel {
+	return &serving.EngineModel{
+		Slots: 12, Stride: 4, Step: 4550 * time.Microsecond, StepPerWriter: 905 * time.Microsecond, ExpertShare: 0.85,
+	}
+}
+
+// Demand moves, the map fits half as well, and passes take twice as long. With as
+// many streams as the limit allows a pass must stay within the aim for pauses, or
+// every stream in the group is late at once.
+func TestTheLimitKeepsPassesWithinTheAim(t *testing.T) {
+	g := NewWithT(t)
+	m := testModel()
+	aim := 120 * time.Millisecond
+	for _, imbalance := range []float64{1, 1.5, 2, 2.5} {
+		for _, pace := range []float64{1, 2} {
+			n := limit(m, aim, imbalance, pace)
+			each := float64(m.StepPerWriter) * (0.15 + 0.85*imbalance)
+			pass := time.Duration(float64(m.Stride) * (float64(m.Step)*pace + float64(n)*each) * copySlows)
+			more := time.Duration(float64(m.Stride) * each * copySlows)
+			g.Expect(pass).To(BeNumerically("<=", aim), "imbalance %.1f, pace %.0f: %d streams", imbalance, pace, n)
+			g.Expect(n == m.Slots || pass+more > aim).To(BeTrue(), "imbalance %.1f, pace %.0f: one stream more than %d would do", imbalance, pace, n)
+		}
+	}
+	g.Expect(limit(m, aim, 1, 1)).To(Equal(12))
+	g.Expect(limit(m, 0, 2, 1)).To(Equal(12), "without an aim there is nothing to keep")
+}
+
+// One rank takes twelve times as long as usual. Its fixed part alone makes passes
+// longer than the aim for pauses, so all streams are late however few there are;
+// fewer would only leave more callers without an answer.
+func TestWhereNoLimitKeepsTheAimAllPlacesAreUsed(t *testing.T) {
+	g := NewWithT(t)
+	m := testModel()
+	g.Expect(limit(m, 120*time.Millisecond, 1.2, 12)).To(Equal(m.Slots))
+	g.Expect(limit(m, 120*time.Millisecond, 100, 1)).To(Equal(m.Slots))
+}
+
+// More requests wait than the targets bear for long. One that comes now would go
+// before those that are late already, so it must not be refused for their number.
+func TestWhoCanBeInTimeIsNotRefusedForThoseThatCannot(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(Gate)
+	now := time.Now()
+	for range rateMemory {
+		gt.rate.count(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 15 {
+		r := waiting(1, now.Add(-time.Second))
+		r.Aim = 500 * time.Millisecond
+		_, _, ok := gt.Enter(r, now)
+		g.Expect(ok).To(BeTrue())
+	}
+	fresh := waiting(1, now)
+	fresh.Aim = 500 * time.Millisecond
+	_, _, ok := gt.Enter(fresh, now)
+	g.Expect(ok).To(BeTrue())
+}
+
+// The agent of one target is away, so the reports of its group leave it out. It
+// must not look empty, or every entry sends to it and requests queue there while
+// others have room.
+func TestATargetWithoutAReportIsNotTakenForEmpty(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := testBook()
+	known, away := &serving.Target{ID: "k", Service: "s", Address: "1"}, &serving.Target{ID: "x", Service: "s", Address: "2"}
+	b.Reported("s", []*serving.Target{known, away}, map[string]RankLoad{"1": {Running: 5, Waiting: 1}}, GroupState{Mean: 6, At: now})
+	g.Expect(b.load(known, now)).To(Equal(6))
+	g.Expect(b.load(away, now)).To(Equal(6))
+	g.Expect(b.load(away, now.Add(2*reportLife))).To(BeZero(), "nothing is known of the group any more")
+}
+
+// All targets are full but one, with room for four, and 46 entries with requests
+// that wait have the same report. Together they may send about four, not one or
+// more each.
+func TestTheRoomOfATargetIsSharedByTheEntries(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	const entries, rounds = 46, 50
+	sent := 0
+	for range rounds {
+		for range entries {
+			b := testBook()
+			b.Reported("s", []*serving.Target{target}, map[string]RankLoad{"1": {Running: 6}}, GroupState{Mean: 6, At: now})
+			for b.reserve(testLane(entries, target), 10, Size{}, now) != nil {
+				sent++
+			}
+		}
+	}
+	g.Expect(float64(sent) / rounds).To(BeNumerically("~", 4, 1.5))
+}
+
+// The agent that reports for the group stands still. Eight entries go on with what
+// they know themselves; together they must not send much more than the targets
+// bear, or all that runs there is late.
+func TestEntriesThatGetNoReportsDoNotFillTheTargets(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	const entries, limit = 8, 5
+	var targets []*serving.Target
+	for i := range 12 {
+		targets = append(targets, &serving.Target{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint(i)})
+	}
+	sent := 0
+	for range entries {
+		b := testBook()
+		for range entries * limit * len(targets) {
+			b.assume(testLane(entries, targets...), now)
+			if b.reserve(testLane(entries, targets...), limit, Size{}, now) == nil {
+				break
+			}
+			sent++
+		}
+	}
+	g.Expect(sent).To(BeNumerically("~", limit*len(targets), limit*len(targets)/3))
+}
+
+// A request of this entry ends at a target that is full otherwise: the place that
+// it frees is for the next of this entry's.
+func TestAnEntryUsesAgainWhatItsOwnRequestsFree(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	b := testBook()
+	b.Begin(target, Size{})
+	a := b.Account(target)
+	b.Reported("s", []*serving.Target{target}, map[string]RankLoad{"1": {Running: 10}}, GroupState{At: now})
+	g.Expect(b.reserve(testLane(46, target), 10, Size{}, now)).To(BeNil())
+	b.End(a)
+	g.Expect(b.reserve(testLane(46, target), 10, Size{}, now)).NotTo(BeNil())
+	g.Expect(b.reserve(testLane(46, target), 10, Size{}, now)).To(BeNil())
+}
+
+func waiting(priority int, arrived time.Time) *Request {
+	return &Request{Priority: priority, Arrived: arrived, MaxWait: 1500 * time.Millisecond}
+}
+
+// More requests come than targets have room for. The more urgent go first, and
+// equals in the order of their arrival.
+func TestTheGateGoesByPriorityThenArrival(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(Gate)
+	now := time.Now()
+	reqs := []*Request{waiting(2, now), waiting(1, now.Add(1)), waiting(1, now.Add(2)), waiting(0, now.Add(3))}
+	for _, r := range reqs {
+		_, _, ok := gt.Enter(r, now)
+		g.Expect(ok).To(BeTrue())
+	}
+	var order []*Request
+	gt.grant(now, func(r *Request) *serving.Target {
+		order = append(order, r)
+		return &serving.Target{}
+	})
+	g.Expect(order).To(Equal([]*Request{reqs[3], reqs[1], reqs[2], reqs[0]}))
+}
+
+// Two requests have waited for longer than their aim allows and two have not. Those
+// that can still be in time go first, whatever comes after goes in order.
+func TestWhoCanStillBeInTimeGoesFirst(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(Gate)
+	now := time.Now()
+	var reqs []*Request
+	for _, age := range []time.Duration{900, 700, 200, 100} {
+		r := waiting(1, now.Add(-age*time.Millisecond))
+		r.Aim = 500 * time.Millisecond
+		reqs = append(reqs, r)
+		_, _, ok := gt.Enter(r, now)
+		g.Expect(ok).To(BeTrue())
+	}
+	var order []*Request
+	gt.grant(now, func(r *Request) *serving.Target {
+		order = append(order, r)
+		return &serving.Target{}
+	})
+	g.Expect(order).To(Equal([]*Request{reqs[2], reqs[3], reqs[0], reqs[1]}))
+}
+
+// The queue moves at ten requests a second, and callers stay for two seconds. Who
+// would wait for longer is refused on arrival with the time after which there is
+// room, and not after having waited in vain.
+func TestTheGateRefusesAtOnceWhoWouldWaitTooLong(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(Gate)
+	now := time.Now()
+	for range rateMemory {
+		gt.rate.count(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	accepted := 0
+	var wait time.Duration
+	for range 30 {
+		_, w, ok := gt.Enter(waiting(1, now), now)
+		if !ok {
+			wait = w
+			break
+		}
+		accepted++
+	}
+	g.Expect(accepted).To(BeNumerically("~", 15, 2), "three quarters of two seconds at ten a second")
+	g.Expect(wait).To(BeNumerically("~", 1600*time.Millisecond, 200*time.Millisecond))
+	_, _, ok := gt.Enter(waiting(0, now), now)
+	g.Expect(ok).To(BeTrue(), "a more urgent request does not wait behind the others")
+}
+
+// A rank has died and every engine of its group refuses. Requests wait; one at a
+// time is let through to see, and the first that is answered opens the gate.
+func TestABrokenGroupIsProbedByOne(t *testing.T) {
+	g := NewWithT(t)
+	gt := new(Gate)
+	now := time.Now()
+	for range 5 {
+		_, _, ok := gt.Enter(waiting(1, now), now)
+		g.Expect(ok).To(BeTrue())
+	}
+	let := 0
+	place := func(*Request) *serving.Target {
+		let++
+		return &serving.Target{}
+	}
+	gt.Refused(now)
+	gt.grant(now, place)
+	g.Expect(let).To(BeZero())
+	now = now.Add(probePause)
+	gt.grant(now, place)
+	gt.grant(now, place)
+	g.Expect(let).To(Equal(1))
+	gt.Answered()
+	gt.grant(now, place)
+	g.Expect(let).To(Equal(5))
+}
--- /dev/null
+++ b/placing/request.go
@@ -0,0 +1,33 @@
+// Package placing decides which target each request goes to, and when: how many
+// requests a target takes, who waits, who goes first and who is refused. It knows
+// no sockets and reads no clock: times are arguments, so the same decisions are
+// played in virtual time by tests and by the load bench.
+package placing
+
+import "time"
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Arrived  time.Time
+	Priority int           // 0 is the most urgent
+	Aim      time.Duration // for the first event; 0: none
+	MaxWait  time.Duration // that the request may wait for a target
+	Size     Size
+}
+
+// Size is the work that a request asks of a model engine.
+type Size struct {
+	Prompt float64 // tokens to read
+	Answer float64 // tokens to write, as far as can be told
+}
+
+// inTimeShare of the aim for the first event may pass at the gate; the rest is what
+// engines take for it at usual load.
+const inTimeShare = 0.5
+
+// inTime tells whether a request that waits can still have its first event in time.
+func (r *Request) inTime(now time.Time) bool {
+	return r.Aim == 0 || now.Sub(r.Arrived) < r.waitInTime()
+}
+
+func (r *Request) waitInTime() time.Duration { return time.Duration(float64(r.Aim) * inTimeShare) }
