The room of a group goes to the entries that want it, to those in time first

Change: entries say how many requests wait with them that can still be in time; the agent that leads adds them up; each entry sends as many as its part of all that want room. Requests that are late already go when there is room for all. The limit also counts the prompts that are read between the events, a seventh of what writing costs, and is a mean over the group, so no rounding is lost.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -47,7 +48,8 @@
 		return false
 	}
 	var loads peers.Loads
-	err := l.client.Ask(ctx, peers.KindLoads, &peers.LoadsQuery{Roster: l.roster}, &loads, loadsLimit)
+	q := &peers.LoadsQuery{Roster: l.roster, Entry: l.g.opts.Name, Waiting: l.waiting()}
+	err := l.client.Ask(ctx, peers.KindLoads, q, &loads, loadsLimit)
 	if err != nil {
 		l.drop(err)
 		return false
@@ -65,6 +67,17 @@
 	return true
 }
 
+// waiting returns how many requests wait here for the service.
+func (l *loadReader) waiting() uint16 {
+	l.g.mu.Lock()
+	gt := l.g.gates[l.service]
+	l.g.mu.Unlock()
+	if gt == nil {
+		return 0
+	}
+	return uint16(min(gt.Wanting(time.Now()), math.MaxUint16))
+}
+
 func (l *loadReader) drop(err error) {
 	if err != nil {
 		l.g.opts.Log.Info("loads not read", "service", l.service, "agent", l.client.Addr(), "error", err.Error())
@@ -103,7 +116,7 @@
 		r := loads.Ranks[i]
 		byAddress[engine] = placing.RankLoad{Running: int(r.Running), Waiting: int(r.Waiting), Pace: float64(r.Pace)}
 	}
-	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), at)
+	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), int(loads.Wanting), at)
 	l.g.book.Reported(l.service, l.g.knowledge.view().targets[l.service], byAddress, state)
 	l.g.regate(l.service)
 }
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -79,6 +80,7 @@
 	leader string   // address of the agent that leads
 	loads  peers.Loads
 	loadAt time.Time
+	waits  waits
 	other  peers.OtherArm
 
 	arming chan struct{} // holds one token, taken while an arm is given, so that a fence comes before or after it
@@ -355,8 +357,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.waits.note(q.Entry, int(q.Waiting), time.Now())
 	loads := a.loads
 	loads.Leader = a.leader
+	loads.Wanting = uint16(min(a.waits.sum(time.Now()), math.MaxUint16))
 	loads.AgeMS = uint32(min(time.Since(a.loadAt), time.Hour).Milliseconds())
 	if q.Roster == loads.Roster {
 		loads.Engines = nil
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -164,7 +164,9 @@
 //
 //msgp:tuple LoadsQuery
 type LoadsQuery struct {
-	Roster uint64 // of the engines that the asker knows; 0: none
+	Roster  uint64 // of the engines that the asker knows; 0: none
+	Entry   string // that asks
+	Waiting uint16 // requests that wait there
 }
 
 // Loads are the loads of the ranks of a group.
@@ -180,6 +182,7 @@
 	Worst     float32  // the most of it lately
 	Roster    uint64   // names the list of engines
 	Engines   []string // addresses by rank; left out if the asker knows them
+	Wanting   uint16   // requests that wait at all entries
 	Ranks     []RankLoad
 }
 
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -319,8 +319,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Open)
@@ -333,6 +333,7 @@
 	for za0001 := range z.Engines {
 		o = msgp.AppendString(o, z.Engines[za0001])
 	}
+	o = msgp.AppendUint16(o, z.Wanting)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
 	for za0002 := range z.Ranks {
 		// array header, size 3
@@ -352,8 +353,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -418,6 +419,11 @@
 			return
 		}
 	}
+	z.Wanting, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wanting")
+		return
+	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -470,16 +476,18 @@
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.ArrayHeaderSize + (len(z.Ranks) * (22 + msgp.Uint16Size + msgp.Uint16Size + msgp.Float32Size))
+	s += msgp.Uint16Size + msgp.ArrayHeaderSize + (len(z.Ranks) * (22 + msgp.Uint16Size + msgp.Uint16Size + msgp.Float32Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z LoadsQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Roster)
+	o = msgp.AppendString(o, z.Entry)
+	o = msgp.AppendUint16(o, z.Waiting)
 	return
 }
 
@@ -491,8 +499,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Roster, bts, err = msgp.ReadUint64Bytes(bts)
@@ -500,13 +508,23 @@
 		err = msgp.WrapError(err, "Roster")
 		return
 	}
+	z.Entry, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	z.Waiting, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z LoadsQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint16Size
 	return
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -86,7 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
-	a.others.taken--
+	b.addShare(a.target.Service, 1)
 }
 
 // Outcome books whether a target did what it should.
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	waiting []*Waiter
 	rate    rate // of requests let go
+	entered int  // requests that were taken in
 	breaker breaker
 }
 
@@ -96,6 +97,7 @@
 func (g *Gate) push(r *Request) *Waiter {
 	w := &Waiter{r: r, granted: make(chan *serving.Target, 1)}
 	g.waiting = append(g.waiting, w)
+	g.entered++
 	slices.SortStableFunc(g.waiting, func(a, b *Waiter) int {
 		return cmp.Or(cmp.Compare(a.r.Priority, b.r.Priority), a.r.Arrived.Compare(b.r.Arrived))
 	})
@@ -114,8 +116,9 @@
 	return true
 }
 
-// grant hands targets to requests that wait, as long as place finds any.
-func (g *Gate) grant(now time.Time, place func(r *Request) *serving.Target) {
+// grant hands targets to requests that wait, as long as place finds any. lateToo
+// tells whether those may go that can't be in time any more.
+func (g *Gate) grant(now time.Time, lateToo bool, place func(r *Request) *serving.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for len(g.waiting) > 0 {
@@ -125,7 +128,10 @@
 			}
 			g.breaker.next = now.Add(probeLimit)
 		}
-		at := g.next(now)
+		at := g.next(now, lateToo)
+		if at < 0 {
+			return
+		}
 		w := g.waiting[at]
 		t := place(w.r)
 		if t == nil {
@@ -140,21 +146,48 @@
 // next returns the request to let go next: of the most urgent ones the oldest that
 // can still be in time for its first event, and only then those that can't. A late
 // answer is worth the same whether it comes a little or much too late, so letting
-// late ones go first would make all that wait behind them late too.
-func (g *Gate) next(now time.Time) int {
+// late ones go first would make all that wait behind them late too. -1: none may go.
+func (g *Gate) next(now time.Time, lateToo bool) int {
 	for i, w := range g.waiting {
-		if w.r.Priority != g.waiting[0].r.Priority {
+		if lateToo && w.r.Priority != g.waiting[0].r.Priority {
 			break
 		}
 		if w.r.inTime(now) {
 			return i
 		}
 	}
-	return 0
+	if lateToo {
+		return 0
+	}
+	return -1
+}
+
+// demand is what one entry has to send.
+type demand struct {
+	waiting   int // requests that can still be in time
+	entered   int // requests, all told
+	perSecond float64
+}
+
+func (g *Gate) demand(now time.Time) demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return demand{waiting: g.inTime(now), entered: g.entered, perSecond: g.rate.perSecond(now)}
+}
+
+func (g *Gate) inTime(now time.Time) int {
+	n := 0
+	for _, w := range g.waiting {
+		if w.r.inTime(now) {
+			n++
+		}
+	}
+	return n
 }
 
-func (g *Gate) perSecond(now time.Time) float64 {
+// Wanting returns how many requests wait that can still be in time.
+func (g *Gate) Wanting(now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rate.perSecond(now)
+	return g.inTime(now)
 }
--- a/placing/letgo.go
+++ b/placing/letgo.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"time"
 
 	"github.com/heatherrail/heatherrail/serving"
@@ -17,21 +18,14 @@
 // LetGo hands targets to requests that wait at a gate, as far as targets have room.
 func LetGo(g *Gate, b *Book, l Lane, now time.Time) {
 	most := b.Limit(l.Service, l.GapAim, now)
-	most -= unseen(g.perSecond(now), l, b.reportAge(l.Service.Name, now))
-	most = max(most, 1)
-	g.grant(now, func(r *Request) *serving.Target {
-		b.assume(l, now)
-		return b.reserve(l, most, r.Size, now)
-	})
+	b.prepare(l, most, g.demand(now), now)
+	g.grant(now, b.roomForAll(l.Service.Name), func(r *Request) *serving.Target { return b.reserve(l, int(math.Ceil(most)), r, now) })
 }
 
-// unseen returns how many requests other entries have sent to each target since
-// its load was reported, if they send as many as this one does. With many entries
-// and reports a few hundred milliseconds old it is several, and targets that seem
-// to have room fill their own queues.
-func unseen(perSecond float64, l Lane, age time.Duration) int {
-	if len(l.Targets) == 0 || age > reportLife {
-		return 0
-	}
-	return int(perSecond*float64(l.Entries-1)/float64(len(l.Targets))*age.Seconds() + 0.5)
+// prepare reckons what this entry may send.
+func (b *Book) prepare(l Lane, most float64, d demand, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.assume(l, now)
+	b.renew(l, most, d, now)
 }
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -30,21 +30,36 @@
 //
 // If no number of streams keeps passes that short, all are late whatever is done,
 // and as many run as the target takes: what is left to save is throughput.
-func limit(m *serving.EngineModel, gapAim time.Duration, imbalance, pace float64) int {
+//
+// The limit is a mean over the targets of a group, since passes last for as long as
+// all streams of the group together need, and so need not be a whole number.
+func limit(m *serving.EngineModel, gapAim time.Duration, imbalance, pace float64) float64 {
+	slots := float64(m.Slots)
 	if gapAim <= 0 || m.StepPerWriter <= 0 {
-		return m.Slots
+		return slots
 	}
 	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)
 	step := float64(gapAim) / copySlows / float64(max(m.Stride, 1))
-	n := int((step - float64(m.Step)*max(pace, 1)) / (float64(m.StepPerWriter) * factor))
+	each := float64(m.StepPerWriter) + readShare(m)
+	n := (step - float64(m.Step)*max(pace, 1)) / (each * factor)
 	if n < leastRunning {
-		return m.Slots
+		return slots
+	}
+	return min(n, slots)
+}
+
+// readShare returns what the prompt of a stream costs each step of its answer, in
+// nanoseconds: where streams come and go steadily, that much is read in each step for
+// each that is written. It is a seventh of what writing costs.
+func readShare(m *serving.EngineModel) float64 {
+	if m.ReadRate <= 0 || m.UsualAnswer <= 0 {
+		return 0
 	}
-	return min(n, m.Slots)
+	return m.UsualPrompt / m.ReadRate / m.UsualAnswer * float64(time.Second)
 }
 
-// Limit returns how many streams a target of a service may run now.
-func (b *Book) Limit(s *serving.Service, gapAim time.Duration, now time.Time) int {
+// Limit returns how many streams a target of a service may run now, in the mean.
+func (b *Book) Limit(s *serving.Service, gapAim time.Duration, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.groups[s.Name]
--- a/serving/config.go
+++ b/serving/config.go
@@ -83,6 +83,7 @@
 	Stride        int           // token steps of a pass
 	Step          time.Duration // of one token step without writers
 	StepPerWriter time.Duration
+	ReadRate      float64 // prompt tokens a second that it reads
 	UsualPrompt   float64 // mean tokens
 	UsualAnswer   float64 // mean tokens
 	Sets          int     // sets of layers with one map each; 0: no experts
