heatherrail bench load: loads against an emulated group of lock-step engines

Ranks run passes together in virtual time after the engines' published costs; entries place requests with the gateway's own decisions from reports that lag, and with simpler policies for comparison: random, least outstanding, and an oracle that is one entry with fresh loads. Patterns: demand that moves with maps that follow soon or late, full, twice too much, bursts, a leader that stands still, a slow rank.

--- /dev/null
+++ b/bench/group/entry.go
@@ -0,0 +1,133 @@
+package group
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/heatherrail/heatherrail/placing"
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Policy is a way to place requests.
+type Policy string
+
+// Policies. All but PolicyOracle know of other entries' requests only what was
+// reported last.
+const (
+	PolicyRandom Policy = "random"
+	PolicyLeast  Policy = "least outstanding" // no limit and no waiting
+	PolicyOurs   Policy = "heatherrail"
+	PolicyOracle Policy = "oracle" // heatherrail as one entry that knows all loads as they are
+)
+
+// Policies that are compared.
+var Policies = []Policy{PolicyRandom, PolicyLeast, PolicyOurs, PolicyOracle}
+
+// Times of what entries do.
+const (
+	reportEvery = 100 * time.Millisecond // the leader's rounds
+	pollEvery   = 184 * time.Millisecond // entries' questions, with 46 of them
+	// firstEventShare of a caller's patience is kept for the engine's work.
+	firstEventShare = 0.25
+)
+
+// entry sends requests.
+type entry struct {
+	w       *world
+	book    *placing.Book
+	gate    placing.Gate
+	waiting map[*placing.Waiter]*job
+	told    int // requests that waited at the latest question
+}
+
+func newEntry(w *world, n int) *entry {
+	return &entry{
+		w:       w,
+		book:    placing.NewBook(fmt.Sprint(n%3), rand.New(rand.NewPCG(w.seed, uint64(n)))),
+		waiting: make(map[*placing.Waiter]*job),
+	}
+}
+
+func (e *entry) lane() placing.Lane {
+	return placing.Lane{Service: &e.w.service, GapAim: e.w.shape.GapAim, Targets: e.w.targets, Entries: len(e.w.entries)}
+}
+
+// take places a request, or lets it wait.
+func (e *entry) take(j *job) {
+	now := e.w.clock.now
+	size := placing.Size{Prompt: j.prompt, Answer: j.write}
+	switch e.w.policy {
+	case PolicyRandom:
+		e.send(e.w.targets[e.w.rng.IntN(len(e.w.targets))], j, size, true)
+		return
+	case PolicyLeast:
+		e.send(e.book.Place(e.w.targets, func(*serving.Target) bool { return false }, now), j, size, true)
+		return
+	}
+	r := &placing.Request{
+		Arrived: now,
+		Aim:     e.w.shape.Aim,
+		MaxWait: time.Duration(float64(e.w.shape.Patience) * (1 - firstEventShare)),
+		Size:    size,
+	}
+	waiter, _, ok := e.gate.Enter(r, now)
+	if !ok {
+		j.end(refused, now)
+		return
+	}
+	e.waiting[waiter] = j
+	e.w.clock.after(r.MaxWait, func() {
+		if e.gate.Leave(waiter) {
+			delete(e.waiting, waiter)
+			j.end(refusedLate, e.w.clock.now)
+		}
+	})
+	e.letGo()
+}
+
+// letGo sends what the gate lets go.
+func (e *entry) letGo() {
+	placing.LetGo(&e.gate, e.book, e.lane(), e.w.clock.now)
+	for waiter, j := range e.waiting {
+		select {
+		case t := <-waiter.Granted():
+			delete(e.waiting, waiter)
+			e.send(t, j, placing.Size{Prompt: j.prompt}, false)
+		default:
+		}
+	}
+}
+
+// send sends a request to a target.
+func (e *entry) send(t *serving.Target, j *job, size placing.Size, begin bool) {
+	if begin {
+		e.book.Begin(t, size)
+	}
+	account := e.book.Account(t)
+	over := false
+	j.left = func() {
+		if over {
+			return
+		}
+		over = true
+		e.book.Answered(account, size)
+		e.book.End(account)
+		if e.w.policy == PolicyOurs || e.w.policy == PolicyOracle {
+			e.letGo()
+		}
+	}
+	e.w.engines.add(e.w.rankOf[t.ID], j)
+}
+
+// poll takes the latest report.
+func (e *entry) poll() {
+	e.told = e.gate.Wanting(e.w.clock.now)
+	if e.w.reported.state.At.IsZero() {
+		return
+	}
+	e.book.Reported(e.w.service.Name, e.w.targets, e.w.reported.loads, e.w.reported.state)
+	if e.w.policy == PolicyOurs || e.w.policy == PolicyOracle {
+		e.letGo()
+	}
+}
--- a/cmd/heatherrail/bench.go
+++ b/cmd/heatherrail/bench.go
@@ -14,6 +14,7 @@
 	Outcomes benchOutcomes      `command:"outcomes" description:"what callers are told under faults, and what at most once costs"`
 	All      benchAll           `command:"all" description:"run all benches, several times each, and print one file of reports"`
 	Compare  benchCompare       `command:"compare" description:"medians and spread of two files of bench all"`
+	Load     benchLoadCommand   `command:"load" description:"loads against an emulated group of lock-step engines, by policy, in virtual time"`
 	Place    benchPlaceCommand  `command:"place" description:"placement, overload and fairness, in virtual time"`
 	Relay    benchRelay         `command:"relay" description:"what entry and agent add to a streamed answer"`
 }
