--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/placing"
@@ -37,16 +38,18 @@
 	w       *world
 	book    *placing.Book
 	gate    placing.Gate
-	waiting map[*placing.Waiter]*job
-	told    int // requests that waited at the latest question
+	waiting []waiting // in the order of arrival
+	told    int       // requests that waited at the latest question
+}
+
+// waiting is a request at the gate.
+type waiting struct {
+	at  *placing.Waiter
+	job *job
 }
 
 func newEntry(w *world, n int) *entry {
-	return &entry{
-		w:       w,
-		book:    placing.NewBook(fmt.Sprint(n%3), rand.New(rand.NewPCG(w.seed, uint64(n)))),
-		waiting: make(map[*placing.Waiter]*job),
-	}
+	return &entry{w: w, book: placing.NewBook(fmt.Sprint(n%3), rand.New(rand.NewPCG(w.seed, uint64(n))))}
 }
 
 func (e *entry) lane() placing.Lane {
@@ -76,10 +79,10 @@
 		j.end(refused, now)
 		return
 	}
-	e.waiting[waiter] = j
+	e.waiting = append(e.waiting, waiting{at: waiter, job: j})
 	e.w.clock.after(r.MaxWait, func() {
 		if e.gate.Leave(waiter) {
-			delete(e.waiting, waiter)
+			e.waiting = slices.DeleteFunc(e.waiting, func(o waiting) bool { return o.job == j })
 			j.end(refusedLate, e.w.clock.now)
 		}
 	})
@@ -89,14 +92,21 @@
 // letGo sends what the gate lets go.
 func (e *entry) letGo() {
 	placing.LetGo(&e.gate, e.book, e.lane(), e.w.clock.now)
-	for waiter, j := range e.waiting {
+	var still []waiting
+	var targets []*serving.Target
+	var jobs []*job
+	for _, o := range e.waiting {
 		select {
-		case t := <-waiter.Granted():
-			delete(e.waiting, waiter)
-			e.send(t, j, placing.Size{Prompt: j.prompt}, false)
+		case t := <-o.at.Granted():
+			targets, jobs = append(targets, t), append(jobs, o.job)
 		default:
+			still = append(still, o)
 		}
 	}
+	e.waiting = still
+	for i, j := range jobs {
+		e.send(targets[i], j, placing.Size{Prompt: j.prompt}, false)
+	}
 }
 
 // send sends a request to a target.
