Logs tell where a request went and why a try failed; story names the cause

Cause: a late stream's only line told that it was answered and after how long. How long it waited for a place, what was known of its target, its longest pause and the tries that failed were in counters or nowhere, so nobody could say from the logs why it was late.

Change: a line when a request is placed, with the load, imbalance and pace that decided it and their age; one for each try that fails; the last line tells the wait, the longest pause and what made it late. `heatherrail story` ends with a sentence that names the cause, from these and the group's lines of that moment.

Tested on recorded lines.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -19,6 +19,8 @@
 	sent  int // targets that may have begun to work on it
 	count int // sends, those that were refused among them
 	last  *result.Error
+	// waited is how long the request waited for its first target.
+	waited time.Duration
 }
 
 // exchange is a try whose target answers.
@@ -60,12 +62,15 @@
 		if e != nil {
 			return nil, e
 		}
+		t.logPlaced(target)
 		x, e := t.send(ctx, target, resumeAfter)
 		if e == nil {
 			return x, nil
 		}
 		t.last = e
-		if !t.mayRetry(e) {
+		again := t.mayRetry(e)
+		t.logFailed(target, e, again)
+		if !again {
 			if cause := t.ended(ctx); cause != nil {
 				return nil, cause
 			}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 func (g *Gateway) refuseAndLog(c *fasthttp.RequestCtx, r *request, e *result.Error) {
@@ -26,14 +28,40 @@
 	return f
 }
 
+// logPlaced tells where a try goes, and what was known of the target then.
+func (t *tries) logPlaced(target *serving.Target) {
+	now := time.Now()
+	if t.count == 0 {
+		t.waited = now.Sub(t.r.arrived)
+	}
+	known := t.g.book.Known(target, now)
+	t.g.opts.Log.Info("placed", "request", t.r.id, "target", target.ID, "try", t.count+1, "wait_ms", now.Sub(t.r.arrived).Milliseconds(),
+		"load", known.Load, "report_ms", known.Age.Milliseconds(), "imbalance", round2(known.Imbalance), "pace", round2(known.Pace))
+}
+
+// logFailed tells why a try did not give an answer, and whether there will be
+// another.
+func (t *tries) logFailed(target *serving.Target, e *result.Error, again bool) {
+	t.g.opts.Log.Info("try failed", "request", t.r.id, "target", target.ID, "try", t.count, "code", int(e.Code),
+		"reason", e.Code.Info().Name, "detail", e.Detail, "again", again)
+}
+
+func round2(v float64) float64 { return math.Round(v*100) / 100 }
+
 func (g *Gateway) logDone(r *request, t *tries, x *exchange) {
 	g.opts.Metrics.Result(result.OK)
+	took := time.Since(r.arrived)
+	late := lateNot
+	if r.route.Aim > 0 && took > r.route.Aim {
+		late = lateAnswer
+	}
 	g.opts.Log.Info("answered", append(r.fields(), "target", x.target.ID, "status", x.resp.Status,
-		"tries", t.count, "ms", time.Since(r.arrived).Milliseconds())...)
+		"tries", t.count, "ms", took.Milliseconds(), "late", late)...)
 }
 
 func (g *Gateway) logStream(r *request, t *tries, b *streamBody) {
-	f := append(r.fields(), "tries", t.count, "ms", time.Since(r.arrived).Milliseconds())
+	f := append(r.fields(), "tries", t.count, "wait_ms", t.waited.Milliseconds(), "ms", time.Since(r.arrived).Milliseconds(),
+		"gap_ms", b.gap.Milliseconds(), "late", b.lateBy())
 	if !b.first.IsZero() {
 		g.opts.Metrics.FirstToken(b.first.Sub(r.arrived))
 		f = append(f, "first_ms", b.first.Sub(r.arrived).Milliseconds())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,7 +25,9 @@
 	sent   int    // of them, bytes already handed over
 	ended  error  // io.EOF after the whole stream
 	reason *result.Error
-	first  time.Time // when the first event came
+	first  time.Time     // when the first event came
+	latest time.Time     // when the latest came
+	gap    time.Duration // longest pause between events
 	done   func(b *streamBody)
 }
 
@@ -94,9 +96,8 @@
 				err = bad
 			}
 		}
-		if len(b.out) > 0 && b.first.IsZero() {
-			b.first = time.Now()
-			b.x.firstByte()
+		if len(b.out) > 0 {
+			b.came(time.Now())
 		}
 		if err == io.EOF && b.events.half() {
 			err = errEventHalf
@@ -111,6 +112,40 @@
 	}
 }
 
+// came notes that events have come.
+func (b *streamBody) came(now time.Time) {
+	if b.first.IsZero() {
+		b.first = now
+		b.x.firstByte()
+	} else {
+		b.gap = max(b.gap, now.Sub(b.latest))
+	}
+	b.latest = now
+}
+
+// What makes an answer late.
+const (
+	lateNot   = "no"
+	lateFirst = "first event"
+	latePause = "pause"
+	// lateAnswer is for answers that are no streams.
+	lateAnswer = "answer"
+)
+
+// lateBy tells what made the stream late.
+func (b *streamBody) lateBy() string {
+	route := b.t.r.route
+	switch {
+	case b.first.IsZero():
+		return lateNot
+	case route.Aim > 0 && b.first.Sub(b.t.r.arrived) > route.Aim:
+		return lateFirst
+	case route.GapAim > 0 && b.gap > route.GapAim:
+		return latePause
+	}
+	return lateNot
+}
+
 // broken goes on at another target, or ends the stream.
 func (b *streamBody) broken(err error) {
 	lost := b.x
--- a/lockstep/gather_test.go
+++ b/lockstep/gather_test.go
@@ -98,8 +98,8 @@
 	l := newLeader(f.agents[0])
 	l.group.reread()
 	l.group.add(engineAddress(0))
+	l.group.collect("g", plain) // finds out who the ranks are
 	ranks, _ := l.group.collect("g", plain)
-	ranks, _ = l.group.collect("g", plain)
 	l.epoch, l.newest = 1, 1
 	l.pending = &pending{version: 5}
 	for range f.group.sets {
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -94,6 +94,26 @@
 	b.groups[l.Service.Name] = state
 }
 
+// Known is what placing knows of a target.
+type Known struct {
+	Load      int           // requests there
+	Age       time.Duration // of the report that this comes from
+	Imbalance float64       // of its group
+	Pace      float64       // of its group's slowest rank
+}
+
+// Known returns what is known of a target.
+func (b *Book) Known(t *serving.Target, now time.Time) Known {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.groups[t.Service]
+	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace}
+	if !state.At.IsZero() {
+		k.Age = now.Sub(state.At)
+	}
+	return k
+}
+
 // load returns how many requests a target has: this entry's, and those of others
 // by the latest report. A target that the reports of its group leave out, since its
 // agent is away, counts as one like the others: if it counted as empty, all entries
--- a/story/story.go
+++ b/story/story.go
@@ -160,11 +160,13 @@
 // begun returns when the request came: lines are written at its end and tell how
 // long it took.
 func (s *Story) begun() time.Time {
-	ms, err := strconv.Atoi(s.Lines[0].Get("ms"))
-	if err != nil {
-		return s.Lines[0].At
+	first := &s.Lines[0]
+	for _, key := range []string{"ms", "wait_ms"} {
+		if first.Get(key) != "" {
+			return first.At.Add(-time.Duration(number(first, key)) * time.Millisecond)
+		}
 	}
-	return s.Lines[0].At.Add(-time.Duration(ms) * time.Millisecond)
+	return first.At
 }
 
 // Write writes the story.
@@ -179,6 +181,9 @@
 	for _, l := range s.Lines {
 		l.write(b)
 	}
+	if cause := s.Cause(); cause != "" {
+		fmt.Fprintf(b, "cause: %s\n", cause)
+	}
 	if len(s.Around) > 0 {
 		fmt.Fprintf(b, "about then, from %s before it:\n", around)
 		for _, l := range s.Around {
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -61,3 +61,37 @@
 		}
 	})
 }
+
+const causes = `front-1 time=2026-04-20T08:45:42.150Z level=info event=placed request=a1 target=i-1 try=1 wait_ms=400 load=7 report_ms=90 imbalance=2.8 pace=1
+front-1 time=2026-04-20T08:45:43.150Z level=info event=answered request=a1 tries=1 wait_ms=400 ms=1400 gap_ms=80 late="first event" first_ms=610
+front-1 time=2026-04-20T08:45:42.150Z level=info event=answered request=a2 tries=1 wait_ms=3 ms=1400 gap_ms=210 late=pause first_ms=110
+side-1 time=2026-04-20T08:45:41.900Z level=info event="demand moved" step=4
+side-1 time=2026-04-20T08:45:42.000Z level=info event="group load" pass_ms=190.5 running=60 waiting=3 imbalance=2.71
+front-1 time=2026-04-20T08:45:42.100Z level=info event="try failed" request=a3 target=i-2 try=1 code=310 reason=target_lost detail="i-2: reset" again=true
+front-1 time=2026-04-20T08:45:42.300Z level=info event=answered request=a3 target=i-3 status=200 tries=2 ms=700 late=answer
+front-1 time=2026-04-20T08:45:42.300Z level=info event=refused request=a4 code=250 reason=wait_too_long detail="waited 1500 ms" ms=1500
+front-1 time=2026-04-20T08:45:42.300Z level=info event=answered request=a5 tries=1 wait_ms=0 ms=900 gap_ms=60 late=no first_ms=140
+front-1 time=2026-04-20T08:45:42.300Z level=info event="broken off" request=a6 code=320 reason=answer_broken detail="i-4: reset" ms=300
+`
+
+// An engineer has the id of a request that was late, refused or cut, and the logs.
+// The cause must be named by them, and none be made up for one that fared well.
+func TestTheCauseIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	for id, cause := range map[string]string{
+		"a1": "late first event, 610 ms: it waited 400 ms for a place; passes of the group took 190.5 ms, imbalance 2.71, 60 streams, 3 waiting; demand had moved",
+		"a2": "a pause of 210 ms between events; passes of the group took 190.5 ms",
+		"a3": "late answer, 700 ms: try 1 failed: target_lost: i-2: reset",
+		"a4": "refused: wait_too_long: waited 1500 ms; passes of the group took 190.5 ms",
+		"a5": "",
+		"a6": "broken off: answer_broken: i-4: reset",
+	} {
+		s, err := story.Read(strings.NewReader(causes), id)
+		g.Expect(err).NotTo(HaveOccurred())
+		if cause == "" {
+			g.Expect(s.Cause()).To(BeEmpty(), id)
+			continue
+		}
+		g.Expect(s.Cause()).To(HavePrefix(cause), id)
+	}
+}
