Soak: a proxy before each target

Entries reached targets directly, so no connection to one was ever delayed, reset, cut one way or silenced. Each target now has a proxy before it, and four faults more.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -21,7 +21,7 @@
 	at := s.rng.IntN(64)
 	last := faultLeast + time.Duration(s.rng.Int64N(int64(faultMost-faultLeast)))
 	s.faults++
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(18) {
 	case 0:
 		s.during("freeze "+e.name, last, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
 	case 1:
@@ -41,9 +41,9 @@
 		s.note("store forgets its history")
 		s.fleet.store.Forget()
 	case 8:
-		s.proxyFault(e, "cut off from the store", last, proxyFaults{Refuse: true, Silent: true})
+		s.proxyFault(e.proxy, e.name+" cut off from the store", last, proxyFaults{Refuse: true, Silent: true})
 	case 9:
-		s.proxyFault(e, "hears nothing from the store", last, proxyFaults{OneWay: true, Delay: 5 * time.Millisecond})
+		s.proxyFault(e.proxy, e.name+" hears nothing from the store", last, proxyFaults{OneWay: true, Delay: 5 * time.Millisecond})
 	case 10:
 		s.note("reset %s's connections to the store", e.name)
 		e.proxy.reset()
@@ -57,6 +57,15 @@
 	case 13:
 		s.note("new configuration")
 		s.fleet.configure()
+	case 14:
+		s.proxyFault(s.fleet.proxyOf(at), "target cut off", last, proxyFaults{Refuse: true, Silent: true})
+	case 15:
+		s.proxyFault(s.fleet.proxyOf(at), "target is not heard", last, proxyFaults{OneWay: true})
+	case 16:
+		s.proxyFault(s.fleet.proxyOf(at), "target far away", last, proxyFaults{Delay: 40 * time.Millisecond})
+	case 17:
+		s.note("reset connections to target %d", at)
+		s.fleet.proxyOf(at).reset()
 	}
 	select {
 	case <-ctx.Done():
@@ -78,10 +87,10 @@
 	s.during(what, d, func() { s.fleet.store.SetFaults(f) }, func() { s.fleet.store.SetFaults(standin.Faults{}) })
 }
 
-func (s *soak) proxyFault(e *entryProc, what string, d time.Duration, f proxyFaults) {
-	s.during(e.name+" "+what, d, func() { e.proxy.set(f) }, func() {
-		e.proxy.set(proxyFaults{})
-		e.proxy.reset() // what it swallowed can't be made up for
+func (s *soak) proxyFault(p *proxy, what string, d time.Duration, f proxyFaults) {
+	s.during(what, d, func() { p.set(f) }, func() {
+		p.set(proxyFaults{})
+		p.reset() // what it swallowed can't be made up for
 	})
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -53,12 +53,13 @@
 
 func (e *entryProc) address(port int) string { return fmt.Sprintf("%s:%d", e.ip, port) }
 
-// targetProc is one target and its record.
+// targetProc is one target and its record, and the proxy that all entries reach it
+// through.
 type targetProc struct {
 	*standin.Target
 	service string
 	server  *http.Server
-	address string
+	proxy   *proxy
 	leaving bool
 }
 
@@ -186,15 +187,18 @@
 	if err != nil {
 		return err
 	}
-	t.address, t.server = ln.Addr().String(), &http.Server{Handler: t.Target}
+	t.server = &http.Server{Handler: t.Target}
 	go func() { _ = t.server.Serve(ln) }() // ends with the server
+	if t.proxy, err = startProxy(ln.Addr().String()); err != nil {
+		return err
+	}
 	f.targets = append(f.targets, t)
 	f.register(t)
 	return nil
 }
 
 func (f *fleet) register(t *targetProc) {
-	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.address, t.leaving))
+	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.proxy.address(), t.leaving))
 }
 
 const heartbeat = 400 * time.Millisecond
@@ -239,6 +243,7 @@
 		}
 		f.store.PutTarget(t.ID, nil)
 		_ = t.server.Close() // nothing is left to be served
+		t.proxy.close()
 	})
 	return nil
 }
@@ -249,12 +254,20 @@
 	f.targets[at%len(f.targets)].SetFaults(faults)
 }
 
+// proxyOf returns the proxy before one of the targets.
+func (f *fleet) proxyOf(at int) *proxy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[at%len(f.targets)].proxy
+}
+
 // heal ends all faults.
 func (f *fleet) heal() {
 	f.store.SetFaults(standin.Faults{})
 	f.mu.Lock()
 	for _, t := range f.targets {
 		t.SetFaults(standin.TargetFaults{})
+		t.proxy.set(proxyFaults{})
 	}
 	f.mu.Unlock()
 	for _, e := range f.entries {
@@ -271,4 +284,9 @@
 		e.proxy.close()
 		_ = e.log.Close() // its text is dropped with the folder
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		t.proxy.close()
+	}
 }
