--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -88,6 +88,32 @@
 	}
 }
 
+// A group so large that agents add up counts and pass maps on for others. Orders go
+// unanswered and come late, and VMs freeze, those of the agents in between too. No
+// pass may see two maps, and the group must go on.
+func TestLargeGroupsNeverMixMaps(t *testing.T) {
+	for seed := range uint64(6) {
+		g := NewWithT(t)
+		group := newSimGroup(2*directRanks, 2, 4*directRanks, seed)
+		group.lost, group.late = 0.15, true
+		rng := rand.New(rand.NewPCG(seed, 4))
+		play(t, group, 24*time.Second, func(f *simFleet) {
+			for range 4 {
+				time.Sleep(time.Duration(500+rng.IntN(1500)) * time.Millisecond)
+				group.move()
+				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+				vm := group.ranks[rng.IntN(4)*gatherRanks+rng.IntN(3)].vm
+				vm.freeze()
+				time.Sleep(2 * time.Second)
+				vm.wake()
+			}
+		})
+		g.Expect(group.mixed).To(BeEmpty(), "seed %d", seed)
+		g.Expect(group.passes).To(BeNumerically(">", 200), "seed %d", seed)
+		g.Expect(group.ranks[0].version).NotTo(BeZero(), "seed %d", seed)
+	}
+}
+
 // The leader's VM freezes right after it has placed the hold. Its engine can't be
 // reached either, so nobody can see whether its rank is armed. The others know
 // that it is armed last, and must let the group go within a second or so, not when
