A newcomer tells its peers of removals that it never saw

Change: a replica knows from which offset on it knows removals. A peer from before that gets all records that exist, and sees by them what is gone. Topics whose keys are never removed go on as before, so configurations are not sent again.

Tests: two cases, and replicas that read, start late and tell each other at random (60 seeds) against the log.

--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -91,7 +91,7 @@
 	k.config = serving.NewIndex(testConfig())
 	k.newest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain"}`)}, 2, now.Add(-time.Second))
 	k.storeFailed(errAway)
-	k.adopt(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", "")}, 2, 3, now)
+	k.adopt(serving.TopicTargets, serving.News{Records: []serving.Record{targetRecord(2, "i1", "")}, From: 2, Next: 3}, now)
 	g.Expect(k.view().targets["plain"]).To(BeEmpty())
 }
 
@@ -103,12 +103,12 @@
 	now := time.Now()
 	k.newest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain","sequence":1}`)}, 2, now)
 	k.changes(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", `{"Service":"plain","sequence":2}`)}, 3, now)
-	records, next := k.since(serving.TopicTargets, 2)
-	g.Expect(records).To(BeEmpty())
-	g.Expect(next).To(Equal(uint64(3)))
+	news := k.since(serving.TopicTargets, 2)
+	g.Expect(news.Records).To(BeEmpty())
+	g.Expect(news.Next).To(Equal(uint64(3)))
 	k.changes(serving.TopicTargets, []serving.Record{targetRecord(3, "i1", `{"Service":"plain","Leaving":true}`)}, 4, now)
-	records, _ = k.since(serving.TopicTargets, 3)
-	g.Expect(records).To(HaveLen(1))
+	news = k.since(serving.TopicTargets, 3)
+	g.Expect(news.Records).To(HaveLen(1))
 }
 
 // A peer passes on what it has heard from a third one. If that counted as fresh,
@@ -130,7 +130,7 @@
 	k := testKnowledge()
 	now := time.Now()
 	k.newest(serving.TopicConfig, []serving.Record{targetRecord(5, "config", `{"Version":9}`)}, 6, now)
-	k.adopt(serving.TopicConfig, []serving.Record{targetRecord(3, "config", `{"Version":7}`)}, 0, 4, now)
+	k.adopt(serving.TopicConfig, serving.News{Records: []serving.Record{targetRecord(3, "config", `{"Version":7}`)}, Next: 4}, now)
 	g.Expect(k.view().index.Version).To(Equal(uint64(9)))
 	k.newest(serving.TopicConfig, []serving.Record{targetRecord(3, "config", `{"Version":7}`)}, 4, now)
 	k.newest(serving.TopicConfig, []serving.Record{targetRecord(8, "config", `{"Version":8}`)}, 9, now)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -66,9 +66,9 @@
 }
 
 func (m *mesh) news(t serving.Topic, from uint64) peers.TopicNews {
-	records, next := m.g.knowledge.since(t, from)
-	n := peers.TopicNews{Topic: uint8(t), From: from, Next: next}
-	for _, r := range records {
+	since := m.g.knowledge.since(t, from)
+	n := peers.TopicNews{Topic: uint8(t), From: since.From, Next: since.Next, Whole: since.Whole}
+	for _, r := range since.Records {
 		n.Records = append(n.Records, peers.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
 	if err := n.Pack(); err != nil {
@@ -94,12 +94,12 @@
 			m.g.opts.Log.Error(err, "news of an entry ignored", "entry", h.Entry.Name)
 			continue
 		}
-		records := make([]serving.Record, 0, len(news.Records))
+		n := serving.News{From: news.From, Next: news.Next, Whole: news.Whole}
 		for _, r := range news.Records {
-			records = append(records, serving.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+			n.Records = append(n.Records, serving.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 		}
 		asOf := now.Add(-time.Duration(h.Topics[news.Topic].AgeMS) * time.Millisecond)
-		m.g.knowledge.adopt(serving.Topic(news.Topic), records, news.From, news.Next, asOf)
+		m.g.knowledge.adopt(serving.Topic(news.Topic), n, asOf)
 	}
 	// A peer that knows no more than we do may know it for a later moment.
 	for t := range h.Topics {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -50,7 +50,7 @@
 		peers:        make(map[string][]byte),
 	}
 	for i := range k.replicas {
-		k.replicas[i] = serving.NewReplica(nil)
+		k.replicas[i] = serving.NewPermanentReplica()
 	}
 	k.replicas[serving.TopicTargets] = serving.NewReplica(k.sameTarget)
 	return k
@@ -134,13 +134,13 @@
 }
 
 // adopt takes a peer's records.
-func (k *knowledge) adopt(t serving.Topic, records []serving.Record, from, next uint64, asOf time.Time) {
+func (k *knowledge) adopt(t serving.Topic, n serving.News, asOf time.Time) {
 	k.mu.Lock()
-	if from > k.replicas[t].Next() {
+	if n.From > k.replicas[t].Next() {
 		k.mu.Unlock()
 		return
 	}
-	news := k.replicas[t].Adopt(records, from, next)
+	news := k.replicas[t].Adopt(n)
 	k.noteFresh(t, asOf)
 	k.apply(t, news)
 }
@@ -175,11 +175,11 @@
 	}
 }
 
-// since returns the records of a topic that a peer lacks.
-func (k *knowledge) since(t serving.Topic, next uint64) ([]serving.Record, uint64) {
+// since returns what a peer lacks of a topic.
+func (k *knowledge) since(t serving.Topic, next uint64) serving.News {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.replicas[t].Since(next), k.replicas[t].Next()
+	return k.replicas[t].Since(next)
 }
 
 // apply works news into the view. It is called with the lock held and releases it.
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -53,6 +53,7 @@
 	Topic   uint8
 	From    uint64 // the receiver was to know all records before
 	Next    uint64
+	Whole   bool // Records are all that exist, whatever the receiver knows
 	Records []Record
 	Packed  []byte // Records, msgpack in DEFLATE, where that is shorter
 }
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -1361,11 +1361,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TopicNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint8(o, z.Topic)
 	o = msgp.AppendUint64(o, z.From)
 	o = msgp.AppendUint64(o, z.Next)
+	o = msgp.AppendBool(o, z.Whole)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
 		// array header, size 3
@@ -1386,8 +1387,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Topic, bts, err = msgp.ReadUint8Bytes(bts)
@@ -1405,6 +1406,11 @@
 		err = msgp.WrapError(err, "Next")
 		return
 	}
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -1490,7 +1496,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TopicNews) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Records {
 		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value) + msgp.Uint64Size
 	}
--- a/serving/replica.go
+++ b/serving/replica.go
@@ -54,7 +54,21 @@
 	same    func(key string, old, new []byte) bool
 	records map[string]Record
 	next    uint64 // all records before it are known
-	loaded  bool
+	// base is the offset from which on removals are known: the newest records of all
+	// keys do not tell what was removed before they were read.
+	base      uint64
+	loaded    bool
+	permanent bool
+}
+
+// News are what one replica tells another.
+type News struct {
+	Records []Record
+	// From is the offset that the other one was to have; 0 if Whole.
+	From uint64
+	Next uint64 // all records before it are told or were known
+	// Whole tells that these are the newest records of all keys that exist.
+	Whole bool
 }
 
 // NewReplica returns an empty copy. same tells whether two records of a key mean
@@ -64,6 +78,13 @@
 	return &Replica{same: same, records: make(map[string]Record)}
 }
 
+// NewPermanentReplica returns an empty copy of a topic whose keys are never removed.
+func NewPermanentReplica() *Replica {
+	r := NewReplica(nil)
+	r.permanent = true
+	return r
+}
+
 // Loaded tells whether the whole topic has been seen once.
 func (r *Replica) Loaded() bool { return r.loaded }
 
@@ -112,31 +133,48 @@
 		}
 	}
 	r.loaded = true
+	if !r.permanent {
+		r.base = max(r.base, end)
+	}
 	return news
 }
 
-// Since returns the records that a peer lacks which knows all before an offset.
-func (r *Replica) Since(next uint64) []Record {
+// Since returns what a peer lacks which knows all before an offset.
+//
+// Failure: a target's record is removed, an entry starts and reads the newest records,
+// and a peer that has not read since asks it. Symptom: the peer takes over the
+// newcomer's offset without the removal, which nobody tells it any more, and sends to
+// the target until that is off. So a peer that lacks removals of before the base gets
+// all records that exist, and sees by them what is gone.
+func (r *Replica) Since(next uint64) News {
+	n := News{From: next, Next: r.next}
 	if next >= r.next {
-		return nil
+		return n
+	}
+	if next < r.base {
+		n.From, n.Whole = 0, true
 	}
-	var list []Record
 	for _, rec := range r.records {
-		if rec.Offset >= next {
-			list = append(list, rec)
+		if n.Whole && len(rec.Value) > 0 || !n.Whole && rec.Offset >= next {
+			n.Records = append(n.Records, rec)
 		}
 	}
-	return list
+	return n
 }
 
-// Adopt takes a peer's records: those since from, up to next. It is refused,
-// with no news, if there is a gap between what is known and from.
-func (r *Replica) Adopt(records []Record, from, next uint64) []Record {
-	if from > r.next {
+// Adopt takes a peer's news. They are refused, with no news, if there is a gap between
+// what is known and what they lead on from.
+func (r *Replica) Adopt(n News) []Record {
+	switch {
+	case n.Whole && n.Next <= r.next:
+		return nil // they are older than what is known
+	case n.Whole:
+		return r.Reset(n.Records, n.Next)
+	case n.From > r.next:
 		return nil
 	}
-	news := r.Apply(records, next)
-	if next > 0 {
+	news := r.Apply(n.Records, n.Next)
+	if n.Next > 0 {
 		r.loaded = true
 	}
 	return news
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -65,7 +65,7 @@
 			if rng.IntN(3) == 0 {
 				r.Reset(newestOf(log[:to]), uint64(to))
 			} else {
-				r.Adopt(log[from:to], uint64(from), uint64(to))
+				r.Adopt(News{Records: log[from:to], From: uint64(from), Next: uint64(to)})
 			}
 			for key, rec := range r.records {
 				g.Expect(rec.Offset).To(BeNumerically(">=", seen[key]), "seed %d key %s", seed, key)
@@ -98,8 +98,8 @@
 func TestNewsWithAGapAreRefused(t *testing.T) {
 	g := NewWithT(t)
 	r := NewReplica(nil)
-	r.Adopt([]Record{{Key: "a", Value: []byte("1"), Offset: 0}}, 0, 1)
-	g.Expect(r.Adopt([]Record{{Key: "b", Value: []byte("1"), Offset: 5}}, 5, 6)).To(BeEmpty())
+	r.Adopt(News{Records: []Record{{Key: "a", Value: []byte("1"), Offset: 0}}, Next: 1})
+	g.Expect(r.Adopt(News{Records: []Record{{Key: "b", Value: []byte("1"), Offset: 5}}, From: 5, Next: 6})).To(BeEmpty())
 	g.Expect(r.Next()).To(Equal(uint64(1)))
 }
 
@@ -143,3 +143,105 @@
 	g.Expect(s.Remove("z-old", now, now)).To(BeTrue())
 	g.Expect(s.ByService()["s"]).To(HaveLen(1))
 }
+
+// An entry starts after a target's record was removed. It reads the newest records,
+// which do not tell of that, and answers a peer that read last before the removal. The
+// peer must learn that the target is gone: believing that it now knows everything up
+// to the newcomer's offset, it would send to the target for good.
+func TestANewcomerTellsOfRemovalsBeforeItsStart(t *testing.T) {
+	g := NewWithT(t)
+	peer, newcomer := NewReplica(nil), NewReplica(nil)
+	peer.Reset([]Record{{Key: "gone", Value: []byte("x"), Offset: 5}, {Key: "stays", Value: []byte("x"), Offset: 6}}, 7)
+	newcomer.Reset([]Record{{Key: "stays", Value: []byte("x"), Offset: 6}, {Key: "new", Value: []byte("x"), Offset: 8}}, 9)
+	news := peer.Adopt(newcomer.Since(peer.Next()))
+	g.Expect(peer.Next()).To(Equal(uint64(9)))
+	g.Expect(keysOf(news)).To(ConsistOf("-gone", "+new"))
+}
+
+// An entry finds its place in the history dropped, and reads the newest records. A
+// removal that it notices so must reach a peer that has read further than the record
+// that was removed.
+func TestARemovalFoundAfterAGapReachesPeers(t *testing.T) {
+	g := NewWithT(t)
+	reader, peer := NewReplica(nil), NewReplica(nil)
+	old := []Record{{Key: "gone", Value: []byte("x"), Offset: 5}, {Key: "stays", Value: []byte("x"), Offset: 6}}
+	reader.Reset(old, 7)
+	peer.Reset(old, 7)
+	peer.Apply([]Record{{Key: "late", Value: []byte("x"), Offset: 7}}, 8)
+	reader.Reset([]Record{{Key: "stays", Value: []byte("x"), Offset: 6}}, 10)
+	news := peer.Adopt(reader.Since(peer.Next()))
+	g.Expect(keysOf(news)).To(ConsistOf("-gone", "-late"))
+}
+
+// keysOf names what news add and remove.
+func keysOf(news []Record) []string {
+	var keys []string
+	for _, r := range news {
+		sign := "+"
+		if len(r.Value) == 0 {
+			sign = "-"
+		}
+		keys = append(keys, sign+r.Key)
+	}
+	return keys
+}
+
+// Some replicas read the log, some start late with its newest records, and all tell
+// each other what they lack, in any order. Whoever knows all records before an offset
+// must hold just the keys that exist there: a removal that gets lost on such a way is
+// told by nobody any more.
+func TestReplicasThatTellEachOtherAgreeWithTheLog(t *testing.T) {
+	for seed := range uint64(60) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 8))
+		keys := []string{"a", "b", "c", "d", "e"}
+		var log []Record
+		replicas := []*Replica{NewReplica(nil), NewReplica(nil), NewReplica(nil), NewReplica(nil)}
+		for range 400 {
+			r := replicas[rng.IntN(len(replicas))]
+			switch rng.IntN(6) {
+			case 0:
+				rec := Record{Key: keys[rng.IntN(len(keys))], Offset: uint64(len(log))}
+				if rng.IntN(2) == 0 {
+					rec.Value = []byte{1}
+				}
+				log = append(log, rec)
+			case 1:
+				if r.Loaded() {
+					r.Apply(log[r.Next():], uint64(len(log)))
+				}
+			case 2:
+				if rng.IntN(4) == 0 {
+					r.Reset(newestOf(log), uint64(len(log)))
+				}
+			case 3:
+				if rng.IntN(8) == 0 {
+					replicas[rng.IntN(len(replicas))] = NewReplica(nil)
+				}
+			default:
+				r.Adopt(replicas[rng.IntN(len(replicas))].Since(r.Next()))
+			}
+			for _, r := range replicas {
+				g.Expect(existing(r)).To(ConsistOf(keysAt(log[:r.Next()])), "seed %d, offset %d", seed, r.Next())
+			}
+		}
+	}
+}
+
+func existing(r *Replica) []string {
+	var keys []string
+	for key, rec := range r.records {
+		if len(rec.Value) > 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func keysAt(log []Record) []string {
+	var keys []string
+	for _, rec := range newestOf(log) {
+		keys = append(keys, rec.Key)
+	}
+	return keys
+}
