--- a/lockstep/gather.go
+++ b/lockstep/gather.go
@@ -57,7 +57,7 @@
 
 // relaySome gives an order to ranks through the agent of one of them.
 func relaySome(a *Agent, some []rank, results []peers.OrderResult, o *peers.RankOrder) {
-	one := gathering(some)
+	one := gatherer(some)
 	if one < 0 {
 		copy(results, orderEach(a, some, o))
 		return
--- a/lockstep/gather_test.go
+++ b/lockstep/gather_test.go
@@ -136,7 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := gatherFleet()
-		frozen := f.group.ranks[gatherRanks+gatheringOne]
+		frozen := f.group.ranks[gatherRanks+gathererPlace]
 		time.AfterFunc(10*time.Millisecond, frozen.vm.freeze)
 		have := 0
 		f.done.Go(func() { have = prepared(f) })
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -33,10 +33,13 @@
 // leave the group at 1.4 times the mean where 1.15 was planned. So in a large group
 // some agents add up the counts of their neighbours, and the leader gets sums.
 const (
-	directRanks  = 16 // smaller groups tell the leader each for itself
-	gatherRanks  = 8  // whose counts are added up by one of them
-	gatherLimit  = 120 * time.Millisecond
-	gatheringOne = 1 // place of that one among them; the first is the leader's
+	directRanks = 16 // smaller groups tell the leader each for itself
+	gatherRanks = 8  // whose counts are added up by one of them
+	// gathererPlace is the place of that one among them; the first of all is the leader.
+	gathererPlace = 1
+	// gatherLimit is for questions to neighbours; it leaves their leader's own limit
+	// time for the answer.
+	gatherLimit = 120 * time.Millisecond
 )
 
 // assignCounts decides which of the ranks are asked for counts.
@@ -48,7 +51,7 @@
 		return
 	}
 	for some := range slices.Chunk(ranks, gatherRanks) {
-		one := gathering(some)
+		one := gatherer(some)
 		for i := range some {
 			some[i].counts, some[i].gather = false, nil
 		}
@@ -64,11 +67,11 @@
 	}
 }
 
-// gathering returns the place of the rank that adds up the counts of some; -1 if
+// gatherer returns the place of the rank that adds up the counts of some; -1 if
 // none can.
-func gathering(some []rank) int {
+func gatherer(some []rank) int {
 	for i := range some {
-		at := (i + gatheringOne) % len(some)
+		at := (i + gathererPlace) % len(some)
 		if some[at].hasAgent() {
 			return at
 		}
