--- a/story/cause.go
+++ b/story/cause.go
@@ -76,6 +76,9 @@
 // groupThen tells how the request's group fared while the request was there: its
 // longest passes, and whether demand had moved.
 func (s *Story) groupThen(last *Line) string {
+	if kind := last.Get("kind"); kind != "" && kind != "stream" {
+		return "" // plain services have no group
+	}
 	var worst *Line
 	moved := false
 	for i := range s.Around {
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -72,6 +72,7 @@
 front-1 time=2026-04-20T08:45:42.300Z level=info event=refused request=a4 code=250 reason=wait_too_long detail="waited 1500 ms" ms=1500
 front-1 time=2026-04-20T08:45:42.300Z level=info event=answered request=a5 tries=1 wait_ms=0 ms=900 gap_ms=60 late=no first_ms=140
 front-1 time=2026-04-20T08:45:42.300Z level=info event="broken off" request=a6 code=320 reason=answer_broken detail="i-4: reset" ms=300
+front-1 time=2026-04-20T08:45:42.300Z level=info event=refused request=a7 kind=once code=301 reason=target_lost detail="i-5: EOF" ms=53
 `
 
 // An engineer has the id of a request that was late, refused or cut, and the logs.
@@ -84,6 +85,7 @@
 		"a3": "late answer, 700 ms: try 1 failed: target_lost: i-2: reset",
 		"a4": "refused: wait_too_long: waited 1500 ms; passes of the group took 190.5 ms",
 		"a5": "",
+		"a7": "refused: target_lost: i-5: EOF",
 		"a6": "broken off: answer_broken: i-4: reset",
 	} {
 		s, err := story.Read(strings.NewReader(causes), id)
@@ -93,5 +95,8 @@
 			continue
 		}
 		g.Expect(s.Cause()).To(HavePrefix(cause), id)
+		if id == "a7" {
+			g.Expect(s.Cause()).To(Equal(cause), "a plain service has no group")
+		}
 	}
 }
