One way to ask neighbours, one fence condition, groups by reference

Read again: passing an order on and gathering counts were the same loop twice; the fence's condition stood in two places, of which one that drifts would arm a rank that must not be; two packages rounded figures for their lines; a function stood around a constant; the book copied a group's state out of a map and back in each step.

Change: askEach, fence.stops, logging.Round2, the constant itself, and groups held by pointer, so that a share changes where it lies.

--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -89,6 +89,9 @@
 	e.letGo()
 }
 
+// gated tells whether requests wait at the gate.
+func (e *entry) gated() bool { return e.w.policy == PolicyOurs || e.w.policy == PolicyOracle }
+
 // letGo sends what the gate lets go.
 func (e *entry) letGo() {
 	if e.w.pattern.Outage.has(e.w.clock.now.Sub(e.w.engines.begun)) {
@@ -126,7 +129,7 @@
 		over = true
 		e.book.Answered(account, size)
 		e.book.End(account)
-		if e.w.policy == PolicyOurs || e.w.policy == PolicyOracle {
+		if e.gated() {
 			e.letGo()
 		}
 	}
@@ -140,7 +143,7 @@
 		return
 	}
 	e.book.Reported(e.w.service.Name, e.w.targets, e.w.reported.loads, e.w.reported.state)
-	if e.w.policy == PolicyOurs || e.w.policy == PolicyOracle {
+	if e.gated() {
 		e.letGo()
 	}
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -59,7 +59,7 @@
 		l.client = peers.NewClient(loads.Leader)
 		return true
 	}
-	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportLife() {
+	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportLife {
 		l.drop(nil)
 		return false
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -2,11 +2,11 @@
 
 import (
 	"io"
-	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -36,7 +36,7 @@
 	}
 	known := t.g.book.Known(target, now)
 	t.g.opts.Log.Info("placed", "request", t.r.id, "target", target.ID, "try", t.count+1, "wait_ms", now.Sub(t.r.arrived).Milliseconds(),
-		"load", known.Load, "report_ms", known.Age.Milliseconds(), "imbalance", round2(known.Imbalance), "pace", round2(known.Pace))
+		"load", known.Load, "report_ms", known.Age.Milliseconds(), "imbalance", logging.Round2(known.Imbalance), "pace", logging.Round2(known.Pace))
 }
 
 // logFailed tells why a try did not give an answer, and whether there will be
@@ -46,8 +46,6 @@
 		"reason", e.Code.Info().Name, "detail", e.Detail, "again", again)
 }
 
-func round2(v float64) float64 { return math.Round(v*100) / 100 }
-
 func (g *Gateway) logDone(r *request, t *tries, x *exchange) {
 	g.opts.Metrics.Result(result.OK)
 	took := time.Since(r.arrived)
--- a/lockstep/gather.go
+++ b/lockstep/gather.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/heatherrail/heatherrail/peers"
 )
 
@@ -85,17 +87,10 @@
 // passOn gives an order to other agents at once and returns what became of it.
 func (a *Agent) passOn(o *peers.RankOrder, addresses []string) []peers.OrderResult {
 	results := make([]peers.OrderResult, len(addresses))
-	var wait sync.WaitGroup
-	for i, address := range addresses {
-		wait.Go(func() {
-			client := a.neighbours.client(address, a.opts.Dial)
-			if err := client.Ask(a.ctx, peers.KindOrder, o, &results[i], gatherLimit); err != nil {
-				a.opts.Log.Info("order not passed on", "order", o.Kind.String(), "agent", address, "error", err.Error())
-				results[i] = peers.OrderResult{}
-			}
-		})
-	}
-	wait.Wait()
+	a.askEach(addresses, peers.KindOrder, o, func(i int) msgp.Unmarshaler { return &results[i] }, func(i int, err error) {
+		a.opts.Log.Info("order not passed on", "order", o.Kind.String(), "agent", addresses[i], "error", err.Error())
+		results[i] = peers.OrderResult{}
+	})
 	return results
 }
 
@@ -104,17 +99,26 @@
 // the next time.
 func (a *Agent) gather(addresses []string) []peers.RankState {
 	states := make([]peers.RankState, len(addresses))
+	q := &peers.Collect{Counts: true}
+	a.askEach(addresses, peers.KindCollect, q, func(i int) msgp.Unmarshaler { return &states[i] }, func(i int, err error) {
+		a.opts.Metrics.Count("counts_missing", 1)
+		a.opts.Log.Info("counts of a neighbour missing", "agent", addresses[i], "error", err.Error())
+		states[i] = peers.RankState{}
+	})
+	return states
+}
+
+// askEach asks other agents the same at once. answer returns where the answer of one
+// of them goes; failed is called for each that gave none.
+func (a *Agent) askEach(addresses []string, kind peers.Kind, q msgp.Marshaler, answer func(i int) msgp.Unmarshaler, failed func(i int, err error)) {
 	var wait sync.WaitGroup
 	for i, address := range addresses {
 		wait.Go(func() {
 			client := a.neighbours.client(address, a.opts.Dial)
-			if err := client.Ask(a.ctx, peers.KindCollect, &peers.Collect{Counts: true}, &states[i], gatherLimit); err != nil {
-				a.opts.Metrics.Count("counts_missing", 1)
-				a.opts.Log.Info("counts of a neighbour missing", "agent", address, "error", err.Error())
-				states[i] = peers.RankState{}
+			if err := client.Ask(a.ctx, kind, q, answer(i), gatherLimit); err != nil {
+				failed(i, err)
 			}
 		})
 	}
 	wait.Wait()
-	return states
 }
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/peers"
 )
 
@@ -126,7 +127,7 @@
 	l.demand.observe(now, sum)
 	if l.demand.moved(l.layouts, l.group.model) {
 		l.a.opts.Log.Info("demand moved", "epoch", l.epoch, "step", ranks[0].state.Step,
-			"imbalance", round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)))
+			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)))
 		// What is being prepared was planned for the demand of before. Another map can
 		// be prepared in its place at any time before ranks are armed.
 		l.pending = nil
@@ -148,9 +149,9 @@
 		waiting += ranks[i].state.Waiting
 		most = max(most, ranks[i].state.Running)
 	}
-	l.a.opts.Log.Info("group load", "group", ranks[0].state.Group, "pass_ms", round2(float64(mean)/float64(time.Millisecond)),
+	l.a.opts.Log.Info("group load", "group", ranks[0].state.Group, "pass_ms", logging.Round2(float64(mean)/float64(time.Millisecond)),
 		"running", running, "most_of_rank", most, "waiting", waiting,
-		"imbalance", round2(imbalance(l.layouts, l.demand.loads(), paces(ranks), l.group.model)), "version", l.version)
+		"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), paces(ranks), l.group.model)), "version", l.version)
 }
 
 // known tells whether the map in use is the one that we think it is. After a
@@ -213,8 +214,8 @@
 	l.newest = nextVersion(l.newest)
 	l.pending = &pending{version: l.newest, layouts: p.layouts, copying: pl.copying(&p), begun: time.Now()}
 	l.a.opts.Log.Info("map planned", "epoch", l.epoch, "version", l.newest, "from", l.version,
-		"before", round2(p.before), "after", round2(p.after), "copies", p.copies, "copies_of_rank", p.most,
-		"urgency", round2(pl.urgency))
+		"before", logging.Round2(p.before), "after", logging.Round2(p.after), "copies", p.copies, "copies_of_rank", p.most,
+		"urgency", logging.Round2(pl.urgency))
 	l.prepare(ranks)
 }
 
@@ -276,5 +277,3 @@
 	w.now, w.at = imbalance, now
 	w.most = max(w.most, imbalance)
 }
-
-func round2(v float64) float64 { return float64(int(v*100+0.5)) / 100 }
--- a/lockstep/orders.go
+++ b/lockstep/orders.go
@@ -25,7 +25,12 @@
 func (a *Agent) fenced(o *peers.RankOrder) bool {
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	return !o.Resolve && o.Epoch == a.fence.epoch && o.Step <= a.fence.step
+	return a.fence.stops(o)
+}
+
+// stops tells whether an arm must not be given any more.
+func (f fence) stops(o *peers.RankOrder) bool {
+	return !o.Resolve && o.Epoch == f.epoch && o.Step <= f.step
 }
 
 // order gives an order to this agent's engine, or to the one that it names.
@@ -38,7 +43,7 @@
 	}
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	if !o.Resolve && o.Epoch == a.fence.epoch && o.Step <= a.fence.step {
+	if a.fence.stops(o) {
 		return peers.OrderResult{Refused: true}, nil
 	}
 	if o.Engine == "" {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,3 +98,6 @@
 	}
 	return s
 }
+
+// Round2 rounds a figure for a line to two decimals.
+func Round2(v float64) float64 { return math.Round(v*100) / 100 }
--- a/peers/order.go
+++ b/peers/order.go
@@ -1,7 +1,5 @@
 package peers
 
-import "math"
-
 // String returns the name used in logs.
 func (k OrderKind) String() string {
 	switch k {
@@ -18,6 +16,3 @@
 	}
 	return "unknown"
 }
-
-// Count returns a count as messages hold it.
-func Count(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
--- a/placing/book.go
+++ b/placing/book.go
@@ -16,7 +16,7 @@
 	rng        *rand.Rand
 	accounts   map[string]*Account // by target id
 	ejector    *route.Ejector
-	groups     map[string]GroupState // by service
+	groups     map[string]*GroupState // by service
 }
 
 // Account is one target's.
@@ -38,7 +38,7 @@
 		rng:        rng,
 		accounts:   make(map[string]*Account),
 		ejector:    route.NewEjector(),
-		groups:     make(map[string]GroupState),
+		groups:     make(map[string]*GroupState),
 	}
 }
 
@@ -53,6 +53,16 @@
 	return a
 }
 
+// group returns what is known of a service's group; the lock must be held.
+func (b *Book) group(service string) *GroupState {
+	g := b.groups[service]
+	if g == nil {
+		g = new(GroupState)
+		b.groups[service] = g
+	}
+	return g
+}
+
 // Account returns a target's account.
 func (b *Book) Account(t *serving.Target) *Account {
 	b.mu.Lock()
@@ -86,7 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
-	b.freed(a.target.Service)
+	b.group(a.target.Service).share.freed()
 }
 
 // Outcome books whether a target did what it should.
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -69,8 +69,8 @@
 func (b *Book) Limit(s *serving.Service, gapAim time.Duration, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.groups[s.Name]
-	if now.Sub(state.At) > reportLife {
+	state := b.group(s.Name)
+	if now.Sub(state.At) > ReportLife {
 		return limit(s.Engine, gapAim, calmImbalance, 1)
 	}
 	if state.Imbalance == 0 {
--- a/placing/place.go
+++ b/placing/place.go
@@ -77,7 +77,7 @@
 		return work
 	}
 	work += readWeight * a.reading
-	if now.Sub(a.others.at) < reportLife && a.others.Pace > slowPace {
+	if now.Sub(a.others.at) < ReportLife && a.others.Pace > slowPace {
 		work += slowWeight * (a.others.Pace - 1)
 	}
 	return work
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -62,12 +62,7 @@
 // before those that are late already, so it must not be refused for their number.
 func TestWhoCanBeInTimeIsNotRefusedForThoseThatCannot(t *testing.T) {
 	g := NewWithT(t)
-	gt := new(Gate)
-	now := time.Now()
-	for range rateMemory {
-		gt.rate.count(now)
-		now = now.Add(100 * time.Millisecond)
-	}
+	gt, now := gateAtTenASecond()
 	for range 15 {
 		r := waiting(1, now.Add(-time.Second))
 		r.Aim = 500 * time.Millisecond
@@ -91,7 +86,7 @@
 	b.Reported("s", []*serving.Target{known, away}, map[string]RankLoad{"1": {Running: 5, Waiting: 1}}, GroupState{Mean: 6, At: now})
 	g.Expect(b.load(known, now)).To(Equal(6))
 	g.Expect(b.load(away, now)).To(Equal(6))
-	g.Expect(b.load(away, now.Add(2*reportLife))).To(BeZero(), "nothing is known of the group any more")
+	g.Expect(b.load(away, now.Add(2*ReportLife))).To(BeZero(), "nothing is known of the group any more")
 }
 
 const fullEntries = 46
@@ -231,6 +226,25 @@
 
 func always() bool { return true }
 
+// letGo lets all requests of a gate go, and returns them in the order they went in.
+func letGo(gt *Gate, now time.Time) (order []*Request) {
+	gt.grant(now, always, func(r *Request) *serving.Target {
+		order = append(order, r)
+		return &serving.Target{}
+	})
+	return order
+}
+
+// gateAtTenASecond returns a gate that has let ten requests go a second, and the time.
+func gateAtTenASecond() (*Gate, time.Time) {
+	gt, now := new(Gate), time.Now()
+	for range rateMemory {
+		gt.rate.count(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	return gt, now
+}
+
 func waiting(priority int, arrived time.Time) *Request {
 	return &Request{Priority: priority, Arrived: arrived, MaxWait: 1500 * time.Millisecond}
 }
@@ -246,12 +260,7 @@
 		_, _, ok := gt.Enter(r, now)
 		g.Expect(ok).To(BeTrue())
 	}
-	var order []*Request
-	gt.grant(now, always, func(r *Request) *serving.Target {
-		order = append(order, r)
-		return &serving.Target{}
-	})
-	g.Expect(order).To(Equal([]*Request{reqs[3], reqs[1], reqs[2], reqs[0]}))
+	g.Expect(letGo(gt, now)).To(Equal([]*Request{reqs[3], reqs[1], reqs[2], reqs[0]}))
 }
 
 // Two requests have waited for longer than their aim allows and two have not. Those
@@ -268,12 +277,7 @@
 		_, _, ok := gt.Enter(r, now)
 		g.Expect(ok).To(BeTrue())
 	}
-	var order []*Request
-	gt.grant(now, always, func(r *Request) *serving.Target {
-		order = append(order, r)
-		return &serving.Target{}
-	})
-	g.Expect(order).To(Equal([]*Request{reqs[2], reqs[3], reqs[0], reqs[1]}))
+	g.Expect(letGo(gt, now)).To(Equal([]*Request{reqs[2], reqs[3], reqs[0], reqs[1]}))
 }
 
 // The queue moves at ten requests a second, and callers stay for two seconds. Who
@@ -281,12 +285,7 @@
 // room, and not after having waited in vain.
 func TestTheGateRefusesAtOnceWhoWouldWaitTooLong(t *testing.T) {
 	g := NewWithT(t)
-	gt := new(Gate)
-	now := time.Now()
-	for range rateMemory {
-		gt.rate.count(now)
-		now = now.Add(100 * time.Millisecond)
-	}
+	gt, now := gateAtTenASecond()
 	accepted := 0
 	var wait time.Duration
 	for range 30 {
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -6,11 +6,8 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// reportLife is how long a report is believed.
-const reportLife = 2 * time.Second
-
-// ReportLife returns how long a report is believed.
-func ReportLife() time.Duration { return reportLife }
+// ReportLife is how long a report is believed.
+const ReportLife = 2 * time.Second
 
 // RankLoad is what is reported of one target of a group.
 type RankLoad struct {
@@ -60,7 +57,7 @@
 		a := b.account(t)
 		a.others = reportedLoad{RankLoad: l, at: state.At, ownThen: a.running}
 	}
-	b.groups[service] = state
+	b.groups[service] = &state
 }
 
 // NewGroupState sums up the loads of a group's ranks.
@@ -86,9 +83,9 @@
 //
 // The lock must be held.
 func (b *Book) assume(l Lane, now time.Time) {
-	state := b.groups[l.Service.Name]
+	state := b.group(l.Service.Name)
 	state.assumed = 0
-	if now.Sub(state.At) >= reportLife && len(l.Targets) > 0 {
+	if now.Sub(state.At) >= ReportLife && len(l.Targets) > 0 {
 		own := 0
 		for _, a := range b.accounts {
 			if a.target.Service == l.Service.Name {
@@ -97,7 +94,6 @@
 		}
 		state.assumed = float64(own*(l.Entries-1)) / float64(len(l.Targets))
 	}
-	b.groups[l.Service.Name] = state
 }
 
 // Known is what placing knows of a target.
@@ -112,7 +108,7 @@
 func (b *Book) Known(t *serving.Target, now time.Time) Known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.groups[t.Service]
+	state := b.group(t.Service)
 	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace}
 	if !state.At.IsZero() {
 		k.Age = now.Sub(state.At)
@@ -129,12 +125,12 @@
 	a := b.accounts[t.ID]
 	if a != nil {
 		own = a.running
-		if now.Sub(a.others.at) < reportLife {
+		if now.Sub(a.others.at) < ReportLife {
 			return own + max(a.others.Running+a.others.Waiting-a.others.ownThen, 0)
 		}
 	}
-	state := b.groups[t.Service]
-	if now.Sub(state.At) < reportLife {
+	state := b.group(t.Service)
+	if now.Sub(state.At) < ReportLife {
 		return max(own, state.Mean)
 	}
 	return own + int(state.assumed+0.5)
--- a/placing/room.go
+++ b/placing/room.go
@@ -30,9 +30,8 @@
 // renew reckons the share after a report, and adds to it for requests that have
 // come since. The lock must be held.
 func (b *Book) renew(l Lane, most float64, d demand, now time.Time) {
-	state := b.groups[l.Service.Name]
-	defer func() { b.groups[l.Service.Name] = state }()
-	if now.Sub(state.At) >= reportLife {
+	state := b.group(l.Service.Name)
+	if now.Sub(state.At) >= ReportLife {
 		state.share = roomShare{}
 		return
 	}
@@ -88,16 +87,13 @@
 func (b *Book) lateMayGo(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := b.groups[service].share
-	return share.mayGo(true)
+	return b.group(service).share.mayGo(true)
 }
 
-// freed gives room back that a request of this entry has left; the lock must be held.
-func (b *Book) freed(service string) {
-	state := b.groups[service]
-	state.share.left++
-	state.share.lateLeft++
-	b.groups[service] = state
+// freed gives room back that a request of this entry has left.
+func (s *roomShare) freed() {
+	s.left++
+	s.lateLeft++
 }
 
 // reserve books a try at the target with the least work that runs fewer requests
@@ -105,16 +101,15 @@
 func (b *Book) reserve(l Lane, most int, r *Request, now time.Time) *serving.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.groups[l.Service.Name]
+	share := &b.group(l.Service.Name).share
 	late := !r.inTime(now)
-	if !state.share.mayGo(late) {
+	if !share.mayGo(late) {
 		return nil
 	}
 	t := b.place(l.Targets, func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
 	if t != nil {
 		b.begin(t, r.Size)
-		state.share.sent(late)
-		b.groups[l.Service.Name] = state
+		share.sent(late)
 	}
 	return t
 }
