--- a/bench/group/engine.go
+++ b/bench/group/engine.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/heatherrail/heatherrail/bench"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -102,7 +103,7 @@
 		reads[r] = read
 		total += work
 		pace := g.pattern.pace(r, now)
-		fixed := float64(m.Stride) * millis(m.Step)
+		fixed := float64(m.Stride) * bench.Millis(m.Step)
 		own = max(own, pace*(fixed+(1-m.ExpertShare)*work))
 	}
 	g.passing = busy
@@ -128,8 +129,6 @@
 // platform's statement.
 const copySlows = 1.15
 
-func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // admit lets waiting streams run as far as there are places.
 func (e *engine) admit(slots int) {
 	for len(e.waiting) > 0 && len(e.running) < slots {
@@ -154,7 +153,7 @@
 		read[j] = n
 		ms += n / s.Model.ReadRate * 1000
 	}
-	ms += float64(s.Model.Stride) * millis(s.Model.StepPerWriter) * float64(writers)
+	ms += float64(s.Model.Stride) * bench.Millis(s.Model.StepPerWriter) * float64(writers)
 	return ms, read
 }
 
--- a/bench/group/figures.go
+++ b/bench/group/figures.go
@@ -1,6 +1,8 @@
 package group
 
-import "slices"
+import (
+	"github.com/heatherrail/heatherrail/bench"
+)
 
 // Figures are the shares of requests by what became of them, and times.
 type Figures struct {
@@ -22,12 +24,12 @@
 const lateWorth = 0.49
 
 func (w *world) figures() Figures {
-	f := Figures{Requests: len(w.jobs), PassMS: millis(w.engines.passed) / float64(max(w.engines.passes, 1))}
+	f := Figures{Requests: len(w.jobs), PassMS: bench.Millis(w.engines.passed) / float64(max(w.engines.passes, 1))}
 	each := 1 / float64(max(len(w.jobs), 1))
 	var first []float64
 	for _, j := range w.jobs {
 		if !j.first.IsZero() {
-			first = append(first, millis(j.first.Sub(j.arrived)))
+			first = append(first, bench.Millis(j.first.Sub(j.arrived)))
 		}
 		switch {
 		case j.outcome == whole && j.inAim(w.shape):
@@ -42,7 +44,7 @@
 			f.Left += each
 		}
 	}
-	f.First50, f.First95 = quantile(first, 0.5), quantile(first, 0.95)
+	f.First50, f.First95 = bench.Quantile(first, 0.5), bench.Quantile(first, 0.95)
 	return f
 }
 
@@ -50,14 +52,6 @@
 	return j.first.Sub(j.arrived) <= s.Aim && j.gap <= s.GapAim
 }
 
-func quantile(v []float64, q float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-	slices.Sort(v)
-	return v[min(int(q*float64(len(v))), len(v)-1)]
-}
-
 // mean returns the mean figures of several plays.
 func mean(all []Figures) Figures {
 	var m Figures
--- a/bench/group/group_test.go
+++ b/bench/group/group_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/bench"
 )
 
 func patternOf(name string) *Pattern {
@@ -37,8 +39,8 @@
 	reading := 4*4.55 + (0.15+0.85/12*calm)*10
 	writing := 4*4.55 + (0.15+0.85/12*calm)*4*0.905
 	g.Expect(j.outcome).To(Equal(whole))
-	g.Expect(millis(j.first.Sub(j.arrived))).To(BeNumerically("~", reading+writing, 0.01))
-	g.Expect(millis(j.gap)).To(BeNumerically("~", writing, 0.01))
+	g.Expect(bench.Millis(j.first.Sub(j.arrived))).To(BeNumerically("~", reading+writing, 0.01))
+	g.Expect(bench.Millis(j.gap)).To(BeNumerically("~", writing, 0.01))
 	g.Expect(w.engines.passes).To(Equal(3))
 }
 
--- a/bench/group/world.go
+++ b/bench/group/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/heatherrail/heatherrail/bench"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -94,8 +95,8 @@
 // capacity returns the streams a second of a calm group with all places taken.
 func (s *Shape) capacity() float64 {
 	m := &s.Model
-	each := millis(m.StepPerWriter) * float64(m.Slots) * ((1 - m.ExpertShare) + m.ExpertShare*calm)
-	pass := float64(m.Stride) * (millis(m.Step) + each)
+	each := bench.Millis(m.StepPerWriter) * float64(m.Slots) * ((1 - m.ExpertShare) + m.ExpertShare*calm)
+	pass := float64(m.Stride) * (bench.Millis(m.Step) + each)
 	passes := m.UsualAnswer/float64(m.Stride) + 1 // and one to read the prompt
 	reading := m.UsualPrompt / m.ReadRate * 1000 * float64(m.Slots)
 	return float64(s.Ranks*m.Slots) / (passes*pass + reading) * 1000
--- a/bench/place/figures.go
+++ b/bench/place/figures.go
@@ -1,8 +1,7 @@
 package place
 
 import (
-	"slices"
-	"time"
+	"github.com/heatherrail/heatherrail/bench"
 )
 
 // figures sum up the requests of one run that arrived after the warm-up. Times
@@ -27,23 +26,23 @@
 		n++
 		tries += float64(r.tries)
 		if r.refused {
-			refusals = append(refusals, ms(r.done-r.at))
+			refusals = append(refusals, bench.Millis(r.done-r.at))
 			continue
 		}
 		hit += float64(r.hit)
 		prompt += float64(r.prompt)
-		first = append(first, ms(r.firstToken-r.at))
+		first = append(first, bench.Millis(r.firstToken-r.at))
 		if r.output > 1 {
-			between = append(between, ms(r.done-r.firstToken)/float64(r.output-1))
+			between = append(between, bench.Millis(r.done-r.firstToken)/float64(r.output-1))
 		}
 		if r.done-r.at <= r.deadline {
 			good += float64(r.output)
 		}
 	}
 	f := figures{
-		p50: quantile(first, 0.5), p95: quantile(first, 0.95), p99: quantile(first, 0.99),
-		between: mean(between), between95: quantile(between, 0.95),
-		refusal99: quantile(refusals, 0.99),
+		p50: bench.Quantile(first, 0.5), p95: bench.Quantile(first, 0.95), p99: bench.Quantile(first, 0.99),
+		between: mean(between), between95: bench.Quantile(between, 0.95),
+		refusal99: bench.Quantile(refusals, 0.99),
 		goodput:   good / (benchTime - warmUp).Seconds(),
 	}
 	if n > 0 {
@@ -55,14 +54,6 @@
 	return f
 }
 
-func quantile(v []float64, q float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-	slices.Sort(v)
-	return v[int(q*float64(len(v)-1))]
-}
-
 func mean(v []float64) float64 {
 	sum := 0.0
 	for _, x := range v {
@@ -105,5 +96,3 @@
 	}
 	return sum * sum / (float64(len(asked)) * squares)
 }
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
