A target that starts again under its id begins anew; records of other writers name no target

Cause: what entries booked by a target's id (ejected, replaced, running, connections) and agents by their group's epoch (counts, fence, maps) outlived a restart under the same id, and a record with a field missing or a state of another writer was taken for a target, which could hide the real one at its address. A write of a target that the store carries out late could lie on top of a newer one.

Change: bookings go by the run (id and start); a record of an earlier run, or of before in the same run, replaces nothing; records are decoded strictly, and services that no configuration names hide nobody's address. Agents bind fence, counts and maps to the engine's run. The stand-ins now write records as engines do.

--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -22,7 +22,7 @@
 	mu         sync.Mutex
 	agents     map[string]agentSeen          // newest agent known of each target
 	budgets    map[string]*route.RetryBudget // by service
-	ejector    *route.Ejector
+	ejector    *route.Ejector[string]
 	quarantine *route.Quarantine
 	off        safeguard.Off
 }
@@ -32,7 +32,7 @@
 		book:       newBook(o.Off),
 		agents:     make(map[string]agentSeen),
 		budgets:    make(map[string]*route.RetryBudget),
-		ejector:    route.NewEjector(),
+		ejector:    route.NewEjector[string](),
 		quarantine: route.NewQuarantine(),
 		off:        o.Off,
 	}
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -57,13 +59,36 @@
 }
 
 func testKnowledge() *knowledge {
-	return newKnowledge(&Options{DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget, Log: logr.Discard()})
+	return newKnowledge(&Options{DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget, Log: logr.Discard(), Metrics: metrics.New()})
 }
 
 func targetRecord(offset uint64, key, value string) serving.Record {
 	return serving.Record{Key: key, Value: []byte(value), Offset: offset}
 }
 
+// Another writer puts records into the topic of the targets that can't be read, one of
+// them under the key of a target. That key names no target until the target's own next
+// record; all others hold, and each record is counted.
+func TestRecordsOfOtherWritersLeaveTheOthersAlone(t *testing.T) {
+	g := NewWithT(t)
+	k := testKnowledge()
+	now := time.Now()
+	k.config = serving.NewIndex(testConfig())
+	k.newest(serving.TopicTargets, []serving.Record{
+		targetRecord(1, "i1", `{"Service":"plain","Address":"a"}`),
+		targetRecord(2, "i2", `{"Service":"plain","Address":"b"}`),
+	}, 3, now)
+	k.changes(serving.TopicTargets, []serving.Record{targetRecord(3, "x", "\x00\xfe"), targetRecord(4, "i2", `{"Service":7}`)}, 5, now)
+	left := k.view().targets["plain"]
+	g.Expect(left).To(HaveLen(1))
+	g.Expect(left[0].ID).To(Equal("i1"))
+	var counters strings.Builder
+	g.Expect(k.metrics.Write(&counters)).To(Succeed())
+	g.Expect(counters.String()).To(MatchRegexp(`target_records_ignored\S* 2`))
+	k.changes(serving.TopicTargets, []serving.Record{targetRecord(5, "i2", `{"Service":"plain","Address":"b","Sequence":3}`)}, 6, now)
+	g.Expect(k.view().targets["plain"]).To(HaveLen(2))
+}
+
 // The store is away for seconds, and the records of targets lapse that could not
 // renew them. They must stay usable until the targets had time to come back; one
 // that is still missing then is gone.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -15,7 +15,7 @@
 type tries struct {
 	g     *Gateway
 	r     *request
-	tried map[string]bool
+	tried map[serving.Run]bool
 	sent  int // targets that may have begun to work on it
 	count int // sends, those that were refused among them
 	last  *result.Error
@@ -101,7 +101,7 @@
 }
 
 // had tells whether a target has had this request.
-func (t *tries) had(target *serving.Target) bool { return t.tried[target.ID] }
+func (t *tries) had(target *serving.Target) bool { return t.tried[target.Run()] }
 
 // wait waits at the gate for a target.
 func (t *tries) wait(ctx context.Context, gt *placing.Gate) (*serving.Target, *result.Error) {
@@ -197,11 +197,11 @@
 		return nil, t.lost(ctx, target, err)
 	}
 	if e := t.judge(x); e != nil {
-		t.tried[target.ID] = e.Code != result.RankLost // it is as good as any once the group is back
+		t.tried[target.Run()] = e.Code != result.RankLost // it is as good as any once the group is back
 		x.close()
 		return nil, e
 	}
-	t.tried[target.ID] = true
+	t.tried[target.Run()] = true
 	return x, nil
 }
 
@@ -209,7 +209,7 @@
 func (t *tries) lost(ctx context.Context, target *serving.Target, err error) *result.Error {
 	var failed *upstream.SendError
 	sent := !errors.As(err, &failed) || failed.Sent
-	t.tried[target.ID] = true
+	t.tried[target.Run()] = true
 	if sent {
 		t.sent++
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 		leave(nil)
 		g.inFlight.Add(-1)
 	}
-	t := &tries{g: g, r: r, tried: make(map[string]bool)}
+	t := &tries{g: g, r: r, tried: make(map[serving.Run]bool)}
 	if r.route.Kind == serving.KindStream {
 		e = g.serveStream(ctx, c, t, func(b *streamBody) {
 			finish()
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -23,6 +24,7 @@
 	decodeConfig func(string, []byte) (serving.Config, bool, error)
 	decodeTarget func(string, []byte) (serving.Target, error)
 	log          logr.Logger
+	metrics      *metrics.Set
 	current      atomic.Pointer[view]
 
 	mu       sync.Mutex
@@ -46,6 +48,7 @@
 		decodeConfig: o.DecodeConfig,
 		decodeTarget: o.DecodeTarget,
 		log:          o.Log,
+		metrics:      o.Metrics,
 		targets:      serving.NewTargetSet(),
 		peers:        make(map[string][]byte),
 	}
@@ -60,7 +63,7 @@
 func (k *knowledge) sameTarget(id string, old, new []byte) bool {
 	a, errA := k.decodeTarget(id, old)
 	b, errB := k.decodeTarget(id, new)
-	return errA == nil && errB == nil && a == b
+	return errA == nil && errB == nil && a.Same(b)
 }
 
 // view returns what is known now, nil before there is a configuration.
@@ -200,7 +203,7 @@
 		changed = true
 	}
 	if changed && k.config != nil {
-		k.current.Store(&view{index: k.config, targets: k.targets.ByService()})
+		k.current.Store(&view{index: k.config, targets: k.targets.ByService(k.config.Names)})
 	}
 	k.mu.Unlock()
 }
@@ -238,13 +241,16 @@
 	}
 	t, err := k.decodeTarget(rec.Key, rec.Value)
 	if err != nil {
-		k.log.Error(err, "target ignored")
-		return false
+		// The newest record of the key names no target, so there is none until the
+		// target's own next record.
+		k.metrics.Count("target_records_ignored", 1)
+		k.log.Info("record of a target ignored", "target", rec.Key, "offset", rec.Offset, "error", err.Error())
+		return k.targets.Remove(rec.Key, now, now)
 	}
 	if !k.targets.Put(t, rec.Offset) {
 		return false
 	}
-	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving)
+	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "born", t.Born)
 	return true
 }
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -10,39 +10,39 @@
 
 // pools are the connections to targets.
 type pools struct {
-	mu   sync.Mutex
-	byID map[string]*upstream.Pool
+	mu    sync.Mutex
+	byRun map[serving.Run]*upstream.Pool
 }
 
-func newPools() *pools { return &pools{byID: make(map[string]*upstream.Pool)} }
+func newPools() *pools { return &pools{byRun: make(map[serving.Run]*upstream.Pool)} }
 
 // of returns a target's pool.
 func (p *pools) of(t *serving.Target) *upstream.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool := p.byID[t.ID]
+	pool := p.byRun[t.Run()]
 	if pool == nil {
 		pool = upstream.NewPool(t.Address)
-		p.byID[t.ID] = pool
+		p.byRun[t.Run()] = pool
 	}
 	return pool
 }
 
 // drop closes the connections to a target that is gone.
-func (p *pools) drop(id string) {
+func (p *pools) drop(run serving.Run) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pool := p.byID[id]; pool != nil {
+	if pool := p.byRun[run]; pool != nil {
 		pool.Close()
-		delete(p.byID, id)
+		delete(p.byRun, run)
 	}
 }
 
 // prune closes connections that targets are about to close.
 func (p *pools) prune(now time.Time) {
 	p.mu.Lock()
-	list := make([]*upstream.Pool, 0, len(p.byID))
-	for _, pool := range p.byID {
+	list := make([]*upstream.Pool, 0, len(p.byRun))
+	for _, pool := range p.byRun {
 		list = append(list, pool)
 	}
 	p.mu.Unlock()
@@ -53,14 +53,14 @@
 
 // sweep forgets targets that are gone and closes connections to them.
 func (g *Gateway) sweep(known map[string][]*serving.Target) {
-	alive := make(map[string]bool)
+	alive := make(map[serving.Run]bool)
 	for _, list := range known {
 		for _, t := range list {
-			alive[t.ID] = true
+			alive[t.Run()] = true
 		}
 	}
-	for _, id := range g.book.Forget(func(id string) bool { return alive[id] }) {
-		g.pools.drop(id)
+	for _, run := range g.book.Forget(func(run serving.Run) bool { return alive[run] }) {
+		g.pools.drop(run)
 	}
 	g.pools.prune(time.Now())
 }
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -23,9 +23,8 @@
 type Engine interface {
 	// State returns the engine's state as a rank.
 	State(ctx context.Context) (peers.RankState, error)
-	// Counts returns how often each expert was chosen since the engine started, set
-	// by set, and the epoch of its group.
-	Counts(ctx context.Context) ([]uint64, uint64, error)
+	// Choices returns how often each expert was chosen.
+	Choices(ctx context.Context) (Choices, error)
 	// Lists returns the experts of this rank in the map in use, set by set, and the
 	// map's version.
 	Lists(ctx context.Context) ([][]uint16, uint64, error)
@@ -34,6 +33,20 @@
 	Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error)
 }
 
+// EngineRun names one run of an engine in one epoch of its group. Epochs begin anew when
+// all engines of a group do, and an engine may start again under its old name: what was
+// counted, given and fenced before concerns no later run.
+type EngineRun struct {
+	Born  int64 // Unix milliseconds of the engine's start; 0: not told
+	Epoch uint64
+}
+
+// Choices are how often an engine's requests have chosen each expert.
+type Choices struct {
+	Run    EngineRun
+	Counts []uint64 // since the engine started, set by set
+}
+
 // Asker asks another agent; *peers.Client is one.
 type Asker interface {
 	// Ask sends a question and decodes the answer, both within limit.
@@ -73,9 +86,9 @@
 	server *peers.Server
 
 	mu     sync.Mutex
-	last   []uint64 // counts at the latest question for them
-	epoch  uint64   // of last
-	leader string   // address of the agent that leads
+	last   Choices // at the latest question for them
+	born   int64   // of the engine, by its latest report
+	leader string  // address of the agent that leads
 	loads  peers.Loads
 	loadAt time.Time
 	waits  waits
--- a/lockstep/collect.go
+++ b/lockstep/collect.go
@@ -15,6 +15,7 @@
 		a.opts.Metrics.Count("engine_failures", 1)
 		return peers.RankState{}
 	}
+	a.noteRun(state.Born)
 	a.mu.Lock()
 	state.Other = a.other
 	a.mu.Unlock()
@@ -38,7 +39,7 @@
 // chosen returns how often each expert was chosen since the last time; nil if that
 // is not known.
 func (a *Agent) chosen() []float64 {
-	counts, epoch, err := a.opts.Engine.Counts(a.ctx)
+	choices, err := a.opts.Engine.Choices(a.ctx)
 	if err != nil {
 		a.opts.Metrics.Count("engine_failures", 1)
 		return nil
@@ -47,13 +48,35 @@
 	defer a.mu.Unlock()
 	var news []float64
 	// After a restart the engine counts from zero; what it has by then is news.
-	if epoch == a.epoch && len(a.last) == len(counts) {
-		news = difference(counts, a.last)
+	if choices.Run == a.last.Run && len(a.last.Counts) == len(choices.Counts) {
+		news = difference(choices.Counts, a.last.Counts)
 	}
-	a.last, a.epoch = counts, epoch
+	a.last = choices
 	return news
 }
 
+// noteRun begins anew when the engine has started again.
+//
+// Failure: all engines of a group start again while their agents run on, and the group
+// begins with an epoch that it had before. Symptom: an agent refuses arms for passes that
+// an old fence names, and leads changes on from a map that no engine holds any more.
+// Orders from before do no harm: no engine has prepared the versions that they name.
+func (a *Agent) noteRun(born int64) {
+	a.mu.Lock()
+	known := a.born
+	a.born = born
+	a.mu.Unlock()
+	switch known {
+	case born:
+		return
+	case 0:
+		a.bindFence(born)
+	default:
+		a.maps.clear()
+	}
+	a.opts.Log.Info("engine runs", "engine", a.opts.Address, "born", born, "before", known)
+}
+
 func difference(now, before []uint64) []float64 {
 	d := make([]float64, len(now))
 	for i := range now {
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -14,6 +14,7 @@
 	a       *Agent
 	group   *group
 	epoch   uint64
+	born    int64           // of the engine of rank 0
 	version uint64          // in use, as far as our layouts go
 	layouts []expert.Layout // in use, by set
 	demand  *demand
@@ -70,7 +71,7 @@
 	if !complete || l.group.model == nil || l.group.model.Sets == 0 {
 		return
 	}
-	if ranks[0].state.Epoch != l.epoch || l.layouts == nil {
+	if ranks[0].state.Epoch != l.epoch || ranks[0].state.Born != l.born || l.layouts == nil {
 		l.reset(ranks)
 	}
 	l.observe(ranks)
@@ -99,7 +100,7 @@
 // reset begins anew after the group was formed: it uses the map that engines
 // start with.
 func (l *leader) reset(ranks []rank) {
-	l.epoch = ranks[0].state.Epoch
+	l.epoch, l.born = ranks[0].state.Epoch, ranks[0].state.Born
 	l.pending, l.armed = nil, nil
 	l.layouts = nil
 	m := l.group.model
--- a/lockstep/maps.go
+++ b/lockstep/maps.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// clear forgets the maps that an earlier run of the engine was given.
+func (k *knownMaps) clear() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.epoch, k.maps = 0, nil
+}
+
 // apply returns the map that changes make of a version; false if that is not known.
 func (k *knownMaps) apply(epoch, base uint64, changes []peers.ListChange) ([][][]uint16, bool) {
 	k.mu.Lock()
--- a/lockstep/orders.go
+++ b/lockstep/orders.go
@@ -8,6 +8,7 @@
 
 // fence names passes for which this rank must not be armed any more.
 type fence struct {
+	born  int64 // run of the engine; 0: whichever it has
 	epoch uint64
 	step  uint64 // and all before it
 }
@@ -15,22 +16,40 @@
 func (a *Agent) setFence(f fence) bool {
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	if f.epoch != a.fence.epoch || f.step > a.fence.step {
+	f.born = a.runOf()
+	if f.born != a.fence.born || f.epoch != a.fence.epoch || f.step > a.fence.step {
 		a.fence = f
 	}
 	return true
 }
 
+// runOf returns when the engine's run began; 0 if it has not told yet.
+func (a *Agent) runOf() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.born
+}
+
+// bindFence binds a fence that was set before the engine's run was known to that run.
+func (a *Agent) bindFence(born int64) {
+	a.arming <- struct{}{}
+	defer func() { <-a.arming }()
+	if a.fence.born == 0 {
+		a.fence.born = born
+	}
+}
+
 // fenced tells whether this agent has been told to arm no more for an order's pass.
 func (a *Agent) fenced(o *peers.RankOrder) bool {
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	return a.fence.stops(o)
+	return a.fence.stops(o, a.runOf())
 }
 
 // stops tells whether an arm must not be given any more.
-func (f fence) stops(o *peers.RankOrder) bool {
-	return !o.Resolve && o.Epoch == f.epoch && o.Step <= f.step
+func (f fence) stops(o *peers.RankOrder, born int64) bool {
+	same := f.born == 0 || f.born == born
+	return !o.Resolve && same && o.Epoch == f.epoch && o.Step <= f.step
 }
 
 // order gives an order to this agent's engine, or to the one that it names.
@@ -43,7 +62,7 @@
 	}
 	a.arming <- struct{}{}
 	defer func() { <-a.arming }()
-	if a.fence.stops(o) {
+	if a.fence.stops(o, a.runOf()) {
 		return peers.OrderResult{Refused: true}, nil
 	}
 	if o.Engine == "" {
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -32,6 +32,7 @@
 type simRank struct {
 	group    *simGroup
 	index    int
+	born     int64
 	version  uint64
 	lists    [][]uint16
 	prepared uint64
@@ -177,16 +178,16 @@
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	return peers.RankState{
-		Known: true, Group: "g", Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Open: true,
+		Known: true, Born: r.born, Group: "g", Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Open: true,
 		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: 4, Pace: 1,
 	}, nil
 }
 
-// Counts implements Engine.
-func (r *simRank) Counts(context.Context) ([]uint64, uint64, error) {
+// Choices implements Engine.
+func (r *simRank) Choices(context.Context) (Choices, error) {
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
-	return append([]uint64(nil), r.counts...), r.group.epoch, nil
+	return Choices{Run: EngineRun{Born: r.born, Epoch: r.group.epoch}, Counts: append([]uint64(nil), r.counts...)}, nil
 }
 
 // Lists implements Engine.
--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/expert"
@@ -210,3 +211,49 @@
 	first, second := look(7), look(7)
 	g.Expect(first || second).To(BeTrue())
 }
+
+// All engines of a group start again under their ids, and the group begins with the
+// epoch that it had. A fence of before must not stop arms of after, and what an engine
+// has counted since it began is not taken for a difference to what it had before.
+func TestAnEngineThatStartsAgainBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newSimGroup(4, 1, 8, 1)
+		rank := group.ranks[1]
+		rank.born = 100
+		a := newAgent(Options{Engine: &simEngine{simRank: rank, from: rank.vm}, Metrics: metrics.New(), Log: logr.Discard()})
+		rank.counts[0] = 500
+		a.collect(&peers.Collect{Counts: true})
+		a.setFence(fence{epoch: 1, step: 5})
+		a.maps.put(1, 10, [][][]uint16{{{0}}})
+		arm := &peers.RankOrder{Kind: peers.OrderArm, Epoch: 1, Version: 7, Step: 5}
+		g.Expect(a.fenced(arm)).To(BeTrue())
+
+		rank.born = 200
+		rank.counts[0] = 900
+		state := a.collect(&peers.Collect{Counts: true})
+		g.Expect(state.Bands).To(BeEmpty(), "nothing is known of what was counted before")
+		g.Expect(a.fenced(arm)).To(BeFalse())
+		_, ok := a.maps.apply(1, 10, nil)
+		g.Expect(ok).To(BeFalse())
+	})
+}
+
+// An agent is told to fence a pass before it has heard of its engine. The fence holds for
+// the run that the engine then turns out to have.
+func TestAFenceBeforeTheFirstReportHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newSimGroup(4, 1, 8, 1)
+		rank := group.ranks[1]
+		rank.born = 100
+		a := newAgent(Options{Engine: &simEngine{simRank: rank, from: rank.vm}, Metrics: metrics.New(), Log: logr.Discard()})
+		a.setFence(fence{epoch: 1, step: 5})
+		a.collect(plain)
+		arm := &peers.RankOrder{Kind: peers.OrderArm, Epoch: 1, Version: 7, Step: 5}
+		g.Expect(a.fenced(arm)).To(BeTrue())
+		rank.born = 200
+		a.collect(plain)
+		g.Expect(a.fenced(arm)).To(BeFalse())
+	})
+}
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -85,8 +85,9 @@
 //
 //msgp:tuple RankState
 type RankState struct {
-	Known    bool // the engine answered, and is a rank of a group
-	Fenced   bool // the agent keeps to the fence that was asked for
+	Known    bool  // the engine answered, and is a rank of a group
+	Fenced   bool  // the agent keeps to the fence that was asked for
+	Born     int64 // when this run of the engine began, in Unix milliseconds; 0: not told
 	Group    string
 	Epoch    uint64
 	Rank     int
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -1032,10 +1032,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 19
+	o = append(o, 0xdc, 0x0, 0x13)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendBool(o, z.Fenced)
+	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendInt(o, z.Rank)
@@ -1067,8 +1068,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -1081,6 +1082,11 @@
 		err = msgp.WrapError(err, "Fenced")
 		return
 	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
 	z.Group, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Group")
@@ -1203,7 +1209,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RankState) Msgsize() (s int) {
-	s = 3 + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Group) + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Float64Size + msgp.Float64Size + msgp.BytesPrefixSize + len(z.Bands)
+	s = 3 + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size + msgp.StringPrefixSize + len(z.Group) + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Float64Size + msgp.Float64Size + msgp.BytesPrefixSize + len(z.Bands)
 	return
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -14,8 +14,8 @@
 	dataCentre string
 	mu         sync.Mutex
 	rng        *rand.Rand
-	accounts   map[string]*Account // by target id
-	ejector    *route.Ejector
+	accounts   map[serving.Run]*Account
+	ejector    *route.Ejector[serving.Run]
 	groups     map[string]*GroupState // by service
 }
 
@@ -36,18 +36,18 @@
 	return &Book{
 		dataCentre: dataCentre,
 		rng:        rng,
-		accounts:   make(map[string]*Account),
-		ejector:    route.NewEjector(),
+		accounts:   make(map[serving.Run]*Account),
+		ejector:    route.NewEjector[serving.Run](),
 		groups:     make(map[string]*GroupState),
 	}
 }
 
 // account returns a target's account; the lock must be held.
 func (b *Book) account(t *serving.Target) *Account {
-	a := b.accounts[t.ID]
+	a := b.accounts[t.Run()]
 	if a == nil {
 		a = new(Account)
-		b.accounts[t.ID] = a
+		b.accounts[t.Run()] = a
 	}
 	a.target = t
 	return a
@@ -103,7 +103,7 @@
 func (b *Book) Outcome(t *serving.Target, ok bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ejector.Report(t.ID, ok, now)
+	b.ejector.Report(t.Run(), ok, now)
 }
 
 // Replaced notes that another target has this one's address.
@@ -114,15 +114,15 @@
 }
 
 // Forget drops the accounts of targets that are not known any more and have nothing
-// running, and returns their ids.
-func (b *Book) Forget(known func(id string) bool) []string {
+// running, and returns their runs.
+func (b *Book) Forget(known func(run serving.Run) bool) []serving.Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var forgotten []string
-	for id, a := range b.accounts {
-		if a.running == 0 && !known(id) {
-			delete(b.accounts, id)
-			forgotten = append(forgotten, id)
+	var forgotten []serving.Run
+	for run, a := range b.accounts {
+		if a.running == 0 && !known(run) {
+			delete(b.accounts, run)
+			forgotten = append(forgotten, run)
 		}
 	}
 	return forgotten
--- a/placing/place.go
+++ b/placing/place.go
@@ -25,12 +25,12 @@
 }
 
 func (b *Book) place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
-	names := make([]string, 0, len(targets))
+	runs := make([]serving.Run, 0, len(targets))
 	for _, t := range targets {
-		names = append(names, t.ID)
+		runs = append(runs, t.Run())
 	}
-	skip := b.ejector.Skip(names, now, b.rng.Float64)
-	best := b.least(targets, func(t *serving.Target) bool { return drop(t) || skip[t.ID] }, now)
+	skip := b.ejector.Skip(runs, now, b.rng.Float64)
+	best := b.least(targets, func(t *serving.Target) bool { return drop(t) || skip[t.Run()] }, now)
 	if best == nil && len(skip) > 0 {
 		best = b.least(targets, drop, now)
 	}
@@ -49,7 +49,7 @@
 		if t.Leaving || drop(t) {
 			continue
 		}
-		if a := b.accounts[t.ID]; a != nil && a.gone {
+		if a := b.accounts[t.Run()]; a != nil && a.gone {
 			continue
 		}
 		usable = append(usable, t)
@@ -72,7 +72,7 @@
 	if t.DataCentre != b.dataCentre {
 		work += distanceWeight
 	}
-	a := b.accounts[t.ID]
+	a := b.accounts[t.Run()]
 	if a == nil {
 		return work
 	}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -328,3 +328,29 @@
 	gt.grant(now, always, place)
 	g.Expect(let).To(Equal(5))
 }
+
+// A target crashes, is kept out for it, and another one answers at its address. Then it
+// starts again under its old id. What was booked of the earlier run concerns the new one
+// no more: it is empty, it is there, and it gets work at once.
+func TestATargetThatStartsAgainBeginsAnew(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := NewBook("a", rand.New(rand.NewPCG(1, 1)))
+	old := &serving.Target{ID: "i", Born: 1, Service: "s", Address: "x"}
+	other := &serving.Target{ID: "j", Born: 1, Service: "s", Address: "y"}
+	none := func(*serving.Target) bool { return false }
+	for range 20 {
+		b.Outcome(old, false, now)
+	}
+	for range 5 {
+		b.Begin(old, Size{})
+	}
+	b.Replaced(old)
+	for range 20 {
+		g.Expect(b.Place([]*serving.Target{old, other}, none, now)).To(Equal(other))
+	}
+	again := &serving.Target{ID: "i", Born: 2, Service: "s", Address: "x"}
+	b.Begin(other, Size{})
+	g.Expect(b.Place([]*serving.Target{again, other}, none, now)).To(Equal(again))
+	g.Expect(b.Known(again, now).Load).To(BeZero())
+}
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -122,7 +122,7 @@
 // would send to it.
 func (b *Book) load(t *serving.Target, now time.Time) int {
 	own := 0
-	a := b.accounts[t.ID]
+	a := b.accounts[t.Run()]
 	if a != nil {
 		own = a.running
 		if now.Sub(a.others.at) < ReportLife {
--- a/route/eject.go
+++ b/route/eject.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Ejector keeps failing targets out for a time. It is not safe for concurrent
-// use.
-type Ejector struct {
-	targets map[string]*health
+// Ejector keeps failing targets, named by T, out for a time. It is not safe for
+// concurrent use.
+type Ejector[T comparable] struct {
+	targets map[T]*health
 }
 
 type health struct {
@@ -27,10 +27,10 @@
 )
 
 // NewEjector returns an Ejector that knows no target.
-func NewEjector() *Ejector { return &Ejector{targets: make(map[string]*health)} }
+func NewEjector[T comparable]() *Ejector[T] { return &Ejector[T]{targets: make(map[T]*health)} }
 
 // Report books the end of one try.
-func (j *Ejector) Report(target string, ok bool, now time.Time) {
+func (j *Ejector[T]) Report(target T, ok bool, now time.Time) {
 	h := j.targets[target]
 	switch {
 	case ok && h == nil:
@@ -51,7 +51,7 @@
 }
 
 // Eject keeps a target out from now on, each time longer.
-func (j *Ejector) Eject(target string, now time.Time) {
+func (j *Ejector[T]) Eject(target T, now time.Time) {
 	h := j.targets[target]
 	if h == nil {
 		h = new(health)
@@ -70,12 +70,12 @@
 // whole, so that a target that is not well yet fails few requests. At most half
 // of the targets are kept out: if more fail, the cause is not in them, and the
 // rest would break under the load of all.
-func (j *Ejector) Skip(names []string, now time.Time, draw func() float64) map[string]bool {
-	skip := make(map[string]bool)
+func (j *Ejector[T]) Skip(names []T, now time.Time, draw func() float64) map[T]bool {
+	skip := make(map[T]bool)
 	if len(j.targets) == 0 {
 		return skip
 	}
-	var out []string
+	var out []T
 	for _, name := range names {
 		h := j.targets[name]
 		if h == nil || h.until.IsZero() {
@@ -86,7 +86,7 @@
 			out = append(out, name)
 		}
 	}
-	slices.SortFunc(out, func(a, b string) int { return j.targets[b].until.Compare(j.targets[a].until) })
+	slices.SortFunc(out, func(a, b T) int { return j.targets[b].until.Compare(j.targets[a].until) })
 	for _, name := range out[:min(len(out), len(names)/2)] {
 		skip[name] = true
 	}
--- a/route/outcomes_test.go
+++ b/route/outcomes_test.go
@@ -50,7 +50,7 @@
 	now := time.Unix(0, 0)
 	names := []string{"a", "b", "c", "d"}
 	always, never := func() float64 { return 0 }, func() float64 { return 0.999 }
-	j := route.NewEjector()
+	j := route.NewEjector[string]()
 	for range 5 {
 		j.Report("a", false, now)
 	}
--- a/serving/config.go
+++ b/serving/config.go
@@ -197,3 +197,6 @@
 
 // Service returns a service by its name, nil if there is none.
 func (x *Index) Service(name string) *Service { return x.byService[name] }
+
+// Names tells whether the configuration names a service.
+func (x *Index) Names(service string) bool { return x.byService[service] != nil }
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -115,13 +115,13 @@
 	believe := now.Add(ReturnWait)
 	g.Expect(s.Remove("back", now, believe)).To(BeFalse())
 	g.Expect(s.Remove("gone", now, believe)).To(BeFalse())
-	g.Expect(s.ByService()["s"]).To(HaveLen(2))
+	g.Expect(s.ByService(anyService)["s"]).To(HaveLen(2))
 	s.Put(Target{ID: "back", Service: "s", Address: "a"}, 3)
 	g.Expect(s.Expire(now.Add(ReturnWait/2), false)).To(BeFalse())
 	s.Expire(now.Add(2*ReturnWait), true)
-	g.Expect(s.ByService()["s"]).To(HaveLen(2), "the store is away again")
+	g.Expect(s.ByService(anyService)["s"]).To(HaveLen(2), "the store is away again")
 	g.Expect(s.Expire(now.Add(4*ReturnWait), false)).To(BeTrue())
-	left := s.ByService()["s"]
+	left := s.ByService(anyService)["s"]
 	g.Expect(left).To(HaveLen(1))
 	g.Expect(left[0].ID).To(Equal("back"))
 }
@@ -135,13 +135,13 @@
 	s.Put(Target{ID: "z-old", Service: "s", Address: "a"}, 5)
 	s.Put(Target{ID: "a-new", Service: "s", Address: "a"}, 9)
 	s.Put(Target{ID: "other", Service: "t", Address: "b"}, 6)
-	lists := s.ByService()
+	lists := s.ByService(anyService)
 	g.Expect(lists["s"]).To(HaveLen(1))
 	g.Expect(lists["s"][0].ID).To(Equal("a-new"))
 	g.Expect(lists["t"]).To(HaveLen(1))
 	now := time.Now()
 	g.Expect(s.Remove("z-old", now, now)).To(BeTrue())
-	g.Expect(s.ByService()["s"]).To(HaveLen(1))
+	g.Expect(s.ByService(anyService)["s"]).To(HaveLen(1))
 }
 
 // An entry starts after a target's record was removed. It reads the newest records,
@@ -245,3 +245,32 @@
 	}
 	return keys
 }
+
+func anyService(string) bool { return true }
+
+// A target leaves and starts again under its id. The store carries out a write of
+// before the restart last, and a write of before the leaving. Neither may lie on top
+// of what came after it: a leaving target would get work again.
+func TestAnOlderRecordDoesNotReplaceANewerOne(t *testing.T) {
+	g := NewWithT(t)
+	s := NewTargetSet()
+	s.Put(Target{ID: "i", Born: 1, Sequence: 9, Service: "s", Address: "a", Leaving: true}, 5)
+	g.Expect(s.Put(Target{ID: "i", Born: 1, Sequence: 8, Service: "s", Address: "a"}, 6)).To(BeFalse())
+	g.Expect(s.ByService(anyService)["s"][0].Leaving).To(BeTrue())
+	g.Expect(s.Put(Target{ID: "i", Born: 2, Sequence: 1, Service: "s", Address: "a"}, 7)).To(BeTrue())
+	g.Expect(s.Put(Target{ID: "i", Born: 1, Sequence: 10, Service: "s", Address: "a", Leaving: true}, 8)).To(BeFalse())
+	g.Expect(s.ByService(anyService)["s"][0].Run()).To(Equal(Run{ID: "i", Born: 2}))
+	g.Expect(s.ByService(anyService)["s"][0].Leaving).To(BeFalse())
+}
+
+// Another writer names a target's address with a service that nobody configured. The
+// target itself is still there, though its record is the earlier one.
+func TestAnUnknownServiceHidesNoTarget(t *testing.T) {
+	g := NewWithT(t)
+	s := NewTargetSet()
+	s.Put(Target{ID: "i", Service: "s", Address: "a"}, 1)
+	s.Put(Target{ID: "x", Service: "nobody's", Address: "a"}, 2)
+	lists := s.ByService(func(service string) bool { return service == "s" })
+	g.Expect(lists).To(HaveLen(1))
+	g.Expect(lists["s"]).To(HaveLen(1))
+}
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -7,7 +7,9 @@
 
 // Target is one engine or one instance of a plain service.
 type Target struct {
-	ID         string // of this run; a restart has another
+	ID         string
+	Born       int64  // when this run began, in Unix milliseconds; 0: not told
+	Sequence   uint64 // counts the records of one run
 	Service    string
 	Address    string
 	DataCentre string
@@ -17,6 +19,32 @@
 	ColdLeft   time.Duration // how much longer it is slow after its start
 }
 
+// Run names one run of a target. A target that starts again under its id holds and
+// knows nothing of before, so what is booked of it goes by this.
+type Run struct {
+	ID   string
+	Born int64
+}
+
+// Run returns the target's run.
+func (t *Target) Run() Run { return Run{ID: t.ID, Born: t.Born} }
+
+// Same tells whether two records of a target say the same: the number that only counts
+// them is left out.
+func (t Target) Same(o Target) bool {
+	t.Sequence, o.Sequence = 0, 0
+	return t == o
+}
+
+// follows tells whether a record comes after another one of the same id.
+//
+// Failure: the store carries out a write of a target seconds after it was sent.
+// Symptom: a record of before the target's restart, or of before it began to leave,
+// lies on top of the newer one, and a leaving target gets work again.
+func (t *Target) follows(o *Target) bool {
+	return t.Born > o.Born || t.Born == o.Born && t.Sequence >= o.Sequence
+}
+
 // ReturnWait is how long the entry of a target that lapsed during an outage of
 // the store may take to come back after the outage, with a margin for the read
 // that notices. Source: the platform's statement of two seconds.
@@ -42,9 +70,13 @@
 // Put adds or replaces a target by its record at an offset; it reports whether
 // anything changed.
 func (s *TargetSet) Put(t Target, offset uint64) bool {
+	old := s.byID[t.ID]
+	if old != nil && !t.follows(old) {
+		return false
+	}
 	delete(s.lapsed, t.ID)
 	s.offset[t.ID] = offset
-	if old := s.byID[t.ID]; old != nil && *old == t {
+	if old != nil && old.Same(t) {
 		return false
 	}
 	s.byID[t.ID] = &t
@@ -88,15 +120,20 @@
 	return changed
 }
 
-// ByService returns the targets by service, each list ordered by id.
+// ByService returns the targets of services that named knows, each list ordered by
+// id. A record with another service is of another writer, and its address may be one
+// of a target.
 //
 // Of two records with one address the later is true: the earlier run has ended
 // without a word, and its record takes seconds to lapse. After a loss of power
 // half of all records are such, and requests for them are turned away one after
 // the other.
-func (s *TargetSet) ByService() map[string][]*Target {
+func (s *TargetSet) ByService(named func(service string) bool) map[string][]*Target {
 	holder := make(map[string]*Target, len(s.byID))
 	for _, t := range s.byID {
+		if !named(t.Service) {
+			continue
+		}
 		if h := holder[t.Address]; h == nil || s.offset[h.ID] < s.offset[t.ID] {
 			holder[t.Address] = t
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,7 @@
 // targetProc is one target and its record, and the proxy that all entries reach it
 // through.
 type targetProc struct {
+	records atomic.Uint64 // that it has written
 	*standin.Target
 	service string
 	server  *http.Server
@@ -198,7 +200,7 @@
 }
 
 func (f *fleet) register(t *targetProc) {
-	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.proxy.address(), t.leaving))
+	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.proxy.address(), t.leaving, t.records.Add(1)))
 }
 
 const heartbeat = 400 * time.Millisecond
