Agents read the store again soon after a read that failed; one reading empties no group

A member that one reading lacked was dropped, though records take two seconds to come back.

Change: a failed read is made again after 250 ms; a member is dropped once readings have lacked it for as long as records may take to come back.

Both new tests fail with the old pace and the old dropping.

--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -13,13 +13,14 @@
 // member reaches one engine of the service: through its agent, or directly if
 // the agent does not answer.
 type member struct {
-	engine string // address
-	client Asker
-	direct Engine
-	own    *Agent // if it is this agent's own
-	lostAt time.Time
-	rest   time.Duration // after lostAt, without asking its agent
-	peers  string        // address of its agent
+	engine  string // address
+	client  Asker
+	direct  Engine
+	own     *Agent    // if it is this agent's own
+	missing time.Time // since when readings of the store lack it; zero: the latest has it
+	lostAt  time.Time
+	rest    time.Duration // after lostAt, without asking its agent
+	peers   string        // address of its agent
 	// counts tells that the member is asked for counts: its own, and those that it
 	// gathers from others.
 	counts bool
@@ -91,62 +92,86 @@
 
 // group are the engines among which the ranks are.
 type group struct {
-	a       *Agent
-	members map[string]*member // by engine address
-	readAt  time.Time
-	model   *serving.EngineModel
-	gapAim  time.Duration // for the pauses in the service's streams
+	a        *Agent
+	members  map[string]*member // by engine address
+	readNext time.Time          // no sooner
+	model    *serving.EngineModel
+	gapAim   time.Duration // for the pauses in the service's streams
 }
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
 
 // reread reads the engines of the service from the store, but not more often than
-// every rereadEvery: calls are paid for.
+// every rereadEvery: calls are paid for. A read that failed is made again sooner.
+//
+// Failure: an agent starts while the store is away. Symptom: the group is led three
+// seconds after the store's return, and until then all streams run on the map that
+// engines start with, each pass two to three times as long.
 func (g *group) reread() {
-	if time.Since(g.readAt) < rereadEvery && !g.readAt.IsZero() {
+	now := time.Now()
+	if now.Before(g.readNext) {
 		return
 	}
-	g.readAt = time.Now()
-	if err := g.readTargets(); err != nil {
+	g.readNext = now.Add(rereadEvery)
+	if err := g.readTargets(now); err != nil {
+		g.readNext = now.Add(rereadFailed)
 		g.a.opts.Log.Info("engines of the group not read", "error", err.Error())
 	}
 	if g.model != nil {
 		return
 	}
 	if err := g.readModel(); err != nil {
+		g.readNext = now.Add(rereadFailed)
 		g.a.opts.Log.Info("cost model not read", "error", err.Error())
 	}
 }
 
-const rereadEvery = 3 * time.Second
+// Paces of reading the store.
+const (
+	rereadEvery  = 3 * time.Second
+	rereadFailed = 250 * time.Millisecond // a few calls a second, of one agent of a group
+)
 
-func (g *group) readTargets() error {
+func (g *group) readTargets(now time.Time) error {
 	records, _, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicTargets)
 	if err != nil {
 		return err
 	}
-	seen := make(map[string]bool)
+	listed := make(map[string]bool)
 	for _, rec := range records {
 		if len(rec.Value) == 0 {
 			continue
 		}
 		t, err := g.a.opts.DecodeTarget(rec.Key, rec.Value)
 		if err != nil {
-			g.a.opts.Log.Error(err, "target ignored")
+			g.a.opts.Metrics.Count("target_records_ignored", 1)
+			g.a.opts.Log.Info("record of a target ignored", "target", rec.Key, "error", err.Error())
 			continue
 		}
 		if t.Service == g.a.opts.Service {
-			seen[t.Address] = true
+			listed[t.Address] = true
 			g.add(t.Address)
 		}
 	}
+	g.forget(listed, now)
+	return nil
+}
+
+// forget drops members that readings have lacked for as long as records may take to
+// come back after an outage of the store: one reading may be of just after it, or stale,
+// and a group without its members has no leader.
+func (g *group) forget(listed map[string]bool, now time.Time) {
 	for address, m := range g.members {
-		if !seen[address] && m.own == nil {
+		switch {
+		case listed[address] || m.own != nil:
+			m.missing = time.Time{}
+		case m.missing.IsZero():
+			m.missing = now
+		case now.Sub(m.missing) > serving.ReturnWait:
 			m.client.Close()
 			delete(g.members, address)
 		}
 	}
-	return nil
 }
 
 func (g *group) add(address string) {
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -102,6 +102,7 @@
 type simFleet struct {
 	group  *simGroup
 	orders atomic.Int64 // that rank 0's agent has sent to others
+	down   atomic.Bool  // the store
 	agents []*Agent
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -115,15 +116,25 @@
 }
 
 func startFleet(g *simGroup) *simFleet {
+	f := newFleet(g)
+	f.start()
+	return f
+}
+
+// newFleet returns a group with agents that do nothing by themselves yet.
+func newFleet(g *simGroup) *simFleet {
 	f := &simFleet{group: g}
+	f.addAgents()
+	return f
+}
+
+func (f *simFleet) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.addAgents()
-	f.done.Go(func() { g.run(ctx) })
+	f.done.Go(func() { f.group.run(ctx) })
 	for _, a := range f.agents {
 		f.done.Go(a.run)
 	}
-	return f
 }
 
 // addAgents makes an agent for each rank; none of them does anything by itself yet.
@@ -138,7 +149,7 @@
 			Service: "s",
 			Peers:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", r+1), simPort),
 			Port:    simPort,
-			Store:   simStore{ranks: len(g.ranks)},
+			Store:   simStore{ranks: len(g.ranks), down: &f.down},
 			Remote: func(address string) Engine {
 				return &simEngine{simRank: g.ranks[rankOf(address)], from: vm}
 			},
@@ -171,11 +182,17 @@
 }
 
 // simStore lists the engines.
-type simStore struct{ ranks int }
+type simStore struct {
+	ranks int
+	down  *atomic.Bool // nil: it is always up
+}
 
 // Newest implements serving.Store.
 func (s simStore) Newest(_ context.Context, t serving.Topic) ([]serving.Record, uint64, error) {
 	time.Sleep(4 * time.Millisecond)
+	if s.down != nil && s.down.Load() {
+		return nil, 0, errNoAnswer
+	}
 	if t == serving.TopicConfig {
 		return []serving.Record{{Key: "config", Value: []byte("x")}}, 1, nil
 	}
--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -257,3 +257,46 @@
 		g.Expect(a.fenced(arm)).To(BeFalse())
 	})
 }
+
+// Everything has lost power. The agents are up before the store is. The group must be
+// led, and have a map that fits, soon after the store is back, and not when the pause
+// between two good reads is over.
+func TestAGroupIsLedSoonAfterTheStoreIsBack(t *testing.T) {
+	g := NewWithT(t)
+	group := newSimGroup(12, 4, 72, 5)
+	var version uint64
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(group)
+		f.down.Store(true)
+		f.start()
+		time.Sleep(800 * time.Millisecond)
+		f.down.Store(false)
+		time.Sleep(time.Second)
+		group.mu.Lock()
+		version = group.ranks[0].version
+		group.mu.Unlock()
+		f.stop()
+	})
+	g.Expect(version).NotTo(BeZero())
+}
+
+// The store has just come back, and most records of targets have not: or a read is
+// stale. The group keeps the members that it had until that has lasted as long as
+// records may take to come back.
+func TestOneReadingDoesNotEmptyAGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(newSimGroup(4, 1, 8, 1))
+		a := f.agents[0]
+		group := newGroup(a)
+		group.reread()
+		g.Expect(group.members).To(HaveLen(4))
+		a.opts.Store = simStore{ranks: 1}
+		time.Sleep(rereadEvery)
+		group.reread()
+		g.Expect(group.members).To(HaveLen(4))
+		time.Sleep(rereadEvery)
+		group.reread()
+		g.Expect(group.members).To(HaveLen(1))
+	})
+}
