A rank that is many times as slow gets no requests

It still got streams as soon as all other ranks were full, and each of them, and each prompt read there, lengthened the passes of all: 450 to 600 ms.

Change: a target on a rank that is reported at twice the usual time or more is left out, as long as at most half of them are.

--- a/placing/place.go
+++ b/placing/place.go
@@ -14,8 +14,34 @@
 	// first: all ranks of a group wait for a slow one, so it gets work last.
 	slowWeight = 10.0
 	slowPace   = 1.3
+	// avoidPace is where a rank is so slow that it gets nothing. Each of its streams, and
+	// each prompt that it reads, makes the passes of all ranks longer by that many times
+	// what it would elsewhere.
+	avoidPace = 2.0
 )
 
+// withoutSlow leaves out the targets on ranks that are many times as slow as usual, as
+// long as they are few.
+//
+// Load pattern: one of 12 ranks takes twelve times as long, and the group is full. With
+// streams on that rank passes took 450 to 600 ms, and none could end in time; its fixed
+// part alone is 350 ms, beside which full other ranks cost nothing.
+func (b *Book) withoutSlow(targets []*serving.Target, now time.Time) []*serving.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make([]*serving.Target, 0, len(targets))
+	for _, t := range targets {
+		a := b.accounts[t.Run()]
+		if a == nil || now.Sub(a.others.at) >= ReportLife || a.others.Pace < avoidPace {
+			left = append(left, t)
+		}
+	}
+	if 2*len(left) < len(targets) {
+		return targets
+	}
+	return left
+}
+
 // Place chooses the target of a try: the one with the least work of those that
 // drop does not exclude; nil if there is none. drop must not use the book.
 func (b *Book) Place(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -354,3 +355,35 @@
 	g.Expect(b.Place([]*serving.Target{again, other}, none, now)).To(Equal(again))
 	g.Expect(b.Known(again, now).Load).To(BeZero())
 }
+
+// One rank is many times as slow as usual, and each of its streams holds up all others.
+// It gets none, though it is the only one that is empty; once it is as fast as before it
+// gets work again. If most ranks are slow there is no better place, and all are used.
+func TestAVerySlowRankGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := testBook()
+	var targets []*serving.Target
+	loads := make(map[string]RankLoad)
+	for i := range 4 {
+		address := fmt.Sprintf("x%d", i)
+		targets = append(targets, &serving.Target{ID: address, Service: "s", Address: address, DataCentre: "a"})
+		loads[address] = RankLoad{Running: 5, Pace: 1}
+	}
+	report := func(slow ...int) {
+		for i, t := range targets {
+			l := RankLoad{Running: 5, Pace: 1}
+			if slices.Contains(slow, i) {
+				l = RankLoad{Pace: 12}
+			}
+			loads[t.Address] = l
+		}
+		b.Reported("s", targets, loads, NewGroupState(loads, 1.2, 1.2, Waiting{}, now))
+	}
+	report(2)
+	g.Expect(b.withoutSlow(targets, now)).To(Equal([]*serving.Target{targets[0], targets[1], targets[3]}))
+	report()
+	g.Expect(b.withoutSlow(targets, now)).To(Equal(targets))
+	report(0, 1, 2)
+	g.Expect(b.withoutSlow(targets, now)).To(Equal(targets))
+}
