Late streams leave room for those that come

Cause: a group is back after an outage with all its places free, and all that waited is late.

Change: an entry's late streams get what its part of the group has left beside those in time: how many come, times how long streams stay, both as the entry sees them.

--- a/bench/group/engine.go
+++ b/bench/group/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/bench"
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -57,6 +58,7 @@
 	ended   time.Time
 	outcome outcome
 	rank    int
+	request placing.Request
 	left    func() // the caller has gone, or the stream has ended
 }
 
--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -68,7 +68,8 @@
 		e.send(e.book.Place(e.w.targets, func(*serving.Target) bool { return false }, now), j, size, true)
 		return
 	}
-	r := &placing.Request{
+	r := &j.request
+	*r = placing.Request{
 		Arrived: now,
 		Aim:     e.w.shape.Aim,
 		MaxWait: time.Duration(float64(e.w.shape.Patience) * (1 - firstEventShare)),
@@ -128,7 +129,7 @@
 		}
 		over = true
 		e.book.Answered(account, size)
-		e.book.End(account)
+		e.book.End(account, &j.request, e.w.clock.now)
 		if e.gated() {
 			e.letGo()
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -36,7 +36,7 @@
 func (x *exchange) close() {
 	x.firstByte()
 	x.resp.Close()
-	x.tries.g.endTry(x.account)
+	x.tries.g.endTry(x.account, x.tries.r)
 }
 
 // firstByte books that the target has begun to answer.
@@ -127,7 +127,7 @@
 		}
 		a := t.g.book.Account(target)
 		t.g.book.Answered(a, t.r.wish.Size)
-		t.g.endTry(a)
+		t.g.endTry(a, t.r)
 	}
 	if e := t.ended(ctx); e != nil {
 		return nil, e
@@ -193,7 +193,7 @@
 	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
 	if err != nil {
 		t.g.book.Answered(a, t.r.wish.Size)
-		t.g.endTry(a)
+		t.g.endTry(a, t.r)
 		return nil, t.lost(ctx, target, err)
 	}
 	if e := t.judge(x); e != nil {
@@ -274,8 +274,8 @@
 }
 
 // endTry books the end of a try, which may let another request go.
-func (g *Gateway) endTry(a *placing.Account) {
-	g.book.End(a)
+func (g *Gateway) endTry(a *placing.Account, r *request) {
+	g.book.End(a, &r.wish, time.Now())
 	g.regate(a.Service())
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -17,6 +17,7 @@
 	accounts   map[serving.Run]*Account
 	ejector    *route.Ejector[serving.Run]
 	groups     map[string]*GroupState // by service
+	late       map[string]*lateShare  // by service
 }
 
 // Account is one target's.
@@ -39,6 +40,7 @@
 		accounts:   make(map[serving.Run]*Account),
 		ejector:    route.NewEjector[serving.Run](),
 		groups:     make(map[string]*GroupState),
+		late:       make(map[string]*lateShare),
 	}
 }
 
@@ -91,12 +93,13 @@
 	a.reading -= s.Prompt
 }
 
-// End books the end of a try.
-func (b *Book) End(a *Account) {
+// End books the end of a try of a request.
+func (b *Book) End(a *Account, r *Request, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
 	b.group(a.target.Service).share.freed()
+	b.lates(a.target.Service).end(r, now)
 }
 
 // Outcome books whether a target did what it should.
--- a/placing/letgo.go
+++ b/placing/letgo.go
@@ -20,7 +20,7 @@
 	l.Targets = b.withoutSlow(l.Targets, now)
 	most := b.Limit(l.Service, l.GapAim, now)
 	b.prepare(l, most, g.demand(now), now)
-	g.grant(now, func() bool { return b.lateMayGo(l.Service.Name) }, func(r *Request) *serving.Target { return b.reserve(l, int(math.Ceil(most)), r, now) })
+	g.grant(now, func() bool { return b.lateMayGo(l, most) }, func(r *Request) *serving.Target { return b.reserve(l, int(math.Ceil(most)), r, now) })
 }
 
 // prepare reckons what this entry may send.
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -176,7 +176,7 @@
 		b.prepare(l, 10, demand{waiting: Waiting{Late: each}}, now)
 		late := &Request{Arrived: now.Add(-time.Second), Aim: 500 * time.Millisecond}
 		for range each {
-			if b.lateMayGo("s") && b.reserve(l, 10, late, now) != nil {
+			if b.lateMayGo(l, 10) && b.reserve(l, 10, late, now) != nil {
 				sent++
 			}
 		}
@@ -221,7 +221,7 @@
 	loads := map[string]RankLoad{"1": {Running: 10}}
 	b.Reported("s", []*serving.Target{target}, loads, NewGroupState(loads, 1, 1, Waiting{InTime: 60}, now))
 	g.Expect(sendAll(b, target, 3, now)).To(BeZero())
-	b.End(a)
+	b.End(a, new(Request), now)
 	g.Expect(sendAll(b, target, 3, now)).To(Equal(1))
 }
 
--- a/placing/request.go
+++ b/placing/request.go
@@ -13,6 +13,9 @@
 	Aim      time.Duration // for the first event; 0: none
 	MaxWait  time.Duration // that the request may wait for a target
 	Size     Size
+
+	placed time.Time // when it got its place
+	late   bool      // it was late already then
 }
 
 // Size is the work that a request asks of a model engine.
--- a/placing/room.go
+++ b/placing/room.go
@@ -30,6 +30,7 @@
 // renew reckons the share after a report, and adds to it for requests that have
 // come since. The lock must be held.
 func (b *Book) renew(l Lane, most float64, d demand, now time.Time) {
+	b.lates(l.Service.Name).coming.take(d.entered, now)
 	state := b.group(l.Service.Name)
 	if now.Sub(state.At) >= ReportLife {
 		state.share = roomShare{}
@@ -84,10 +85,11 @@
 }
 
 // lateMayGo tells whether a request that is late already may go to a group.
-func (b *Book) lateMayGo(service string) bool {
+func (b *Book) lateMayGo(l Lane, most float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.group(service).share.mayGo(true)
+	part := most * float64(len(l.Targets)) / float64(max(l.Entries, 1))
+	return b.lates(l.Service.Name).mayGo(part) && b.group(l.Service.Name).share.mayGo(true)
 }
 
 // freed gives room back that a request of this entry has left.
@@ -110,6 +112,7 @@
 	if t != nil {
 		b.begin(t, r.Size)
 		share.sent(late)
+		b.lates(l.Service.Name).begin(r, late, now)
 	}
 	return t
 }
