Passes are measured over several looks

Cause: a look every 60 ms sees one or two passes of 48 ms begun, so passes seemed to take 37 and 75 ms in turn, and plans were rated as for a calm group and a busy one by turns.

Change: a mean with a half-life of 150 ms.

--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -35,6 +35,10 @@
 	told time.Time
 }
 
+// passHalfLife evens out what one look tells: a look sees one or two passes begun, and
+// took them for twice as long or as short in turn.
+const passHalfLife = 150 * time.Millisecond
+
 // meterEvery is how often the group's load is logged.
 const meterEvery = time.Second
 
@@ -47,7 +51,9 @@
 	if step == m.step {
 		return false
 	}
-	m.mean = now.Sub(m.at) / time.Duration(step-m.step)
+	since := now.Sub(m.at)
+	keep := halved(since, passHalfLife)
+	m.mean = time.Duration(float64(m.mean)*keep + float64(since)/float64(step-m.step)*(1-keep))
 	m.step, m.at = step, now
 	if now.Sub(m.told) < meterEvery {
 		return false
