heatherrail losses: each late, refused or failed request is put down to one cause

On-call engineers had the story of one request and no sum of all. Entries now log their data centre when they start.

--- a/cmd/heatherrail/main.go
+++ b/cmd/heatherrail/main.go
@@ -24,6 +24,7 @@
 	Status  statusCommand  `command:"status" description:"show versions, leases and targets of all processes"`
 	Drain   drainCommand   `command:"drain" description:"take an entry or a target out of service"`
 	Story   storyCommand   `command:"story" description:"read logs of any number of processes from standard input and tell what became of one request"`
+	Losses  lossesCommand  `command:"losses" description:"read logs of any number of processes from standard input and put each late, refused or failed request down to its cause"`
 	Soak    soakCommand    `command:"soak" description:"run real processes under random faults and check what is promised"`
 	Bench   benchCommand   `command:"bench" description:"measure this build; each bench compares within one run"`
 	Version versionCommand `command:"version" description:"print the version"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	}, g.peerFailed)
 	g.startDuties()
 	g.serveCallers()
-	o.Log.Info("started", "vm", o.Name, "callers", o.Callers, "peers", o.Peers, "incarnation", o.Incarnation)
+	o.Log.Info("started", "vm", o.Name, "data_centre", o.DataCentre, "callers", o.Callers, "peers", o.Peers, "incarnation", o.Incarnation)
 	return g
 }
 
--- /dev/null
+++ b/losses/report.go
@@ -0,0 +1,108 @@
+package losses
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Row sums up the losses of one cause.
+type Row struct {
+	Cause   string `json:"cause"`
+	Late    int    `json:"late"`
+	Refused int    `json:"refused"`
+	Failed  int    `json:"failed"`
+	Savable int    `json:"savable"` // of them, that an all-knowing system could have served in time
+}
+
+// Report is a ledger summed up.
+type Report struct {
+	Answered    int            `json:"answered_in_time"`
+	Unread      int            `json:"lines_not_read"`
+	Causes      []Row          `json:"causes"`
+	Kinds       map[string]int `json:"by_kind"`
+	DataCentres map[string]int `json:"by_data_centre"`
+	Seconds     []Second       `json:"by_second"` // those with losses
+}
+
+// Second is one second of the logs.
+type Second struct {
+	Second int            `json:"second"`
+	Causes map[string]int `json:"causes"`
+}
+
+// Report sums the ledger up.
+func (l *Ledger) Report() *Report {
+	r := &Report{Answered: l.Answered, Unread: l.Unread, Kinds: make(map[string]int), DataCentres: make(map[string]int)}
+	var rows [causeCount]Row
+	for _, loss := range l.Losses {
+		row := &rows[loss.Cause]
+		switch loss.Outcome {
+		case Late:
+			row.Late++
+		case Refused:
+			row.Refused++
+		case Failed:
+			row.Failed++
+		}
+		if loss.Cause.Savable() {
+			row.Savable++
+		}
+		r.Kinds[loss.Kind]++
+		r.DataCentres[loss.DataCentre]++
+		if len(r.Seconds) == 0 || r.Seconds[len(r.Seconds)-1].Second != loss.Second {
+			r.Seconds = append(r.Seconds, Second{Second: loss.Second, Causes: make(map[string]int)})
+		}
+		r.Seconds[len(r.Seconds)-1].Causes[loss.Cause.String()]++
+	}
+	for c := range rows {
+		if row := rows[c]; row.Late+row.Refused+row.Failed > 0 {
+			row.Cause = Cause(c).String()
+			r.Causes = append(r.Causes, row)
+		}
+	}
+	return r
+}
+
+// WriteJSON writes the report as JSON.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteText writes the report as tables.
+func (r *Report) WriteText(w io.Writer) error {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "answered in time: %d; lines not read: %d\n\n", r.Answered, r.Unread)
+	fmt.Fprintf(b, "%-28s %6s %8s %7s %8s\n", "cause", "late", "refused", "failed", "savable")
+	for _, row := range r.Causes {
+		fmt.Fprintf(b, "%-28s %6d %8d %7d %8d\n", row.Cause, row.Late, row.Refused, row.Failed, row.Savable)
+	}
+	writeCounts(b, "kind", r.Kinds)
+	writeCounts(b, "data centre", r.DataCentres)
+	fmt.Fprintf(b, "\n%6s  losses by cause\n", "second")
+	for _, s := range r.Seconds {
+		fmt.Fprintf(b, "%6d ", s.Second)
+		for c := range Causes {
+			if n := s.Causes[Cause(c).String()]; n > 0 {
+				fmt.Fprintf(b, " %s %d", Cause(c), n)
+			}
+		}
+		b.WriteByte('\n')
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func writeCounts(b *strings.Builder, title string, counts map[string]int) {
+	fmt.Fprintf(b, "\n%-28s %6s\n", title, "losses")
+	for _, name := range sortedKeys(counts) {
+		shown := name
+		if shown == "" {
+			shown = "not known"
+		}
+		fmt.Fprintf(b, "%-28s %6d\n", shown, counts[name])
+	}
+}
