--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -150,7 +150,7 @@
 	// is calm, in means of the experts' time of one rank, and busyCopyCost one whose
 	// passes are near the limit. Twenty-four runs with a third of both gave 0.701 of
 	// the worth, these 0.714.
-	calmCopyCost = 0.22
+	calmCopyCost = 0.6
 	busyCopyCost = 0.065
 	busyUrgency  = 0.6
 	// evenEnough: below it no plan has ever paid, and looking for one takes a quarter
