--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -141,7 +141,8 @@
 		l.pending = nil
 	}
 	if l.demand.enough() && l.version != 0 {
-		l.worst.take(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
+		// A slow rank lengthens passes as a long one does, so entries are told both as one.
+		l.worst.take(imbalance(l.layouts, l.demand.loads(), paces(ranks), l.group.model), now)
 	}
 }
 
