--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -152,7 +152,7 @@
 	// the worth, these 0.714.
 	calmCopyCost = 0.6
 	busyCopyCost = 0.065
-	busyUrgency  = 0.9
+	busyUrgency  = 0.6
 	// evenEnough: below it no plan has ever paid, and looking for one takes a quarter
 	// of the leader's processor time.
 	evenEnough = 1.08
