--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -42,7 +43,7 @@
 // dies or is cut off from the store costs a part of the bound and no more, and
 // many that fail do not make all others read at once.
 func (p *pace) limit(place, of int) (age, wait time.Duration) {
-	if place == 0 {
+	if place == 0 || ablate.Off(ablate.StoreTurns) {
 		return p.lead, p.wait
 	}
 	return p.follow + p.spread*time.Duration(place)/time.Duration(of), 0
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/result"
 )
 
@@ -162,7 +163,7 @@
 		b.g.book.Outcome(lost.target, false, time.Now())
 		b.reason = result.New(result.AnswerBroken, "%s: %w", lost.target.ID, err)
 		b.t.last = b.reason
-		if b.t.mayRetry(b.reason) {
+		if b.t.mayRetry(b.reason) && !ablate.Off(ablate.Resume) {
 			b.resume()
 			return
 		}
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -312,7 +313,7 @@
 // others know that the leader's VM can't be reached; its two time limits one after the
 // other kept a group of 12 standing for 0.3 s longer.
 func (m *member) collectSoon(a *Agent, q *peers.Collect) peers.RankState {
-	if m.own != nil || !m.hasAgent() {
+	if m.own != nil || !m.hasAgent() || ablate.Off(ablate.HeldSoon) {
 		return m.collect(a, q)
 	}
 	answer := make(chan peers.RankState, 1)
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/peers"
 )
@@ -142,7 +143,11 @@
 	}
 	if l.demand.enough() && l.version != 0 {
 		// A slow rank lengthens passes as a long one does, so entries are told both as one.
-		l.worst.take(imbalance(l.layouts, l.demand.loads(), paces(ranks), l.group.model), now)
+		pace := paces(ranks)
+		if ablate.Off(ablate.PacedImbalance) {
+			pace = nil
+		}
+		l.worst.take(imbalance(l.layouts, l.demand.loads(), pace, l.group.model), now)
 	}
 }
 
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -80,7 +81,7 @@
 		return false
 	}
 	recent, steady := imbalance(layouts, d.recent.loads, nil, m), imbalance(layouts, d.steady.loads, nil, m)
-	if recent < steady*movedShare+movedLeast {
+	if recent < steady*movedShare+movedLeast || ablate.Off(ablate.TwoMeans) {
 		return false
 	}
 	copy(d.steady.loads, d.recent.loads)
@@ -274,6 +275,9 @@
 	copying := pl.copying(p).Seconds()
 	delay := min(switchTime+copying, horizon)
 	calm := min(max(1-pl.urgency/busyUrgency, 0), 1)
+	if ablate.Off(ablate.Urgency) {
+		calm = 0
+	}
 	each := busyCopyCost + (calmCopyCost-busyCopyCost)*calm
 	gigabytes := float64(p.copies) * pl.model.ExpertBytes / 1e9 / float64(len(p.layouts[0]))
 	stall := switchStall * p.before
--- a/placing/book.go
+++ b/placing/book.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -108,6 +109,9 @@
 func (b *Book) Outcome(t *serving.Target, ok bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if ablate.Off(ablate.Ejection) {
+		return
+	}
 	b.ejector.Report(t.Run(), ok, now)
 }
 
--- a/placing/finish.go
+++ b/placing/finish.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/heatherrail/heatherrail/internal/ablate"
+)
 
 // streamPace tells how fast streams get on, by the pauses between their events.
 type streamPace struct {
@@ -35,7 +39,7 @@
 // 350 to 700 ms. A stream of 26 events then takes longer than callers stay: it holds a
 // place for all that time, for nothing, while shorter ones wait that would end in time.
 func (p *streamPace) canFinish(r *Request, now time.Time) bool {
-	if r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceLife {
+	if ablate.Off(ablate.CannotFinish) || r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceLife {
 		return true
 	}
 	return time.Duration(r.Events*float64(p.mean)) <= r.Deadline.Sub(now)
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -45,6 +46,9 @@
 func (g *Gate) Refused(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if ablate.Off(ablate.Breaker) {
+		return
+	}
 	g.breaker = breaker{broken: true, next: now.Add(probePause)}
 }
 
@@ -94,7 +98,7 @@
 		return g.push(r), 0, true
 	}
 	expected := g.rate.expect(before+1, now)
-	if expected > r.MaxWait {
+	if expected > r.MaxWait && !ablate.Off(ablate.RefuseEarly) {
 		return nil, expected, false
 	}
 	return g.push(r), 0, true
@@ -154,6 +158,9 @@
 // answer is worth the same whether it comes a little or much too late, so letting
 // late ones go first would make all that wait behind them late too. -1: none may go.
 func (g *Gate) next(now time.Time, lateToo bool) int {
+	if ablate.Off(ablate.InTimeFirst) {
+		return 0
+	}
 	for i, w := range g.waiting {
 		if lateToo && w.r.Priority != g.waiting[0].r.Priority {
 			break
--- a/placing/late.go
+++ b/placing/late.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/heatherrail/heatherrail/internal/ablate"
+)
 
 // lateShare is what streams that are late already may hold of this entry's part of a
 // group.
@@ -40,6 +44,9 @@
 // mayGo tells whether one more late stream may go, of a part of a group that bears so
 // many streams.
 func (l *lateShare) mayGo(part float64) bool {
+	if ablate.Off(ablate.LateShare) {
+		return true
+	}
 	needed := l.coming.rate * l.stay.Seconds()
 	return float64(l.running) < part-needed
 }
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -42,7 +43,7 @@
 // all streams of the group together need, and so need not be a whole number.
 func limit(m *serving.EngineModel, gapAim time.Duration, imbalance, pace float64) float64 {
 	slots := float64(m.Slots)
-	if gapAim <= 0 || m.StepPerWriter <= 0 {
+	if gapAim <= 0 || m.StepPerWriter <= 0 || ablate.Off(ablate.Limit) {
 		return slots
 	}
 	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)
--- a/placing/pauses.go
+++ b/placing/pauses.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/heatherrail/heatherrail/internal/ablate"
+)
 
 // pauses corrects the limit by the pauses between events that streams really have.
 //
@@ -44,7 +48,7 @@
 	longest := float64(p.longest)
 	p.longest = 0
 	switch {
-	case pace >= avoidPace:
+	case pace >= avoidPace || ablate.Off(ablate.Pauses):
 		p.factor = 0
 	case longest > pauseShare*float64(aim) && longest < stallShare*float64(aim):
 		p.factor = max(p.factor-pauseLess, pauseLeast)
--- a/placing/place.go
+++ b/placing/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -36,7 +37,7 @@
 			left = append(left, t)
 		}
 	}
-	if 2*len(left) < len(targets) {
+	if 2*len(left) < len(targets) || ablate.Off(ablate.SlowLeftOut) {
 		return targets
 	}
 	return left
@@ -82,7 +83,11 @@
 	}
 	var best *serving.Target
 	var bestWork float64
-	for i := range min(sample, len(usable)) {
+	compared := sample
+	if ablate.Off(ablate.Sample) {
+		compared = len(usable)
+	}
+	for i := range min(compared, len(usable)) {
 		j := i + b.rng.IntN(len(usable)-i)
 		usable[i], usable[j] = usable[j], usable[i]
 		if work := b.work(usable[i], now); best == nil || work < bestWork {
@@ -103,7 +108,7 @@
 		return work
 	}
 	work += readWeight * a.reading
-	if now.Sub(a.others.at) < ReportLife && a.others.Pace > slowPace {
+	if now.Sub(a.others.at) < ReportLife && a.others.Pace > slowPace && !ablate.Off(ablate.SlowWeight) {
 		work += slowWeight * (a.others.Pace - 1)
 	}
 	return work
--- a/placing/room.go
+++ b/placing/room.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -68,7 +69,7 @@
 // at whichever entry they wait, and then as far as there is room for them.
 func (s *roomShare) mayGo(late bool) bool {
 	switch {
-	case !s.known:
+	case !s.known || ablate.Off(ablate.Room):
 		return true
 	case late:
 		return s.odds >= 1 && (s.lateOdds >= 1 || s.lateLeft > 0)
