--- a/placing/finish.go
+++ b/placing/finish.go
@@ -8,8 +8,9 @@
 
 // streamPace tells how fast streams get on, by the pauses between their events.
 type streamPace struct {
-	mean time.Duration
-	at   time.Time // of the latest pause
+	mean     time.Duration
+	at       time.Time // of the latest pause
+	slowRank bool      // the group has one, by the latest report
 }
 
 // Figures of the pace.
@@ -38,13 +39,22 @@
 // Load pattern: a rank takes many times as long, for seconds, and passes of all take
 // 350 to 700 ms. A stream of 26 events then takes longer than callers stay: it holds a
 // place for all that time, for nothing, while shorter ones wait that would end in time.
+// Passes that are long for another reason are short again once the map has followed,
+// within half a second, so only a slow rank counts.
 func (p *streamPace) canFinish(r *Request, now time.Time) bool {
-	if ablate.Off(ablate.CannotFinish) || r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceLife {
+	if ablate.Off(ablate.CannotFinish) || !p.slowRank || r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceLife {
 		return true
 	}
 	return time.Duration(r.Events*float64(p.mean)) <= r.Deadline.Sub(now)
 }
 
+// noteSlowRank notes whether a rank of the group is many times as slow as usual.
+func (g *Gate) noteSlowRank(slow bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pace.slowRank = slow
+}
+
 // Paused notes a pause between two events of a stream.
 func (g *Gate) Paused(pause time.Duration, now time.Time) {
 	g.mu.Lock()
--- a/placing/letgo.go
+++ b/placing/letgo.go
@@ -18,6 +18,7 @@
 // LetGo hands targets to requests that wait at a gate, as far as targets have room.
 func LetGo(g *Gate, b *Book, l Lane, now time.Time) {
 	l.Targets = b.withoutSlow(l.Targets, now)
+	g.noteSlowRank(b.hasSlowRank(l.Service.Name, now))
 	most := b.Limit(l.Service, l.GapAim, now)
 	b.prepare(l, most, g.demand(now), now)
 	g.grant(now, func() bool { return b.lateMayGo(l, most) }, func(r *Request) *serving.Target { return b.reserve(l, int(math.Ceil(most)), r, now) })
--- a/placing/place.go
+++ b/placing/place.go
@@ -64,6 +64,14 @@
 	return best
 }
 
+// hasSlowRank tells whether a rank of a service's group is many times as slow as usual.
+func (b *Book) hasSlowRank(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.group(service)
+	return now.Sub(state.At) < ReportLife && state.Pace >= avoidPace
+}
+
 // sample is how many targets a placement compares. All entries have the same
 // reports, a moment old; if each compared all targets they would all send to the
 // same one until the next report.
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -408,6 +408,9 @@
 		}
 	}
 	pauses(500 * time.Millisecond)
+	_, taken := enter(20)
+	g.Expect(taken).To(BeTrue(), "without a slow rank passes are short again soon")
+	gt.noteSlowRank(true)
 	wait, ok := enter(20)
 	g.Expect(ok).To(BeFalse())
 	g.Expect(wait).To(BeNumerically("~", 8*time.Second/3, time.Millisecond))
