--- a/bench/group/engine.go
+++ b/bench/group/engine.go
@@ -59,8 +59,7 @@
 	outcome outcome
 	rank    int
 	request placing.Request
-	paused  func(time.Duration) // between two events
-	left    func()              // the caller has gone, or the stream has ended
+	left    func() // the caller has gone, or the stream has ended
 }
 
 // engine is one rank.
@@ -187,9 +186,7 @@
 	if j.first.IsZero() {
 		j.first = now
 	} else {
-		pause := now.Sub(j.last)
-		j.gap = max(j.gap, pause)
-		j.paused(pause)
+		j.gap = max(j.gap, now.Sub(j.last))
 	}
 	j.last = now
 }
--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -122,7 +122,6 @@
 		e.book.Begin(t, size)
 	}
 	account := e.book.Account(t)
-	j.paused = func(d time.Duration) { e.book.Pause(e.w.service.Name, d) }
 	over := false
 	j.left = func() {
 		if over {
--- a/bench/group/group_test.go
+++ b/bench/group/group_test.go
@@ -33,7 +33,7 @@
 	g := NewWithT(t)
 	shape := Shapes[0]
 	w := newWorld(&shape, &Pattern{}, PolicyRandom, 1)
-	j := &job{arrived: w.clock.now, prompt: 614, read: 614, write: 8, paused: func(time.Duration) {}, left: func() {}}
+	j := &job{arrived: w.clock.now, prompt: 614, read: 614, write: 8, left: func() {}}
 	w.engines.add(3, j)
 	w.clock.runUntil(w.engines.begun.Add(time.Second))
 	reading := 4*4.55 + (0.15+0.85/12*calm)*10
--- a/bench/group/world.go
+++ b/bench/group/world.go
@@ -109,7 +109,7 @@
 		return
 	}
 	prompt, answer := w.shape.sizes(w.rng)
-	j := &job{arrived: w.clock.now, prompt: prompt, read: prompt, write: answer, paused: func(time.Duration) {}, left: func() {}}
+	j := &job{arrived: w.clock.now, prompt: prompt, read: prompt, write: answer, left: func() {}}
 	w.jobs = append(w.jobs, j)
 	w.clock.after(w.shape.Patience, func() { w.leave(j) })
 	w.entries[w.rng.IntN(len(w.entries))].take(j)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -121,7 +121,6 @@
 	} else {
 		pause := now.Sub(b.latest)
 		b.gap = max(b.gap, pause)
-		b.g.book.Pause(b.t.r.service.Name, pause)
 		if gt := b.g.gate(b.t.r.service); gt != nil {
 			gt.Paused(pause, now)
 		}
--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -11,24 +11,22 @@
 
 // Mechanisms, by what is done without them.
 const (
-	Limit          Mechanism = "limit"           // streams fill all places of an engine
-	Pauses         Mechanism = "pauses"          // the limit is not corrected by what streams have
-	Room           Mechanism = "room"            // each entry takes all the room that it sees
-	LateShare      Mechanism = "late-share"      // late streams take all the room that is left
-	Breaker        Mechanism = "breaker"         // requests go to a group that is broken
-	InTimeFirst    Mechanism = "in-time-first"   // requests go in the order of arrival
-	RefuseEarly    Mechanism = "refuse-early"    // requests wait though it will be too long
-	CannotFinish   Mechanism = "cannot-finish"   // streams are taken that can't end in time
-	Sample         Mechanism = "sample"          // each placement compares all targets
-	SlowWeight     Mechanism = "slow-weight"     // a slow rank gets its share of work
-	SlowLeftOut    Mechanism = "slow-left-out"   // a very slow rank may get work
-	Ejection       Mechanism = "ejection"        // targets that fail get work
-	Resume         Mechanism = "resume"          // a broken stream ends
-	TwoMeans       Mechanism = "two-means"       // demand is one mean
-	Urgency        Mechanism = "urgency"         // plans rate copies as a busy group does
-	PacedImbalance Mechanism = "paced-imbalance" // entries are told the imbalance without the ranks' pace
-	HeldSoon       Mechanism = "held-soon"       // a group left held is asked with the usual time limits
-	StoreTurns     Mechanism = "store-turns"     // every entry reads the store as the first one does
+	Limit        Mechanism = "limit"         // streams fill all places of an engine
+	Room         Mechanism = "room"          // each entry takes all the room that it sees
+	LateShare    Mechanism = "late-share"    // late streams take all the room that is left
+	Breaker      Mechanism = "breaker"       // requests go to a group that is broken
+	InTimeFirst  Mechanism = "in-time-first" // requests go in the order of arrival
+	RefuseEarly  Mechanism = "refuse-early"  // requests wait though it will be too long
+	CannotFinish Mechanism = "cannot-finish" // streams are taken that can't end in time
+	Sample       Mechanism = "sample"        // each placement compares all targets
+	SlowWeight   Mechanism = "slow-weight"   // a slow rank gets its share of work
+	SlowLeftOut  Mechanism = "slow-left-out" // a very slow rank may get work
+	Ejection     Mechanism = "ejection"      // targets that fail get work
+	Resume       Mechanism = "resume"        // a broken stream ends
+	TwoMeans     Mechanism = "two-means"     // demand is one mean
+	Urgency      Mechanism = "urgency"       // plans rate copies as a busy group does
+	HeldSoon     Mechanism = "held-soon"     // a group left held is asked with the usual time limits
+	StoreTurns   Mechanism = "store-turns"   // every entry reads the store as the first one does
 )
 
 // off is set by the linker.
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/expert"
-	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/peers"
 )
@@ -142,12 +141,7 @@
 		l.pending = nil
 	}
 	if l.demand.enough() && l.version != 0 {
-		// A slow rank lengthens passes as a long one does, so entries are told both as one.
-		pace := paces(ranks)
-		if ablate.Off(ablate.PacedImbalance) {
-			pace = nil
-		}
-		l.worst.take(imbalance(l.layouts, l.demand.loads(), pace, l.group.model), now)
+		l.worst.take(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -19,7 +19,6 @@
 	ejector    *route.Ejector[serving.Run]
 	groups     map[string]*GroupState // by service
 	late       map[string]*lateShare  // by service
-	pauses     map[string]*pauses     // by service
 }
 
 // Account is one target's.
@@ -43,7 +42,6 @@
 		ejector:    route.NewEjector[serving.Run](),
 		groups:     make(map[string]*GroupState),
 		late:       make(map[string]*lateShare),
-		pauses:     make(map[string]*pauses),
 	}
 }
 
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -70,11 +70,6 @@
 func (b *Book) Limit(s *serving.Service, gapAim time.Duration, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.modelled(s, gapAim, now) * (1 + b.pausesOf(s.Name).factor)
-}
-
-// modelled returns the limit by the cost model alone; the lock must be held.
-func (b *Book) modelled(s *serving.Service, gapAim time.Duration, now time.Time) float64 {
 	state := b.group(s.Name)
 	if now.Sub(state.At) > ReportLife {
 		return limit(s.Engine, gapAim, calmImbalance, 1)
--- a/placing/room.go
+++ b/placing/room.go
@@ -33,7 +33,6 @@
 func (b *Book) renew(l Lane, most float64, d demand, now time.Time) {
 	b.lates(l.Service.Name).coming.take(d.entered, now)
 	state := b.group(l.Service.Name)
-	b.pausesOf(l.Service.Name).correct(l.GapAim, state.Pace, now)
 	if now.Sub(state.At) >= ReportLife {
 		state.share = roomShare{}
 		return
