Arms are taken back at once

Cause: of the 0.47 s for which a group with a frozen leader still stood, 0.15 s went into taking back the arms of one rank after the other.

--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/peers"
@@ -272,20 +274,26 @@
 	return true
 }
 
-// disarmAll takes back the arms of ranks that are armed; false if that is not
-// known to have been done.
+// disarmAll takes back the arms of ranks that are armed, of all at once, since the group
+// stands still meanwhile; false if that is not known to have been done.
 func disarmAll(a *Agent, ranks []rank) bool {
 	for range holdTries {
-		done := true
+		var wait sync.WaitGroup
+		var open atomic.Int32
 		for _, r := range ranks {
 			if r.state.Armed == 0 {
 				continue
 			}
-			r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: r.state.Armed})
-			state := r.collect(a, plain)
-			done = done && state.Known && state.Armed == 0
+			wait.Go(func() {
+				r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: r.state.Armed})
+				state := r.collect(a, plain)
+				if !state.Known || state.Armed != 0 {
+					open.Add(1)
+				}
+			})
 		}
-		if done {
+		wait.Wait()
+		if open.Load() == 0 {
 			return true
 		}
 	}
