A silent leader's group is limited by the worst imbalance seen

Cause: while the leader is frozen nobody reports, no map follows, and the limit went by a usual imbalance of 2.5. Passes came to lie at 97 to 129 ms, just beyond the aim, so nearly all were late for four seconds.

Change: the worst imbalance and the pace of the last report hold on.

--- a/placing/limit.go
+++ b/placing/limit.go
@@ -72,7 +72,8 @@
 	defer b.mu.Unlock()
 	state := b.group(s.Name)
 	if now.Sub(state.At) > ReportLife {
-		return limit(s.Engine, gapAim, calmImbalance, 1)
+		// Nobody reports, so the map does not follow either: what was worst lately comes.
+		return limit(s.Engine, gapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1))
 	}
 	if state.Imbalance == 0 {
 		// The group has just been formed: it uses the map that engines start with, and
