--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -20,7 +20,6 @@
 // there.
 type demand struct {
 	recent, steady mean
-	latest         []float64 // choices of the latest look
 	last           time.Time
 }
 
@@ -63,7 +62,7 @@
 	if !d.last.IsZero() {
 		since = now.Sub(d.last)
 	}
-	d.last, d.latest = now, counts
+	d.last = now
 	d.recent.add(counts, sum, since)
 	d.steady.add(counts, sum, since)
 }
@@ -76,19 +75,6 @@
 	}
 }
 
-// restart begins a mean anew from some choices.
-//
-// The mean of the last passes still holds choices of before the move. A map for the
-// mixture of both fits neither: 1.3 times the mean was planned, 1.6 came of it, and two
-// more maps followed within half a second.
-func (m *mean) restart(counts []float64) {
-	copy(m.loads, counts)
-	m.total = 0
-	for _, n := range counts {
-		m.total += n
-	}
-}
-
 // moved notes whether demand has moved, by how well the map in use fits.
 func (d *demand) moved(layouts []expert.Layout, m *serving.EngineModel) bool {
 	if !d.enough() {
@@ -98,8 +84,8 @@
 	if recent < steady*movedShare+movedLeast || ablate.Off(ablate.TwoMeans) {
 		return false
 	}
-	d.steady.restart(d.latest)
-	d.recent.restart(d.latest)
+	copy(d.steady.loads, d.recent.loads)
+	d.steady.total = d.recent.total
 	return true
 }
 
