--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -70,3 +70,50 @@
 	g.Expect(l.wantsCounts()).To(BeTrue(), "orders are lost, and demand may have moved again")
 	g.Expect(l.pause()).To(Equal(pendingEvery))
 }
+
+// A leader looks every 60 ms at a group whose passes take 48 ms, and sees one or two begun
+// in turn. Taken by the single look passes would seem to last 60 and 30 ms by turns, and
+// plans be rated as for a busy group and for a calm one.
+func TestPassesAreMeasuredOverSeveralLooks(t *testing.T) {
+	g := NewWithT(t)
+	const pass = 48 * time.Millisecond
+	var m passMeter
+	begun := time.Now()
+	for look := range 60 {
+		at := time.Duration(look) * roundEvery
+		m.take(uint64(at/pass), begun.Add(at))
+		if look > 10 {
+			g.Expect(m.mean).To(BeNumerically("~", pass, pass/5), "look %d", look)
+		}
+	}
+}
+
+// Demand has moved a little, and passes take two fifths of the aim for pauses: a better map
+// brings no request in time, and its copies are gigabytes on the engines' links. The same
+// move in a group whose passes are near the aim is answered.
+func TestACalmGroupCopiesNothingForALittle(t *testing.T) {
+	g := NewWithT(t)
+	m := planModel()
+	m.ExpertBytes = 2.2e9
+	rng := rand.New(rand.NewPCG(8, 1))
+	var loads []float64
+	var layouts []expert.Layout
+	for range m.Sets {
+		own := make([]float64, m.Experts)
+		for i, e := range rng.Perm(m.Experts) {
+			own[e] = 1 / float64(i+8)
+		}
+		loads = append(loads, own...)
+		layouts = append(layouts, expert.FirstLayout(12, m.Experts))
+	}
+	busy := planner{model: m, urgency: 1}
+	for range 5 {
+		layouts = busy.best(layouts, loads).layouts
+	}
+	moved := noisy(loads, 0.25, rng)
+	before := imbalance(layouts, moved, nil, m)
+	g.Expect(before).To(And(BeNumerically(">", 1.15), BeNumerically("<", farOff)), "the move is a little one")
+	g.Expect(busy.best(layouts, moved).copies).To(BeNumerically(">", 0))
+	calm := planner{model: m, urgency: 0.4}
+	g.Expect(calm.best(layouts, moved).copies).To(BeZero())
+}
--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -162,6 +162,30 @@
 	g.Expect(group.held).To(BeNumerically("<=", 360*time.Millisecond))
 }
 
+// Eight ranks are armed when their leader freezes. Their arms are taken back while the
+// group stands still, so of all at once and not of one after the other.
+func TestArmsAreTakenBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(newSimGroup(12, 1, 24, 1))
+		members := newGroup(f.agents[1])
+		members.reread()
+		for r := 1; r <= 8; r++ {
+			rank := f.group.ranks[r]
+			rank.prepared, rank.highest, rank.armed, rank.armedAt = 7, 7, 7, 1
+		}
+		ranks, complete := members.collect("g", plain)
+		g.Expect(complete).To(BeTrue())
+		begun := time.Now()
+		g.Expect(disarmAll(f.agents[1], ranks)).To(BeTrue())
+		g.Expect(time.Since(begun)).To(BeNumerically("<", 10*time.Millisecond))
+		for _, rank := range f.group.ranks {
+			g.Expect(rank.armed).To(BeZero())
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // The group is held, nobody is armed, and one agent takes its time to tell that it has
 // fenced the pass. It may still arm its rank, so the group stays held until it has told,
 // and no longer.
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -424,3 +424,50 @@
 	_, ok = enter(20)
 	g.Expect(ok).To(BeTrue())
 }
+
+// A group of ten places an entry is back after an outage, empty, and twenty requests wait
+// that are late. Four requests come a second and stay for one: the late ones may take what
+// these leave, and not all places, or whoever comes next waits and is late too.
+func TestLateStreamsLeaveRoomForThoseThatCome(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := testBook()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	l := testLane(1, target)
+	const most = 10
+	inTime := func() *Request { return &Request{Arrived: now, Aim: 500 * time.Millisecond} }
+	for n := range 80 { // twenty seconds of calm
+		now = now.Add(250 * time.Millisecond)
+		b.prepare(l, most, demand{entered: n}, now)
+		r := inTime()
+		g.Expect(b.reserve(l, most, r, now)).To(Equal(target))
+		b.End(b.Account(target), r, now.Add(time.Second))
+	}
+	sent := 0
+	late := func() *Request { return &Request{Arrived: now.Add(-2 * time.Second), Aim: 500 * time.Millisecond} }
+	for b.lateMayGo(l, most) && b.reserve(l, most, late(), now) != nil {
+		sent++
+	}
+	g.Expect(sent).To(BeNumerically("~", most-4, 1))
+	for range most - sent {
+		g.Expect(b.reserve(l, most, inTime(), now)).To(Equal(target), "who comes has a place at once")
+	}
+}
+
+// The agent that reports for a group stands still, so the map does not follow demand
+// either. The limit goes by the worst that was seen lately and not by what was so last:
+// with the usual limit passes of a group of 12 came to lie just beyond the aim for four
+// seconds, and all streams were late.
+func TestASilentLeaderLimitsByTheWorstSeen(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := testBook()
+	s := &serving.Service{Name: "s", Engine: testModel()}
+	const aim = 120 * time.Millisecond
+	b.Reported("s", nil, nil, NewGroupState(nil, 1.2, 3, Waiting{}, now))
+	reported := b.Limit(s, aim, now)
+	silent := b.Limit(s, aim, now.Add(2*ReportLife))
+	g.Expect(silent).To(Equal(limit(testModel(), aim, 3, 1)))
+	g.Expect(silent).To(BeNumerically("<=", reported))
+	g.Expect(testBook().Limit(s, aim, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
+}
