--- /dev/null
+++ b/lockstep/member.go
@@ -0,0 +1,167 @@
+package lockstep
+
+import (
+	"sync"
+	"time"
+
+	"github.com/heatherrail/heatherrail/internal/ablate"
+	"github.com/heatherrail/heatherrail/peers"
+)
+
+// member reaches one engine of the service: through its agent, or directly if
+// the agent does not answer.
+type member struct {
+	engine  string // address
+	client  Asker
+	direct  Engine
+	own     *Agent    // if it is this agent's own
+	missing time.Time // since when readings of the store lack it; zero: the latest has it
+	lostAt  time.Time
+	rest    time.Duration // after lostAt, without asking its agent
+	peers   string        // address of its agent
+	// counts tells that the member is asked for counts: its own, and those that it
+	// gathers from others.
+	counts bool
+	gather []string
+}
+
+// rank is a member with the state that it told.
+type rank struct {
+	*member
+	state peers.RankState
+}
+
+// Limits of questions to other agents.
+const (
+	// askLimit leaves an agent with a small part of a core time to ask its engine.
+	askLimit = 250 * time.Millisecond
+	// askSoon is several times the way to an agent and back, and to its engine.
+	askSoon = 40 * time.Millisecond
+	// An agent that did not answer is passed over for a while, at first a short one:
+	// most are back at once, and until then its rank's counts are missing.
+	restFirst = 200 * time.Millisecond
+	restMost  = 1600 * time.Millisecond
+)
+
+// hasAgent tells whether the member's agent is worth asking.
+func (m *member) hasAgent() bool {
+	return m.client != nil && time.Since(m.lostAt) > m.rest
+}
+
+func (m *member) lost() {
+	m.lostAt = time.Now()
+	m.rest = min(max(2*m.rest, restFirst), restMost)
+}
+
+// plain asks for nothing but the state.
+var plain = &peers.Collect{}
+
+func (m *member) collect(a *Agent, q *peers.Collect) peers.RankState {
+	if m.own != nil {
+		fenced := q.Fence != 0 && a.setFence(fence{epoch: q.Epoch, step: q.Fence})
+		state := a.collect(q)
+		state.Fenced = fenced
+		return state
+	}
+	var state peers.RankState
+	if m.hasAgent() {
+		err := m.client.Ask(a.ctx, peers.KindCollect, q, &state, askLimit)
+		if err == nil {
+			m.rest = 0
+		}
+		if err == nil && state.Known {
+			return state
+		}
+		if err != nil {
+			m.lost()
+			a.opts.Log.Info("agent lost", "engine", m.engine, "error", err.Error())
+		}
+	}
+	// Reports from another VM are paid for, so this way is for the time that an
+	// agent is away; the counts, which would hold up the group, are left out.
+	state, err := m.direct.State(a.ctx)
+	if err != nil {
+		a.opts.Log.Info("engine lost", "engine", m.engine, "error", err.Error())
+		return peers.RankState{}
+	}
+	return state
+}
+
+// collectSoon is collect for a group that stands still: the engine itself is asked if the
+// agent does not answer at once, and not only after the agent's whole time.
+//
+// Failure: the leader freezes while the group is held. Symptom: no pass begins until the
+// others know that the leader's VM can't be reached; its two time limits one after the
+// other kept a group of 12 standing for 0.3 s longer.
+func (m *member) collectSoon(a *Agent, q *peers.Collect) peers.RankState {
+	if m.own != nil || !m.hasAgent() || ablate.Off(ablate.HeldSoon) {
+		return m.collect(a, q)
+	}
+	answer := make(chan peers.RankState, 1)
+	go func() {
+		var state peers.RankState
+		if err := m.client.Ask(a.ctx, peers.KindCollect, q, &state, askLimit); err != nil {
+			state = peers.RankState{}
+		}
+		answer <- state
+	}()
+	timer := time.NewTimer(askSoon)
+	defer timer.Stop()
+	select {
+	case state := <-answer:
+		if state.Known {
+			return state
+		}
+	case <-timer.C:
+	}
+	direct, err := m.direct.State(a.ctx)
+	select {
+	case state := <-answer:
+		if state.Known {
+			return state // it tells of its fence too
+		}
+	default:
+	}
+	if err != nil {
+		a.opts.Log.Info("engine lost", "engine", m.engine, "error", err.Error())
+		return peers.RankState{}
+	}
+	return direct
+}
+
+// order gives an order to a member's engine.
+func (m *member) order(a *Agent, o *peers.RankOrder) peers.OrderResult {
+	if m.own != nil {
+		result, err := a.order(o)
+		if err != nil {
+			a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "engine", m.engine, "error", err.Error())
+		}
+		return result
+	}
+	if m.hasAgent() {
+		var result peers.OrderResult
+		if err := m.client.Ask(a.ctx, peers.KindOrder, o, &result, askLimit); err == nil {
+			return result
+		}
+		m.lost()
+	}
+	if o.Base != 0 {
+		return peers.OrderResult{NoBase: true} // the engine itself takes whole maps only
+	}
+	result, err := m.direct.Order(a.ctx, o)
+	if err != nil {
+		a.opts.Log.Info("order unanswered", "order", o.Kind.String(), "engine", m.engine, "error", err.Error())
+	}
+	return result
+}
+
+// orderEach gives an order to all ranks at once.
+func orderEach(a *Agent, ranks []rank, o *peers.RankOrder) []peers.OrderResult {
+	results := make([]peers.OrderResult, len(ranks))
+	var wait sync.WaitGroup
+	for i := range ranks {
+		wait.Go(func() { results[i] = ranks[i].order(a, o) })
+	}
+	wait.Wait()
+	return results
+}
