Who can't finish is refused as such; numbers of log lines and set-up of tests stand once

A stream that would not end before its deadline was refused with the log line of one that would wait too long. No other change of behaviour.

--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -15,6 +15,19 @@
 	return &serving.EngineModel{Sets: 4, Experts: 72, Places: 8, Spare: 3, ExpertBytes: 3.2e8, LinkRate: 2.25e10}
 }
 
+// spreadLoads draws how much each expert is wanted, and returns the first map of 12 ranks.
+func spreadLoads(m *serving.EngineModel, rng *rand.Rand) (loads []float64, layouts []expert.Layout) {
+	for range m.Sets {
+		own := make([]float64, m.Experts)
+		for i, e := range rng.Perm(m.Experts) {
+			own[e] = 1 / float64(i+8)
+		}
+		loads = append(loads, own...)
+		layouts = append(layouts, expert.FirstLayout(12, m.Experts))
+	}
+	return loads, layouts
+}
+
 // noisy returns loads that differ by chance, as two looks at the same demand do.
 func noisy(loads []float64, by float64, rng *rand.Rand) []float64 {
 	other := make([]float64, len(loads))
@@ -31,16 +44,7 @@
 	g := NewWithT(t)
 	m := planModel()
 	rng := rand.New(rand.NewPCG(3, 1))
-	var loads []float64
-	var layouts []expert.Layout
-	for range m.Sets {
-		own := make([]float64, m.Experts)
-		for i, e := range rng.Perm(m.Experts) {
-			own[e] = 1 / float64(i+8)
-		}
-		loads = append(loads, own...)
-		layouts = append(layouts, expert.FirstLayout(12, m.Experts))
-	}
+	loads, layouts := spreadLoads(m, rng)
 	pl := planner{model: m, urgency: 0.5}
 	for range 3 {
 		layouts = pl.best(layouts, loads).layouts
@@ -96,16 +100,7 @@
 	m := planModel()
 	m.ExpertBytes = 2.2e9
 	rng := rand.New(rand.NewPCG(8, 1))
-	var loads []float64
-	var layouts []expert.Layout
-	for range m.Sets {
-		own := make([]float64, m.Experts)
-		for i, e := range rng.Perm(m.Experts) {
-			own[e] = 1 / float64(i+8)
-		}
-		loads = append(loads, own...)
-		layouts = append(layouts, expert.FirstLayout(12, m.Experts))
-	}
+	loads, layouts := spreadLoads(m, rng)
 	busy := planner{model: m, urgency: 1}
 	for range 5 {
 		layouts = busy.best(layouts, loads).layouts
--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// freezeLeaderInSwitch freezes the leader's VM for four seconds, right after it has placed
+// a hold; frozen is called then.
+func freezeLeaderInSwitch(group *simGroup, frozen func()) {
+	held := false
+	for !held {
+		time.Sleep(time.Millisecond)
+		group.mu.Lock()
+		held = group.ranks[holderRank(len(group.ranks))].heldAt != 0
+		group.mu.Unlock()
+	}
+	group.ranks[0].vm.freeze()
+	frozen()
+	time.Sleep(4 * time.Second)
+	group.ranks[0].vm.wake()
+}
+
 // The leader's VM freezes right after it has placed the hold. Its engine can't be
 // reached either, so nobody can see whether its rank is armed. The others know
 // that it is armed last, and must let the group go within a second or so, not when
@@ -123,16 +139,8 @@
 	g := NewWithT(t)
 	group := newSimGroup(12, 4, 72, 3)
 	frozen := false
-	play(t, group, 10*time.Second, func(f *simFleet) {
-		for !frozen {
-			time.Sleep(time.Millisecond)
-			group.mu.Lock()
-			frozen = group.ranks[holderRank(12)].heldAt != 0
-			group.mu.Unlock()
-		}
-		group.ranks[0].vm.freeze()
-		time.Sleep(4 * time.Second)
-		group.ranks[0].vm.wake()
+	play(t, group, 10*time.Second, func(*simFleet) {
+		freezeLeaderInSwitch(group, func() { frozen = true })
 	})
 	g.Expect(frozen).To(BeTrue())
 	g.Expect(group.mixed).To(BeEmpty())
@@ -146,17 +154,7 @@
 	g := NewWithT(t)
 	group := newSimGroup(12, 4, 72, 3)
 	play(t, group, 10*time.Second, func(f *simFleet) {
-		frozen := false
-		for !frozen {
-			time.Sleep(time.Millisecond)
-			group.mu.Lock()
-			frozen = group.ranks[holderRank(12)].heldAt != 0
-			group.mu.Unlock()
-		}
-		group.ranks[0].vm.freeze()
-		f.slow.Store(true)
-		time.Sleep(4 * time.Second)
-		group.ranks[0].vm.wake()
+		freezeLeaderInSwitch(group, func() { f.slow.Store(true) })
 	})
 	g.Expect(group.mixed).To(BeEmpty())
 	g.Expect(group.held).To(BeNumerically("<=", 360*time.Millisecond))
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -1,7 +1,6 @@
 package losses
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/heatherrail/heatherrail/story"
@@ -76,7 +75,7 @@
 	if line.Get("kind") != "stream" {
 		return TargetSlow
 	}
-	took := time.Duration(number(line, "ms")) * time.Millisecond
+	took := time.Duration(line.Int("ms")) * time.Millisecond
 	m := l.during(line.At.Add(-took), line.At)
 	switch {
 	case m.restarted:
@@ -114,9 +113,9 @@
 	m := l.moment(line.At)
 	switch line.Event {
 	case "placed", "group load":
-		m.pace = max(m.pace, decimal(line, "pace"))
-		m.imbalance = max(m.imbalance, decimal(line, "imbalance"))
-		m.report = max(m.report, time.Duration(number(line, "report_ms"))*time.Millisecond)
+		m.pace = max(m.pace, line.Float("pace"))
+		m.imbalance = max(m.imbalance, line.Float("imbalance"))
+		m.report = max(m.report, time.Duration(line.Int("report_ms"))*time.Millisecond)
 	case "this rank is left held", "group stands still", "group held by nobody", "group let go without its leader":
 		m.held = true
 	case "try failed":
@@ -144,19 +143,3 @@
 		}
 	}
 }
-
-func number(line *story.Line, key string) int {
-	n, err := strconv.Atoi(line.Get(key))
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-func decimal(line *story.Line, key string) float64 {
-	v, err := strconv.ParseFloat(line.Get(key), 64)
-	if err != nil {
-		return 0
-	}
-	return v
-}
--- a/placing/finish.go
+++ b/placing/finish.go
@@ -48,6 +48,18 @@
 	return time.Duration(r.Events*float64(p.mean)) <= r.Deadline.Sub(now)
 }
 
+// CanFinish tells whether a stream that begins now ends before its deadline. If it does
+// not, comeBack is when its caller does best to return: if passes are as short as usual
+// by then it can still end, and a caller that is told a longer time comes sooner.
+func (g *Gate) CanFinish(r *Request, now time.Time) (comeBack time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pace.canFinish(r, now) {
+		return 0, true
+	}
+	return time.Duration(float64(r.Deadline.Sub(now)) * honouredShare), false
+}
+
 // noteSlowRank notes whether a rank of the group is many times as slow as usual.
 func (g *Gate) noteSlowRank(slow bool) {
 	g.mu.Lock()
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -69,18 +69,13 @@
 func (w *Waiter) Granted() <-chan *serving.Target { return w.granted }
 
 // Enter puts a request into the queue. ok is false if it would wait for longer
-// than its caller does, or not end before its deadline; wait is then when to come back.
+// than its caller does; wait is then when to come back.
 //
 // Those that wait and can't be in time any more count only against others like
 // them: whoever can be in time goes before them.
 func (g *Gate) Enter(r *Request, now time.Time) (w *Waiter, wait time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.pace.canFinish(r, now) {
-		// If passes are as short as usual by then it can still finish; a caller that is
-		// told to wait for longer would come back too soon.
-		return nil, time.Duration(float64(r.Deadline.Sub(now)) * honouredShare), false
-	}
 	if g.breaker.broken {
 		return g.push(r), 0, true
 	}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -399,8 +399,7 @@
 	enter := func(events float64) (time.Duration, bool) {
 		r := waiting(1, now)
 		r.Events, r.Deadline = events, now.Add(8*time.Second)
-		_, wait, ok := gt.Enter(r, now)
-		return wait, ok
+		return gt.CanFinish(r, now)
 	}
 	pauses := func(pause time.Duration) {
 		for range 4 * paceWeight {
--- a/story/cause.go
+++ b/story/cause.go
@@ -1,9 +1,6 @@
 package story
 
-import (
-	"fmt"
-	"strconv"
-)
+import "fmt"
 
 // Cause says in a sentence why a request was refused, failed or late, from its last
 // line and what was known about then. It is empty if the request fared well, and
@@ -31,7 +28,7 @@
 	failed := s.failedTry()
 	switch last.Get("late") {
 	case "first event":
-		first, wait := number(last, "first_ms"), number(last, "wait_ms")
+		first, wait := last.Int("first_ms"), last.Int("wait_ms")
 		switch {
 		case failed != "":
 			return fmt.Sprintf("late first event, %d ms: %s", first, failed)
@@ -85,7 +82,7 @@
 		l := &s.Around[i]
 		switch l.Event {
 		case "group load":
-			if worst == nil || decimal(l, "pass_ms") > decimal(worst, "pass_ms") {
+			if worst == nil || l.Float("pass_ms") > worst.Float("pass_ms") {
 				worst = l
 			}
 		case "demand moved":
@@ -113,19 +110,3 @@
 	}
 	return nil
 }
-
-func number(l *Line, key string) int {
-	n, err := strconv.Atoi(l.Get(key))
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-func decimal(l *Line, key string) float64 {
-	v, err := strconv.ParseFloat(l.Get(key), 64)
-	if err != nil {
-		return 0
-	}
-	return v
-}
--- a/story/story.go
+++ b/story/story.go
@@ -35,6 +35,24 @@
 	return ""
 }
 
+// Int returns the whole number that a key has; 0 if it has none.
+func (l *Line) Int(key string) int {
+	n, err := strconv.Atoi(l.Get(key))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// Float returns the number that a key has; 0 if it has none.
+func (l *Line) Float(key string) float64 {
+	v, err := strconv.ParseFloat(l.Get(key), 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
 // ErrLine: a line is no event of ours.
 var ErrLine = errors.New("no event")
 
@@ -163,7 +181,7 @@
 	first := &s.Lines[0]
 	for _, key := range []string{"ms", "wait_ms"} {
 		if first.Get(key) != "" {
-			return first.At.Add(-time.Duration(number(first, key)) * time.Millisecond)
+			return first.At.Add(-time.Duration(first.Int(key)) * time.Millisecond)
 		}
 	}
 	return first.At
