What one entry has seen of a target that breaks off, all entries know

Cause: each entry ejects by five failures in a row that it has seen itself. 33 entries share 33 plain requests a second over three targets, so each sees a target every three seconds; while one flaps, some 40 of 100 log entries fail, though other entries have seen it fail.

Change: a connection that is broken off though it was new keeps the target out of this entry at once, and is told to others on the messages that entries send each other anyway (who saw it, the target's run, ages). Two entries that saw it since the target last answered anybody keep it out everywhere. At most half of a service is kept out, as before. Only plain services: ranks of a group fall together. Tests replay it, liars and a data centre that is cut off among them.

--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -49,7 +49,7 @@
 }
 
 func newEntry(w *world, n int) *entry {
-	return &entry{w: w, book: placing.NewBook(fmt.Sprint(n%3), rand.New(rand.NewPCG(w.seed, uint64(n))))}
+	return &entry{w: w, book: placing.NewBook(fmt.Sprint(n), fmt.Sprint(n%3), rand.New(rand.NewPCG(w.seed, uint64(n))))}
 }
 
 func (e *entry) lane() placing.Lane {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -220,6 +220,7 @@
 	}
 	if context.Cause(ctx) == nil {
 		t.g.book.Outcome(target, false, time.Now())
+		t.doubt(target, failed)
 	}
 	if cause := t.ended(ctx); cause != nil {
 		return cause
@@ -230,6 +231,17 @@
 	return result.New(result.TargetLost, "%s: %w", target.ID, err)
 }
 
+// doubt has this entry and the others keep out a target that broke off a connection that was
+// new. One that had rested may have been closed for that.
+func (t *tries) doubt(target *serving.Target, failed *upstream.SendError) {
+	if failed == nil || !failed.Fresh || t.g.gate(t.r.service) != nil {
+		return
+	}
+	if t.g.book.Broke(target, time.Now()) {
+		t.g.mesh.tell()
+	}
+}
+
 // judge looks at the head of an answer: nil means that it is the target's own and
 // to be delivered.
 func (t *tries) judge(x *exchange) *result.Error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,7 @@
 func Start(o Options, callersLn, peersLn net.Listener) *Gateway {
 	g := &Gateway{
 		opts:     o,
-		book:     placing.NewBook(o.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		book:     placing.NewBook(o.Name, o.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pools:    newPools(),
 		budgets:  make(map[string]*retryBudget),
 		gates:    make(map[string]*placing.Gate),
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -12,6 +12,7 @@
 func (m *mesh) Question(name string, q *peers.Heartbeat) (done func()) {
 	q.Topics = m.states()
 	q.Wants = m.want(name)
+	q.Doubts = m.doubts()
 	return func() { m.wanted(q.Wants) }
 }
 
@@ -86,7 +87,7 @@
 // process stood still.
 func (m *mesh) Answered(h *peers.Heartbeat, sent time.Time) {
 	m.note(h)
-	fresher := false
+	fresher := m.doubted(h.Doubts)
 	for i := range h.News {
 		m.adopt(h, &h.News[i], sent)
 		fresher = true
@@ -132,7 +133,10 @@
 // Asked implements members.Carrier.
 func (m *mesh) Asked(q, answer *peers.Heartbeat) (askBack bool) {
 	m.note(q)
-	answer.Topics = m.states()
+	if m.doubted(q.Doubts) {
+		m.tell()
+	}
+	answer.Topics, answer.Doubts = m.states(), m.doubts()
 	for t := range serving.Topic(serving.Topics) {
 		if q.Wants&(1<<t) != 0 && int(t) < len(q.Topics) && q.Topics[t].Next < answer.Topics[t].Next {
 			answer.News = append(answer.News, m.news(t, q.Topics[t].Next))
--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -22,6 +22,7 @@
 	SlowWeight   Mechanism = "slow-weight"   // a slow rank gets its share of work
 	SlowLeftOut  Mechanism = "slow-left-out" // a very slow rank may get work
 	Ejection     Mechanism = "ejection"      // targets that fail get work
+	Doubts       Mechanism = "doubts"        // what one entry has seen of a target stays with it
 	Resume       Mechanism = "resume"        // a broken stream ends
 	TwoMeans     Mechanism = "two-means"     // demand is one mean
 	Urgency      Mechanism = "urgency"       // plans rate copies as a busy group does
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -27,8 +27,23 @@
 	Topics  []TopicState
 	News    []TopicNews
 	Wants   uint8 // a bit for each topic of which the sender asks for what it lacks
+	Doubts  []Doubt
 }
 
+// Doubt is what one entry has seen of a target that broke off connections.
+//
+//msgp:tuple Doubt
+type Doubt struct {
+	Entry    string // that has seen it
+	Target   string
+	Born     int64  // of the target's run
+	BrokenMS uint32 // since the latest connection that broke off; Never: none
+	WellMS   uint32 // since the latest whole answer; Never: none
+}
+
+// Never stands for the age of what has never been.
+const Never = 1<<32 - 1
+
 // Member is what one entry knows of another.
 //
 //msgp:tuple Member
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -118,6 +118,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Doubt) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Entry)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendUint32(o, z.BrokenMS)
+	o = msgp.AppendUint32(o, z.WellMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Doubt) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Entry, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.BrokenMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BrokenMS")
+		return
+	}
+	z.WellMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WellMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Doubt) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Entry) + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z FirstMap) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -169,8 +229,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o, err = z.Entry.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Entry")
@@ -205,6 +265,14 @@
 		}
 	}
 	o = msgp.AppendUint8(o, z.Wants)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Doubts)))
+	for za0004 := range z.Doubts {
+		o, err = z.Doubts[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Doubts", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -216,8 +284,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	bts, err = z.Entry.UnmarshalMsg(bts)
@@ -336,6 +404,28 @@
 		err = msgp.WrapError(err, "Wants")
 		return
 	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Doubts")
+		return
+	}
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Doubts) >= int(zb0007) {
+		z.Doubts = (z.Doubts)[:zb0007]
+	} else {
+		z.Doubts = make([]Doubt, zb0007)
+	}
+	for za0004 := range z.Doubts {
+		bts, err = z.Doubts[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Doubts", za0004)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -350,7 +440,10 @@
 	for za0003 := range z.News {
 		s += z.News[za0003].Msgsize()
 	}
-	s += msgp.Uint8Size
+	s += msgp.Uint8Size + msgp.ArrayHeaderSize
+	for za0004 := range z.Doubts {
+		s += z.Doubts[za0004].Msgsize()
+	}
 	return
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -19,6 +19,7 @@
 	ejector    *route.Ejector[serving.Run]
 	groups     map[string]*GroupState // by service
 	late       map[string]*lateShare  // by service
+	doubts     doubts
 }
 
 // Account is one target's.
@@ -34,7 +35,7 @@
 func (a *Account) Service() string { return a.target.Service }
 
 // NewBook returns a book of an entry in a data centre. rng draws among targets.
-func NewBook(dataCentre string, rng *rand.Rand) *Book {
+func NewBook(entry, dataCentre string, rng *rand.Rand) *Book {
 	return &Book{
 		dataCentre: dataCentre,
 		rng:        rng,
@@ -42,6 +43,7 @@
 		ejector:    route.NewEjector[serving.Run](),
 		groups:     make(map[string]*GroupState),
 		late:       make(map[string]*lateShare),
+		doubts:     newDoubts(entry),
 	}
 }
 
@@ -111,6 +113,9 @@
 		return
 	}
 	b.ejector.Report(t.Run(), ok, now)
+	if ok {
+		b.doubts.well(t.Run(), now)
+	}
 }
 
 // Replaced notes that another target has this one's address.
--- /dev/null
+++ b/placing/doubt_test.go
@@ -0,0 +1,129 @@
+package placing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// plainTargets are the targets of a plain service.
+func plainTargets(ids ...string) []*serving.Target {
+	var list []*serving.Target
+	for _, id := range ids {
+		list = append(list, &serving.Target{ID: id, Service: "p", Address: id, DataCentre: "a"})
+	}
+	return list
+}
+
+// none excludes no target.
+func none(*serving.Target) bool { return false }
+
+// shareOf returns the part of placements that one target gets.
+func shareOf(b *Book, targets []*serving.Target, id string, now time.Time) float64 {
+	const draws = 400
+	n := 0
+	for range draws {
+		if t := b.Place(targets, none, now); t.ID == id {
+			n++
+		}
+	}
+	return float64(n) / draws
+}
+
+// Thirty entries share three targets, and one of these breaks off each connection for a
+// second. Each entry sees it every few seconds only. Two entries fail a request there and
+// tell; none of the others sends there any more, so they fail none.
+func TestWhatTwoEntriesHaveSeenAllKnow(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	one, two, third := entryBook("one"), entryBook("two"), entryBook("third")
+	g.Expect(one.Broke(targets[0], now)).To(BeTrue())
+	g.Expect(shareOf(one, targets, "x", now)).To(BeZero(), "who has seen it keeps it out")
+	g.Expect(third.Doubted(one.Doubts(now), now)).To(BeTrue())
+	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2), "one may be cut off itself")
+	g.Expect(two.Broke(targets[0], now)).To(BeTrue())
+	g.Expect(third.Doubted(two.Doubts(now), now)).To(BeTrue())
+	g.Expect(shareOf(third, targets, "x", now)).To(BeZero())
+	g.Expect(third.Doubted(two.Doubts(now), now)).To(BeFalse(), "it is told once")
+	later := now.Add(3 * time.Second)
+	g.Expect(shareOf(third, targets, "x", later)).To(BeNumerically(">", 0))
+}
+
+// Doubts are passed on by who only heard them, and by several ways. Heard again they are
+// no news and count for the entry that saw them, or one broken connection would be told
+// round and round and keep a target out for good.
+func TestADoubtThatComesRoundCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	one, two, third := entryBook("one"), entryBook("two"), entryBook("third")
+	one.Broke(targets[0], now)
+	two.Doubted(one.Doubts(now), now)
+	now = now.Add(20 * time.Millisecond)
+	g.Expect(third.Doubted(one.Doubts(now), now)).To(BeTrue())
+	g.Expect(third.Doubted(two.Doubts(now), now.Add(5*time.Millisecond))).To(BeFalse())
+	g.Expect(one.Doubted(third.Doubts(now), now)).To(BeFalse())
+	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2))
+	g.Expect(third.Doubts(now.Add(doubtLife))).To(BeEmpty())
+}
+
+// The entries of a data centre are cut off from one that they send to, and tell so. A target
+// there answers the others all the while: their word that it is well is newer, so only those
+// that are cut off keep it out.
+func TestATargetThatAnswersOthersIsNotKeptOut(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	one, two, third := entryBook("one"), entryBook("two"), entryBook("third")
+	one.Broke(targets[0], now)
+	third.Doubted(one.Doubts(now), now)
+	two.Broke(targets[0], now)
+	now = now.Add(30 * time.Millisecond)
+	third.Outcome(targets[0], true, now)
+	third.Doubted(two.Doubts(now), now)
+	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2))
+	fourth := entryBook("fourth")
+	fourth.Doubted(third.Doubts(now), now)
+	g.Expect(shareOf(fourth, targets, "x", now)).To(BeNumerically(">", 0.2), "the good word is told too")
+}
+
+// Liars tell that every target is broken. At most half of them are kept out, so requests
+// are still served.
+func TestFalseDoubtsDoNotEmptyAService(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("w", "x", "y", "z")
+	b := entryBook("one")
+	var lies []Doubt
+	for _, target := range targets {
+		for _, liar := range []string{"p", "q", "r"} {
+			lies = append(lies, Doubt{Entry: liar, Run: target.Run(), Broken: now})
+		}
+	}
+	b.Doubted(lies, now)
+	served := make(map[string]int)
+	for range 200 {
+		served[b.Place(targets, none, now).ID]++
+	}
+	g.Expect(len(served)).To(BeNumerically(">=", 2))
+}
+
+// A message never carries more than a few doubts, whatever was seen.
+func TestDoubtsInAMessageAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := entryBook("one")
+	for i := range 100 {
+		b.Broke(&serving.Target{ID: string(rune('A' + i)), Service: "p"}, now)
+	}
+	g.Expect(b.Doubts(now)).To(HaveLen(doubtsMost))
+}
+
+func entryBook(name string) *Book {
+	return NewBook(name, "a", rand.New(rand.NewPCG(1, uint64(len(name)))))
+}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -13,7 +13,7 @@
 
 var testRandom = rand.New(rand.NewPCG(1, 1))
 
-func testBook() *Book { return NewBook("a", testRandom) }
+func testBook() *Book { return NewBook("e", "a", testRandom) }
 
 func testLane(entries int, targets ...*serving.Target) Lane {
 	return Lane{Service: &serving.Service{Name: "s"}, Targets: targets, Entries: entries}
@@ -291,7 +291,7 @@
 func TestATargetThatStartsAgainBeginsAnew(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	b := NewBook("a", rand.New(rand.NewPCG(1, 1)))
+	b := NewBook("e", "a", rand.New(rand.NewPCG(1, 1)))
 	old := &serving.Target{ID: "i", Born: 1, Service: "s", Address: "x"}
 	other := &serving.Target{ID: "j", Born: 1, Service: "s", Address: "y"}
 	none := func(*serving.Target) bool { return false }
--- a/route/eject.go
+++ b/route/eject.go
@@ -65,6 +65,18 @@
 	h.times++
 }
 
+// Hold keeps a target out for the shortest time from now on.
+func (j *Ejector[T]) Hold(target T, now time.Time) {
+	h := j.targets[target]
+	if h == nil {
+		h = new(health)
+		j.targets[target] = h
+	}
+	if until := now.Add(ejectFirst); until.After(h.until) {
+		h.until = until
+	}
+}
+
 // Skip returns the targets to keep out of one placement. draw gives a number in
 // [0,1) for each target that is coming back: its share grows from a tenth to the
 // whole, so that a target that is not well yet fails few requests. At most half
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -35,8 +35,9 @@
 
 // SendError is a request without a usable answer.
 type SendError struct {
-	Sent bool // the target may have begun to work on it
-	Err  error
+	Sent  bool // the target may have begun to work on it
+	Fresh bool // on a connection that was opened for it, or that could not be opened
+	Err   error
 }
 
 // Error implements error.
@@ -83,9 +84,9 @@
 // the connection, so that the target stops its work; the answer's body ends with
 // an error then. A failure is a *SendError.
 func (p *Pool) Send(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.take(ctx)
+	c, fresh, err := p.take(ctx)
 	if err != nil {
-		return nil, &SendError{Err: fmt.Errorf("connect to %s: %w", p.addr, err)}
+		return nil, &SendError{Fresh: true, Err: fmt.Errorf("connect to %s: %w", p.addr, err)}
 	}
 	if ctx.Err() != nil {
 		p.give(c, idleDefault)
@@ -99,7 +100,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &SendError{Sent: true, Err: err}
+		return nil, &SendError{Sent: true, Fresh: fresh, Err: err}
 	}
 	r.pool, r.conn, r.stop = p, c, stop
 	return r, nil
@@ -208,15 +209,16 @@
 
 // take returns a live connection. A kept one is looked at first: a target that
 // has closed it meanwhile, or has sent something nobody asked for, would make
-// the request look sent, or get another request's answer.
-func (p *Pool) take(ctx context.Context) (*conn, error) {
+// the request look sent, or get another request's answer. fresh tells that it was opened
+// just now.
+func (p *Pool) take(ctx context.Context) (c *conn, fresh bool, err error) {
 	for {
 		c := p.pop()
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.expires) && c.br.Buffered() == 0 && tcp.StillOpen(c.nc) {
-			return c, nil
+			return c, false, nil
 		}
 		_ = c.nc.Close()
 	}
@@ -225,9 +227,9 @@
 	p.mu.Unlock()
 	nc, err := tcp.Dial(ctx, p.addr, dialTimeout)
 	if err != nil {
-		return nil, err
+		return nil, true, err
 	}
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, true, nil
 }
 
 func (p *Pool) pop() *conn {
