Groups that can't be rebalanced or can't run are known as such

Cause, two: a group whose places can't hold its experts refuses every map, and was given another every 0.6 s without an end.

Change: agents tell how many ranks the group has, also without a leader; an entry that has listed fewer targets for three seconds while engines refuse tells callers at once (`no_target`, with a time that grows with how long it has lasted), and lets one request at a time try. A leader that finds fewer places than experts says so once (log, counter), plans nothing, and tells entries the imbalance all the same; maps refused in a row are planned after pauses that double.

--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -149,7 +149,7 @@
 		for range 3 {
 			k := testKnowledge()
 			k.newest(serving.TopicConfig, nil, 1, time.Now().Add(-time.Hour))
-			m := &mesh{g: &Gateway{knowledge: k}, topics: make(map[string][]peers.TopicState)}
+			m := &mesh{g: &Gateway{knowledge: k, book: testBook()}, topics: make(map[string][]peers.TopicState)}
 			m.group = members.New(members.Options{Carrier: m})
 			entries = append(entries, m)
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -105,6 +105,11 @@
 
 // wait waits at the gate for a target.
 func (t *tries) wait(ctx context.Context, gt *placing.Gate) (*serving.Target, *result.Error) {
+	if comeBack, short := gt.Short(time.Now()); short {
+		e := result.New(result.NoTarget, "the group of %s lacks engines", t.r.service.Name)
+		e.RetryAfter = comeBack
+		return nil, t.orLast(e)
+	}
 	if comeBack, ok := gt.CanFinish(&t.r.wish, time.Now()); !ok {
 		e := result.New(result.DeadlineUnmet, "%.0f events would not end in time", t.r.wish.Events)
 		e.RetryAfter = comeBack
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -297,3 +299,6 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp, string(text), err
 }
+
+// testBook is the book of an entry that has sent nothing yet.
+func testBook() *placing.Book { return placing.NewBook("e", "a", rand.New(rand.NewPCG(1, 1))) }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -63,6 +63,7 @@
 		l.drop(err)
 		return false
 	}
+	l.size(&loads)
 	if !loads.Known && loads.Leader != "" && loads.Leader != l.client.Addr() {
 		l.client.Close()
 		l.client = peers.NewClient(loads.Leader)
@@ -81,6 +82,22 @@
 	return true
 }
 
+// size notes how many ranks the group has.
+func (l *loadReader) size(loads *peers.Loads) {
+	v := l.g.knowledge.view()
+	if loads.Ranks == 0 || v == nil {
+		return
+	}
+	s := v.index.Service(l.service)
+	if s == nil {
+		return
+	}
+	if gt := l.g.gate(s); gt != nil {
+		gt.Size(int(loads.Ranks), time.Now())
+		l.g.regate(l.service)
+	}
+}
+
 // waiting returns how many requests wait here for the service.
 func (l *loadReader) waiting() placing.Waiting {
 	l.g.mu.Lock()
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -88,6 +88,7 @@
 	mu     sync.Mutex
 	last   Choices // at the latest question for them
 	born   int64   // of the engine, by its latest report
+	ranks  int     // of the engine's group, by its latest report
 	leader string  // address of the agent that leads
 	loads  toldLoads
 	waits  waits
@@ -157,6 +158,9 @@
 	w := newWatch(a)
 	for a.ctx.Err() == nil {
 		state, err := a.opts.Engine.State(a.ctx)
+		if err == nil {
+			a.noteRanks(state.Ranks)
+		}
 		switch {
 		case err != nil || !state.Known:
 			a.pause(watchEvery)
--- a/lockstep/known_test.go
+++ b/lockstep/known_test.go
@@ -139,3 +139,39 @@
 	}
 	return b.Asker.Ask(ctx, kind, q, answer, limit)
 }
+
+// A fleet was made smaller: 21 ranks of five places each can't hold 252 experts. The engines
+// run on the map that they start with and refuse any other. The leader must know so from the
+// first look, give none, and tell entries how far the map is from even all the same.
+func TestAGroupWithoutAPlaceForEachExpertIsLeftItsMap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newSimGroup(21, 2, 252, 6)
+		group.places = 5
+		f := startFleet(group)
+		time.Sleep(5 * time.Second)
+		f.agents[0].mu.Lock()
+		told := f.agents[0].loads.loads
+		f.agents[0].mu.Unlock()
+		f.stop()
+		g.Expect(f.orders.Load()).To(BeZero())
+		g.Expect(told.Imbalance).To(BeNumerically(">", 1))
+		g.Expect(told.Ranks).To(BeEquivalentTo(21))
+	})
+}
+
+// Ranks refuse every map, for a reason that the leader does not know. It must not plan and
+// send one after the other: each takes its processor and all links.
+func TestMapsThatAreRefusedAreGivenLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newSimGroup(8, 1, 16, 6)
+		for _, r := range group.ranks {
+			r.highest = 1 << 62
+		}
+		f := startFleet(group)
+		time.Sleep(30 * time.Second)
+		f.stop()
+		g.Expect(f.orders.Load()).To(BeNumerically("<", 8*8), "each map is an order to each of eight ranks")
+	})
+}
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -20,6 +20,8 @@
 	demand  *demand
 	pending *pending
 	armed   *armed
+	fixed   bool // no map can be made of the places that ranks have
+	refused refusals
 	newest  uint64    // highest version seen or given
 	given   []pending // the latest maps that were given
 
@@ -134,6 +136,11 @@
 	if l.demand == nil || len(l.demand.steady.loads) != m.Sets*m.Experts {
 		l.demand = newDemand(m.Sets * m.Experts)
 	}
+	l.fixed = !holdsAll(m, len(ranks))
+	if l.fixed {
+		l.a.opts.Log.Info("map of the group can't be changed", "ranks", len(ranks), "places", m.Places, "experts", m.Experts)
+		l.a.opts.Metrics.Count("groups_with_a_fixed_map", 1)
+	}
 	l.a.opts.Log.Info("group led", "group", ranks[0].state.Group, "epoch", l.epoch, "ranks", len(ranks), "map", ranks[0].state.Map)
 }
 
@@ -153,7 +160,7 @@
 		// be prepared in its place at any time before ranks are armed.
 		l.pending = nil
 	}
-	if l.demand.enough() && l.version != 0 {
+	if l.demand.enough() && (l.version != 0 || l.fixed) {
 		l.worst.take(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
 }
@@ -245,10 +252,10 @@
 // plan looks for a better map and has it prepared.
 func (l *leader) plan(ranks []rank) {
 	m := l.group.model
-	if !l.demand.enough() {
+	begun := time.Now()
+	if l.fixed || !l.demand.enough() || l.refused.waits(begun) {
 		return
 	}
-	begun := time.Now()
 	pl := planner{model: m, urgency: l.urgency(), pace: paces(ranks), costs: l.costs}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -31,6 +31,13 @@
 	a.loads, a.leader = toldLoads{loads: loads, asOf: time.Now(), own: true}, a.opts.Peers
 }
 
+// noteRanks keeps how many ranks the group of this VM's engine has.
+func (a *Agent) noteRanks(ranks int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ranks = ranks
+}
+
 // relay keeps what the leader told with a question. Which engines the loads are of is told
 // only when that is new, or an agent says that it was not told.
 func (a *Agent) relay(loads *peers.Loads) {
@@ -67,7 +74,7 @@
 	a.waits.note(q.Entry, int(q.Waiting), int(q.Late), time.Now())
 	loads := a.loads.loads
 	if !loads.Known || len(loads.Engines) == 0 {
-		return &peers.Loads{Leader: a.leader}, nil
+		return &peers.Loads{Leader: a.leader, Ranks: peers.Count(a.ranks)}, nil
 	}
 	loads.Elsewhere = a.loads.own && len(loads.Engines) > directRanks
 	loads.AgeMS = uint32(min(time.Since(a.loads.asOf), time.Hour).Milliseconds())
@@ -88,6 +95,7 @@
 		PassMS:    float32(l.passes.mean.Seconds() * 1e3),
 		Imbalance: float32(l.worst.now),
 		Worst:     float32(l.worst.most),
+		Ranks:     peers.Count(own.Ranks),
 	}
 	inTime, late := l.a.waiting()
 	roster := fnv.New64a()
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -119,6 +119,15 @@
 	cost          float64 // of the time until the horizon, see planner
 }
 
+// holdsAll tells whether a map can be made for so many ranks at all.
+//
+// Failure: ranks have fewer places than there are experts, as after a fleet was made smaller;
+// they run on the map that they start with, and refuse any other. Symptom: a map is planned,
+// sent to all ranks and refused again without an end.
+func holdsAll(m *serving.EngineModel, ranks int) bool {
+	return m.Places == 0 || m.Places*ranks >= m.Experts
+}
+
 // planner chooses among plans that copy more or less.
 //
 // A plan with more copies ends with a better map, later: a rank copies one expert
--- a/lockstep/preparing.go
+++ b/lockstep/preparing.go
@@ -105,11 +105,14 @@
 		if at, stall, ok := switchTo(l.a, holder, ranks, p.version); ok {
 			l.costs.take(time.Since(p.begun)-p.copying, stall)
 			l.armed = &armed{version: p.version, layouts: p.layouts, step: at}
+			l.refused = refusals{}
 		}
 		l.pending = nil
 	case l.refusedBy(missing):
 		// Ordered again it is refused again. The next plan has a higher version.
 		l.a.opts.Log.Info("map refused", "version", p.version, "missing", len(missing))
+		l.a.opts.Metrics.Count("maps_refused", 1)
+		l.refused.note(now)
 		l.pending = nil
 	case now.Sub(p.begun) > prepareLimit:
 		l.a.opts.Log.Info("map given up", "version", p.version, "missing", len(missing))
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -25,6 +25,7 @@
 	loads   []float64
 	sets    int
 	experts int
+	places  int // of a rank in a set; 0: two more than the first map takes
 	passes  int
 	held    time.Duration // longest time without a pass
 }
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -196,8 +196,12 @@
 }
 
 func simConfig(g *simGroup) serving.Config {
+	places := g.places
+	if places == 0 {
+		places = g.experts/len(g.ranks) + 2
+	}
 	return serving.Config{Version: 1, Services: []serving.Service{{Name: "s", Engine: &serving.EngineModel{
-		Slots: 12, Stride: 4, Sets: g.sets, Experts: g.experts, Places: g.experts/len(g.ranks) + 2, Spare: 3,
+		Slots: 12, Stride: 4, Sets: g.sets, Experts: g.experts, Places: places, Spare: 3,
 		ExpertBytes: 1e9, LinkRate: 2e10, ExpertShare: 0.85,
 	}}}}
 }
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -478,8 +478,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 15
-	o = append(o, 0x9f)
+	// array header, size 16
+	o = append(o, 0xdc, 0x0, 0x10)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Elsewhere)
@@ -504,6 +504,7 @@
 		o = msgp.AppendUint16(o, z.Slow[za0002].Rank)
 		o = msgp.AppendFloat32(o, z.Slow[za0002].Pace)
 	}
+	o = msgp.AppendUint16(o, z.Ranks)
 	return
 }
 
@@ -515,8 +516,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 16 {
+		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -675,17 +676,22 @@
 			return
 		}
 	}
+	z.Ranks, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ranks")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Loads) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.Float32Size + msgp.Float32Size + msgp.Float32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 3 + msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.Float32Size + msgp.Float32Size + msgp.Float32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size))
+	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size)) + msgp.Uint16Size
 	return
 }
 
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -26,6 +26,7 @@
 	entered int  // requests that were taken in
 	breaker breaker
 	pace    streamPace
+	short   shortGroup
 }
 
 // breaker keeps requests at the gate while the group is broken: every engine
--- a/placing/letgo.go
+++ b/placing/letgo.go
@@ -17,6 +17,7 @@
 
 // LetGo hands targets to requests that wait at a gate, as far as targets have room.
 func LetGo(g *Gate, b *Book, l Lane, now time.Time) {
+	g.noteTargets(len(l.Targets), now)
 	l.Targets = b.withoutSlow(l.Targets, now)
 	g.noteSlowRank(b.hasSlowRank(l.Service.Name, now))
 	most := b.Limit(l.Service, l.GapAim, now)
