A leader asks the engines of its own group

Change: members that told of another group are left out, but for a look each five seconds, and each half second while ranks are missing. Test: two groups.

--- a/lockstep/gather_test.go
+++ b/lockstep/gather_test.go
@@ -148,3 +148,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A service has two groups. Their leaders ask all engines once, and then each only those of
+// its own group: asked by every leader in every round the agents of many groups would do
+// nothing else. When a rank is missing all are asked again, since a new engine may have
+// joined at an address of the other group, and now and then in any case.
+func TestALeaderAsksTheEnginesOfItsOwnGroup(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(newSimGroup(6, 1, 12, 1))
+	group := newGroup(f.agents[0])
+	now := time.Now()
+	for r := range 5 {
+		group.add(engineAddress(r))
+		group.members[engineAddress(r)].group = []string{"g", "other"}[r%2]
+	}
+	g.Expect(group.mayBelong("g", now)).To(HaveLen(5))
+	g.Expect(group.mayBelong("g", now.Add(time.Second))).To(HaveLen(3))
+	group.add(engineAddress(5))
+	g.Expect(group.mayBelong("g", now.Add(time.Second))).To(HaveLen(4), "it has not told yet")
+	group.lacking = true
+	g.Expect(group.mayBelong("g", now.Add(2*time.Second))).To(HaveLen(6))
+	g.Expect(group.mayBelong("g", now.Add(2100*time.Millisecond))).To(HaveLen(4))
+	group.lacking = false
+	g.Expect(group.mayBelong("g", now.Add(2*time.Second+searchEvery))).To(HaveLen(6))
+}
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -19,6 +19,8 @@
 	readNext time.Time          // no sooner
 	model    *serving.EngineModel
 	gapAim   time.Duration // for the pauses in the service's streams
+	lacking  bool          // ranks were missing when the group was asked last
+	searched time.Time     // when members of other groups were asked last
 }
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
@@ -144,7 +146,7 @@
 
 // collectWith is collect with a way to ask one member.
 func (g *group) collectWith(name string, q *peers.Collect, ask askOne) (ranks []rank, complete bool) {
-	members := g.inOrder()
+	members := g.mayBelong(name, time.Now())
 	states := make([]peers.RankState, len(members))
 	through, alone := divide(members)
 	var wait sync.WaitGroup
@@ -161,15 +163,40 @@
 		if !states[i].Known {
 			continue
 		}
-		m.rank = states[i].Rank
-		if states[i].Group == name {
+		m.rank, m.group = states[i].Rank, states[i].Group
+		if m.group == name {
 			ranks = append(ranks, rank{member: m, state: states[i]})
 		}
 	}
 	slices.SortStableFunc(ranks, func(x, y rank) int { return x.state.Rank - y.state.Rank })
+	g.lacking = len(ranks) == 0 || len(ranks) < ranks[0].state.Ranks
 	return ranks, isComplete(ranks)
 }
 
+// searchEvery is how often members of other groups are asked whether they belong to this one
+// by now, and lackingEvery the same while ranks are missing.
+const (
+	searchEvery  = 5 * time.Second
+	lackingEvery = 500 * time.Millisecond
+)
+
+// mayBelong returns the members that are asked for a group, in order. Those that told that
+// they are of another one are left out, but for a look now and then: a service may have many
+// groups, and if each leader asked all engines in each round the load on every agent would
+// grow with their number.
+func (g *group) mayBelong(name string, now time.Time) []*member {
+	pause := searchEvery
+	if g.lacking {
+		pause = lackingEvery
+	}
+	members := g.inOrder()
+	if now.Sub(g.searched) >= pause {
+		g.searched = now
+		return members
+	}
+	return slices.DeleteFunc(members, func(m *member) bool { return m.group != "" && m.group != name })
+}
+
 // inOrder returns the members by rank, as far as they have told it, and then by address:
 // all who ask the group make nearly the same tree of it, so that agents hold few
 // connections.
--- a/lockstep/member.go
+++ b/lockstep/member.go
@@ -19,6 +19,7 @@
 	missing time.Time // since when readings of the store lack it; zero: the latest has it
 	peers   string    // address of its agent
 	rank    int       // that it told last; noRank: none yet
+	group   string    // that it told last; "": none yet
 }
 
 // noRank sorts a member that has not told its rank behind all others.
