Entries know every group of a service, each with its own room, limit and breaker

Cause: an entry read the loads of one group and took them for all. With two groups it placed half of its requests blindly, and one refusal of a broken group closed the gate to the other one.

Change: a reader for each group, found by asking engines that belong to none that is read; state, limit, share of the room and breaker are kept by group; requests wait together, and go to the group with the largest part of its room free.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -105,9 +105,11 @@
 
 // wait waits at the gate for a target.
 func (t *tries) wait(ctx context.Context, gt *placing.Gate) (*serving.Target, *result.Error) {
-	if comeBack, short := gt.Short(time.Now()); short {
-		e := result.New(result.NoTarget, "the group of %s lacks engines", t.r.service.Name)
-		e.RetryAfter = comeBack
+	broken, short := t.g.book.Broken(t.r.service.Name, time.Now())
+	gt.NoteBroken(broken)
+	if short > 0 && gt.Waits() { // one at a time waits all the same, to see whether engines refuse it still
+		e := result.New(result.NoTarget, "the group of %s lacks engines for %d ms", t.r.service.Name, short.Milliseconds())
+		e.RetryAfter = placing.ComeBack(short)
 		return nil, t.orLast(e)
 	}
 	if comeBack, ok := gt.CanFinish(&t.r.wish, time.Now()); !ok {
@@ -263,9 +265,7 @@
 		if fault := string(h.Peek(p.FaultAt)); fault != "" {
 			e.Code = result.RankLost
 			e.Detail += ", fault at " + fault
-			if gt := t.g.gate(t.r.service); gt != nil {
-				gt.Refused(time.Now())
-			}
+			t.g.book.GroupRefused(x.target, time.Now())
 		} else {
 			t.g.book.Outcome(x.target, false, time.Now())
 		}
@@ -273,8 +273,8 @@
 		return e
 	}
 	t.sent++
-	if gt := t.g.gate(t.r.service); gt != nil && status/100 == 2 {
-		gt.Answered()
+	if status/100 == 2 && t.g.gate(t.r.service) != nil {
+		t.g.book.GroupAnswered(x.target)
 	}
 	switch {
 	case status/100 == 2 && len(h.Peek(p.Seal)) == 0:
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -11,11 +11,12 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// loadReader learns from the agents of a service's engines how loaded each rank
-// is.
+// loadReader learns from the agents of a group's engines how loaded each rank is.
 type loadReader struct {
 	g       *Gateway
+	f       *follower
 	service string
+	group   string // "": it looks for one that nobody reads yet
 	client  *peers.Client
 	roster  uint64
 	engines []string
@@ -31,18 +32,6 @@
 	loadsRest     = 400 * time.Millisecond // after a failure
 )
 
-// followLoads asks for the loads of a service until ctx ends.
-func (g *Gateway) followLoads(ctx context.Context, service string) {
-	l := &loadReader{g: g, service: service}
-	for ctx.Err() == nil {
-		if l.ask(ctx) {
-			sleep(ctx, l.pause())
-		} else {
-			sleep(ctx, loadsRest)
-		}
-	}
-}
-
 // pause returns how long to wait until the next question.
 func (l *loadReader) pause() time.Duration {
 	if l.shared {
@@ -69,6 +58,10 @@
 		l.client = peers.NewClient(loads.Leader)
 		return true
 	}
+	if loads.Known && !l.f.claim(l, loads.Group) {
+		l.drop(nil)
+		return false
+	}
 	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportLife {
 		l.drop(nil)
 		return false
@@ -84,16 +77,8 @@
 
 // size notes how many ranks the group has.
 func (l *loadReader) size(loads *peers.Loads) {
-	v := l.g.knowledge.view()
-	if loads.Ranks == 0 || v == nil {
-		return
-	}
-	s := v.index.Service(l.service)
-	if s == nil {
-		return
-	}
-	if gt := l.g.gate(s); gt != nil {
-		gt.Size(int(loads.Ranks), time.Now())
+	if loads.Ranks > 0 {
+		l.g.book.GroupSize(l.service, loads.Group, int(loads.Ranks), time.Now())
 		l.g.regate(l.service)
 	}
 }
@@ -120,10 +105,13 @@
 // choose draws an agent; it tells who leads.
 func (l *loadReader) choose() bool {
 	v := l.g.knowledge.view()
-	if v == nil || len(v.targets[l.service]) == 0 {
+	if v == nil {
+		return false
+	}
+	targets := l.near(l.f.mine(l, v.targets[l.service]))
+	if len(targets) == 0 {
 		return false
 	}
-	targets := l.near(v.targets[l.service])
 	host, _, err := net.SplitHostPort(targets[rand.IntN(len(targets))].Address)
 	if err != nil {
 		return false
@@ -168,7 +156,9 @@
 			byAddress[engine] = load
 		}
 	}
+	l.f.covers(l.group, l.engines)
 	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), placing.Waiting{InTime: int(loads.Wanting), Late: int(loads.Late)}, at)
+	state.Name = l.group
 	l.g.book.Reported(l.service, l.g.knowledge.view().targets[l.service], byAddress, state)
 	l.g.regate(l.service)
 }
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -88,7 +88,8 @@
 	mu     sync.Mutex
 	last   Choices // at the latest question for them
 	born   int64   // of the engine, by its latest report
-	ranks  int     // of the engine's group, by its latest report
+	group  string  // of the engine, by its latest report
+	ranks  int     // of that group
 	leader string  // address of the agent that leads
 	loads  toldLoads
 	waits  waits
@@ -159,7 +160,7 @@
 	for a.ctx.Err() == nil {
 		state, err := a.opts.Engine.State(a.ctx)
 		if err == nil {
-			a.noteRanks(state.Ranks)
+			a.noteGroup(state.Group, state.Ranks)
 		}
 		switch {
 		case err != nil || !state.Known:
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -31,11 +31,11 @@
 	a.loads, a.leader = toldLoads{loads: loads, asOf: time.Now(), own: true}, a.opts.Peers
 }
 
-// noteRanks keeps how many ranks the group of this VM's engine has.
-func (a *Agent) noteRanks(ranks int) {
+// noteGroup keeps which group this VM's engine is of, and how many ranks that has.
+func (a *Agent) noteGroup(name string, ranks int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ranks = ranks
+	a.group, a.ranks = name, ranks
 }
 
 // relay keeps what the leader told with a question. Which engines the loads are of is told
@@ -74,7 +74,7 @@
 	a.waits.note(q.Entry, int(q.Waiting), int(q.Late), time.Now())
 	loads := a.loads.loads
 	if !loads.Known || len(loads.Engines) == 0 {
-		return &peers.Loads{Leader: a.leader, Ranks: peers.Count(a.ranks)}, nil
+		return &peers.Loads{Leader: a.leader, Group: a.group, Ranks: peers.Count(a.ranks)}, nil
 	}
 	loads.Elsewhere = a.loads.own && len(loads.Engines) > directRanks
 	loads.AgeMS = uint32(min(time.Since(a.loads.asOf), time.Hour).Milliseconds())
@@ -95,6 +95,7 @@
 		PassMS:    float32(l.passes.mean.Seconds() * 1e3),
 		Imbalance: float32(l.worst.now),
 		Worst:     float32(l.worst.most),
+		Group:     own.Group,
 		Ranks:     peers.Count(own.Ranks),
 	}
 	inTime, late := l.a.waiting()
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -251,7 +251,8 @@
 	Running   []byte   // requests by rank; 255: so many or more
 	Waiting   []byte   // the same of requests that wait there
 	Slow      []SlowRank
-	Ranks     uint16 // of the whole group, those that have no engine among them; told also if the loads are not Known
+	Group     string // told, as Ranks, also if the loads are not Known
+	Ranks     uint16 // of the whole group, those that have no engine among them
 }
 
 // SlowRank is a rank that takes longer than usual.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -478,8 +478,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 16
-	o = append(o, 0xdc, 0x0, 0x10)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Elsewhere)
@@ -504,6 +504,7 @@
 		o = msgp.AppendUint16(o, z.Slow[za0002].Rank)
 		o = msgp.AppendFloat32(o, z.Slow[za0002].Pace)
 	}
+	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendUint16(o, z.Ranks)
 	return
 }
@@ -516,8 +517,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -676,6 +677,11 @@
 			return
 		}
 	}
+	z.Group, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
 	z.Ranks, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ranks")
@@ -691,7 +697,7 @@
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size)) + msgp.Uint16Size
+	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size
 	return
 }
 
--- a/placing/book.go
+++ b/placing/book.go
@@ -17,8 +17,8 @@
 	rng        *rand.Rand
 	accounts   map[serving.Run]*Account
 	ejector    *route.Ejector[serving.Run]
-	groups     map[string]*GroupState // by service
-	late       map[string]*lateShare  // by service
+	groups     map[groupKey]*groupBook
+	late       map[string]*lateShare // by service
 	doubts     doubts
 }
 
@@ -29,6 +29,7 @@
 	reading float64 // prompt tokens of those that have no answer yet
 	gone    bool    // another target has its address
 	others  reportedLoad
+	group   string // that the target is a rank of, by the latest report; "": not known
 }
 
 // Service returns the service of the target.
@@ -41,7 +42,7 @@
 		rng:        rng,
 		accounts:   make(map[serving.Run]*Account),
 		ejector:    route.NewEjector[serving.Run](),
-		groups:     make(map[string]*GroupState),
+		groups:     make(map[groupKey]*groupBook),
 		late:       make(map[string]*lateShare),
 		doubts:     newDoubts(entry),
 	}
@@ -58,16 +59,6 @@
 	return a
 }
 
-// group returns what is known of a service's group; the lock must be held.
-func (b *Book) group(service string) *GroupState {
-	g := b.groups[service]
-	if g == nil {
-		g = new(GroupState)
-		b.groups[service] = g
-	}
-	return g
-}
-
 // Account returns a target's account.
 func (b *Book) Account(t *serving.Target) *Account {
 	b.mu.Lock()
@@ -101,7 +92,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
-	b.group(a.target.Service).share.freed()
+	b.group(b.keyOf(a.target)).share.freed()
 	b.lates(a.target.Service).end(r, now)
 }
 
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -24,40 +24,8 @@
 	waiting []*Waiter
 	rate    rate // of requests let go
 	entered int  // requests that were taken in
-	breaker breaker
+	broken  bool // no group of the service runs requests
 	pace    streamPace
-	short   shortGroup
-}
-
-// breaker keeps requests at the gate while the group is broken: every engine
-// refuses then, and each refusal is an arrival that the retry budget pays for. Now
-// and then one request is let through to see.
-type breaker struct {
-	broken bool
-	next   time.Time // when one may go
-}
-
-// Paces of the breaker. A group is back within a second or so of its ranks.
-const (
-	probePause = 120 * time.Millisecond
-	probeLimit = 400 * time.Millisecond // without a result
-)
-
-// Refused notes that the group is broken.
-func (g *Gate) Refused(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if ablate.Off(ablate.Breaker) {
-		return
-	}
-	g.breaker = breaker{broken: true, next: now.Add(probePause)}
-}
-
-// Answered notes that the group runs requests.
-func (g *Gate) Answered() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.breaker.broken = false
 }
 
 // Waiter is a request that waits.
@@ -77,7 +45,7 @@
 func (g *Gate) Enter(r *Request, now time.Time) (w *Waiter, wait time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.breaker.broken {
+	if g.broken {
 		return g.push(r), 0, true
 	}
 	before, inTime := 0, 0
@@ -110,6 +78,14 @@
 	return w
 }
 
+// NoteBroken notes whether no group of the service runs requests. Nobody is refused for
+// waiting then: how fast the queue moves is not known.
+func (g *Gate) NoteBroken(broken bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broken = broken
+}
+
 // Leave takes a request out; false if it has been granted a target meanwhile.
 func (g *Gate) Leave(w *Waiter) bool {
 	g.mu.Lock()
@@ -128,12 +104,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for len(g.waiting) > 0 {
-		if g.breaker.broken {
-			if now.Before(g.breaker.next) {
-				return
-			}
-			g.breaker.next = now.Add(probeLimit)
-		}
 		at := g.next(now, lateToo())
 		if at < 0 {
 			return
@@ -195,6 +165,13 @@
 	return n
 }
 
+// Waits tells whether any request waits.
+func (g *Gate) Waits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiting) > 0
+}
+
 // Waiting returns how many requests wait.
 func (g *Gate) Waiting(now time.Time) Waiting {
 	g.mu.Lock()
--- /dev/null
+++ b/placing/groups_test.go
@@ -0,0 +1,102 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// twoGroups returns a book that knows two groups of two targets each, by how many requests
+// each target of the first and of the second runs, and the lane to all of them.
+func twoGroups(first, second int, now time.Time) (*Book, Lane) {
+	b := testBook()
+	targets := plainTargets("a", "b", "c", "d")
+	report := func(name string, list []*serving.Target, running int) {
+		loads := make(map[string]RankLoad)
+		for _, t := range list {
+			loads[t.Address] = RankLoad{Running: running}
+		}
+		state := NewGroupState(loads, 1, 1, Waiting{InTime: 20}, now)
+		state.Name = name
+		b.Reported("p", list, loads, state)
+	}
+	report("g", targets[:2], first)
+	report("h", targets[2:], second)
+	s := &serving.Service{Name: "p", Engine: testModel()}
+	return b, Lane{Service: s, Targets: targets, Entries: 1}
+}
+
+// sentTo counts which targets so many requests go to.
+func sentTo(b *Book, l Lane, requests int, now time.Time) map[string]int {
+	gt := new(Gate)
+	var waiters []*Waiter
+	for range requests {
+		w, _, _ := gt.Enter(waiting(1, now), now)
+		waiters = append(waiters, w)
+	}
+	LetGo(gt, b, l, now)
+	count := make(map[string]int)
+	for _, w := range waiters {
+		select {
+		case t := <-w.Granted():
+			count[t.ID]++
+		default:
+		}
+	}
+	return count
+}
+
+// A service has two groups, and all places of one are taken. An entry that knew one group
+// only would take its room for that of all, and either fill what is full or leave free what
+// is free. Requests go to the group with room, as far as that has any.
+func TestTheRoomOfEachGroupCounts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	slots := testModel().Slots
+	b, l := twoGroups(slots, slots-3, now)
+	sent := sentTo(b, l, 20, now)
+	g.Expect(sent["a"] + sent["b"]).To(BeZero())
+	g.Expect(sent["c"] + sent["d"]).To(Equal(6))
+}
+
+// A rank of one group has died, and every engine of that group refuses. The other group runs
+// as before: requests go there, and one at a time looks whether the first is back.
+func TestABrokenGroupDoesNotStopTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b, l := twoGroups(0, 0, now)
+	b.GroupRefused(l.Targets[0], now)
+	sent := sentTo(b, l, 8, now)
+	g.Expect(sent["a"] + sent["b"]).To(BeZero())
+	g.Expect(sent["c"] + sent["d"]).To(Equal(8))
+	broken, _ := b.Broken("p", now)
+	g.Expect(broken).To(BeFalse())
+	now = now.Add(probePause)
+	sent = sentTo(b, l, 8, now)
+	g.Expect(sent["a"] + sent["b"]).To(Equal(1))
+	b.GroupAnswered(l.Targets[0])
+	sent = sentTo(b, l, 8, now)
+	g.Expect(sent["a"]+sent["b"]).To(BeNumerically(">", 2), "it is the emptier one")
+}
+
+// Each group has its own map. What is so far from even that it bears few streams is one
+// group, and the other one bears as many as usual.
+func TestEachGroupHasItsOwnLimit(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b, l := twoGroups(0, 0, now)
+	uneven := NewGroupState(nil, 3, 3, Waiting{}, now)
+	uneven.Name = "g"
+	b.Reported("p", nil, nil, uneven)
+	l.GapAim = 120 * time.Millisecond
+	lanes := b.lanes(l, now)
+	g.Expect(lanes).To(HaveLen(2))
+	most := map[string]float64{}
+	for _, o := range lanes {
+		most[o.key.name] = o.most
+	}
+	g.Expect(most["g"]).To(BeNumerically("<", most["h"]))
+}
--- a/placing/late_test.go
+++ b/placing/late_test.go
@@ -19,22 +19,23 @@
 	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
 	l := testLane(1, target)
 	const most = 10
+	lanes := oneLane(l, most)
 	inTime := func() *Request { return &Request{Arrived: now, Aim: 500 * time.Millisecond} }
 	for n := range 80 { // twenty seconds of calm
 		now = now.Add(250 * time.Millisecond)
-		b.prepare(l, most, demand{entered: n}, now)
+		b.prepare(lanes, demand{entered: n}, now)
 		r := inTime()
-		g.Expect(b.reserve(l, most, r, now)).To(Equal(target))
+		g.Expect(b.reserve(lanes, r, now)).To(Equal(target))
 		b.End(b.Account(target), r, now.Add(time.Second))
 	}
 	sent := 0
 	late := func() *Request { return &Request{Arrived: now.Add(-2 * time.Second), Aim: 500 * time.Millisecond} }
-	for b.lateMayGo(l, most) && b.reserve(l, most, late(), now) != nil {
+	for b.lateMayGo(lanes) && b.reserve(lanes, late(), now) != nil {
 		sent++
 	}
 	g.Expect(sent).To(BeNumerically("~", most-4, 1))
 	for range most - sent {
-		g.Expect(b.reserve(l, most, inTime(), now)).To(Equal(target), "who comes has a place at once")
+		g.Expect(b.reserve(lanes, inTime(), now)).To(Equal(target), "who comes has a place at once")
 	}
 }
 
@@ -71,10 +72,11 @@
 		loads := map[string]RankLoad{target.Address: {Running: 6}}
 		b.Reported("s", []*serving.Target{target}, loads, NewGroupState(loads, 1, 1, Waiting{Late: each * fullEntries}, now))
 		l := testLane(fullEntries, target)
-		b.prepare(l, 10, demand{waiting: Waiting{Late: each}}, now)
+		lanes := oneLane(l, 10)
+		b.prepare(lanes, demand{waiting: Waiting{Late: each}}, now)
 		late := &Request{Arrived: now.Add(-time.Second), Aim: 500 * time.Millisecond}
 		for range each {
-			if b.lateMayGo(l, 10) && b.reserve(l, 10, late, now) != nil {
+			if b.lateMayGo(lanes) && b.reserve(lanes, late, now) != nil {
 				sent++
 			}
 		}
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -67,19 +67,18 @@
 	return m.UsualPrompt / m.ReadRate / m.UsualAnswer * float64(time.Second)
 }
 
-// Limit returns how many streams a target of a service may run now, in the mean.
-func (b *Book) Limit(s *serving.Service, gapAim time.Duration, now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	state := b.group(s.Name)
+// limitOf returns how many streams a target of a group may run now, in the mean. The lock
+// must be held.
+func (b *Book) limitOf(k groupKey, l Lane, now time.Time) float64 {
+	state := b.group(k)
 	if now.Sub(state.At) > ReportLife {
 		// Nobody reports, so the map does not follow either: what was worst lately comes.
-		return limit(s.Engine, gapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1))
+		return limit(l.Service.Engine, l.GapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1))
 	}
 	if state.Imbalance == 0 {
 		// The group has just been formed: it uses the map that engines start with, and
 		// what waited for it comes all at once.
-		return limit(s.Engine, gapAim, firstImbalance, state.Pace)
+		return limit(l.Service.Engine, l.GapAim, firstImbalance, state.Pace)
 	}
-	return limit(s.Engine, gapAim, max(state.Imbalance, min(state.Worst, bornImbalance)), state.Pace)
+	return limit(l.Service.Engine, l.GapAim, max(state.Imbalance, min(state.Worst, bornImbalance)), state.Pace)
 }
--- a/placing/place.go
+++ b/placing/place.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/ablate"
@@ -27,9 +28,9 @@
 // Load pattern: one of a dozen ranks takes twelve times as long, and the group is full. With
 // streams on that rank passes took 450 to 600 ms, and none could end in time; its fixed
 // part alone is 350 ms, beside which full other ranks cost nothing.
+//
+// The lock must be held.
 func (b *Book) withoutSlow(targets []*serving.Target, now time.Time) []*serving.Target {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	left := make([]*serving.Target, 0, len(targets))
 	for _, t := range targets {
 		a := b.accounts[t.Run()]
@@ -64,12 +65,14 @@
 	return best
 }
 
-// hasSlowRank tells whether a rank of a service's group is many times as slow as usual.
-func (b *Book) hasSlowRank(service string, now time.Time) bool {
+// hasSlowRank tells whether a rank of some group is many times as slow as usual.
+func (b *Book) hasSlowRank(lanes []groupLane, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.group(service)
-	return now.Sub(state.At) < ReportLife && state.Pace >= avoidPace
+	return slices.ContainsFunc(lanes, func(l groupLane) bool {
+		state := b.group(l.key)
+		return now.Sub(state.At) < ReportLife && state.Pace >= avoidPace
+	})
 }
 
 // sample is how many targets a placement compares. All entries have the same
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -100,12 +100,18 @@
 	return b
 }
 
+// oneLane leads to the only group of a service, whose targets may run so many streams.
+func oneLane(l Lane, most float64) []groupLane {
+	return []groupLane{{Lane: l, key: groupKey{service: l.Service.Name}, most: most}}
+}
+
 // sendAll sends what waits at an entry as far as its share of the room goes.
 func sendAll(b *Book, target *serving.Target, waiting int, now time.Time) (sent int) {
 	l := testLane(fullEntries, target)
-	b.prepare(l, 10, demand{waiting: Waiting{InTime: waiting}, entered: waiting}, now)
+	lanes := oneLane(l, 10)
+	b.prepare(lanes, demand{waiting: Waiting{InTime: waiting}, entered: waiting}, now)
 	for range waiting {
-		if b.reserve(l, 10, new(Request), now) != nil {
+		if b.reserve(lanes, new(Request), now) != nil {
 			sent++
 		}
 	}
@@ -154,8 +160,9 @@
 	for range entries {
 		b := testBook()
 		for range entries * limit * len(targets) {
-			b.prepare(testLane(entries, targets...), limit, demand{}, now)
-			if b.reserve(testLane(entries, targets...), limit, new(Request), now) == nil {
+			lanes := oneLane(testLane(entries, targets...), limit)
+			b.prepare(lanes, demand{}, now)
+			if b.reserve(lanes, new(Request), now) == nil {
 				break
 			}
 			sent++
@@ -264,25 +271,27 @@
 	g := NewWithT(t)
 	gt := new(Gate)
 	now := time.Now()
+	b := testBook()
+	target := &serving.Target{ID: "k", Service: "s", Address: "1"}
+	l := testLane(1, target)
+	l.Service.Engine = testModel()
 	for range 5 {
 		_, _, ok := gt.Enter(waiting(1, now), now)
 		g.Expect(ok).To(BeTrue())
 	}
-	let := 0
-	place := func(*Request) *serving.Target {
-		let++
-		return &serving.Target{}
+	let := func() int {
+		before := gt.Waiting(now)
+		LetGo(gt, b, l, now)
+		after := gt.Waiting(now)
+		return before.InTime + before.Late - after.InTime - after.Late
 	}
-	gt.Refused(now)
-	gt.grant(now, always, place)
-	g.Expect(let).To(BeZero())
+	b.GroupRefused(target, now)
+	g.Expect(let()).To(BeZero())
 	now = now.Add(probePause)
-	gt.grant(now, always, place)
-	gt.grant(now, always, place)
-	g.Expect(let).To(Equal(1))
-	gt.Answered()
-	gt.grant(now, always, place)
-	g.Expect(let).To(Equal(5))
+	g.Expect(let()).To(Equal(1))
+	g.Expect(let()).To(BeZero())
+	b.GroupAnswered(target)
+	g.Expect(let()).To(Equal(4))
 }
 
 // A target crashes, is kept out for it, and another one answers at its address. Then it
@@ -322,9 +331,10 @@
 	s := &serving.Service{Name: "s", Engine: testModel()}
 	const aim = 120 * time.Millisecond
 	b.Reported("s", nil, nil, NewGroupState(nil, 1.2, 3, Waiting{}, now))
-	reported := b.Limit(s, aim, now)
-	silent := b.Limit(s, aim, now.Add(2*ReportLife))
+	l, key := Lane{Service: s, GapAim: aim}, groupKey{service: "s"}
+	reported := b.limitOf(key, l, now)
+	silent := b.limitOf(key, l, now.Add(2*ReportLife))
 	g.Expect(silent).To(Equal(limit(testModel(), aim, 3, 1)))
 	g.Expect(silent).To(BeNumerically("<=", reported))
-	g.Expect(testBook().Limit(s, aim, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
+	g.Expect(testBook().limitOf(key, l, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
 }
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -23,6 +23,7 @@
 
 // GroupState is what is reported of a group.
 type GroupState struct {
+	Name      string
 	Imbalance float64 // how many times as long as even loads the ranks take for their experts
 	Worst     float64 // the most of it lately
 	Pace      float64 // of the slowest rank, in times as long as usual
@@ -30,10 +31,6 @@
 	Total     int     // requests of all targets
 	Wanting   Waiting // requests that wait at all entries
 	At        time.Time
-	// assumed are the requests of other entries at each target while nothing is
-	// reported.
-	assumed float64
-	share   roomShare
 }
 
 // reportedLoad is what a target's agent says that runs there.
@@ -55,9 +52,11 @@
 		}
 		l.Pace = max(l.Pace, 1)
 		a := b.account(t)
+		a.group = state.Name
 		a.others = reportedLoad{RankLoad: l, at: state.At, ownThen: a.running}
 	}
-	b.groups[service] = &state
+	g := b.group(groupKey{service: service, name: state.Name})
+	g.GroupState, g.share, g.assumed = state, roomShare{}, 0
 }
 
 // NewGroupState sums up the loads of a group's ranks.
@@ -82,13 +81,13 @@
 // same share of the callers, so what each assumes adds up to about what runs.
 //
 // The lock must be held.
-func (b *Book) assume(l Lane, now time.Time) {
-	state := b.group(l.Service.Name)
+func (b *Book) assume(l *groupLane, now time.Time) {
+	state := b.group(l.key)
 	state.assumed = 0
 	if now.Sub(state.At) >= ReportLife && len(l.Targets) > 0 {
 		own := 0
 		for _, a := range b.accounts {
-			if a.target.Service == l.Service.Name {
+			if b.keyOf(a.target) == l.key {
 				own += a.running
 			}
 		}
@@ -108,7 +107,7 @@
 func (b *Book) Known(t *serving.Target, now time.Time) Known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.group(t.Service)
+	state := b.group(b.keyOf(t))
 	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace}
 	if !state.At.IsZero() {
 		k.Age = now.Sub(state.At)
@@ -129,7 +128,7 @@
 			return own + max(a.others.Running+a.others.Waiting-a.others.ownThen, 0)
 		}
 	}
-	state := b.group(t.Service)
+	state := b.group(b.keyOf(t))
 	if now.Sub(state.At) < ReportLife {
 		return max(own, state.Mean)
 	}
--- a/placing/room.go
+++ b/placing/room.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/ablate"
@@ -30,16 +31,15 @@
 
 // renew reckons the share after a report, and adds to it for requests that have
 // come since. The lock must be held.
-func (b *Book) renew(l Lane, most float64, d demand, now time.Time) {
-	b.lates(l.Service.Name).coming.take(d.entered, now)
-	state := b.group(l.Service.Name)
+func (b *Book) renew(l *groupLane, d demand, now time.Time) {
+	state := b.group(l.key)
 	if now.Sub(state.At) >= ReportLife {
 		state.share = roomShare{}
 		return
 	}
 	s := &state.share
 	if !s.known {
-		room := most*float64(len(l.Targets)) - float64(state.Total)
+		room := l.most*float64(len(l.Targets)) - float64(state.Total)
 		coming := d.perSecond * float64(l.Entries) * reportsApart.Seconds()
 		want := float64(max(state.Wanting.InTime, d.waiting.InTime)) + coming
 		*s = roomShare{
@@ -85,12 +85,20 @@
 	}
 }
 
-// lateMayGo tells whether a request that is late already may go to a group.
-func (b *Book) lateMayGo(l Lane, most float64) bool {
+// lateMayGo tells whether a request that is late already may go to some group.
+func (b *Book) lateMayGo(lanes []groupLane) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	part := most * float64(len(l.Targets)) / float64(max(l.Entries, 1))
-	return b.lates(l.Service.Name).mayGo(part) && b.group(l.Service.Name).share.mayGo(true)
+	if len(lanes) == 0 {
+		return false
+	}
+	part, room := 0.0, false
+	for i := range lanes {
+		l := &lanes[i]
+		part += l.most * float64(len(l.Targets)) / float64(max(l.Entries, 1))
+		room = room || b.group(l.key).share.mayGo(true)
+	}
+	return room && b.lates(lanes[0].Service.Name).mayGo(part)
 }
 
 // freed gives room back that a request of this entry has left.
@@ -99,20 +107,31 @@
 	s.lateLeft++
 }
 
-// reserve books a try at the target with the least work that runs fewer requests
-// than most; nil if there is none, or if this entry's share of the room is used.
-func (b *Book) reserve(l Lane, most int, r *Request, now time.Time) *serving.Target {
+// reserve books a try at the target with the least work that runs fewer requests than its
+// group bears; nil if there is none, or if this entry's shares of the room are used.
+func (b *Book) reserve(lanes []groupLane, r *Request, now time.Time) *serving.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := &b.group(l.Service.Name).share
+	for i := range lanes {
+		if t := b.reserveIn(&lanes[i], r, now); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+func (b *Book) reserveIn(l *groupLane, r *Request, now time.Time) *serving.Target {
+	state := b.group(l.key)
 	late := !r.inTime(now)
-	if !share.mayGo(late) {
+	if !state.share.mayGo(late) || state.breaker.closed(now) {
 		return nil
 	}
+	most := int(math.Ceil(l.most))
 	t := b.place(l.Targets, func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
 	if t != nil {
 		b.begin(t, r.Size)
-		share.sent(late)
+		state.share.sent(late)
+		state.breaker.sent(now)
 		b.lates(l.Service.Name).begin(r, late, now)
 	}
 	return t
--- a/placing/short.go
+++ b/placing/short.go
@@ -45,29 +45,6 @@
 	return now.Sub(s.since)
 }
 
-// Size notes how many ranks a service's group has, whether they run or not.
-func (g *Gate) Size(ranks int, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.short.size(ranks, now)
-}
-
-// noteTargets notes how many targets the group has.
-func (g *Gate) noteTargets(targets int, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.short.note(targets, now)
-}
-
-// Short tells whether the group can't run a request because it lacks engines, and when its
-// caller does best to come back. One request at a time waits all the same, to see whether
-// engines refuse it still.
-func (g *Gate) Short(now time.Time) (comeBack time.Duration, short bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	lasting := g.short.lasting(now)
-	if lasting == 0 || !g.breaker.broken || len(g.waiting) == 0 {
-		return 0, false
-	}
-	return min(max(lasting, shortLeast), shortMost), true
-}
+// ComeBack returns when the caller of a group that has been short for a time does best to
+// come back: nobody knows when the missing engines start.
+func ComeBack(short time.Duration) time.Duration { return min(max(short, shortLeast), shortMost) }
--- a/placing/short_test.go
+++ b/placing/short_test.go
@@ -5,40 +5,31 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // Ten engines run of a group of twelve, and refuse every request. Callers would wait for a
 // second and a half each, come back as told, and be refused again after the same wait. After
-// some seconds, in which engines that merely start again would be back, they are told at once.
-// One request at a time goes on trying, so that the group is used as soon as it is whole.
-func TestCallersOfAGroupThatLacksEnginesAreToldAtOnce(t *testing.T) {
+// some seconds, in which engines that merely start again would be back, it is known that
+// there is nothing to wait for; once all engines are there it is not.
+func TestAGroupThatLacksEnginesIsKnownAsSuch(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Now()
-	gate := new(Gate)
-	broken := func(at time.Time, targets int) {
-		gate.Size(12, at)
-		gate.noteTargets(targets, at)
-		gate.Refused(at)
+	b := testBook()
+	targets := plainTargets("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+	look := func(at time.Time, running int) time.Duration {
+		b.GroupSize("p", "", 12, at)
+		b.lanes(Lane{Service: &serving.Service{Name: "p", Engine: testModel()}, Targets: targets[:running]}, at)
+		b.GroupRefused(targets[0], at)
+		_, short := b.Broken("p", at)
+		return short
 	}
-	r := &Request{Arrived: start, Aim: time.Second, MaxWait: 2 * time.Second}
-	broken(start, 10)
-	gate.Enter(r, start)
-	_, short := gate.Short(start.Add(time.Second))
-	g.Expect(short).To(BeFalse(), "its engines may just be starting")
-
-	later := start.Add(6 * time.Second)
-	broken(later, 10)
-	comeBack, short := gate.Short(later)
-	g.Expect(short).To(BeTrue())
-	g.Expect(comeBack).To(Equal(6 * time.Second))
-
-	gate.waiting = nil
-	_, short = gate.Short(later)
-	g.Expect(short).To(BeFalse(), "one is to try")
-	gate.Enter(r, later)
-	broken(later, 12)
-	_, short = gate.Short(later)
-	g.Expect(short).To(BeFalse(), "all engines are there, the group is being formed")
+	g.Expect(look(start, 10)).To(BeZero())
+	g.Expect(look(start.Add(time.Second), 10)).To(BeZero(), "its engines may just be starting")
+	g.Expect(look(start.Add(6*time.Second), 10)).To(Equal(6 * time.Second))
+	g.Expect(ComeBack(6 * time.Second)).To(Equal(6 * time.Second))
+	g.Expect(look(start.Add(7*time.Second), 12)).To(BeZero(), "all engines are there, the group is being formed")
 }
 
 // Nobody tells any more how large the group is, or it runs requests though fewer targets are
@@ -46,14 +37,19 @@
 func TestAShortGroupIsBelievedOnlyWhileItIsTold(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Now()
-	gate := new(Gate)
-	gate.Size(12, start)
-	gate.noteTargets(10, start)
-	gate.push(&Request{})
-	_, short := gate.Short(start.Add(4 * time.Second))
-	g.Expect(short).To(BeFalse(), "no engine refuses")
-	gate.Refused(start)
-	gate.noteTargets(10, start.Add(8*time.Second))
-	_, short = gate.Short(start.Add(8 * time.Second))
-	g.Expect(short).To(BeFalse())
+	var s shortGroup
+	s.size(12, start)
+	s.note(10, start)
+	g.Expect(s.lasting(start.Add(4 * time.Second))).To(Equal(4 * time.Second))
+	s.note(10, start.Add(sizeLife+time.Second))
+	g.Expect(s.lasting(start.Add(8 * time.Second))).To(BeZero())
+
+	b := testBook()
+	b.GroupSize("p", "", 12, start)
+	l := Lane{Service: &serving.Service{Name: "p", Engine: testModel()}, Targets: plainTargets("a")}
+	b.lanes(l, start)
+	b.lanes(l, start.Add(4*time.Second))
+	broken, short := b.Broken("p", start.Add(4*time.Second))
+	g.Expect(broken).To(BeFalse())
+	g.Expect(short).To(BeZero(), "no engine refuses")
 }
