Targets that take requests and answer none are told to all entries

Cause: a request that ended by its deadline, or whose caller left, said nothing of its target.

Change: a target that has not begun to answer after twice the aim is doubted; three such requests at all entries together since its last answer keep it out for two seconds. Of a rank that counts only if another rank has answered a request sent later: a group that stands still blames nobody.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -201,7 +201,9 @@
 	t.count++
 	a := t.g.book.Account(target)
 	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
+	heard := t.expect(target)
 	resp, err := t.g.pools.of(target).Send(ctx, m)
+	heard(err == nil)
 	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
 	if err != nil {
 		t.g.book.Answered(a, t.r.wish.Size)
@@ -238,17 +240,6 @@
 	return result.New(result.TargetLost, "%s: %w", target.ID, err)
 }
 
-// doubt has this entry and the others keep out a target that broke off a connection that was
-// new. One that had rested may have been closed for that.
-func (t *tries) doubt(target *serving.Target, failed *upstream.SendError) {
-	if failed == nil || !failed.Fresh || t.g.gate(t.r.service) != nil {
-		return
-	}
-	if t.g.book.Broke(target, time.Now()) {
-		t.g.mesh.tell()
-	}
-}
-
 // judge looks at the head of an answer: nil means that it is the target's own and
 // to be delivered.
 func (t *tries) judge(x *exchange) *result.Error {
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -6,15 +6,64 @@
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/upstream"
 )
 
-// doubts returns what this entry tells others of targets that broke off connections.
+// A target that has not begun to answer after so many times the aim for its first event, or
+// a part of the request's time where there is no aim, is doubted. The request goes on.
+const (
+	silentAims  = 2
+	silentShare = 0.5
+)
+
+// silentAfter returns when the target of this request is doubted.
+func (r *request) silentAfter() time.Duration {
+	if r.route.Aim > 0 {
+		return silentAims * r.route.Aim
+	}
+	return share(r.deadline.Sub(r.arrived), silentShare)
+}
+
+// expect has a target doubted if it does not begin to answer; heard ends that.
+func (t *tries) expect(target *serving.Target) (heard func(answered bool)) {
+	sentAt, ranked := time.Now(), t.g.gate(t.r.service) != nil
+	timer := time.AfterFunc(t.r.silentAfter(), func() {
+		if t.g.book.Silent(target, ranked, sentAt, time.Now()) {
+			t.g.mesh.tell()
+		}
+	})
+	return func(answered bool) {
+		timer.Stop()
+		if answered && ranked {
+			t.g.book.Began(target, sentAt)
+		}
+	}
+}
+
+// doubt has this entry and the others keep out a target that broke off a connection that was
+// new. One that had rested may have been closed for that, which says nothing.
+func (t *tries) doubt(target *serving.Target, failed *upstream.SendError) {
+	if failed == nil || !failed.Fresh || t.g.gate(t.r.service) != nil {
+		return
+	}
+	if t.g.book.Broke(target, time.Now()) {
+		t.g.mesh.tell()
+	}
+}
+
+// doubts returns what this entry tells others of targets in doubt.
 func (m *mesh) doubts() []peers.Doubt {
 	now := time.Now()
 	var list []peers.Doubt
 	for _, o := range m.g.book.Doubts(now) {
 		list = append(list, peers.Doubt{
-			Entry: o.Entry, Target: o.Run.ID, Born: o.Run.Born, BrokenMS: agoMS(o.Broken, now), WellMS: agoMS(o.Well, now),
+			Entry:    o.Entry,
+			Target:   o.Run.ID,
+			Born:     o.Run.Born,
+			BrokenMS: agoMS(o.Broken, now),
+			HungMS:   agoMS(o.Hung, now),
+			Hung:     peers.Count(o.Unanswered),
+			WellMS:   agoMS(o.Well, now),
 		})
 	}
 	return list
@@ -30,7 +79,12 @@
 	for i := range list {
 		o := &list[i]
 		told = append(told, placing.Doubt{
-			Entry: o.Entry, Run: serving.Run{ID: o.Target, Born: o.Born}, Broken: before(now, o.BrokenMS), Well: before(now, o.WellMS),
+			Entry:      o.Entry,
+			Run:        serving.Run{ID: o.Target, Born: o.Born},
+			Broken:     before(now, o.BrokenMS),
+			Hung:       before(now, o.HungMS),
+			Unanswered: int(o.Hung),
+			Well:       before(now, o.WellMS),
 		})
 	}
 	return m.g.book.Doubted(told, now)
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -30,7 +30,7 @@
 	Doubts  []Doubt
 }
 
-// Doubt is what one entry has seen of a target that broke off connections.
+// Doubt is what one entry has seen of a target that broke off connections or did not answer.
 //
 //msgp:tuple Doubt
 type Doubt struct {
@@ -38,6 +38,8 @@
 	Target   string
 	Born     int64  // of the target's run
 	BrokenMS uint32 // since the latest connection that broke off; Never: none
+	HungMS   uint32 // since the latest request without an answer; Never: none
+	Hung     uint16 // requests in a row without an answer
 	WellMS   uint32 // since the latest whole answer; Never: none
 }
 
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -121,12 +121,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Doubt) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Entry)
 	o = msgp.AppendString(o, z.Target)
 	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendUint32(o, z.BrokenMS)
+	o = msgp.AppendUint32(o, z.HungMS)
+	o = msgp.AppendUint16(o, z.Hung)
 	o = msgp.AppendUint32(o, z.WellMS)
 	return
 }
@@ -139,8 +141,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Entry, bts, err = msgp.ReadStringBytes(bts)
@@ -163,6 +165,16 @@
 		err = msgp.WrapError(err, "BrokenMS")
 		return
 	}
+	z.HungMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HungMS")
+		return
+	}
+	z.Hung, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hung")
+		return
+	}
 	z.WellMS, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "WellMS")
@@ -174,7 +186,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Doubt) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Entry) + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Entry) + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint32Size
 	return
 }
 
--- a/placing/doubt.go
+++ b/placing/doubt.go
@@ -9,22 +9,26 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// Doubt is what one entry has seen of a target that broke off connections.
+// Doubt is what one entry has seen of a target that broke off connections or did not answer.
 type Doubt struct {
-	Entry  string // that has seen it
-	Run    serving.Run
-	Broken time.Time // the latest connection that broke off
-	Well   time.Time // the latest whole answer; zero: none
+	Entry      string // that has seen it
+	Run        serving.Run
+	Broken     time.Time // the latest connection that broke off; zero: none
+	Hung       time.Time // the latest request without an answer; zero: none
+	Unanswered int       // requests in a row without an answer, up to Hung
+	Well       time.Time // the latest whole answer; zero: none
 }
 
 // Figures of doubts.
 const (
-	// doubtLife is for how long a broken connection counts: as long as a target is kept out
-	// at first.
+	// doubtLife is for how long a failure counts: as long as a target is kept out at first.
 	doubtLife = 2 * time.Second
 	// witnesses are the other entries that must have seen a target break off before this one
 	// keeps it out. One alone may be cut off itself.
 	witnesses = 2
+	// hungMost requests without an answer in a row, at all entries together, keep a target
+	// out. One may be longer than its time by itself.
+	hungMost = 3
 	// doubtsMost bounds what one message carries.
 	doubtsMost = 16
 )
@@ -57,13 +61,25 @@
 	d.put(own)
 }
 
+// hung notes that a target did not answer a request of this entry in its time. What went
+// before an answer to anybody does not count.
+func (d *doubts) hung(run serving.Run, now time.Time) {
+	own := d.own(run)
+	if d.lastWell(run).After(own.Hung) {
+		own.Unanswered = 0
+	}
+	own.Hung = now
+	own.Unanswered++
+	d.put(own)
+}
+
 // well notes a whole answer of a target that is in doubt.
 func (d *doubts) well(run serving.Run, now time.Time) {
 	if !d.inDoubt(run) {
 		return
 	}
 	own := d.own(run)
-	own.Well = now
+	own.Well, own.Unanswered = now, 0
 	d.put(own)
 }
 
@@ -86,7 +102,7 @@
 	return false
 }
 
-// take takes what another entry has seen; it tells whether that is news.
+// take takes what another entry has seen; it tells whether that is new.
 func (d *doubts) take(o Doubt, now time.Time) bool {
 	if o.Entry == d.entry || now.Sub(o.latest()) >= doubtLife {
 		return false
@@ -103,11 +119,16 @@
 // it took.
 const sameMoment = 50 * time.Millisecond
 
+// latest returns when the entry last saw something of the target.
 func (o *Doubt) latest() time.Time {
-	if o.Well.After(o.Broken) {
-		return o.Well
+	return later(later(o.Broken, o.Hung), o.Well)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return o.Broken
+	return b
 }
 
 // forget drops what no longer counts.
@@ -119,26 +140,46 @@
 	}
 }
 
-// condemned tells whether enough others have seen a target break off since it answered
-// anybody last.
-func (d *doubts) condemned(run serving.Run, now time.Time) bool {
-	var well time.Time
+// lastWell returns when a target answered anybody last, as far as that is told.
+func (d *doubts) lastWell(run serving.Run) (well time.Time) {
 	for key, o := range d.seen {
-		if key.run == run && o.Well.After(well) {
-			well = o.Well
+		if key.run == run {
+			well = later(well, o.Well)
 		}
 	}
-	seenBy := 0
+	return well
+}
+
+// weight is what speaks against a target since it last answered anybody; from 1 on it is
+// kept out.
+func (d *doubts) weight(run serving.Run, now time.Time) float64 {
+	well := d.lastWell(run)
+	counts := func(at time.Time) bool { return at.After(well) && now.Sub(at) < doubtLife }
+	seenBy, unanswered := 0, 0
 	for key, o := range d.seen {
-		if key.run == run && o.Broken.After(well) && now.Sub(o.Broken) < doubtLife {
+		if key.run != run {
+			continue
+		}
+		if counts(o.Broken) {
 			seenBy++
 		}
+		if counts(o.Hung) {
+			unanswered += o.Unanswered
+		}
 	}
-	return seenBy >= witnesses
+	return max(float64(seenBy)/witnesses, float64(unanswered)/hungMost)
+}
+
+// urgent tells whether others should hear at once of what has made a target's weight rise:
+// if it may keep the target out, and did not before. The rest goes along with what is told
+// in any case; pushed as well, single failures and answers would take more of the links
+// between data centres than requests do.
+func urgent(before, after float64) bool {
+	return before < 1 && after > before && after >= 1.0/witnesses
 }
 
 // Broke books that a target of a plain service broke off a connection, which is certain
-// enough to keep it out at once. It tells whether others should hear of it.
+// enough to keep it out at once. It tells whether others should hear of it at once.
 //
 // A rank of a group is left to its failures in a row: the ranks fall together, and without
 // some of them the others would run all the streams.
@@ -148,9 +189,39 @@
 	if ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
 		return false
 	}
+	before := b.doubts.weight(t.Run(), now)
 	b.doubts.broke(t.Run(), now)
 	b.ejector.Hold(t.Run(), now)
-	return true
+	return urgent(before, b.doubts.weight(t.Run(), now))
+}
+
+// Silent books that a target has not begun to answer a request of this entry in several times
+// the usual time. ranked tells that the target is a rank of a group. Silent tells whether
+// others should hear of it at once.
+//
+// Of a rank that counts only if another rank has answered a request that was sent later: when
+// the whole group stands still no rank answers, and none is to blame.
+func (b *Book) Silent(t *serving.Target, ranked bool, sentAt, now time.Time) (tell bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ranked && !b.group(b.keyOf(t)).answered.After(sentAt) || ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
+		return false
+	}
+	before := b.doubts.weight(t.Run(), now)
+	b.doubts.hung(t.Run(), now)
+	after := b.doubts.weight(t.Run(), now)
+	if after >= 1 {
+		b.ejector.Hold(t.Run(), now)
+	}
+	return urgent(before, after)
+}
+
+// Began notes that a rank has begun to answer a request that was sent at a time.
+func (b *Book) Began(t *serving.Target, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(b.keyOf(t))
+	g.answered = later(g.answered, sentAt)
 }
 
 // Doubts returns what this entry and others have seen lately, the latest first, for one
@@ -169,18 +240,21 @@
 	return list[:min(len(list), doubtsMost)]
 }
 
-// Doubted takes what another entry has seen, or has heard of. It tells whether that is news.
-func (b *Book) Doubted(list []Doubt, now time.Time) (news bool) {
+// Doubted takes what another entry has seen, or has heard of. It tells whether others should
+// hear of it at once.
+func (b *Book) Doubted(list []Doubt, now time.Time) (tell bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range list {
+		before := b.doubts.weight(o.Run, now)
 		if !b.doubts.take(o, now) {
 			continue
 		}
-		news = true
-		if b.doubts.condemned(o.Run, now) && !ablate.Off(ablate.Doubts) {
+		after := b.doubts.weight(o.Run, now)
+		if after >= 1 && after > before && !ablate.Off(ablate.Doubts) {
 			b.ejector.Hold(o.Run, now)
 		}
+		tell = tell || urgent(before, after)
 	}
-	return news
+	return tell
 }
--- a/placing/doubt_test.go
+++ b/placing/doubt_test.go
@@ -127,3 +127,79 @@
 func entryBook(name string) *Book {
 	return NewBook(name, "a", rand.New(rand.NewPCG(1, uint64(len(name)))))
 }
+
+// A target takes requests and answers none. Each entry learns that when the time of a request
+// is over, and sees the target every few seconds. Three requests at all entries together are
+// enough for all of them to keep it out.
+func TestATargetThatHangsIsKnownByAFewRequests(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	fourth := entryBook("fourth")
+	for i, name := range []string{"one", "two", "three"} {
+		g.Expect(shareOf(fourth, targets, "x", now)).To(BeNumerically(">", 0.2), "after %d", i)
+		b := entryBook(name)
+		b.Silent(targets[0], false, now, now)
+		fourth.Doubted(b.Doubts(now), now)
+	}
+	g.Expect(shareOf(fourth, targets, "x", now)).To(BeZero())
+}
+
+// One request in ten takes longer than its time, wherever it runs. Answers to others lie in
+// between, so no target is kept out for it.
+func TestRequestsThatAreTooLongByThemselvesKeepNothingOut(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	one, two := entryBook("one"), entryBook("two")
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		one.Silent(targets[0], false, now, now)
+		two.Doubted(one.Doubts(now), now)
+		now = now.Add(100 * time.Millisecond)
+		two.Outcome(targets[0], true, now)
+		one.Doubted(two.Doubts(now), now)
+	}
+	g.Expect(shareOf(one, targets, "x", now)).To(BeNumerically(">", 0.2))
+	g.Expect(shareOf(two, targets, "x", now)).To(BeNumerically(">", 0.2))
+}
+
+// A few ranks of a group take requests and answer none, for seconds, while passes go on. Each
+// entry sends one of them a request now and then. Three requests that others, sent later, have
+// overtaken are enough. When the whole group stands still nobody is overtaken, and no rank is
+// kept out: the others would run all the streams once it goes on.
+func TestARankThatHangsIsToldFromAGroupThatStandsStill(t *testing.T) {
+	for _, moving := range []bool{true, false} {
+		g := NewWithT(t)
+		now := time.Now()
+		b, l := twoGroups(0, 0, now)
+		sent := now
+		for range hungMost {
+			now = now.Add(800 * time.Millisecond)
+			if moving {
+				b.Began(l.Targets[1], sent.Add(time.Millisecond))
+			}
+			b.Silent(l.Targets[0], true, sent, now)
+			sent = sent.Add(100 * time.Millisecond)
+			now = sent
+		}
+		kept := shareOf(b, l.Targets[:2], "a", now)
+		g.Expect(kept == 0).To(Equal(moving))
+	}
+}
+
+// Single requests that are too long by themselves, and answers of a target in doubt, are told
+// with the next messages and not pushed to others at once.
+func TestOnlyWhatMayKeepATargetOutIsPushed(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	one, two := entryBook("one"), entryBook("two")
+	g.Expect(one.Silent(targets[0], false, now, now)).To(BeFalse())
+	g.Expect(two.Doubted(one.Doubts(now), now)).To(BeFalse())
+	one.Outcome(targets[0], true, now.Add(100*time.Millisecond))
+	g.Expect(two.Doubted(one.Doubts(now), now.Add(100*time.Millisecond))).To(BeFalse())
+	now = now.Add(time.Second)
+	g.Expect(one.Silent(targets[0], false, now, now)).To(BeFalse())
+	g.Expect(one.Silent(targets[0], false, now, now)).To(BeTrue(), "one more, and it is kept out")
+}
--- a/placing/groups.go
+++ b/placing/groups.go
@@ -24,6 +24,8 @@
 	breaker breaker
 	short   shortGroup
 	share   roomShare
+	// answered is when the latest request was sent that a rank has begun to answer.
+	answered time.Time
 	// assumed are the requests of other entries at each target while nothing is
 	// reported.
 	assumed float64
