Entries that start together read the store one after the other, and find each other

Cause: the demo's three entries, started in the same moment, did not know each other for ten seconds. Each read the topic of entries before the others had written, and looks again after ten seconds. They are to be spread over 0.3 s by their names, but the digest (FNV) of names that differ in the last letter differs by less than half a percent: nine VMs of a data centre all read within some ten milliseconds.

Change: a digest whose high bits spread (xxhash, a library of ours already); an entry that knows nobody looks again after 0.5 s, and less and less often.

--- a/gateway/register.go
+++ b/gateway/register.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -30,11 +31,27 @@
 )
 
 // startDelay returns how long after its start this entry reads the store. It goes by the
-// name, so that entries spread evenly without knowing of each other.
+// name, so that entries spread evenly without knowing of each other. The digest is one whose
+// high bits differ for names that differ in their last letter only, as those of VMs do.
 func (g *Gateway) startDelay() time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(g.opts.Name)) // never fails
-	return time.Duration(float64(startSpread) * float64(h.Sum32()) / math.MaxUint32)
+	return time.Duration(float64(startSpread) * float64(xxhash.Sum64String(g.opts.Name)) / math.MaxUint64)
+}
+
+// aloneFirst is when an entry that knows no other looks for the first time whether there is
+// one.
+const aloneFirst = 500 * time.Millisecond
+
+// entriesAge returns how old the records of entries may get.
+//
+// Failure: a few entries start in the same moment, and each reads the records of the others
+// before these have written any. Symptom: none knows another one, each tells callers of
+// itself alone, and takes the whole room of a group for its own, until the next reading.
+// So one that knows nobody looks again soon, and less and less often.
+func (g *Gateway) entriesAge() time.Duration {
+	if g.mesh.entries() > 1 {
+		return entriesEvery
+	}
+	return min(max(time.Since(g.started)/2, aloneFirst), entriesEvery)
 }
 
 // starting tells whether this entry has started just now.
--- a/gateway/register_test.go
+++ b/gateway/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,13 +83,13 @@
 func TestAnEntryThatIsToldDoesNotReadTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		gw := quietGateway("entry-007")
+		gw := quietGateway("entry-004")
 		turn := gw.startDelay()
 		g.Expect(turn).To(BeNumerically(">", 2*startPoll))
 		gw.awaitPeers(serving.TopicTargets)
 		g.Expect(time.Since(gw.started)).To(Equal(turn), "nobody has told it")
 
-		told := quietGateway("entry-007")
+		told := quietGateway("entry-004")
 		time.AfterFunc(startPoll, func() {
 			told.knowledge.adopt(serving.TopicTargets, serving.News{Next: 5, Whole: true}, time.Now())
 		})
@@ -119,3 +120,35 @@
 		g.Expect(time.Since(alone.started)).To(BeNumerically("<=", startSpread+startWait+startPoll))
 	})
 }
+
+// Three VMs whose names differ in their last letter start together. If they read the store in
+// the same moment all of them read it, and none finds the record of another one.
+func TestVMsWithSimilarNamesReadTheStoreOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	var delays []time.Duration
+	for n := range 9 {
+		delays = append(delays, quietGateway(fmt.Sprintf("front-a-%d", n+1)).startDelay())
+	}
+	slices.Sort(delays)
+	g.Expect(delays[8]-delays[0]).To(BeNumerically(">", startSpread/2), "%v", delays)
+}
+
+// An entry has read the records of others in the same moment as these, and found none. It
+// looks again within a second, and not after the usual time; one that stays alone looks less
+// and less often, since calls to the store are paid for.
+func TestAnEntryThatKnowsNobodyLooksAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gw := quietGateway("entry-000")
+		g.Expect(gw.entriesAge()).To(Equal(aloneFirst))
+		time.Sleep(8 * time.Second)
+		g.Expect(gw.entriesAge()).To(Equal(4 * time.Second))
+		time.Sleep(time.Hour)
+		g.Expect(gw.entriesAge()).To(Equal(entriesEvery))
+		hear(gw, 2, 2)
+		g.Expect(gw.entriesAge()).To(Equal(entriesEvery))
+		late := quietGateway("entry-000")
+		hear(late, 2, 2)
+		g.Expect(late.entriesAge()).To(Equal(entriesEvery))
+	})
+}
