A line and a counter when a target is kept out

An on-call engineer could not see why a target got no work: ejections were neither logged nor counted. Now each has a line (what was seen, by which request or by others) and counts in targets_kept_out.

--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -28,9 +28,7 @@
 func (t *tries) expect(target *serving.Target) (heard func(answered bool)) {
 	sentAt, ranked := time.Now(), t.g.gate(t.r.service) != nil
 	timer := time.AfterFunc(t.r.silentAfter(), func() {
-		if t.g.book.Silent(target, ranked, sentAt, time.Now()) {
-			t.g.mesh.tell()
-		}
+		t.doubted(target, "silent", t.g.book.Silent(target, ranked, sentAt, time.Now()))
 	})
 	return func(answered bool) {
 		timer.Stop()
@@ -46,7 +44,16 @@
 	if failed == nil || !failed.Fresh || t.g.gate(t.r.service) != nil {
 		return
 	}
-	if t.g.book.Broke(target, time.Now()) {
+	t.doubted(target, "broke off", t.g.book.Broke(target, time.Now()))
+}
+
+// doubted carries out what follows from a doubt of this entry's own.
+func (t *tries) doubted(target *serving.Target, seen string, v placing.Verdict) {
+	if v.Kept {
+		t.g.opts.Log.Info("target kept out", "target", target.ID, "seen", seen, "request", t.r.id)
+		t.g.opts.Metrics.Count("targets_kept_out", 1)
+	}
+	if v.Tell {
 		t.g.mesh.tell()
 	}
 }
@@ -69,7 +76,8 @@
 	return list
 }
 
-// doubted takes what another entry tells of targets; it tells whether that is news.
+// doubted takes what another entry tells of targets; it tells whether others should hear of it
+// at once.
 func (m *mesh) doubted(list []peers.Doubt) bool {
 	if len(list) == 0 {
 		return false
@@ -87,7 +95,12 @@
 			Well:       before(now, o.WellMS),
 		})
 	}
-	return m.g.book.Doubted(told, now)
+	kept, tell := m.g.book.Doubted(told, now)
+	for _, run := range kept {
+		m.g.opts.Log.Info("target kept out", "target", run.ID, "seen", "by others")
+		m.g.opts.Metrics.Count("targets_kept_out", 1)
+	}
+	return tell
 }
 
 // agoMS returns how long ago something was; peers.Never if it never was.
--- a/placing/doubt.go
+++ b/placing/doubt.go
@@ -178,34 +178,39 @@
 	return before < 1 && after > before && after >= 1.0/witnesses
 }
 
+// Verdict is what follows from something that was seen of a target.
+type Verdict struct {
+	Kept bool // the target is kept out from now on
+	Tell bool // others should hear of it at once
+}
+
 // Broke books that a target of a plain service broke off a connection, which is certain
-// enough to keep it out at once. It tells whether others should hear of it at once.
+// enough to keep it out at once.
 //
 // A rank of a group is left to its failures in a row: the ranks fall together, and without
 // some of them the others would run all the streams.
-func (b *Book) Broke(t *serving.Target, now time.Time) (tell bool) {
+func (b *Book) Broke(t *serving.Target, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
-		return false
+		return Verdict{}
 	}
 	before := b.doubts.weight(t.Run(), now)
 	b.doubts.broke(t.Run(), now)
 	b.ejector.Hold(t.Run(), now)
-	return urgent(before, b.doubts.weight(t.Run(), now))
+	return Verdict{Kept: true, Tell: urgent(before, b.doubts.weight(t.Run(), now))}
 }
 
 // Silent books that a target has not begun to answer a request of this entry in several times
-// the usual time. ranked tells that the target is a rank of a group. Silent tells whether
-// others should hear of it at once.
+// the usual time. ranked tells that the target is a rank of a group.
 //
 // Of a rank that counts only if another rank has answered a request that was sent later: when
 // the whole group stands still no rank answers, and none is to blame.
-func (b *Book) Silent(t *serving.Target, ranked bool, sentAt, now time.Time) (tell bool) {
+func (b *Book) Silent(t *serving.Target, ranked bool, sentAt, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if ranked && !b.group(b.keyOf(t)).answered.After(sentAt) || ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
-		return false
+		return Verdict{}
 	}
 	before := b.doubts.weight(t.Run(), now)
 	b.doubts.hung(t.Run(), now)
@@ -213,7 +218,7 @@
 	if after >= 1 {
 		b.ejector.Hold(t.Run(), now)
 	}
-	return urgent(before, after)
+	return Verdict{Kept: after >= 1, Tell: urgent(before, after)}
 }
 
 // Began notes that a rank has begun to answer a request that was sent at a time.
@@ -240,9 +245,9 @@
 	return list[:min(len(list), doubtsMost)]
 }
 
-// Doubted takes what another entry has seen, or has heard of. It tells whether others should
-// hear of it at once.
-func (b *Book) Doubted(list []Doubt, now time.Time) (tell bool) {
+// Doubted takes what another entry has seen, or has heard of. It returns the targets that are
+// kept out for it, and whether others should hear of it at once.
+func (b *Book) Doubted(list []Doubt, now time.Time) (kept []serving.Run, tell bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range list {
@@ -253,8 +258,9 @@
 		after := b.doubts.weight(o.Run, now)
 		if after >= 1 && after > before && !ablate.Off(ablate.Doubts) {
 			b.ejector.Hold(o.Run, now)
+			kept = append(kept, o.Run)
 		}
 		tell = tell || urgent(before, after)
 	}
-	return tell
+	return kept, tell
 }
--- a/placing/doubt_test.go
+++ b/placing/doubt_test.go
@@ -42,14 +42,14 @@
 	now := time.Now()
 	targets := plainTargets("x", "y", "z")
 	one, two, third := entryBook("one"), entryBook("two"), entryBook("third")
-	g.Expect(one.Broke(targets[0], now)).To(BeTrue())
+	g.Expect(one.Broke(targets[0], now)).To(Equal(Verdict{Kept: true, Tell: true}))
 	g.Expect(shareOf(one, targets, "x", now)).To(BeZero(), "who has seen it keeps it out")
-	g.Expect(third.Doubted(one.Doubts(now), now)).To(BeTrue())
+	g.Expect(tells(third, one.Doubts(now), now)).To(BeTrue())
 	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2), "one may be cut off itself")
-	g.Expect(two.Broke(targets[0], now)).To(BeTrue())
-	g.Expect(third.Doubted(two.Doubts(now), now)).To(BeTrue())
+	g.Expect(two.Broke(targets[0], now).Kept).To(BeTrue())
+	g.Expect(tells(third, two.Doubts(now), now)).To(BeTrue())
 	g.Expect(shareOf(third, targets, "x", now)).To(BeZero())
-	g.Expect(third.Doubted(two.Doubts(now), now)).To(BeFalse(), "it is told once")
+	g.Expect(tells(third, two.Doubts(now), now)).To(BeFalse(), "it is told once")
 	later := now.Add(3 * time.Second)
 	g.Expect(shareOf(third, targets, "x", later)).To(BeNumerically(">", 0))
 }
@@ -65,9 +65,9 @@
 	one.Broke(targets[0], now)
 	two.Doubted(one.Doubts(now), now)
 	now = now.Add(20 * time.Millisecond)
-	g.Expect(third.Doubted(one.Doubts(now), now)).To(BeTrue())
-	g.Expect(third.Doubted(two.Doubts(now), now.Add(5*time.Millisecond))).To(BeFalse())
-	g.Expect(one.Doubted(third.Doubts(now), now)).To(BeFalse())
+	g.Expect(tells(third, one.Doubts(now), now)).To(BeTrue())
+	g.Expect(tells(third, two.Doubts(now), now.Add(5*time.Millisecond))).To(BeFalse())
+	g.Expect(tells(one, third.Doubts(now), now)).To(BeFalse())
 	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2))
 	g.Expect(third.Doubts(now.Add(doubtLife))).To(BeEmpty())
 }
@@ -195,11 +195,18 @@
 	now := time.Now()
 	targets := plainTargets("x", "y", "z")
 	one, two := entryBook("one"), entryBook("two")
-	g.Expect(one.Silent(targets[0], false, now, now)).To(BeFalse())
-	g.Expect(two.Doubted(one.Doubts(now), now)).To(BeFalse())
+	g.Expect(one.Silent(targets[0], false, now, now)).To(Equal(Verdict{}))
+	g.Expect(tells(two, one.Doubts(now), now)).To(BeFalse())
 	one.Outcome(targets[0], true, now.Add(100*time.Millisecond))
-	g.Expect(two.Doubted(one.Doubts(now), now.Add(100*time.Millisecond))).To(BeFalse())
+	g.Expect(tells(two, one.Doubts(now), now.Add(100*time.Millisecond))).To(BeFalse())
 	now = now.Add(time.Second)
-	g.Expect(one.Silent(targets[0], false, now, now)).To(BeFalse())
-	g.Expect(one.Silent(targets[0], false, now, now)).To(BeTrue(), "one more, and it is kept out")
+	g.Expect(one.Silent(targets[0], false, now, now)).To(Equal(Verdict{}))
+	g.Expect(one.Silent(targets[0], false, now, now)).To(Equal(Verdict{Tell: true}), "one more, and it is kept out")
+	g.Expect(one.Silent(targets[0], false, now, now).Kept).To(BeTrue())
+}
+
+// tells takes what others have seen, and returns whether it is to be told on at once.
+func tells(b *Book, list []Doubt, now time.Time) bool {
+	_, tell := b.Doubted(list, now)
+	return tell
 }
