--- a/lockstep/orders.go
+++ b/lockstep/orders.go
@@ -82,11 +82,10 @@
 
 // orderOwn gives an order to this VM's engine, and again if it gets no answer.
 //
-// Failure: engines leave some orders unanswered. Symptom: with one order in ten
-// lost some ranks of a large group miss theirs in each round, the leader finds out and asks
-// again three times, and the group stands still for 90 to 160 ms meanwhile. Given
-// again on the spot it costs a few milliseconds. An order that was taken after all
-// holds already, and is answered so or refused.
+// Failure: engines leave some orders unanswered. Symptom: some ranks of a large group miss
+// theirs in each round, the leader finds out and asks again, and the group stands still
+// meanwhile. Given again on the spot it costs a round trip on the same VM. An order that was
+// taken after all holds already, and is answered so or refused.
 func (a *Agent) orderOwn(o *peers.RankOrder) (result peers.OrderResult, err error) {
 	for range ownTries {
 		result, err = a.opts.Engine.Order(a.ctx, o)
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -178,8 +178,8 @@
 	calmCopyCost = 0.6
 	busyCopyCost = 0.065
 	busyUrgency  = 0.6
-	// evenEnough: below it no plan has ever paid, and looking for one takes a quarter
-	// of the leader's processor time.
+	// evenEnough: what is left to gain below it is less than what a switch costs, so the
+	// leader's small processor is spared the look for a plan.
 	evenEnough = 1.08
 )
 
--- a/placing/finish.go
+++ b/placing/finish.go
@@ -36,9 +36,9 @@
 // canFinish tells whether a stream that begins now ends before its deadline, at the pace
 // that streams have.
 //
-// Load pattern: a rank takes many times as long, for seconds, and passes of all take
-// 350 to 700 ms. A stream of 26 events then takes longer than callers stay: it holds a
-// place for all that time, for nothing, while shorter ones wait that would end in time.
+// Load pattern: a rank takes many times as long, for seconds, and so do the passes of all. A
+// long stream then takes longer than its caller stays: it holds a place for all that time,
+// for nothing, while shorter ones wait that would end in time.
 // Passes that are long for another reason are short again once the map has followed,
 // within half a second, so only a slow rank counts.
 func (p *streamPace) canFinish(r *Request, now time.Time) bool {
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -10,8 +10,7 @@
 // Figures of the limit.
 const (
 	// gapShare of the aim for pauses is what passes may take in the mean: prompts come
-	// in bursts, and an event has its way to the caller. Emulated on a full group, a
-	// twentieth more or less loses three in 100 of what callers get.
+	// in bursts, and an event has its way to the caller.
 	gapShare = 0.95
 	// copySlows: passes take longer by 15 in 100 while ranks copy experts, which they
 	// do whenever demand has moved. Source: the platform's statement.
--- a/placing/place.go
+++ b/placing/place.go
@@ -25,9 +25,9 @@
 // withoutSlow leaves out the targets on ranks that are many times as slow as usual, as
 // long as they are few.
 //
-// Load pattern: one of a dozen ranks takes twelve times as long, and the group is full. With
-// streams on that rank passes took 450 to 600 ms, and none could end in time; its fixed
-// part alone is 350 ms, beside which full other ranks cost nothing.
+// Load pattern: one rank of a full group takes many times as long. Streams on that rank make
+// the passes of all so long that none can end in time; its fixed part alone is longer than
+// passes usually are, so the other ranks may be full beside it at no cost.
 //
 // The lock must be held.
 func (b *Book) withoutSlow(targets []*serving.Target, now time.Time) []*serving.Target {
