The demo starts the programs that run on the users' machines

`heatherrail demo` started the programs of our own form, which no user runs. It now starts entries and agents before a stand-in of lock-step engines and of the store, in one process, each VM with a loopback address of its own: callers send streams and log entries while demand moves, an entry crashes and a configuration adds a route.

--- /dev/null
+++ b/demo/hosted/fleet.go
@@ -0,0 +1,313 @@
+// Package hosted is a whole small system of the programs that run on the users' machines, in
+// one process: entries, agents beside a group of lock-step engines, plain services, and a
+// stand-in of the platform's store. Each VM has a loopback address of its own.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"github.com/heatherrail/heatherrail/gateway"
+	"github.com/heatherrail/heatherrail/lockstep"
+	"github.com/heatherrail/heatherrail/metrics"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/platform/standin"
+)
+
+// Sizes of the system.
+const (
+	entryVMs  = 3
+	rankVMs   = 6
+	plainVMs  = 2
+	firstHost = 10 // the last number of the first VM's address
+
+	draftService = "drafter"
+	plainService = "logbook"
+	host         = "demo.example"
+	team         = "kitchens-north"
+	key          = "demo-key-of-kitchens-north"
+
+	targetBeat  = 400 * time.Millisecond
+	configApply = 2 * time.Second
+	drain       = 2 * time.Second
+	lifetimeMax = time.Second
+	grace       = 5 * time.Second
+)
+
+var shape = standin.GroupShape{
+	Ranks: rankVMs, Sets: 2, Experts: 24, Places: 6, Slots: 10,
+	Fixed: 20 * time.Millisecond, PerStream: 4 * time.Millisecond, Copy: 15 * time.Millisecond, Events: 16,
+}
+
+// Fleet is a running system.
+type Fleet struct {
+	log     logr.Logger
+	store   *standin.Store
+	address string // of the store
+	group   *standin.Group
+	entries []*entryVM
+	agents  []*lockstep.Agent
+	books   runs
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+	vms    int
+	port   string // of agents, the same on every VM
+}
+
+type entryVM struct {
+	name    string
+	callers string
+	gateway *gateway.Gateway
+	down    bool
+}
+
+// runs counts how often plain targets have run each request.
+type runs struct {
+	mu   sync.Mutex
+	byID map[string]int
+}
+
+func (r *runs) note(run standin.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[run.Request]++
+}
+
+// most returns how many requests ran, and the most runs of one.
+func (r *runs) most() (requests, most int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.byID {
+		most = max(most, n)
+	}
+	return len(r.byID), most
+}
+
+// Start starts a system.
+func Start(log logr.Logger) (*Fleet, error) {
+	f := &Fleet{log: log, store: standin.NewStore(), group: standin.NewGroup(shape), books: runs{byID: make(map[string]int)}}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	var err error
+	if f.address, err = f.serve("127.0.0.1:0", f.store); err != nil {
+		return err
+	}
+	f.store.PutConfig(f.config(1))
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	f.tasks.Go(func() { f.group.Run(f.ctx) })
+	for n := range entryVMs {
+		if err := f.startEntry(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nextHost returns the loopback address of another VM.
+func (f *Fleet) nextHost() string {
+	f.vms++
+	return fmt.Sprintf("127.0.0.%d", firstHost+f.vms)
+}
+
+// serve serves HTTP at an address until the fleet is closed.
+func (f *Fleet) serve(address string, h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	f.tasks.Go(func() { f.logEnd(s.Serve(ln)) })
+	f.tasks.Go(func() {
+		<-f.ctx.Done()
+		f.logEnd(s.Close())
+	})
+	return ln.Addr().String(), nil
+}
+
+func (f *Fleet) logEnd(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		f.log.Error(err, "stand-in ended")
+	}
+}
+
+func (f *Fleet) startTargets() error {
+	for n, e := range f.group.Engines() {
+		ip := f.nextHost()
+		address, err := f.serve(ip+":0", e)
+		if err != nil {
+			return err
+		}
+		f.announce(e.ID, draftService, address)
+		if err := f.startAgent(n, ip, address); err != nil {
+			return err
+		}
+	}
+	for n := range plainVMs {
+		id := fmt.Sprintf("logbook-%d", n)
+		address, err := f.serve(f.nextHost()+":0", standin.NewTarget(id, uint64(n), f.books.note))
+		if err != nil {
+			return err
+		}
+		f.announce(id, plainService, address)
+	}
+	return nil
+}
+
+// announce writes a target's records to the store until the fleet is closed.
+func (f *Fleet) announce(id, service, address string) {
+	f.store.PutTarget(id, standin.TargetRecord(service, address, false, 1))
+	f.tasks.Go(func() {
+		for sequence := uint64(2); sleep(f.ctx, targetBeat); sequence++ {
+			f.store.PutTarget(id, standin.TargetRecord(service, address, false, sequence))
+		}
+	})
+}
+
+func (f *Fleet) startAgent(n int, ip, engine string) error {
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, f.port))
+	if err != nil {
+		return err
+	}
+	if f.port == "" {
+		_, f.port, _ = net.SplitHostPort(ln.Addr().String()) // of a listener, always well formed
+	}
+	f.agents = append(f.agents, lockstep.Start(lockstep.Options{
+		Name:         fmt.Sprintf("rank-%d", n),
+		Engine:       platform.NewOwnEngine(engine),
+		Address:      engine,
+		Service:      draftService,
+		Peers:        ln.Addr().String(),
+		Port:         f.port,
+		Store:        platform.NewStore(f.address),
+		Remote:       func(address string) lockstep.Engine { return platform.NewEngine(address) },
+		Dial:         lockstep.DialPeer,
+		DecodeTarget: platform.DecodeTarget,
+		DecodeConfig: platform.DecodeConfigRecord,
+		Log:          f.log,
+		Metrics:      metrics.New(),
+	}, ln))
+	return nil
+}
+
+func (f *Fleet) startEntry(n int) error {
+	ip := f.nextHost()
+	callers, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	vm := &entryVM{name: fmt.Sprintf("entry-%d", n), callers: callers.Addr().String()}
+	vm.gateway = gateway.Start(gateway.Options{
+		Name:         vm.name,
+		Incarnation:  uint64(time.Now().UnixNano()),
+		DataCentre:   "z",
+		Callers:      vm.callers,
+		Peers:        peers.Addr().String(),
+		Protocol:     platform.Protocol(),
+		Store:        platform.NewStore(f.address),
+		DecodeConfig: platform.DecodeConfigRecord,
+		DecodeTarget: platform.DecodeTarget,
+		Drain:        drain,
+		ConfigApply:  configApply,
+		TargetBeat:   targetBeat,
+		Grace:        grace,
+		LifetimeMax:  lifetimeMax,
+		Retries:      gateway.RetryBounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second},
+		AgentPort:    f.port,
+		Log:          f.log,
+		Metrics:      metrics.New(),
+	}, callers, peers)
+	f.entries = append(f.entries, vm)
+	return nil
+}
+
+// config returns the configuration of a version; from the second on there is a route more.
+func (f *Fleet) config(version int) map[string]any {
+	routes := []standin.Route{
+		{Name: "draft", Host: host, Prefix: "/draft/", Kind: standin.KindStream, Service: draftService, TimeoutMS: 8000},
+		{Name: "log", Host: host, Prefix: "/log/", Kind: standin.KindOnce, Service: plainService, TimeoutMS: 4000},
+	}
+	if version > 1 {
+		routes = append(routes, standin.Route{Name: "added", Host: host, Prefix: addedPath, Kind: standin.KindIdempotent, Service: plainService, TimeoutMS: 4000})
+	}
+	c := standin.Config(version, team, key, []string{plainService}, routes)
+	c["services"] = append(c["services"].([]any), f.group.Service(draftService))
+	return c
+}
+
+// addedPath is that of the route that a configuration adds while the system runs.
+const addedPath = "/added/"
+
+// kill ends an entry as a crash would.
+func (f *Fleet) kill(n int) {
+	f.entries[n].down = true
+	f.entries[n].gateway.Abort()
+}
+
+// alive returns an entry that was not killed.
+func (f *Fleet) alive(n int) *entryVM {
+	for i := range f.entries {
+		if vm := f.entries[(n+i)%len(f.entries)]; !vm.down {
+			return vm
+		}
+	}
+	return f.entries[n%len(f.entries)]
+}
+
+// directory returns the addresses that a living entry tells callers.
+func (f *Fleet) directory() []string {
+	return f.alive(0).gateway.Entries("z").Addresses
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	f.cancel()
+	for _, vm := range f.entries {
+		if !vm.down {
+			vm.gateway.Abort()
+		}
+	}
+	for _, a := range f.agents {
+		if err := a.Shutdown(context.Background()); err != nil {
+			f.log.Error(err, "agent not stopped")
+		}
+	}
+	f.tasks.Wait()
+}
+
+// sleep waits; false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func number(n int) string { return strconv.Itoa(n) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -271,6 +271,16 @@
 	pollEvery = 100 * time.Millisecond
 )
 
+// Abort ends everything at once, as a crash would: nobody is told. It is for tests and the
+// demo, where several entries share a process.
+func (g *Gateway) Abort() {
+	g.cancel()
+	if err := g.listener.Close(); err != nil {
+		g.opts.Log.Info("listener not closed", "error", err.Error())
+	}
+	g.peers.Close()
+}
+
 // Shutdown stops: peers and callers are told first, requests are taken until
 // most callers have a new answer of the directory, and what runs is finished.
 func (g *Gateway) Shutdown(ctx context.Context) error {
