A closed server answers no peer on connections that are still open

Its server had stopped listening, and went on to answer on the connections that it had: the others took it for alive.

Change: Close closes open connections too (test: an answer before, none after). Callers of the demo leave out addresses that failed them, as callers do.

--- a/demo/hosted/callers.go
+++ b/demo/hosted/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -71,29 +72,38 @@
 }
 
 // entry returns the address to connect to, as the directory tells; it is asked again now
-// and then.
-func (c *callers) entry() string {
+// and then. Callers leave out addresses that have failed them.
+func (c *callers) entry(failed []string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now := time.Now(); now.Sub(c.asked) > directEvery {
 		c.addresses, c.asked = c.f.directory(), now
 	}
-	if len(c.addresses) == 0 {
+	var usable []string
+	for _, address := range c.addresses {
+		if !slices.Contains(failed, address) {
+			usable = append(usable, address)
+		}
+	}
+	if len(usable) == 0 {
 		return ""
 	}
-	return c.addresses[rand.IntN(len(c.addresses))]
+	return usable[rand.IntN(len(usable))]
 }
 
 // log sends a log entry, which may run once at most. It is sent again only where no
 // connection came about.
 func (c *callers) log(id string) {
 	answered := false
+	var failed []string
 	for try := range callerTries {
-		a := standin.Send(&c.transport, c.entry(), standin.Call{Host: host, Path: "/log/entry", ID: fmt.Sprintf("%s-%d", id, try), Key: key, Left: logWait})
+		address := c.entry(failed)
+		a := standin.Send(&c.transport, address, standin.Call{Host: host, Path: "/log/entry", ID: fmt.Sprintf("%s-%d", id, try), Key: key, Left: logWait})
 		answered = a.Status == http.StatusOK && a.Whole
 		if a.Status != 0 || answered {
 			break
 		}
+		failed = append(failed, address)
 		c.count(func(t *tally) { t.Again++ })
 	}
 	c.count(func(t *tally) {
@@ -108,11 +118,14 @@
 func (c *callers) draft(id string) {
 	begun := time.Now()
 	var s streamSeen
+	var failed []string
 	for try := range callerTries {
-		s = c.stream(fmt.Sprintf("%s-%d", id, try))
+		address := c.entry(failed)
+		s = c.stream(address, fmt.Sprintf("%s-%d", id, try))
 		if s.whole {
 			break
 		}
+		failed = append(failed, address)
 		c.count(func(t *tally) { t.Again++ })
 	}
 	c.count(func(t *tally) {
@@ -134,10 +147,10 @@
 	whole   bool
 }
 
-func (c *callers) stream(id string) (s streamSeen) {
+func (c *callers) stream(address, id string) (s streamSeen) {
 	ctx, cancel := context.WithTimeout(context.Background(), draftWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry()+"/draft/one", strings.NewReader("a draft"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/draft/one", strings.NewReader("a draft"))
 	if err != nil {
 		return s
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -116,3 +116,18 @@
 		}
 	})
 }
+
+// A process has ended its service, but peers still hold connections to it. Nobody may be
+// answered on these: whoever is takes it for alive, and callers are sent to it.
+func TestAClosedServerAnswersNobody(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s := Serve(ln, map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) { return &Loads{}, nil }}, func(string, error) {})
+	c := NewClient(ln.Addr().String())
+	defer c.Close()
+	var loads Loads
+	g.Expect(c.Ask(context.Background(), KindLoads, &LoadsQuery{}, &loads, time.Second)).To(Succeed())
+	s.Close()
+	g.Expect(c.Ask(context.Background(), KindLoads, &LoadsQuery{}, &loads, time.Second)).NotTo(Succeed())
+}
--- a/peers/server.go
+++ b/peers/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -17,6 +18,10 @@
 	ln       net.Listener
 	handlers map[Kind]Handler
 	failed   func(remote string, err error)
+
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	closed bool
 }
 
 // idleLimit ends connections of peers that have gone without a sign; each asks
@@ -26,13 +31,39 @@
 // Serve answers peers that connect to ln until Close; failed hears of
 // connections that end otherwise than between two questions.
 func Serve(ln net.Listener, handlers map[Kind]Handler, failed func(remote string, err error)) *Server {
-	s := &Server{ln: ln, handlers: handlers, failed: failed}
+	s := &Server{ln: ln, handlers: handlers, failed: failed, open: make(map[net.Conn]struct{})}
 	go s.accept()
 	return s
 }
 
-// Close stops listening; open connections end with the process.
-func (s *Server) Close() { _ = s.ln.Close() }
+// Close stops listening and closes open connections: what a process that has ended would
+// answer on them would make others believe that it lives.
+func (s *Server) Close() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for nc := range s.open {
+		_ = nc.Close()
+	}
+}
+
+// enter keeps an open connection; false if the server is closed.
+func (s *Server) enter(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.open[nc] = struct{}{}
+	return true
+}
+
+func (s *Server) leave(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, nc)
+}
 
 // acceptPause is waited after a failed accept, as when descriptors run out.
 const acceptPause = 50 * time.Millisecond
@@ -54,6 +85,10 @@
 
 func (s *Server) serve(nc net.Conn) {
 	defer nc.Close()
+	if !s.enter(nc) {
+		return
+	}
+	defer s.leave(nc)
 	br := bufio.NewReader(nc)
 	var buf []byte
 	for {
