Incomplete groups get no requests while another one runs

Change: reports tell whether the group is complete. While one that is complete runs requests, those that are not, and engines that no report names, get none; an incomplete group counts as broken.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -265,7 +265,7 @@
 	}
 	t.sent++
 	if status/100 == 2 && t.g.gate(t.r.service) != nil {
-		t.g.book.GroupAnswered(x.target)
+		t.g.book.GroupAnswered(x.target, time.Now())
 	}
 	switch {
 	case status/100 == 2 && len(h.Peek(p.Seal)) == 0:
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -33,7 +33,7 @@
 	return func(answered bool) {
 		timer.Stop()
 		if answered && ranked {
-			t.g.book.Began(target, sentAt)
+			t.g.book.Began(target, sentAt, time.Now())
 		}
 	}
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -158,7 +158,7 @@
 	}
 	l.f.covers(l.group, l.engines)
 	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), placing.Waiting{InTime: int(loads.Wanting), Late: int(loads.Late)}, at)
-	state.Name = l.group
+	state.Name, state.Open = l.group, loads.Open
 	l.g.book.Reported(l.service, l.g.knowledge.view().targets[l.service], byAddress, state)
 	l.g.regate(l.service)
 }
--- a/placing/book.go
+++ b/placing/book.go
@@ -92,7 +92,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.running--
-	b.group(b.keyOf(a.target)).share.freed()
+	b.group(b.keyOf(a.target, now)).share.freed()
 	b.lates(a.target.Service).end(r, now)
 }
 
--- a/placing/doubt.go
+++ b/placing/doubt.go
@@ -209,7 +209,7 @@
 func (b *Book) Silent(t *serving.Target, ranked bool, sentAt, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ranked && !b.group(b.keyOf(t)).answered.After(sentAt) || ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
+	if ranked && !b.group(b.keyOf(t, now)).answered.After(sentAt) || ablate.Off(ablate.Ejection) || ablate.Off(ablate.Doubts) {
 		return Verdict{}
 	}
 	before := b.doubts.weight(t.Run(), now)
@@ -222,10 +222,10 @@
 }
 
 // Began notes that a rank has begun to answer a request that was sent at a time.
-func (b *Book) Began(t *serving.Target, sentAt time.Time) {
+func (b *Book) Began(t *serving.Target, sentAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	g := b.group(b.keyOf(t))
+	g := b.group(b.keyOf(t, now))
 	g.answered = later(g.answered, sentAt)
 }
 
--- a/placing/doubt_test.go
+++ b/placing/doubt_test.go
@@ -177,7 +177,7 @@
 		for range hungMost {
 			now = now.Add(800 * time.Millisecond)
 			if moving {
-				b.Began(l.Targets[1], sent.Add(time.Millisecond))
+				b.Began(l.Targets[1], sent.Add(time.Millisecond), now)
 			}
 			b.Silent(l.Targets[0], true, sent, now)
 			sent = sent.Add(100 * time.Millisecond)
--- a/placing/groups.go
+++ b/placing/groups.go
@@ -21,6 +21,7 @@
 // groupBook is what an entry keeps of a group.
 type groupBook struct {
 	GroupState
+	targets int // that are of it
 	breaker breaker
 	short   shortGroup
 	share   roomShare
@@ -44,30 +45,28 @@
 	return g
 }
 
-// keyOf returns the group of a target. One that no report has named belongs to the only
-// group of its service, if there is only one. The lock must be held.
-func (b *Book) keyOf(t *serving.Target) groupKey {
+// keyOf returns the group of a target. One that no report has named is of no group that is
+// known to run, while any is reported; else it belongs to the only group of its service that
+// was told of, if there is only one. The lock must be held.
+func (b *Book) keyOf(t *serving.Target, now time.Time) groupKey {
 	if a := b.accounts[t.Run()]; a != nil && a.group != "" {
 		return groupKey{service: t.Service, name: a.group}
 	}
-	k, _ := b.only(t.Service)
-	return k
-}
-
-// only returns the group of a service that has one with a name, and else the one without.
-// The lock must be held.
-func (b *Book) only(service string) (k groupKey, several bool) {
-	k = groupKey{service: service}
-	for known := range b.groups {
-		switch {
-		case known.service != service || known.name == "":
-		case k.name != "":
-			return groupKey{service: service}, true
-		default:
-			k = known
+	k, known := groupKey{service: t.Service}, 0
+	for o, g := range b.groups {
+		if o.service != t.Service || o.name == "" {
+			continue
+		}
+		if now.Sub(g.At) < ReportLife {
+			return groupKey{service: t.Service}
 		}
+		k = o
+		known++
 	}
-	return k, false
+	if known != 1 {
+		return groupKey{service: t.Service}
+	}
+	return k
 }
 
 // forgetGroups drops the groups of a service that nobody has told of for long. The lock must
@@ -92,9 +91,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forgetGroups(l.Service.Name, now)
+	for k, g := range b.groups {
+		if k.service == l.Service.Name {
+			g.targets = 0
+		}
+	}
 	var list []groupLane
 	for _, t := range l.Targets {
-		key := b.keyOf(t)
+		key := b.keyOf(t, now)
 		at := slices.IndexFunc(list, func(o groupLane) bool { return o.key == key })
 		if at < 0 {
 			list = append(list, groupLane{Lane: l, key: key})
@@ -105,14 +109,33 @@
 	}
 	for i := range list {
 		o := &list[i]
-		b.group(o.key).short.note(len(o.Targets), now)
+		g := b.group(o.key)
+		g.targets = len(o.Targets)
+		g.short.note(len(o.Targets), now)
 		o.Targets = b.withoutSlow(o.Targets, now)
 		o.most = b.limitOf(o.key, l, now)
 	}
+	list = b.withoutIdle(list, now)
 	b.leastUsedFirst(list, now)
 	return list
 }
 
+// withoutIdle leaves out targets of which no report tells and groups that are told to be
+// incomplete, as long as another group runs requests: a service may have engines that are too
+// few for one more group and refuse everything, and each refusal takes one of the tries that
+// all callers share. Whether they have formed a group is told by their reports. The lock must
+// be held.
+func (b *Book) withoutIdle(list []groupLane, now time.Time) []groupLane {
+	runs := func(l groupLane) bool {
+		g := b.group(l.key)
+		return l.key.name != "" && now.Sub(g.At) < ReportLife && g.Open
+	}
+	if !slices.ContainsFunc(list, func(l groupLane) bool { return runs(l) && !b.group(l.key).breaker.broken }) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(l groupLane) bool { return !runs(l) })
+}
+
 // leastUsedFirst orders lanes by the part of their room that is taken. The lock must be held.
 func (b *Book) leastUsedFirst(list []groupLane, now time.Time) {
 	if len(list) < 2 {
@@ -156,14 +179,14 @@
 	if ablate.Off(ablate.Breaker) {
 		return
 	}
-	b.group(b.keyOf(t)).breaker = breaker{broken: true, next: now.Add(probePause)}
+	b.group(b.keyOf(t, now)).breaker = breaker{broken: true, next: now.Add(probePause)}
 }
 
 // GroupAnswered notes that the group of a target runs requests.
-func (b *Book) GroupAnswered(t *serving.Target) {
+func (b *Book) GroupAnswered(t *serving.Target, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.group(b.keyOf(t)).breaker.broken = false
+	b.group(b.keyOf(t, now)).breaker.broken = false
 }
 
 // Broken tells whether no group of a service runs requests, and for how long all of them
@@ -172,12 +195,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	first := true
-	only, several := b.only(service)
 	for k, g := range b.groups {
-		if k.service != service || g.unused() || k.name == "" && (several || only.name != "") {
+		if k.service != service || g.targets == 0 || k.name == "" && b.named(service) {
 			continue
 		}
-		if !g.breaker.broken {
+		if !g.breaker.broken && !g.incomplete(now) {
 			return false, 0
 		}
 		lasting := g.short.lasting(now)
@@ -189,9 +211,18 @@
 	return !first, short
 }
 
-// unused tells whether nothing was ever told of a group, nor refused by it.
-func (g *groupBook) unused() bool {
-	return g.At.IsZero() && g.short.told.IsZero() && !g.breaker.broken
+// incomplete tells whether a group is reported to lack ranks.
+func (g *groupBook) incomplete(now time.Time) bool { return now.Sub(g.At) < ReportLife && !g.Open }
+
+// named tells whether any group of a service that has targets has a name. The lock must be
+// held.
+func (b *Book) named(service string) bool {
+	for k, g := range b.groups {
+		if k.service == service && k.name != "" && g.targets > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // GroupSize notes how many ranks a group has, whether they run or not.
--- a/placing/groups_test.go
+++ b/placing/groups_test.go
@@ -77,7 +77,7 @@
 	now = now.Add(probePause)
 	sent = sentTo(b, l, 8, now)
 	g.Expect(sent["a"] + sent["b"]).To(Equal(1))
-	b.GroupAnswered(l.Targets[0])
+	b.GroupAnswered(l.Targets[0], now)
 	sent = sentTo(b, l, 8, now)
 	g.Expect(sent["a"]+sent["b"]).To(BeNumerically(">", 2), "it is the emptier one")
 }
@@ -100,3 +100,38 @@
 	}
 	g.Expect(most["g"]).To(BeNumerically("<", most["h"]))
 }
+
+// A service has a whole group and two engines more, which are too few for another one and
+// refuse every request. An entry that took them for empty would send there first, and each
+// refusal costs the caller a try of the few that all callers share. They get nothing
+// while the group runs, and what they refuse does not close it.
+func TestEnginesOfNoGroupComeLast(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		g := NewWithT(t)
+		now := time.Now()
+		b, l := twoGroups(testModel().Slots-2, 0, now)
+		if told {
+			incomplete := NewGroupState(nil, 0, 0, Waiting{}, now)
+			incomplete.Name, incomplete.Open = "h", false
+			b.Reported("p", nil, nil, incomplete)
+		} else {
+			delete(b.groups, groupKey{service: "p", name: "h"})
+			b.account(l.Targets[2]).group, b.account(l.Targets[3]).group = "", ""
+		}
+		b.GroupSize("p", "h", 12, now)
+		expectNothing(g, b, l, now)
+	}
+}
+
+// expectNothing expects that the last two targets get nothing while the first two run.
+func expectNothing(g *WithT, b *Book, l Lane, now time.Time) {
+	sent := sentTo(b, l, 40, now)
+	g.Expect(sent["c"] + sent["d"]).To(BeZero())
+	g.Expect(sent["a"] + sent["b"]).To(BeNumerically(">", 0))
+	b.GroupRefused(l.Targets[2], now)
+	broken, _ := b.Broken("p", now)
+	g.Expect(broken).To(BeFalse())
+	b.GroupRefused(l.Targets[0], now)
+	sent = sentTo(b, l, 4, now)
+	g.Expect(sent["c"]+sent["d"]).To(BeZero(), "they have refused just now")
+}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -290,7 +290,7 @@
 	now = now.Add(probePause)
 	g.Expect(let()).To(Equal(1))
 	g.Expect(let()).To(BeZero())
-	b.GroupAnswered(target)
+	b.GroupAnswered(target, now)
 	g.Expect(let()).To(Equal(4))
 }
 
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -24,6 +24,7 @@
 // GroupState is what is reported of a group.
 type GroupState struct {
 	Name      string
+	Open      bool    // all ranks are there, and it runs passes
 	Imbalance float64 // how many times as long as even loads the ranks take for their experts
 	Worst     float64 // the most of it lately
 	Pace      float64 // of the slowest rank, in times as long as usual
@@ -61,7 +62,7 @@
 
 // NewGroupState sums up the loads of a group's ranks.
 func NewGroupState(loads map[string]RankLoad, imbalance, worst float64, wanting Waiting, at time.Time) GroupState {
-	s := GroupState{Imbalance: imbalance, Worst: worst, Pace: 1, Wanting: wanting, At: at}
+	s := GroupState{Open: true, Imbalance: imbalance, Worst: worst, Pace: 1, Wanting: wanting, At: at}
 	total := 0
 	for _, l := range loads {
 		total += l.Running + l.Waiting
@@ -87,7 +88,7 @@
 	if now.Sub(state.At) >= ReportLife && len(l.Targets) > 0 {
 		own := 0
 		for _, a := range b.accounts {
-			if b.keyOf(a.target) == l.key {
+			if b.keyOf(a.target, now) == l.key {
 				own += a.running
 			}
 		}
@@ -107,7 +108,7 @@
 func (b *Book) Known(t *serving.Target, now time.Time) Known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.group(b.keyOf(t))
+	state := b.group(b.keyOf(t, now))
 	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace}
 	if !state.At.IsZero() {
 		k.Age = now.Sub(state.At)
@@ -128,7 +129,7 @@
 			return own + max(a.others.Running+a.others.Waiting-a.others.ownThen, 0)
 		}
 	}
-	state := b.group(b.keyOf(t))
+	state := b.group(b.keyOf(t, now))
 	if now.Sub(state.At) < ReportLife {
 		return max(own, state.Mean)
 	}
