Copies cost a group that runs hardly any stream more

Cause: what a plan gains goes to the streams that run, and a group of a large fleet may run one on every other rank; passes are then far within the aim on any map, and gigabytes of copies serve nobody.

Where passes come near the limit after each move, copies in calm pay. So what stood stays, and a term is added that counts only where ranks run about a stream or less.

--- a/lockstep/bench_test.go
+++ b/lockstep/bench_test.go
@@ -36,7 +36,7 @@
 			for range m.model.Sets {
 				layouts = append(layouts, expert.FirstLayout(m.ranks, m.model.Experts))
 			}
-			pl := planner{model: &m.model, urgency: 0.8, costs: newSwitchMeter()}
+			pl := planner{model: &m.model, urgency: 0.8, costs: newSwitchMeter(), streams: fullStreams}
 			p := pl.best(layouts, draw())
 			for b.Loop() {
 				p = pl.best(p.layouts, draw())
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -256,7 +256,7 @@
 	if l.fixed || !l.demand.enough() || l.refused.waits(begun) {
 		return
 	}
-	pl := planner{model: m, urgency: l.urgency(), pace: paces(ranks), costs: l.costs}
+	pl := planner{model: m, urgency: l.urgency(), pace: paces(ranks), costs: l.costs, streams: streams(ranks)}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
@@ -273,6 +273,15 @@
 	l.prepare(ranks)
 }
 
+// streams returns how many streams a rank runs, in the mean.
+func streams(ranks []rank) float64 {
+	running := 0
+	for i := range ranks {
+		running += ranks[i].state.Running
+	}
+	return float64(running) / float64(max(len(ranks), 1))
+}
+
 // paces returns how many times as long as usual each rank takes.
 func paces(ranks []rank) []float64 {
 	pace := make([]float64, len(ranks))
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -140,6 +140,7 @@
 	pace    []float64 // how many times as long as usual each rank takes
 	urgency float64   // pass time over the longest pause that is in time
 	costs   switchMeter
+	streams float64 // that run on a rank, in the mean
 }
 
 // switchMeter tells what a switch takes, by the latest ones: it differs with the size of
@@ -178,6 +179,11 @@
 	calmCopyCost = 0.6
 	busyCopyCost = 0.065
 	busyUrgency  = 0.6
+	// idleCopyCost comes on top, divided by the square of the streams that a rank runs: the
+	// fewer there are, the fewer gain, and the further their passes are from the limit. Below
+	// idleLeast the square counts no less.
+	idleCopyCost = 0.5
+	idleLeast    = 0.01
 	// evenEnough: what is left to gain below it is less than what a switch costs, so the
 	// leader's small processor is spared the look for a plan.
 	evenEnough = 1.08
@@ -303,6 +309,9 @@
 		calm = 0
 	}
 	each := busyCopyCost + (calmCopyCost-busyCopyCost)*calm
+	if !ablate.Off(ablate.Urgency) {
+		each += idleCopyCost / max(pl.streams*pl.streams, idleLeast)
+	}
 	gigabytes := float64(p.copies) * pl.model.ExpertBytes / 1e9 / float64(len(p.layouts[0]))
 	// A plan that gains less until the horizon costs every stream a pause for nothing.
 	stall := pl.costs.stall.Seconds() * p.before
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -11,6 +11,9 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
+// fullStreams run on each rank of a group at its usual load.
+const fullStreams = 8
+
 func planModel() *serving.EngineModel {
 	return &serving.EngineModel{Sets: 4, Experts: 72, Places: 8, Spare: 3, ExpertBytes: 3.2e8, LinkRate: 2.25e10}
 }
@@ -45,7 +48,7 @@
 	m := planModel()
 	rng := rand.New(rand.NewPCG(3, 1))
 	loads, layouts := spreadLoads(m, rng)
-	pl := planner{model: m, urgency: 0.5, costs: newSwitchMeter()}
+	pl := planner{model: m, urgency: 0.5, costs: newSwitchMeter(), streams: fullStreams}
 	for range 3 {
 		layouts = pl.best(layouts, loads).layouts
 	}
@@ -101,7 +104,7 @@
 	m.ExpertBytes = 2.2e9
 	rng := rand.New(rand.NewPCG(8, 1))
 	loads, layouts := spreadLoads(m, rng)
-	busy := planner{model: m, urgency: 1, costs: newSwitchMeter()}
+	busy := planner{model: m, urgency: 1, costs: newSwitchMeter(), streams: fullStreams}
 	for range 5 {
 		layouts = busy.best(layouts, loads).layouts
 	}
@@ -109,6 +112,21 @@
 	before := imbalance(layouts, moved, nil, m)
 	g.Expect(before).To(And(BeNumerically(">", 1.15), BeNumerically("<", farOff)), "the move is a little one")
 	g.Expect(busy.best(layouts, moved).copies).To(BeNumerically(">", 0))
-	calm := planner{model: m, urgency: 0.4, costs: newSwitchMeter()}
+	calm := planner{model: m, urgency: 0.4, costs: newSwitchMeter(), streams: fullStreams}
 	g.Expect(calm.best(layouts, moved).copies).To(BeZero())
 }
+
+// A group of a large fleet runs hardly any stream. Demand moves: passes stay far within the
+// aim on any map, so gigabytes of copies would serve nobody. With a few streams on each rank
+// the same move is answered.
+func TestAnIdleGroupCopiesNothing(t *testing.T) {
+	g := NewWithT(t)
+	m := planModel()
+	rng := rand.New(rand.NewPCG(8, 1))
+	loads, layouts := spreadLoads(m, rng)
+	g.Expect(imbalance(layouts, loads, nil, m)).To(BeNumerically(">", 1.2))
+	pl := planner{model: m, urgency: 0.4, costs: newSwitchMeter(), streams: 0.3}
+	g.Expect(pl.best(layouts, loads).copies).To(BeZero())
+	pl.streams = 4
+	g.Expect(pl.best(layouts, loads).copies).To(BeNumerically(">", 0))
+}
