One entry alone condemns no silent target

Cause: found by reading. Three requests without an answer kept a target out everywhere, also if all three were of one entry. An entry that is cut off from a data centre, or whose VM is slow, would have had all others leave out up to half of a group for two seconds and more.

Change: at the entry itself three are enough; elsewhere two entries must have seen it, as with broken connections. Test: an entry that is answered by nobody, nine times over; it fails before.

--- a/placing/doubt.go
+++ b/placing/doubt.go
@@ -23,11 +23,11 @@
 const (
 	// doubtLife is for how long a failure counts: as long as a target is kept out at first.
 	doubtLife = 2 * time.Second
-	// witnesses are the other entries that must have seen a target break off before this one
-	// keeps it out. One alone may be cut off itself.
+	// witnesses are the entries that must have seen a target fail before those that have not
+	// keep it out. One alone may be cut off, or be slow itself.
 	witnesses = 2
 	// hungMost requests without an answer in a row, at all entries together, keep a target
-	// out. One may be longer than its time by itself.
+	// out; so many at one entry keep it out there. One may be longer than its time by itself.
 	hungMost = 3
 	// doubtsMost bounds what one message carries.
 	doubtsMost = 16
@@ -150,24 +150,25 @@
 	return well
 }
 
-// weight is what speaks against a target since it last answered anybody; from 1 on it is
-// kept out.
+// weight is what speaks against a target since it last answered anybody; from 1 on every
+// entry keeps it out.
 func (d *doubts) weight(run serving.Run, now time.Time) float64 {
 	well := d.lastWell(run)
 	counts := func(at time.Time) bool { return at.After(well) && now.Sub(at) < doubtLife }
-	seenBy, unanswered := 0, 0
+	brokenAt, hungAt, unanswered := 0, 0, 0 // the first two: entries
 	for key, o := range d.seen {
 		if key.run != run {
 			continue
 		}
 		if counts(o.Broken) {
-			seenBy++
+			brokenAt++
 		}
 		if counts(o.Hung) {
+			hungAt++
 			unanswered += o.Unanswered
 		}
 	}
-	return max(float64(seenBy)/witnesses, float64(unanswered)/hungMost)
+	return max(float64(brokenAt)/witnesses, min(float64(hungAt)/witnesses, float64(unanswered)/hungMost))
 }
 
 // urgent tells whether others should hear at once of what has made a target's weight rise:
@@ -215,10 +216,11 @@
 	before := b.doubts.weight(t.Run(), now)
 	b.doubts.hung(t.Run(), now)
 	after := b.doubts.weight(t.Run(), now)
-	if after >= 1 {
+	kept := after >= 1 || b.doubts.own(t.Run()).Unanswered >= hungMost
+	if kept {
 		b.ejector.Hold(t.Run(), now)
 	}
-	return Verdict{Kept: after >= 1, Tell: urgent(before, after)}
+	return Verdict{Kept: kept, Tell: urgent(before, after)}
 }
 
 // Began notes that a rank has begun to answer a request that was sent at a time.
--- a/placing/doubt_test.go
+++ b/placing/doubt_test.go
@@ -210,3 +210,22 @@
 	_, tell := b.Doubted(list, now)
 	return tell
 }
+
+// One entry is cut off from a data centre, or its VM is slow: none of its requests there is
+// answered in time. It keeps those targets out by itself. The other entries, which get their
+// answers, must not: half of a group would get no streams.
+func TestOneEntryAloneKeepsNothingOutElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	targets := plainTargets("x", "y", "z")
+	slow, other := entryBook("slow"), entryBook("other")
+	for range 3 * hungMost {
+		now = now.Add(100 * time.Millisecond)
+		slow.Silent(targets[0], false, now, now)
+		slow.Broke(targets[1], now)
+		other.Doubted(slow.Doubts(now), now)
+	}
+	g.Expect(shareOf(slow, targets, "x", now)).To(BeZero())
+	g.Expect(shareOf(other, targets, "x", now)).To(BeNumerically(">", 0.2))
+	g.Expect(shareOf(other, targets, "y", now)).To(BeNumerically(">", 0.2))
+}
