A first event and the end of its target in one read do not end the process

A target sent its first event and broke off, both in one read; by the time the head was copied that try was over, and no other had taken its place. All that the entry served was cut. Where another target had taken over, the answer got that one's head and proof, above the first one's event.

Change: the try that the first event is of is kept for the head. The test sends event and spoilt end in one packet; before, it gets the wrong proof on the route that resumes and the panic on the one that does not (both seen).

--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -204,6 +206,46 @@
 	g.Expect(target.arrivals()).To(HaveLen(1))
 }
 
+// spoiltStream answers with one event and, in the same packet, bytes that are no chunk. Who asks
+// for what comes after that event gets the rest whole.
+func spoiltStream(id string) func(net.Conn, *http.Request) bool {
+	return func(w net.Conn, r *http.Request) bool {
+		n, end := 0, "no chunk\r\n"
+		resumed := r.Header.Get("After") != ""
+		if resumed {
+			n, end = 1, "0\r\n\r\n"
+		}
+		var all bytes.Buffer
+		fmt.Fprintf(&all, "HTTP/1.1 200 OK\r\nRid: %s\r\nSeal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Rid"), id)
+		fmt.Fprintf(&all, "%x\r\n%s\r\n%s", len(event(n)), event(n), end)
+		_, _ = w.Write(all.Bytes())
+		return resumed || reset(w)
+	}
+}
+
+// A target sends its first event and spoils what follows, all in one packet, so both are read at
+// once. The event is delivered under the head of the target that sent it; the stream then goes
+// on at another one, or is cut where it may not. The process must outlive that: everything else
+// that it serves would be cut with it.
+func TestAFirstEventAndItsEndInOnePacket(t *testing.T) {
+	g := NewWithT(t)
+	a, b := startTarget(t, "i1", spoiltStream("i1")), startTarget(t, "i2", spoiltStream("i2"))
+	f := startFleet(t, "llm", a, b)
+	resp, body, err := f.ask("POST", "/s/x", "k1", "prompt")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal(event(0) + event(1)))
+	first := "i1"
+	if len(a.arrivals()) == 0 || a.arrivals()[0].Header.Get("After") != "" {
+		first = "i2"
+	}
+	g.Expect(resp.Header.Get("Seal")).To(Equal(first))
+
+	resp, body, err = f.ask("POST", "/cut/x", "k1", "prompt")
+	g.Expect(resp == nil || err != nil).To(BeTrue(), "got %q", body)
+	_, _, err = f.ask("POST", "/s/x", "k1", "prompt")
+	g.Expect(err).NotTo(HaveOccurred(), "it goes on serving")
+}
+
 // A caller leaves before the first event. The target must see its connection
 // closed, so that it frees the place.
 func TestACallerThatLeavesFreesTheTarget(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,7 +20,8 @@
 	g      *Gateway
 	ctx    context.Context
 	t      *tries
-	x      *exchange
+	x      *exchange // the try that goes on; nil after the last has failed
+	head   *exchange // the try whose head the answer has: the one that the first event is of
 	events eventScanner
 	out    []byte // whole events that the caller does not have yet
 	sent   int    // of them, bytes already handed over
@@ -39,7 +40,7 @@
 	if e != nil {
 		return e
 	}
-	b := &streamBody{g: g, ctx: ctx, t: t, x: x, done: done}
+	b := &streamBody{g: g, ctx: ctx, t: t, x: x, head: x, done: done}
 	b.events.last = -1
 	if id, err := strconv.ParseInt(t.r.resumeAt, 10, 64); err == nil {
 		b.events.last = id
@@ -51,7 +52,7 @@
 	if len(b.out) == 0 && b.ended != io.EOF {
 		return b.reason
 	}
-	g.copyHead(c, b.x)
+	g.copyHead(c, b.head)
 	c.Response.Header.Del(fasthttp.HeaderContentLength)
 	c.Response.SetBodyStream(b, -1)
 	return nil
@@ -87,6 +88,10 @@
 
 // fill waits for events. When a target fails, the stream goes on at another one
 // after the last whole event.
+//
+// Failure: a first event and the end of its target come in one read. Symptom: by the time
+// the answer's head is written that try is over, and the head of the next one, or of none,
+// would be taken. So the try that the first event is of is kept for it.
 func (b *streamBody) fill() {
 	var buf [4 << 10]byte
 	for len(b.out) == 0 && b.ended == nil {
@@ -116,7 +121,7 @@
 // came notes that events have come.
 func (b *streamBody) came(now time.Time) {
 	if b.first.IsZero() {
-		b.first = now
+		b.first, b.head = now, b.x
 		b.x.firstByte()
 	} else {
 		pause := now.Sub(b.latest)
