A leader that lacks ranks looks for them less and less often

Some engines are left over beside whole groups; their leader lacks ranks for good, and asked all engines of the service twice a second.

Change: while ranks are missing the others are asked after half a second, and then after twice as long each time, up to the five seconds of a whole group.

--- a/lockstep/gather_test.go
+++ b/lockstep/gather_test.go
@@ -166,9 +166,13 @@
 	g.Expect(group.mayBelong("g", now.Add(time.Second))).To(HaveLen(3))
 	group.add(engineAddress(5))
 	g.Expect(group.mayBelong("g", now.Add(time.Second))).To(HaveLen(4), "it has not told yet")
-	group.lacking = true
+	group.lacking, group.inVain = true, 0
 	g.Expect(group.mayBelong("g", now.Add(2*time.Second))).To(HaveLen(6))
 	g.Expect(group.mayBelong("g", now.Add(2100*time.Millisecond))).To(HaveLen(4))
+	g.Expect(group.mayBelong("g", now.Add(2*time.Second+lackingEvery))).To(HaveLen(4), "it has asked in vain")
+	g.Expect(group.mayBelong("g", now.Add(2*time.Second+2*lackingEvery))).To(HaveLen(6))
+	group.inVain = 30
+	g.Expect(group.mayBelong("g", now.Add(4*time.Second))).To(HaveLen(4))
 	group.lacking = false
-	g.Expect(group.mayBelong("g", now.Add(2*time.Second+searchEvery))).To(HaveLen(6))
+	g.Expect(group.mayBelong("g", now.Add(3*time.Second+searchEvery))).To(HaveLen(6))
 }
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -21,6 +21,7 @@
 	gapAim   time.Duration // for the pauses in the service's streams
 	lacking  bool          // ranks were missing when the group was asked last
 	searched time.Time     // when members of other groups were asked last
+	inVain   int           // times in a row that they were asked while ranks were missing
 }
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
@@ -170,28 +171,37 @@
 	}
 	slices.SortStableFunc(ranks, func(x, y rank) int { return x.state.Rank - y.state.Rank })
 	g.lacking = len(ranks) == 0 || len(ranks) < ranks[0].state.Ranks
+	if !g.lacking {
+		g.inVain = 0
+	}
 	return ranks, isComplete(ranks)
 }
 
 // searchEvery is how often members of other groups are asked whether they belong to this one
-// by now, and lackingEvery the same while ranks are missing.
+// by now. While ranks are missing that is done after lackingEvery, and then after twice as
+// long each time: a few engines that are too many for one group may wait for others for good.
 const (
 	searchEvery  = 5 * time.Second
 	lackingEvery = 500 * time.Millisecond
 )
 
+// searchPause returns how long to wait until members of other groups are asked again.
+func (g *group) searchPause() time.Duration {
+	if !g.lacking {
+		return searchEvery
+	}
+	return min(lackingEvery<<min(g.inVain, 8), searchEvery)
+}
+
 // mayBelong returns the members that are asked for a group, in order. Those that told that
 // they are of another one are left out, but for a look now and then: a service may have many
 // groups, and if each leader asked all engines in each round the load on every agent would
 // grow with their number.
 func (g *group) mayBelong(name string, now time.Time) []*member {
-	pause := searchEvery
-	if g.lacking {
-		pause = lackingEvery
-	}
 	members := g.inOrder()
-	if now.Sub(g.searched) >= pause {
+	if now.Sub(g.searched) >= g.searchPause() {
 		g.searched = now
+		g.inVain++
 		return members
 	}
 	return slices.DeleteFunc(members, func(m *member) bool { return m.group != "" && m.group != name })
