Only an entry that knows nobody reads the records of entries sooner

The change that lets an entry that is alone look again soon also had all others read every ten seconds, where they take turns.

Change: the sooner look is for an entry that is alone; the others keep to their turns.

--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -55,8 +55,8 @@
 	pause := readPauseMin
 	for ctx.Err() == nil {
 		limit, wait := p.limit(g.mesh.position())
-		if p.topic == serving.TopicEntries {
-			limit = min(limit, g.entriesAge())
+		if age, alone := g.aloneAge(); alone && p.topic == serving.TopicEntries {
+			limit = age
 		}
 		if age := g.knowledge.age(p.topic, time.Now()); age < limit {
 			sleep(ctx, min(limit-age, readPauseMin))
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -38,20 +38,21 @@
 }
 
 // aloneFirst is when an entry that knows no other looks for the first time whether there is
-// one.
+// one. Those that start together have mostly heard of each other by then.
 const aloneFirst = 500 * time.Millisecond
 
-// entriesAge returns how old the records of entries may get.
+// aloneAge returns how old the records of entries may get at an entry that knows no other; ok
+// is false at one that does.
 //
 // Failure: a few entries start in the same moment, and each reads the records of the others
 // before these have written any. Symptom: none knows another one, each tells callers of
 // itself alone, and takes the whole room of a group for its own, until the next reading.
 // So one that knows nobody looks again soon, and less and less often.
-func (g *Gateway) entriesAge() time.Duration {
+func (g *Gateway) aloneAge() (age time.Duration, ok bool) {
 	if g.mesh.entries() > 1 {
-		return entriesEvery
+		return 0, false
 	}
-	return min(max(time.Since(g.started)/2, aloneFirst), entriesEvery)
+	return min(max(time.Since(g.started)/2, aloneFirst), entriesEvery), true
 }
 
 // starting tells whether this entry has started just now.
