Groups are found one right after the other, and an engine that is down hides none

Until a group is found it gets no requests while another one runs. Looks were half a second apart, and three seconds after one that found nothing, as right after a restart when some engines are not up yet, or where engines of no group are left over.

Change: looks follow each other every 0.1 s as long as unread engines are left; one that told of no group, or did not answer, is not asked again for five seconds.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,14 +26,15 @@
 	rosters   map[string][]string    // addresses of the engines of each group that is read
 	readers   map[string]*loadReader // by group
 	searching bool                   // a reader looks for a group
-	inVain    bool                   // the latest look found none
+	inVain    map[string]time.Time   // engines that were asked and told of no group, by address
 }
 
-// Pauses until the next look for a group that is not read yet.
 const (
-	searchPause = 500 * time.Millisecond
-	// vainPause is longer: what is left may be engines that are down, or of no group.
-	vainPause = 3 * time.Second
+	// searchPause is how long to wait until the next look for a group that is not read yet.
+	// Until a group is found it gets no requests while another one runs.
+	searchPause = 100 * time.Millisecond
+	// vainPause is for how long an engine is not asked again that is down, or of no group.
+	vainPause = 5 * time.Second
 )
 
 // followLoads asks for the loads of a service until ctx ends.
@@ -44,23 +45,19 @@
 		if f.begin() {
 			tasks.Go(func() { f.read(ctx) })
 		}
-		sleep(ctx, f.pause())
+		sleep(ctx, searchPause)
 	}
 	tasks.Wait()
 }
 
-// pause returns how long to wait until the next look.
-func (f *follower) pause() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.inVain {
-		return vainPause
-	}
-	return searchPause
-}
-
 func newFollower(g *Gateway, service string) *follower {
-	return &follower{g: g, service: service, rosters: make(map[string][]string), readers: make(map[string]*loadReader)}
+	return &follower{
+		g:       g,
+		service: service,
+		rosters: make(map[string][]string),
+		readers: make(map[string]*loadReader),
+		inVain:  make(map[string]time.Time),
+	}
 }
 
 // begin tells whether another reader is to begin to look for a group.
@@ -107,7 +104,7 @@
 	}
 	f.release(l)
 	f.readers[group], l.group = l, group
-	f.searching, f.inVain = false, false
+	f.searching = false
 	return true
 }
 
@@ -127,7 +124,7 @@
 }
 
 // needless ends a reader after a question that found nothing: if it looked for a group and
-// others read, the next look begins after a pause; if no engine of its group is left it is
+// others read, the next look asks another engine; if no engine of its group is left it is
 // over. The only reader goes on looking.
 func (f *follower) needless(l *loadReader) bool {
 	v := f.g.knowledge.view()
@@ -144,7 +141,8 @@
 	if others == 0 {
 		return false
 	}
-	f.searching, f.inVain = false, true
+	f.searching = false
+	f.inVain[l.asked] = time.Now()
 	return true
 }
 
@@ -169,9 +167,17 @@
 	return list
 }
 
-// unread returns the targets that are of no group that is read; the lock must be held.
+// unread returns the targets that are of no group that is read, without those that were asked
+// in vain just now; the lock must be held.
 func (f *follower) unread(targets []*serving.Target) []*serving.Target {
 	read := make(map[string]bool)
+	for address, at := range f.inVain {
+		if time.Since(at) < vainPause {
+			read[address] = true
+		} else {
+			delete(f.inVain, address)
+		}
+	}
 	for _, engines := range f.rosters {
 		for _, address := range engines {
 			read[address] = true
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -18,6 +18,7 @@
 	service string
 	group   string // "": it looks for one that nobody reads yet
 	client  *peers.Client
+	asked   string // address of the engine whose agent was drawn last
 	roster  uint64
 	engines []string
 	shared  bool // any agent can be asked, not only the leader
@@ -112,7 +113,8 @@
 	if len(targets) == 0 {
 		return false
 	}
-	host, _, err := net.SplitHostPort(targets[rand.IntN(len(targets))].Address)
+	l.asked = targets[rand.IntN(len(targets))].Address
+	host, _, err := net.SplitHostPort(l.asked)
 	if err != nil {
 		return false
 	}
