Entries tell which rate a target names, and what they knew of it when they placed a request

What callers saw: unchanged; no decision uses the rate yet.

Cause: no line told whether an entry had seen that a target names a rate, so the hypotheses of the incident could not be told apart.

An answer that overtakes another does not loosen a rate.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -29,6 +29,7 @@
 	account *placing.Account
 	resp    *upstream.Response
 	reading bool // no answer has come yet
+	sentAt  time.Time
 	tries   *tries
 }
 
@@ -201,15 +202,16 @@
 	t.count++
 	a := t.g.book.Account(target)
 	m := t.r.forTry(&t.g.opts.Protocol, target, time.Now(), resumeAfter)
-	heard := t.expect(target)
+	heard, sentAt := t.expect(target), time.Now()
 	resp, err := t.g.pools.of(target).Send(ctx, m)
 	heard(err == nil)
-	x := &exchange{target: target, account: a, resp: resp, reading: true, tries: t}
+	x := &exchange{target: target, account: a, resp: resp, reading: true, sentAt: sentAt, tries: t}
 	if err != nil {
 		t.g.book.Answered(a, t.r.wish.Size)
 		t.g.endTry(a, t.r)
 		return nil, t.lost(ctx, target, err)
 	}
+	t.g.noteRate(x)
 	if e := t.judge(x); e != nil {
 		t.tried[target.Run()] = e.Code != result.RankLost // it is as good as any once the group is back
 		x.close()
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -27,7 +27,7 @@
 // those of one platform.
 var testProtocol = Protocol{
 	RequestID: "Rid", Deadline: "Left", Key: "Key", Team: "Team", Instance: "Run-Id", NotRun: "Not-Run",
-	FaultAt: "Fault-At", Seal: "Seal", ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
+	FaultAt: "Fault-At", RateLimit: "Rate", Seal: "Seal", ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
 }
 
 // memStore keeps topics in memory and can be away.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -36,7 +36,8 @@
 	}
 	known := t.g.book.Known(target, now)
 	t.g.opts.Log.Info("placed", "request", t.r.id, "target", target.ID, "try", t.count+1, "wait_ms", now.Sub(t.r.arrived).Milliseconds(),
-		"load", known.Load, "report_ms", known.Age.Milliseconds(), "imbalance", logging.Round2(known.Imbalance), "pace", logging.Round2(known.Pace))
+		"load", known.Load, "report_ms", known.Age.Milliseconds(), "imbalance", logging.Round2(known.Imbalance), "pace", logging.Round2(known.Pace),
+		"rate_limit", known.RateLimit)
 }
 
 // logFailed tells why a try did not give an answer, and whether there will be
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -22,6 +22,7 @@
 	Instance    string // id of the one run of a target that may take the request
 	NotRun      string // in an answer: the target did not run the request
 	FaultAt     string // in an answer: the target whose fault it is
+	RateLimit   string // in an answer: requests a second that the target takes from all entries together
 	Seal        string // in an answer: the target's proof that it is its own
 	ResumeAfter string // last event that the caller of a stream has
 	Priority    string // 0 is the most urgent
--- a/placing/book.go
+++ b/placing/book.go
@@ -20,6 +20,7 @@
 	groups     map[groupKey]*groupBook
 	late       map[string]*lateShare // by service
 	doubts     doubts
+	limits     rateLimits
 }
 
 // Account is one target's.
@@ -45,6 +46,7 @@
 		groups:     make(map[groupKey]*groupBook),
 		late:       make(map[string]*lateShare),
 		doubts:     newDoubts(entry),
+		limits:     newRateLimits(),
 	}
 }
 
@@ -121,6 +123,7 @@
 func (b *Book) Forget(known func(run serving.Run) bool) []serving.Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.limits.forget(known)
 	var forgotten []serving.Run
 	for run, a := range b.accounts {
 		if a.running == 0 && !known(run) {
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -102,6 +102,7 @@
 	Age       time.Duration // of the report that this comes from
 	Imbalance float64       // of its group
 	Pace      float64       // of its group's slowest rank
+	RateLimit float64       // that it names; Unlimited: none
 }
 
 // Known returns what is known of a target.
@@ -109,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.group(b.keyOf(t, now))
-	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace}
+	k := Known{Load: b.load(t, now), Imbalance: state.Imbalance, Pace: state.Pace, RateLimit: b.limits.rate(t.Run())}
 	if !state.At.IsZero() {
 		k.Age = now.Sub(state.At)
 	}
