Test that fails: a target gets no more than the rate that it names

What callers saw: nothing; the target is overrun.

Here four entries, two targets, one of which names 1.5 requests a second; an entry crashes and starts again, and one is added. The bound is the aim itself, what the rate allows in 4 s and one at either end, from 3 s after the rate was named.

--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -1,13 +1,20 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/placing"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // Guards against rates that are named, changed or ended and that no entry takes note of.
@@ -27,3 +34,161 @@
 		g.Expect(f.gw.book.RateOf(known)).To(Equal(rate))
 	}
 }
+
+// limitedTarget names a rate in its answers and notes when requests come.
+type limitedTarget struct {
+	*testTarget
+	mu   sync.Mutex
+	rate float64 // requests a second; 0: it names none
+	came []time.Time
+}
+
+func startLimitedTarget(t *testing.T, id string, rate float64) *limitedTarget {
+	l := &limitedTarget{rate: rate}
+	l.testTarget = startTarget(t, id, func(w net.Conn, r *http.Request) bool {
+		return reply(w, r, http.StatusOK, sealed+l.arrived(), event(0))
+	})
+	return l
+}
+
+// arrived notes an arrival and returns the field of its answer.
+func (l *limitedTarget) arrived() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.came = append(l.came, time.Now())
+	if l.rate == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Rate: %g\r\n", l.rate)
+}
+
+func (l *limitedTarget) name(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate = rate
+}
+
+// most returns the most arrivals in any window of a length between two times.
+func (l *limitedTarget) most(from, to time.Time, window time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for _, at := range l.came {
+		if !at.Before(from) && at.Before(to) {
+			most = max(most, count(l.came, at, min(window, to.Sub(at))))
+		}
+	}
+	return most
+}
+
+const (
+	// limitSettles is from when on a rate must be kept after it was named or an entry has
+	// started. Source: the least that the platform grants.
+	limitSettles = 3 * time.Second
+	limitWindow  = 4 * time.Second
+)
+
+// allowed returns how many requests a rate allows in a window: one may come at either end.
+func allowed(rate float64) int { return int(rate*limitWindow.Seconds()) + 2 }
+
+// limitedFleet are some entries, and callers that press them until they are stopped.
+type limitedFleet struct {
+	t       *testing.T
+	store   *memStore
+	mu      sync.Mutex
+	entries []*fleet
+	sent    int
+	refused []*http.Response
+}
+
+func startLimitedFleet(t *testing.T, entries int, service string, targets ...*testTarget) *limitedFleet {
+	f := &limitedFleet{t: t, store: new(memStore)}
+	f.store.put(serving.TopicConfig, "config", testConfig())
+	for _, target := range targets {
+		f.store.put(serving.TopicTargets, target.id, serving.Target{Service: service, Address: target.addr, DataCentre: "a"})
+	}
+	for i := range entries {
+		f.start(fmt.Sprintf("gw%d", i))
+	}
+	return f
+}
+
+// start starts an entry, which takes the place of an earlier one of its name.
+func (f *limitedFleet) start(name string) {
+	e := startGateway(f.t, name, f.store)
+	NewWithT(f.t).Eventually(e.gw.Ready, "5s", "5ms").Should(BeTrue())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = slices.DeleteFunc(f.entries, func(o *fleet) bool { return o.gw.opts.Name == name })
+	f.entries = append(f.entries, e)
+}
+
+// kill ends an entry as a crash would.
+func (f *limitedFleet) kill(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.IndexFunc(f.entries, func(e *fleet) bool { return e.gw.opts.Name == name })
+	f.entries[at].gw.Abort()
+	f.entries = slices.Delete(f.entries, at, at+1)
+}
+
+// press has callers send requests on a path until stop is called.
+func (f *limitedFleet) press(path string, callers int, pause time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	for caller := range callers {
+		rng := rand.New(rand.NewPCG(uint64(caller), 3))
+		tasks.Go(func() {
+			for ctx.Err() == nil {
+				f.send(path, rng)
+				sleep(ctx, time.Duration(rng.Int64N(int64(2*pause))))
+			}
+		})
+	}
+	return func() {
+		cancel()
+		tasks.Wait()
+	}
+}
+
+func (f *limitedFleet) send(path string, rng *rand.Rand) {
+	f.mu.Lock()
+	f.sent++
+	e := &fleet{t: f.t, addr: f.entries[rng.IntN(len(f.entries))].addr, rid: f.sent}
+	f.mu.Unlock()
+	resp, _, err := e.ask("POST", path, "k1", "")
+	if err != nil || resp.StatusCode == http.StatusOK {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = append(f.refused, resp)
+}
+
+// Guards against a target that names a rate and gets more than that from all entries together,
+// whichever service it is of, while entries crash and start again.
+func TestATargetGetsNoMoreThanTheRateThatItNames(t *testing.T) {
+	for service, path := range map[string]string{"plain": "/once/x", "llm": "/s/x"} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			const rate = 1.5
+			limited, other := startLimitedTarget(t, "i1", rate), startLimitedTarget(t, "i2", 0)
+			f := startLimitedFleet(t, 4, service, limited.testTarget, other.testTarget)
+			begun := time.Now()
+			stop := f.press(path, 12, 50*time.Millisecond)
+			time.Sleep(limitSettles)
+			f.kill("gw1")
+			time.Sleep(time.Second)
+			f.start("gw1")
+			time.Sleep(limitSettles)
+			f.start("gw4")
+			time.Sleep(limitWindow)
+			stop()
+			most := limited.most(begun.Add(limitSettles), time.Now(), limitWindow)
+			g.Expect(most).To(BeNumerically("<=", allowed(rate)))
+			g.Expect(most).To(BeNumerically(">=", 2), "what the target takes must be of use")
+			g.Expect(f.refused).To(BeEmpty(), "the other target has room")
+		})
+	}
+}
