The end of a try reads the service from its request, not from a shared account

What callers saw: nothing known. The race detector found that Account.target is written under the book's lock at each placement and read at the end of each try without it.

Cause: Account.Service() read the field so as to regate the service.

Change: the request knows its service; the method goes.

--- a/placing/book.go
+++ b/placing/book.go
@@ -33,9 +33,6 @@
 	group   string // that the target is a rank of, by the latest report; "": not known
 }
 
-// Service returns the service of the target.
-func (a *Account) Service() string { return a.target.Service }
-
 // NewBook returns a book of an entry in a data centre. rng draws among targets.
 func NewBook(entry, dataCentre string, rng *rand.Rand) *Book {
 	return &Book{
