All entries together keep to the rate that a target names

What callers saw: nothing yet; the target was overrun: 14 requests in 4 s where it named 1 a second (users' rule: 11), 481 and 499 in our own test at 1.5 a second with four entries (allowed 8).

Entries passed the field on to callers, and nothing read it; placement goes by load, and a target that is in need and runs little looks the best. Class: a bound that holds for all entries together and that is told to one of them only.

Change: a rate is kept for the run of the target, told to the other entries at once and again with later messages, and by whoever asks. One entry at a time, the same one in everybody's view, keeps the slots of a target; each try, first or later, at the gate or past it, asks it for one. Without a slot the request goes to another target. If all targets of a service name a rate it waits for a slot that comes in its time, else it is refused at once, with the time of a slot that nobody else was told. A lower rate counts when it may be newer, a higher one or the end only when it certainly is. Whoever takes the slots over grants none for a second; a split fleet divides the rate.

Ruled out: a share of the rate for each entry. With 46 entries one request of each is four times what the users allow, and most of the rate would lie at entries without requests.

Not a part of this: entries of two builds side by side, whose messages differ.

--- a/demo/hosted/fleet.go
+++ b/demo/hosted/fleet.go
@@ -56,6 +56,7 @@
 	group   *standin.Group
 	entries []*entryVM
 	agents  []*lockstep.Agent
+	plain   []*standin.Target
 	books   runs
 
 	ctx    context.Context
@@ -164,7 +165,9 @@
 	}
 	for n := range plainVMs {
 		id := fmt.Sprintf("logbook-%d", n)
-		address, err := f.serve(f.nextHost()+":0", standin.NewTarget(id, uint64(n), f.books.note))
+		target := standin.NewTarget(id, uint64(n), f.books.note)
+		f.plain = append(f.plain, target)
+		address, err := f.serve(f.nextHost()+":0", target)
 		if err != nil {
 			return err
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -81,20 +81,54 @@
 	}
 }
 
-// target returns the target of the next try, with the try booked there.
+// target returns the target of the next try, with the try booked there, once the request may
+// go to it.
 func (t *tries) target(ctx context.Context) (*serving.Target, *result.Error) {
+	t.r.wish.AvoidLimited, t.r.wish.Again = false, false
+	for asked := 1; ; asked++ {
+		target, e := t.choose(ctx)
+		switch {
+		case e != nil:
+			return nil, e
+		case target == nil:
+			return t.awaitSlot(ctx)
+		case t.mayGo(ctx, target):
+			return target, nil
+		}
+		t.giveBack(target)
+		t.r.wish.AvoidLimited, t.r.wish.Again = asked >= slotAsks, true
+	}
+}
+
+// choose returns a target with the next try booked there; nil if there is none, or none but
+// such as name a rate.
+func (t *tries) choose(ctx context.Context) (*serving.Target, *result.Error) {
 	if gt := t.g.gate(t.r.service); gt != nil && t.atGate() {
 		return t.wait(ctx, gt)
 	}
-	v := t.g.knowledge.view()
-	target := t.g.book.Place(v.targets[t.r.service.Name], t.had, time.Now())
-	if target == nil {
-		return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
+	targets := t.targets()
+	if t.g.book.AllLimited(targets) {
+		return nil, nil
+	}
+	target := t.g.book.Place(t.g.book.Allowed(targets, &t.r.wish), t.had, time.Now())
+	if target != nil {
+		t.g.book.Begin(target, t.r.wish.Size)
 	}
-	t.g.book.Begin(target, t.r.wish.Size)
 	return target, nil
 }
 
+// targets returns the targets of the request's service.
+func (t *tries) targets() []*serving.Target {
+	return t.g.knowledge.view().targets[t.r.service.Name]
+}
+
+// giveBack ends a try that was booked and not made.
+func (t *tries) giveBack(target *serving.Target) {
+	a := t.g.book.Account(target)
+	t.g.book.Answered(a, t.r.wish.Size)
+	t.g.endTry(a, t.r)
+}
+
 // atGate tells whether the request waits at the gate for its target: at first, and
 // after a refusal that concerned all targets alike.
 func (t *tries) atGate() bool {
@@ -104,7 +138,7 @@
 // had tells whether a target has had this request.
 func (t *tries) had(target *serving.Target) bool { return t.tried[target.Run()] }
 
-// wait waits at the gate for a target.
+// wait waits at the gate for a target; nil if all name a rate.
 func (t *tries) wait(ctx context.Context, gt *placing.Gate) (*serving.Target, *result.Error) {
 	broken, short := t.g.book.Broken(t.r.service.Name, time.Now())
 	gt.NoteBroken(broken)
@@ -113,6 +147,9 @@
 		e.RetryAfter = placing.ComeBack(short)
 		return nil, t.orLast(e)
 	}
+	if t.g.book.AllLimited(t.targets()) {
+		return nil, nil
+	}
 	if comeBack, ok := gt.CanFinish(&t.r.wish, time.Now()); !ok {
 		e := result.New(result.DeadlineUnmet, "%.0f events would not end in time", t.r.wish.Events)
 		e.RetryAfter = comeBack
@@ -138,14 +175,14 @@
 		if ctx.Err() == nil {
 			return target, nil
 		}
-		a := t.g.book.Account(target)
-		t.g.book.Answered(a, t.r.wish.Size)
-		t.g.endTry(a, t.r)
+		if target != nil {
+			t.giveBack(target)
+		}
 	}
 	if e := t.ended(ctx); e != nil {
 		return nil, e
 	}
-	if len(t.g.knowledge.view().targets[t.r.service.Name]) == 0 {
+	if len(t.targets()) == 0 {
 		return nil, result.New(result.NoTarget, "no target of %s", t.r.service.Name)
 	}
 	return nil, t.orLast(result.New(result.WaitTooLong, "waited %d ms", time.Since(t.r.arrived).Milliseconds()))
@@ -284,8 +321,7 @@
 // canSpare tells whether a failure of a target may be dropped for another try.
 // The failure is an answer too; without another target it is what the caller gets.
 func (t *tries) canSpare() bool {
-	targets := t.g.knowledge.view().targets[t.r.service.Name]
-	return t.g.book.Place(targets, t.had, time.Now()) != nil
+	return t.g.book.Place(t.targets(), t.had, time.Now()) != nil
 }
 
 // endTry books the end of a try, which may let another request go.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -13,6 +13,7 @@
 	q.Topics = m.states()
 	q.Wants = m.want(name)
 	q.Doubts = m.doubts()
+	q.Rates = m.rates(ratesMost)
 	return func() { m.wanted(q.Wants) }
 }
 
@@ -88,6 +89,8 @@
 func (m *mesh) Answered(h *peers.Heartbeat, sent time.Time) {
 	m.note(h)
 	fresher := m.doubted(h.Doubts)
+	tell, _ := m.ratesTold(h.Rates, sent)
+	fresher = fresher || tell
 	for i := range h.News {
 		m.adopt(h, &h.News[i], sent)
 		fresher = true
@@ -133,16 +136,21 @@
 // Asked implements members.Carrier.
 func (m *mesh) Asked(q, answer *peers.Heartbeat) (askBack bool) {
 	m.note(q)
-	if m.doubted(q.Doubts) {
+	tell, unsure := m.ratesTold(q.Rates, time.Time{})
+	if m.doubted(q.Doubts) || tell {
 		m.tell()
 	}
 	answer.Topics, answer.Doubts = m.states(), m.doubts()
+	answer.Rates = m.rates(ratesMost)
+	if q.All {
+		answer.Rates = m.rates(ratesAll)
+	}
 	for t := range serving.Topic(serving.Topics) {
 		if q.Wants&(1<<t) != 0 && int(t) < len(q.Topics) && q.Topics[t].Next < answer.Topics[t].Next {
 			answer.News = append(answer.News, m.news(t, q.Topics[t].Next))
 		}
 	}
-	return m.lacks(q.Topics)
+	return unsure || m.lacks(q.Topics)
 }
 
 // lacks tells whether a peer knows more of a topic than this entry, or knows it for a
--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -75,10 +75,16 @@
 }
 
 // entries returns how many entries live, this one among them.
-func (m *mesh) entries() int { return len(m.group.Table().Living()) + 1 }
+func (m *mesh) entries() int {
+	living, _ := m.group.Table().Count()
+	return living
+}
 
 // known returns how many entries there were lately, those that are lost among them.
-func (m *mesh) known() int { return m.group.Table().Known() }
+func (m *mesh) known() int {
+	_, known := m.group.Table().Count()
+	return known
+}
 
 // usable returns the entries that take requests.
 func (m *mesh) usable() []peers.Presence {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -59,7 +59,7 @@
 			alive[t.Run()] = true
 		}
 	}
-	for _, run := range g.book.Forget(func(run serving.Run) bool { return alive[run] }) {
+	for _, run := range g.book.Forget(func(run serving.Run) bool { return alive[run] }, time.Now()) {
 		g.pools.drop(run)
 	}
 	g.pools.prune(time.Now())
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"time"
 
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/placing"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // noteRate takes note of the rate that a target names in an answer, or that it names none any
@@ -27,11 +29,10 @@
 	case x.resp.Status/100 != 2 || len(h.Peek(p.Seal)) == 0:
 		return
 	}
-	if !g.book.RateSaid(said, placing.Said{Earliest: x.sentAt, Latest: time.Now()}) {
-		return
+	now := time.Now()
+	if g.rateSaid(said, placing.Said{Earliest: x.sentAt, Latest: now}, now).Tell {
+		g.mesh.tell()
 	}
-	g.opts.Metrics.Count("rate_limits_changed", 1)
-	g.opts.Log.Info("rate limit of a target changed", "target", said.Run.ID, "per_second", said.Rate, "request", x.tries.r.id)
 }
 
 // parseRate reads a number of requests a second.
@@ -42,3 +43,60 @@
 	}
 	return rate, true
 }
+
+func (g *Gateway) rateSaid(said placing.RateLimit, at placing.Said, now time.Time) placing.RateTaken {
+	taken := g.book.RateSaid(said, at, now)
+	if taken.Tell {
+		g.opts.Metrics.Count("rate_limits_changed", 1)
+		g.opts.Log.Info("rate limit of a target changed", "target", said.Run.ID, "per_second", said.Rate)
+	}
+	return taken
+}
+
+// Bounds of what one message tells of rates.
+const (
+	ratesMost = 16
+	ratesAll  = 2048 // to an entry that asks for all
+)
+
+// rates returns what this entry tells others of the rates that targets name.
+func (m *mesh) rates(most int) []peers.Rate {
+	now := time.Now()
+	var list []peers.Rate
+	for _, o := range m.g.book.Rates(most) {
+		list = append(list, rateMessage(o, now))
+	}
+	return list
+}
+
+func rateMessage(o placing.ToldRate, now time.Time) peers.Rate {
+	return peers.Rate{Target: o.Run.ID, Born: o.Run.Born, PerSecond: o.Rate, AgeMS: agoMS(o.Said, now)}
+}
+
+// ratesTold takes what another entry tells of rates, in the answer to a question that was sent
+// at a time, or in a question of its own, with a zero time: that may have waited for as long as
+// this process stood still. tell has others hear of it at once; unsure has the other one asked.
+func (m *mesh) ratesTold(list []peers.Rate, sent time.Time) (tell, unsure bool) {
+	now := time.Now()
+	for i := range list {
+		taken := m.rateTold(&list[i], sent, now)
+		tell = tell || taken.Tell
+		unsure = unsure || taken.Unsure
+	}
+	return tell, unsure
+}
+
+func (m *mesh) rateTold(o *peers.Rate, sent, now time.Time) placing.RateTaken {
+	if o.Target == "" || o.AgeMS == peers.Never || math.IsNaN(o.PerSecond) {
+		return placing.RateTaken{}
+	}
+	said := placing.RateLimit{Run: serving.Run{ID: o.Target, Born: o.Born}, Rate: o.PerSecond}
+	if said.Rate < 0 {
+		said.Rate = placing.Unlimited
+	}
+	at := placing.Said{Latest: before(now, o.AgeMS)}
+	if !sent.IsZero() {
+		at.Earliest = before(sent, o.AgeMS)
+	}
+	return m.g.rateSaid(said, at, now)
+}
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -20,7 +20,7 @@
 // Guards against rates that are named, changed or ended and that no entry takes note of.
 func TestTheRateThatATargetNamesIsNoted(t *testing.T) {
 	g := NewWithT(t)
-	fields := []string{"Rate: 1.5\r\n", "Rate: much\r\n", "Rate: 0.5\r\n", ""}
+	fields := []string{"Rate: 1.5\r\n", "Rate: much\r\n", "Rate: 0.8\r\n", ""}
 	answered := 0
 	target := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool {
 		answered++
@@ -28,10 +28,15 @@
 	})
 	f := startFleet(t, "plain", target)
 	known := f.gw.knowledge.view().targets["plain"][0]
-	for _, rate := range []float64{1.5, 1.5, 0.5, placing.Unlimited} {
+	g.Eventually(func() bool {
+		_, self := f.gw.mesh.keeper(known.Run())
+		return self
+	}, "5s", "5ms").Should(BeTrue())
+	for _, rate := range []float64{1.5, 1.5, 0.8, placing.Unlimited} {
 		_, _, err := f.ask("POST", "/once/x", "k1", "")
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(f.gw.book.RateOf(known)).To(Equal(rate))
+		noted, _ := f.gw.book.RateOf(known.Run())
+		g.Expect(noted).To(Equal(rate))
 	}
 }
 
@@ -192,3 +197,40 @@
 		})
 	}
 }
+
+// Guards against callers that wait in vain, or are told a time at which there is no room, while
+// all targets of a service name a rate; and against an end of the rate that nobody takes note of.
+func TestWhatNoTargetTakesInTimeIsRefusedWithATimeToComeBack(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const rate = 2
+	targets := []*limitedTarget{startLimitedTarget(t, "i1", rate), startLimitedTarget(t, "i2", rate)}
+	f := startLimitedFleet(t, 3, "plain", targets[0].testTarget, targets[1].testTarget)
+	begun := time.Now()
+	stop := f.press("/once/x", 12, 50*time.Millisecond)
+	time.Sleep(limitSettles + 2*limitWindow)
+	ended := time.Now()
+	for _, target := range targets {
+		target.name(0)
+		g.Expect(target.most(begun.Add(limitSettles), ended, limitWindow)).To(And(
+			BeNumerically("<=", allowed(rate)), BeNumerically(">=", allowed(rate)/2)))
+	}
+	f.mu.Lock()
+	g.Expect(len(f.refused)).To(BeNumerically(">", 20))
+	for _, resp := range f.refused {
+		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+	f.mu.Unlock()
+	g.Eventually(func() bool {
+		for _, e := range f.entries {
+			for _, target := range targets {
+				if known, _ := e.gw.book.RateOf(serving.Run{ID: target.id}); known != placing.Unlimited {
+					return false
+				}
+			}
+		}
+		return true
+	}, "20s", "50ms").Should(BeTrue())
+	stop()
+}
--- a/members/group.go
+++ b/members/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -245,6 +246,18 @@
 	}
 }
 
+// ErrUnknown: no entry of that name is known.
+var ErrUnknown = errors.New("entry is not known")
+
+// Ask asks an entry something else, on the connection for questions.
+func (g *Group) Ask(ctx context.Context, name string, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
+	asker := g.client(name)
+	if asker == nil {
+		return ErrUnknown
+	}
+	return asker.Ask(ctx, kind, question, answer, limit)
+}
+
 // heartbeat returns what this entry tells of itself and others.
 func (g *Group) heartbeat() *peers.Heartbeat {
 	self, changed := g.table.Self(g.opts.Carrier.State())
--- /dev/null
+++ b/members/keeper_test.go
@@ -0,0 +1,76 @@
+package members
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/peers"
+)
+
+func keeperTables(count int) []*Table {
+	now := time.Unix(1000, 0)
+	var tables []*Table
+	for i := range count {
+		p := peers.Presence{Name: fmt.Sprintf("e%d", i), Incarnation: 1, Ready: true}
+		tables = append(tables, NewTable(p, rand.New(rand.NewPCG(uint64(i), 1))))
+		for j := range count {
+			tables[i].Heard(peers.Presence{Name: fmt.Sprintf("e%d", j), Incarnation: 1, Ready: true}, now)
+		}
+	}
+	return tables
+}
+
+// Guards against two entries that keep the same thing, and against all that is kept changing
+// hands when one entry comes or goes.
+func TestAllEntriesNameTheSameKeeper(t *testing.T) {
+	g := NewWithT(t)
+	const entries, things = 12, 600
+	tables := keeperTables(entries)
+	kept, before := make(map[string]int), make(map[string]string)
+	for i := range things {
+		of := fmt.Sprintf("target-%d", i)
+		name, _ := tables[0].Keeper(of)
+		kept[name]++
+		before[of] = name
+		selves := 0
+		for _, table := range tables {
+			other, self := table.Keeper(of)
+			g.Expect(other).To(Equal(name))
+			if self {
+				selves++
+			}
+		}
+		g.Expect(selves).To(Equal(1))
+	}
+	for name, n := range kept {
+		g.Expect(n).To(BeNumerically("<", 2*things/entries), name)
+	}
+	g.Expect(kept).To(HaveLen(entries))
+
+	lost := peers.Member{Entry: peers.Presence{Name: "e3", Incarnation: 1, Beat: 1}, Lost: true}
+	tables[0].Take([]peers.Member{lost}, time.Unix(2000, 0))
+	for of, name := range before {
+		if name != "e3" {
+			now, _ := tables[0].Keeper(of)
+			g.Expect(now).To(Equal(name))
+		}
+	}
+	living, known := tables[0].Count()
+	g.Expect([]int{living, known}).To(Equal([]int{entries - 1, entries}))
+}
+
+// Guards against an entry that stops, or has not begun, and is asked for what it does not keep.
+func TestOnlyEntriesThatTakeRequestsKeepAnything(t *testing.T) {
+	g := NewWithT(t)
+	tables := keeperTables(3)
+	tables[0].Self(false, true)
+	for i := range 50 {
+		name, self := tables[0].Keeper(fmt.Sprint(i))
+		g.Expect(self).To(BeFalse())
+		g.Expect(name).NotTo(Equal("e0"))
+	}
+}
--- a/members/table.go
+++ b/members/table.go
@@ -18,6 +18,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherrail/heatherrail/peers"
 )
 
@@ -265,9 +267,37 @@
 	return list
 }
 
-// Known returns how many entries were known lately, the lost ones among them, and this one.
-func (t *Table) Known() int {
+// Count returns how many entries live and how many were known lately, the lost ones among
+// them; this one counts in both.
+func (t *Table) Count() (living, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.byName) + 1
+	living = 1
+	for _, m := range t.byName {
+		if m.lives() {
+			living++
+		}
+	}
+	return living, len(t.byName) + 1
+}
+
+// Keeper returns the entry that keeps something of a name, the same one at all entries that
+// know the same: of those that live and take requests the one that comes first in an order of
+// the name's own. When an entry comes or goes only what it keeps changes hands.
+func (t *Table) Keeper(of string) (name string, self bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var most uint64
+	consider := func(p *peers.Presence) {
+		if rank := xxhash.Sum64String(p.Name + "\x00" + of); p.Ready && (name == "" || rank > most) {
+			name, most = p.Name, rank
+		}
+	}
+	consider(&t.self)
+	for _, m := range t.byName {
+		if m.lives() {
+			consider(&m.Entry)
+		}
+	}
+	return name, name == t.self.Name
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -14,6 +14,7 @@
 	KindOrder     Kind = 3 // RankOrder, answered by an OrderResult
 	KindLoads     Kind = 4 // LoadsQuery, answered by Loads
 	KindProbe     Kind = 5 // ProbeQuery, answered by ProbeResult
+	KindSlot      Kind = 6 // SlotQuery, answered by SlotResult
 )
 
 // Heartbeat is an entry's sign of life; an answer brings what the other one lacks.
@@ -28,6 +29,37 @@
 	News    []TopicNews
 	Wants   uint8 // a bit for each topic of which the sender asks for what it lacks
 	Doubts  []Doubt
+	Rates   []Rate
+}
+
+// Rate is how many requests a second a target takes from all entries together.
+//
+//msgp:tuple Rate
+type Rate struct {
+	Target    string
+	Born      int64   // of the target's run
+	PerSecond float64 // negative: it names no rate any more
+	AgeMS     uint32  // since it said so last
+}
+
+// SlotQuery asks the entry that keeps the slots of a target for one.
+//
+//msgp:tuple SlotQuery
+type SlotQuery struct {
+	Rate      Rate   // of the target, as the asker knows it
+	MaxWaitMS uint32 // that the request may wait
+	Refuses   bool   // without a slot a caller is refused
+}
+
+// SlotResult tells when a request may go.
+//
+//msgp:tuple SlotResult
+type SlotResult struct {
+	Kept       bool // whoever was asked keeps the slots; else the rest is not told
+	Granted    bool
+	WaitMS     uint32 // until the slot, or until one may be free
+	ComeBackMS uint32 // for a caller that is refused
+	Rate       Rate   // as whoever keeps the slots knows it
 }
 
 // Doubt is what one entry has seen of a target that broke off connections or did not answer.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -241,8 +241,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o, err = z.Entry.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Entry")
@@ -285,6 +285,14 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rates)))
+	for za0005 := range z.Rates {
+		o, err = z.Rates[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rates", za0005)
+			return
+		}
+	}
 	return
 }
 
@@ -296,8 +304,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	bts, err = z.Entry.UnmarshalMsg(bts)
@@ -438,6 +446,28 @@
 			return
 		}
 	}
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rates")
+		return
+	}
+	if zb0008 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Rates) >= int(zb0008) {
+		z.Rates = (z.Rates)[:zb0008]
+	} else {
+		z.Rates = make([]Rate, zb0008)
+	}
+	for za0005 := range z.Rates {
+		bts, err = z.Rates[za0005].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rates", za0005)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -456,6 +486,10 @@
 	for za0004 := range z.Doubts {
 		s += z.Doubts[za0004].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0005 := range z.Rates {
+		s += z.Rates[za0005].Msgsize()
+	}
 	return
 }
 
@@ -1672,6 +1706,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Rate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	o = msgp.AppendUint32(o, z.AgeMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Rate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Rate) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Float64Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1823,6 +1911,122 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *SlotQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.Rate.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	o = msgp.AppendUint32(o, z.MaxWaitMS)
+	o = msgp.AppendBool(o, z.Refuses)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SlotQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.Rate.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.MaxWaitMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxWaitMS")
+		return
+	}
+	z.Refuses, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Refuses")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SlotQuery) Msgsize() (s int) {
+	s = 1 + z.Rate.Msgsize() + msgp.Uint32Size + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SlotResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendBool(o, z.Kept)
+	o = msgp.AppendBool(o, z.Granted)
+	o = msgp.AppendUint32(o, z.WaitMS)
+	o = msgp.AppendUint32(o, z.ComeBackMS)
+	o, err = z.Rate.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SlotResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.WaitMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMS")
+		return
+	}
+	z.ComeBackMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ComeBackMS")
+		return
+	}
+	bts, err = z.Rate.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SlotResult) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + z.Rate.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z SlowRank) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/placing/book.go
+++ b/placing/book.go
@@ -117,10 +117,10 @@
 
 // Forget drops the accounts of targets that are not known any more and have nothing
 // running, and returns their runs.
-func (b *Book) Forget(known func(run serving.Run) bool) []serving.Run {
+func (b *Book) Forget(known func(run serving.Run) bool, now time.Time) []serving.Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limits.forget(known)
+	b.limits.forget(known, now)
 	var forgotten []serving.Run
 	for run, a := range b.accounts {
 		if a.running == 0 && !known(run) {
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -34,7 +34,7 @@
 	granted chan *serving.Target
 }
 
-// Granted receives the target that the request goes to.
+// Granted receives the target that the request goes to; nil if all name a rate.
 func (w *Waiter) Granted() <-chan *serving.Target { return w.granted }
 
 // Enter puts a request into the queue. ok is false if it would wait for longer
@@ -58,7 +58,7 @@
 			inTime++
 		}
 	}
-	if inTime == 0 || g.rate.expect(inTime+1, now) <= r.waitInTime() {
+	if inTime == 0 || g.rate.expect(inTime+1, now) <= r.WaitInTime() {
 		return g.push(r), 0, true
 	}
 	expected := g.rate.expect(before+1, now)
@@ -71,7 +71,9 @@
 func (g *Gate) push(r *Request) *Waiter {
 	w := &Waiter{r: r, granted: make(chan *serving.Target, 1)}
 	g.waiting = append(g.waiting, w)
-	g.entered++
+	if !r.Again {
+		g.entered++
+	}
 	slices.SortStableFunc(g.waiting, func(a, b *Waiter) int {
 		return cmp.Or(cmp.Compare(a.r.Priority, b.r.Priority), a.r.Arrived.Compare(b.r.Arrived))
 	})
@@ -114,11 +116,23 @@
 			return
 		}
 		g.waiting = slices.Delete(g.waiting, at, at+1)
-		g.rate.count(now)
+		if !w.r.Again {
+			g.rate.count(now)
+		}
 		w.granted <- t
 	}
 }
 
+// release lets all requests go without a target.
+func (g *Gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.waiting {
+		w.granted <- nil
+	}
+	g.waiting = nil
+}
+
 // next returns the request to let go next: of the most urgent ones the oldest that
 // can still be in time for its first event, and only then those that can't. A late
 // answer is worth the same whether it comes a little or much too late, so letting
--- a/placing/place.go
+++ b/placing/place.go
@@ -75,6 +75,12 @@
 	})
 }
 
+// usable tells whether a target takes requests at all, as far as is known.
+func (b *Book) usable(t *serving.Target) bool {
+	a := b.accounts[t.Run()]
+	return !t.Leaving && (a == nil || !a.gone)
+}
+
 // sample is how many targets a placement compares. All entries have the same
 // reports, a moment old; if each compared all targets they would all send to the
 // same one until the next report.
@@ -84,13 +90,9 @@
 func (b *Book) least(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) *serving.Target {
 	usable := make([]*serving.Target, 0, len(targets))
 	for _, t := range targets {
-		if t.Leaving || drop(t) {
-			continue
-		}
-		if a := b.accounts[t.Run()]; a != nil && a.gone {
-			continue
+		if b.usable(t) && !b.limits.closed(t.Run(), now) && !drop(t) {
+			usable = append(usable, t)
 		}
-		usable = append(usable, t)
 	}
 	var best *serving.Target
 	var bestWork float64
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -1,6 +1,8 @@
 package placing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/serving"
@@ -20,14 +22,33 @@
 // written no earlier and no later than these.
 type Said struct{ Earliest, Latest time.Time }
 
+// RateTaken is what follows from something that a target said.
+type RateTaken struct {
+	Tell   bool // others should hear of it at once
+	Unsure bool // it may be newer than what is known, and allows more
+}
+
+// Figures of rate limits.
+const (
+	// endedLife is for how long it is remembered that a target names no rate any more, for
+	// entries that have not heard so.
+	endedLife = 30 * time.Second
+	// rateNews is the part by which a rate must change for others to hear of it at once: a
+	// target may name another one in each answer.
+	rateNews = 0.1
+)
+
 // rateLimits are the rates that targets have named.
 type rateLimits struct {
 	byRun map[serving.Run]*rateLimit
 }
 
 type rateLimit struct {
-	rate float64
-	said time.Time // the latest time at which the target is taken to have said so
+	rate   float64
+	said   time.Time // the latest time at which the target is taken to have said so
+	learnt time.Time // when this entry learnt of the latest change
+	closed time.Time // this entry gets no slot before
+	slots  slots
 }
 
 func newRateLimits() rateLimits {
@@ -42,37 +63,46 @@
 	return Unlimited
 }
 
-// take takes what a target said; it tells whether that changes anything.
+// limited tells whether a target names a rate.
+func (l *rateLimits) limited(run serving.Run) bool { return l.rate(run) != Unlimited }
+
+// closed tells whether this entry gets no slot of a target now.
+func (l *rateLimits) closed(run serving.Run, now time.Time) bool {
+	known := l.byRun[run]
+	return known != nil && known.rate != Unlimited && now.Before(known.closed)
+}
+
+// take takes what a target said.
 //
 // Answers overtake each other, and entries tell each other late. A lower rate counts if it may
 // be newer than what is known, a higher one or none at all only if it certainly is: a rate that
 // is kept for too long costs some room, one that is dropped too early overruns the target.
-func (l *rateLimits) take(said RateLimit, at Said) (changed bool) {
+func (l *rateLimits) take(said RateLimit, at Said, now time.Time) (taken RateTaken) {
 	known := l.byRun[said.Run]
 	if known == nil {
 		if said.Rate == Unlimited {
-			return false
+			return RateTaken{}
 		}
-		l.byRun[said.Run] = &rateLimit{rate: said.Rate, said: at.Latest}
-		return true
+		l.byRun[said.Run] = &rateLimit{rate: said.Rate, said: at.Latest, learnt: now}
+		return RateTaken{Tell: true}
 	}
 	switch {
+	case !at.Latest.After(known.said):
+		return RateTaken{}
+	case said.Rate == known.rate:
+		known.said = at.Latest
+		return RateTaken{}
 	case tighter(said.Rate, known.rate):
-		if !at.Latest.After(known.said) {
-			return false
-		}
 		known.said = at.Latest
-	case said.Rate == known.rate:
-		known.said = later(known.said, at.Latest)
-		return false
-	default:
-		if !at.Earliest.After(known.said) {
-			return false
-		}
+	case at.Earliest.After(known.said):
 		known.said = at.Earliest
+	default:
+		return RateTaken{Unsure: true}
 	}
-	known.rate = said.Rate
-	return true
+	taken.Tell = differs(said.Rate, known.rate)
+	known.rate, known.learnt = said.Rate, now
+	known.closed, known.slots.promised = time.Time{}, time.Time{}
+	return taken
 }
 
 // tighter tells whether a rate allows less than another.
@@ -80,26 +110,141 @@
 	return rate != Unlimited && (than == Unlimited || rate < than)
 }
 
-// forget drops what targets said that are not known any more.
-func (l *rateLimits) forget(known func(run serving.Run) bool) {
-	for run := range l.byRun {
-		if !known(run) {
+// differs tells whether two rates are so far apart that others should hear of it at once.
+func differs(a, b float64) bool {
+	return a == Unlimited || b == Unlimited || max(a, b)-min(a, b) > rateNews*max(a, b)
+}
+
+// forget drops what targets said that are not known any more, and ends that all have heard of.
+func (l *rateLimits) forget(known func(run serving.Run) bool, now time.Time) {
+	for run, o := range l.byRun {
+		if !known(run) || o.rate == Unlimited && now.Sub(o.learnt) > endedLife {
 			delete(l.byRun, run)
 		}
 	}
 }
 
-// RateSaid takes the rate that a target named in an answer to this entry; changed tells whether
-// it is another one than was known.
-func (b *Book) RateSaid(said RateLimit, at Said) (changed bool) {
+// RateSaid takes the rate that a target named.
+func (b *Book) RateSaid(said RateLimit, at Said, now time.Time) RateTaken {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.limits.take(said, at)
+	return b.limits.take(said, at, now)
 }
 
-// RateOf returns the rate that a target names; Unlimited if it names none.
-func (b *Book) RateOf(t *serving.Target) float64 {
+// RateOf returns the rate that a target names, and when it said so last; Unlimited if it names
+// none.
+func (b *Book) RateOf(run serving.Run) (rate float64, said time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.limits.rate(t.Run())
+	if known := b.limits.byRun[run]; known != nil {
+		return known.rate, known.said
+	}
+	return Unlimited, time.Time{}
+}
+
+// ToldRate is a rate that a target has named, for other entries.
+type ToldRate struct {
+	RateLimit
+	Said time.Time
+}
+
+// Rates returns at most so many of the rates that targets have named. What was learnt last goes
+// first; the rest is drawn anew each time, so that what another entry has missed comes again.
+func (b *Book) Rates(most int) []ToldRate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	runs := make([]serving.Run, 0, len(b.limits.byRun))
+	for run := range b.limits.byRun {
+		runs = append(runs, run)
+	}
+	if len(runs) > most {
+		slices.SortFunc(runs, func(x, y serving.Run) int {
+			return b.limits.byRun[y].learnt.Compare(b.limits.byRun[x].learnt)
+		})
+		older := runs[most/2:]
+		b.rng.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+		runs = runs[:most]
+	}
+	list := make([]ToldRate, 0, len(runs))
+	for _, run := range runs {
+		known := b.limits.byRun[run]
+		list = append(list, ToldRate{RateLimit: RateLimit{Run: run, Rate: known.rate}, Said: known.said})
+	}
+	return list
+}
+
+// Allowed returns the targets that a request may go to: without those that name a rate, if it
+// avoids these.
+func (b *Book) Allowed(targets []*serving.Target, r *Request) []*serving.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allowed(targets, r)
+}
+
+func (b *Book) allowed(targets []*serving.Target, r *Request) []*serving.Target {
+	if !r.AvoidLimited || len(b.limits.byRun) == 0 {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t *serving.Target) bool { return b.limits.limited(t.Run()) })
+}
+
+// AllLimited tells whether every target that could be used names a rate.
+func (b *Book) AllLimited(targets []*serving.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.limits.byRun) == 0 {
+		return false
+	}
+	limited := false
+	for _, t := range targets {
+		switch {
+		case !b.usable(t):
+		case !b.limits.limited(t.Run()):
+			return false
+		default:
+			limited = true
+		}
+	}
+	return limited
+}
+
+// Limited returns the targets that could be used and name a rate, those first of which a slot is
+// to be had soonest; targets that failed lately come last. drop must not use the book.
+func (b *Book) Limited(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) []*serving.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*serving.Target
+	var runs []serving.Run
+	for _, t := range targets {
+		if b.usable(t) && b.limits.limited(t.Run()) && !drop(t) {
+			list = append(list, t)
+			runs = append(runs, t.Run())
+		}
+	}
+	skip := b.ejector.Skip(runs, now, b.rng.Float64)
+	b.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(x, y *serving.Target) int {
+		return cmp.Or(compareBool(skip[x.Run()], skip[y.Run()]),
+			later(now, b.limits.byRun[x.Run()].closed).Compare(later(now, b.limits.byRun[y.Run()].closed)))
+	})
+	return list
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// NoSlot notes that this entry gets no slot of a target for a time.
+func (b *Book) NoSlot(run serving.Run, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.limits.byRun[run]; known != nil {
+		known.closed = until
+	}
 }
--- a/placing/request.go
+++ b/placing/request.go
@@ -16,6 +16,11 @@
 	Events   float64   // that its answer has, as far as can be told; 0: not known
 	Deadline time.Time // the caller leaves then; zero: never
 
+	// AvoidLimited: it goes to no target that names a rate.
+	AvoidLimited bool
+	// Again: it was let go before and not sent, so it counts neither as coming nor as let go.
+	Again bool
+
 	placed time.Time // when it got its place
 	late   bool      // it was late already then
 }
@@ -32,7 +37,8 @@
 
 // inTime tells whether a request that waits can still have its first event in time.
 func (r *Request) inTime(now time.Time) bool {
-	return r.Aim == 0 || now.Sub(r.Arrived) < r.waitInTime()
+	return r.Aim == 0 || now.Sub(r.Arrived) < r.WaitInTime()
 }
 
-func (r *Request) waitInTime() time.Duration { return time.Duration(float64(r.Aim) * inTimeShare) }
+// WaitInTime is how long the request may wait for a target and still be in time.
+func (r *Request) WaitInTime() time.Duration { return time.Duration(float64(r.Aim) * inTimeShare) }
--- a/placing/room.go
+++ b/placing/room.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	most := int(math.Ceil(l.most))
-	t := b.place(l.Targets, func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
+	t := b.place(b.allowed(l.Targets, r), func(t *serving.Target) bool { return b.load(t, now) >= most }, now)
 	if t != nil {
 		b.begin(t, r.Size)
 		state.share.sent(late)
--- a/result/codes.go
+++ b/result/codes.go
@@ -74,6 +74,7 @@
 	WaitTooLong  Code = 250
 	LimitShare   Code = 251
 	LimitTracked Code = 252
+	TargetLimit  Code = 253
 )
 
 // 3xx: honest doubt; the request may have run.
@@ -136,6 +137,7 @@
 	{WaitTooLong, "wait_too_long", http.StatusServiceUnavailable, RunNot, shortWait, "The target's queue is longer than the entry believed.", "Entries place again at once; frequent ones mean that load reports come late."},
 	{LimitShare, "team_limit_elsewhere", http.StatusTooManyRequests, RunNot, shortWait, "Other entries serve this team's limit; ask GET /v1/entries with the team's key.", "The team's callers don't ask which entries to use."},
 	{LimitTracked, "team_limit_states", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "This entry counts as many teams as it may.", "Spread the callers over more entries."},
+	{TargetLimit, "target_limit", http.StatusServiceUnavailable, RunNot, shortWait, "All targets of the service name a rate, and none takes the request in time.", "The targets are in need; look at `rate limit of a target changed` and at the demand."},
 	{FenceStale, "fence_stale", http.StatusConflict, RunNot, 0, "An order carries an overtaken fencing number.", "Its sender lost the lease; nothing to do unless it repeats."},
 	{FenceUnknown, "fence_unknown", http.StatusServiceUnavailable, RunNot, shortWait, "The agent does not know the fencing floor yet.", "Look at the links between entries and this agent."},
 	{LeaseLost, "lease_lost", http.StatusConflict, RunNot, 0, "The sender no longer holds the lease.", "Nothing; the next holder goes on."},
