Soak: targets name rates, in two series beside the faults

What callers saw: nothing.

Change: two series of their own have targets name a rate and then another, lower one, while entries are killed, stopped and frozen, targets replaced and the store misbehaves; the checker applies the users' rule and excuses no entry. The draws of the other faults stay as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -73,6 +74,47 @@
 	}
 }
 
+// Times of named rates: long enough for a window of the rule after a rate has settled.
+const (
+	rateFirst = 500 * time.Millisecond
+	ratePause = 2 * time.Second // mean, between two
+	rateLeast = rateSettles + rateWindow/2
+	rateMost  = 2*rateSettles + rateWindow
+
+	rateSeries      = uint64(2)
+	firstRateSeries = 20 // of numbers drawn
+)
+
+// nameRates has targets name rates until ctx ends, in a series of its own beside the faults and
+// others like it, each of them another rate before it ends.
+func (s *soak) nameRates(ctx context.Context, series uint64) {
+	rng := rand.New(rand.NewPCG(s.opts.Seed, firstRateSeries+series))
+	pause := rateFirst
+	for sleep(ctx, pause) {
+		at := rng.IntN(64)
+		for _, rate := range []float64{1 + 5*rng.Float64(), 0.5 + 2*rng.Float64()} {
+			s.note("target %d names a rate of %.1f a second", at, rate)
+			s.fleet.nameRate(at, rate)
+			if !sleep(ctx, rateLeast+time.Duration(rng.Int64N(int64(rateMost-rateLeast)))) {
+				return
+			}
+		}
+		s.note("target %d names no rate", at)
+		s.fleet.nameRate(at, 0)
+		pause = time.Duration(rng.Int64N(int64(2 * ratePause)))
+	}
+}
+
+// sleep waits; false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // during begins something and ends it after a time.
 func (s *soak) during(what string, d time.Duration, begin, end func()) {
 	s.note("%s for %s", what, d.Round(time.Millisecond))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,7 @@
 
 	mu      sync.Mutex
 	targets []*targetProc
+	named   []*targetProc // that have named a rate, those that are gone among them
 	number  int
 }
 
@@ -256,6 +258,42 @@
 	f.targets[at%len(f.targets)].SetFaults(faults)
 }
 
+// nameRate has a target name another rate; 0: none.
+func (f *fleet) nameRate(at int, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[at%len(f.targets)]
+	t.SetRate(rate)
+	if !slices.Contains(f.named, t) {
+		f.named = append(f.named, t)
+	}
+}
+
+// overrun returns the targets that got more than the rate that they named.
+func (f *fleet) overrun() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var broken []string
+	for _, t := range f.named {
+		for _, n := range t.Rates() {
+			allowed := rateSlack*n.PerSecond*rateWindow.Seconds() + rateBurst
+			if most := n.Most(rateWindow, rateSettles); float64(most) > allowed {
+				broken = append(broken, fmt.Sprintf("%s named %.1f requests a second and got %d in %s, allowed %.0f", t.ID, n.PerSecond, most, rateWindow, allowed))
+			}
+		}
+	}
+	return broken
+}
+
+// What a target may get that names a rate, from all entries together. Source: the platform's
+// rule; it excuses entries that were restarted or stood still, and this does not.
+const (
+	rateWindow  = 4 * time.Second
+	rateSlack   = 1.5 // times the rate
+	rateBurst   = 5
+	rateSettles = 3 * time.Second // after the rate was named
+)
+
 // proxyOf returns the proxy before one of the targets.
 func (f *fleet) proxyOf(at int) *proxy {
 	f.mu.Lock()
@@ -269,6 +307,7 @@
 	f.mu.Lock()
 	for _, t := range f.targets {
 		t.SetFaults(standin.TargetFaults{})
+		t.SetRate(0)
 		t.proxy.set(proxyFaults{})
 	}
 	f.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,9 +87,16 @@
 	}
 	tasks.Go(func() { s.fleet.keepTargets(ctx) })
 	end := s.begun.Add(s.opts.For - calmAtEnd)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	troubled, calm := context.WithDeadline(ctx, end)
+	defer calm()
+	var rates conc.WaitGroup
+	for series := range rateSeries {
+		rates.Go(func() { s.nameRates(troubled, series) })
+	}
+	for troubled.Err() == nil {
 		s.fault(ctx)
 	}
+	rates.Wait()
 	s.fleet.heal()
 	s.note("calm until the end")
 	tasks.Wait()
@@ -105,6 +112,7 @@
 func (s *soak) report(out io.Writer) (Report, error) {
 	r := s.books.check(s.begun.Add(s.opts.For - calmAtEnd + recovery))
 	r.Seed, r.Faults = s.opts.Seed, s.faults
+	r.Broken = append(r.Broken, s.fleet.overrun()...)
 	fmt.Fprintf(out, "seed %d: %d requests, %d whole, %d refused, %d faults, %d broken promises\n",
 		r.Seed, r.Requests, r.Whole, r.Refused, r.Faults, len(r.Broken))
 	if len(r.Broken) == 0 {
