Refusals for rates of targets are said at once and have a cause of their own

What callers saw: with all targets limited and the entry that keeps the slots frozen, each refused request would have waited for up to two questions of 100 ms, or longer behind other questions on the same connection; a failure of an engine's own could have been replaced by ours, if the only other target named a rate.

Change: a target whose slots nobody grants is not asked for again for half a second; the wait for an answer is bounded, not the question alone; an engine's own failure is dropped for another try only if a target without a rate is left. heatherrail losses puts such refusals down to the rates of targets.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -321,7 +321,8 @@
 // canSpare tells whether a failure of a target may be dropped for another try.
 // The failure is an answer too; without another target it is what the caller gets.
 func (t *tries) canSpare() bool {
-	return t.g.book.Place(t.targets(), t.had, time.Now()) != nil
+	sure := t.g.book.Allowed(t.targets(), &placing.Request{AvoidLimited: true})
+	return t.g.book.Place(sure, t.had, time.Now()) != nil
 }
 
 // endTry books the end of a try, which may let another request go.
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -34,12 +34,12 @@
 // awaitSlot waits for a slot of a target that names a rate, if one comes in time; else the
 // request is refused at once.
 func (t *tries) awaitSlot(ctx context.Context) (*serving.Target, *result.Error) {
-	candidates := t.g.book.Limited(t.targets(), t.had, time.Now())
-	if len(candidates) == 0 {
+	candidates, unkept := t.g.book.Limited(t.targets(), t.had, time.Now())
+	if len(candidates) == 0 && unkept == 0 {
 		return nil, t.orLast(result.New(result.NoTarget, "no target of %s is left", t.r.service.Name))
 	}
 	candidates = candidates[:min(len(candidates), slotAsks)]
-	var slot placing.Slot
+	slot := placing.Slot{Wait: unkept, ComeBack: unkept}
 	for i, target := range candidates {
 		slot = t.g.slot(ctx, target, placing.SlotQuery{MaxWait: t.r.slotWait(time.Now()), Refuses: i == len(candidates)-1})
 		if !slot.Granted {
@@ -75,17 +75,18 @@
 // until one may be free.
 func (g *Gateway) slot(ctx context.Context, target *serving.Target, q placing.SlotQuery) placing.Slot {
 	slot, kept := g.mesh.slot(ctx, target.Run(), q)
+	now := time.Now()
 	switch {
 	case !kept:
 		g.opts.Metrics.Count("slots_not_answered", 1)
-		slot = placing.Slot{Wait: slotRest, ComeBack: slotRest}
+		g.book.Unkept(target.Run(), now.Add(slotRest))
+		return placing.Slot{Wait: slotRest, ComeBack: slotRest}
 	case slot.Granted:
 		g.opts.Metrics.Count("slots_granted", 1)
-		return slot
 	default:
 		g.opts.Metrics.Count("slots_denied", 1)
+		g.book.NoSlot(target.Run(), now.Add(slot.Wait))
 	}
-	g.book.NoSlot(target.Run(), time.Now().Add(slot.Wait))
 	return slot
 }
 
@@ -99,11 +100,11 @@
 	if keeper == "" {
 		return placing.Slot{}, false
 	}
-	var answer peers.SlotResult
 	sent := time.Now()
 	question := &peers.SlotQuery{Rate: m.rate(run, sent), MaxWaitMS: uint32(q.MaxWait.Milliseconds()), Refuses: q.Refuses}
-	if err := m.group.Ask(ctx, keeper, peers.KindSlot, question, &answer, slotLimit); err != nil {
-		m.g.opts.Log.Info("no slot of a target asked", "target", run.ID, "keeper", keeper, "error", err.Error())
+	answer, err := m.askSlot(ctx, keeper, question)
+	if err != nil {
+		m.g.opts.Log.Info("slot of a target not told", "target", run.ID, "keeper", keeper, "error", err.Error())
 		return placing.Slot{}, false
 	}
 	m.rateTold(&answer.Rate, sent, time.Now())
@@ -114,6 +115,21 @@
 	}, answer.Kept
 }
 
+// askSlot asks another entry. Questions to one entry go one after the other, so it is the wait for
+// the answer that is bounded; a slot that is granted after it is lost.
+func (m *mesh) askSlot(ctx context.Context, keeper string, q *peers.SlotQuery) (*peers.SlotResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, slotLimit)
+	defer cancel()
+	answer, failed := new(peers.SlotResult), make(chan error, 1)
+	go func() { failed <- m.group.Ask(ctx, keeper, peers.KindSlot, q, answer, slotLimit) }()
+	select {
+	case err := <-failed:
+		return answer, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // answerSlot grants or denies a slot to another entry.
 func (m *mesh) answerSlot(payload []byte) (msgp.Marshaler, error) {
 	var q peers.SlotQuery
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -16,6 +16,7 @@
 	NoConfig                   // the entry did not know a configuration or a target yet
 	EntryStopping              // the entry was about to stop
 	TargetFailed               // a target was lost, or spoilt or failed its answer
+	RateNamed                  // all targets named a rate that was used up
 	Restarted                  // most processes had just started
 	GroupBroken                // a rank was lost
 	SlowRank                   // a rank took many times as long as usual
@@ -32,7 +33,7 @@
 
 // String returns the name used in reports.
 func (c Cause) String() string {
-	return [...]string{"callers' own", "no configuration or target", "entry stopping", "target failed", "all restarted", "group broken",
+	return [...]string{"callers' own", "no configuration or target", "entry stopping", "target failed", "rates of targets", "all restarted", "group broken",
 		"slow rank", "group held", "leader silent", "map behind demand", "target slow", "backlog"}[c]
 }
 
@@ -40,7 +41,7 @@
 // not so if it had no working group, or none whose passes are short enough.
 func (c Cause) Savable() bool {
 	switch c {
-	case CallersOwn, NoConfig, GroupBroken, SlowRank, TargetSlow:
+	case CallersOwn, NoConfig, RateNamed, GroupBroken, SlowRank, TargetSlow:
 		return false
 	}
 	return true
@@ -61,7 +62,7 @@
 	"headers_too_large": CallersOwn, "body_too_large": CallersOwn, "request_timeout": CallersOwn,
 	"no_config": NoConfig, "no_target": NoConfig, "entry_leaving": EntryStopping,
 	"target_lost": TargetFailed, "engine_lost": TargetFailed, "answer_broken": TargetFailed, "target_leaving": TargetFailed,
-	"unreachable": TargetFailed, "rank_lost": GroupBroken,
+	"unreachable": TargetFailed, "rank_lost": GroupBroken, "target_limit": RateNamed,
 }
 
 // cause finds why a request did not fare well. failed tells that a try of it failed.
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -30,6 +30,7 @@
 front-2 time=2026-04-20T08:45:24.000Z level=info event="try failed" request=r8 reason=target_lost
 front-2 time=2026-04-20T08:45:24.300Z level=info event=answered request=r8 kind=idempotent status=200 ms=300 late=answer
 front-2 time=2026-04-20T08:45:24.400Z level=info event=answered request=r9 kind=once status=500 ms=30 late=no
+front-2 time=2026-04-20T08:45:27.000Z level=info event=refused request=r12 kind=once reason=target_limit ms=3
 front-1 time=2026-04-20T08:45:30.000Z level=info event=started vm=front-1 data_centre=a
 front-2 time=2026-04-20T08:45:30.200Z level=info event=started vm=front-2 data_centre=b
 front-1 time=2026-04-20T08:45:30.500Z level=info event=refused request=r10 kind=stream reason=no_config ms=0
@@ -63,6 +64,7 @@
 		{21, losses.SlowRank, losses.Failed, "b"},
 		{24, losses.TargetFailed, losses.Late, "b"},
 		{24, losses.TargetSlow, losses.Failed, "b"},
+		{27, losses.RateNamed, losses.Refused, "b"},
 		{30, losses.NoConfig, losses.Refused, "a"},
 		{32, losses.Restarted, losses.Late, "a"},
 	}))
@@ -87,8 +89,8 @@
 	g.Expect(causes).To(Equal(len(l.Losses)))
 	g.Expect(seconds).To(Equal(len(l.Losses)))
 	g.Expect(savable).To(Equal(6))
-	g.Expect(r.DataCentres).To(Equal(map[string]int{"a": 5, "b": 5}))
-	g.Expect(r.Kinds).To(Equal(map[string]int{"stream": 8, "idempotent": 1, "once": 1}))
+	g.Expect(r.DataCentres).To(Equal(map[string]int{"a": 5, "b": 6}))
+	g.Expect(r.Kinds).To(Equal(map[string]int{"stream": 8, "idempotent": 1, "once": 2}))
 
 	var text, picture, encoded bytes.Buffer
 	g.Expect(r.WriteText(&text)).To(Succeed())
--- a/losses/plot.go
+++ b/losses/plot.go
@@ -18,7 +18,7 @@
 )
 
 // plotColours are the causes' colours, in their order.
-var plotColours = [causeCount]string{"#bbb", "#777", "#9c6", "#c33", "#639", "#333", "#a52", "#e80", "#fb3", "#1f5fa8", "#6bc", "#39a"}
+var plotColours = [causeCount]string{"#bbb", "#777", "#9c6", "#c33", "#b8860b", "#639", "#333", "#a52", "#e80", "#fb3", "#1f5fa8", "#6bc", "#39a"}
 
 func sortedKeys(counts map[string]int) []string { return slices.Sorted(maps.Keys(counts)) }
 
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -48,6 +48,7 @@
 	said   time.Time // the latest time at which the target is taken to have said so
 	learnt time.Time // when this entry learnt of the latest change
 	closed time.Time // this entry gets no slot before
+	unkept time.Time // nobody answers this entry that could grant a slot, and is not asked before
 	slots  slots
 }
 
@@ -209,17 +210,24 @@
 }
 
 // Limited returns the targets that could be used and name a rate, those first of which a slot is
-// to be had soonest; targets that failed lately come last. drop must not use the book.
-func (b *Book) Limited(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) []*serving.Target {
+// to be had soonest; targets that failed lately come last. unkept is how long it takes until a
+// slot of one of the others can be asked for; 0: there are none. drop must not use the book.
+func (b *Book) Limited(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) (list []*serving.Target, unkept time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []*serving.Target
 	var runs []serving.Run
 	for _, t := range targets {
-		if b.usable(t) && b.limits.limited(t.Run()) && !drop(t) {
-			list = append(list, t)
-			runs = append(runs, t.Run())
+		if !b.usable(t) || !b.limits.limited(t.Run()) || drop(t) {
+			continue
 		}
+		if left := b.limits.byRun[t.Run()].unkept.Sub(now); left > 0 {
+			if unkept == 0 || left < unkept {
+				unkept = left
+			}
+			continue
+		}
+		list = append(list, t)
+		runs = append(runs, t.Run())
 	}
 	skip := b.ejector.Skip(runs, now, b.rng.Float64)
 	b.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -227,7 +235,7 @@
 		return cmp.Or(compareBool(skip[x.Run()], skip[y.Run()]),
 			later(now, b.limits.byRun[x.Run()].closed).Compare(later(now, b.limits.byRun[y.Run()].closed)))
 	})
-	return list
+	return list, unkept
 }
 
 func compareBool(x, y bool) int {
@@ -248,3 +256,13 @@
 		known.closed = until
 	}
 }
+
+// Unkept notes that nobody answers who could grant a slot of a target, and that this entry asks
+// for none for a time.
+func (b *Book) Unkept(run serving.Run, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.limits.byRun[run]; known != nil {
+		known.closed, known.unkept = until, until
+	}
+}
--- a/placing/slots_test.go
+++ b/placing/slots_test.go
@@ -143,8 +143,14 @@
 	LetGo(gt, b, lane, now)
 	g.Expect(<-w.Granted()).To(BeNil())
 	g.Expect(gt.Waits()).To(BeFalse())
-	limited := b.Limited(targets, func(*serving.Target) bool { return false }, now)
+	all := func(*serving.Target) bool { return false }
+	limited, unkept := b.Limited(targets, all, now)
 	g.Expect(limited).To(Equal([]*serving.Target{targets[1], targets[0]}), "the one with a slot first")
+	g.Expect(unkept).To(BeZero())
+	b.Unkept(targets[1].Run(), now.Add(time.Second))
+	limited, unkept = b.Limited(targets, all, now)
+	g.Expect(limited).To(Equal(targets[:1]))
+	g.Expect(unkept).To(Equal(time.Second))
 }
 
 // Guards against news of many rates that fill messages, and against such as are never told.
