Entries reckon a service's room only when somebody waits for it

Cause: each report of a group and each end of a try reckoned the room of all groups of the service, 200 times a second with a dozen groups, mostly with nobody waiting.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -328,7 +328,7 @@
 // endTry books the end of a try, which may let another request go.
 func (g *Gateway) endTry(a *placing.Account, r *request) {
 	g.book.End(a, &r.wish, time.Now())
-	g.regate(r.service.Name)
+	g.roomMade(r.service.Name)
 }
 
 const statusMisdirected = 421
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -80,7 +80,7 @@
 func (l *loadReader) size(loads *peers.Loads) {
 	if loads.Ranks > 0 {
 		l.g.book.GroupSize(l.service, loads.Group, int(loads.Ranks), time.Now())
-		l.g.regate(l.service)
+		l.g.roomMade(l.service)
 	}
 }
 
@@ -162,7 +162,7 @@
 	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.Worst), placing.Waiting{InTime: int(loads.Wanting), Late: int(loads.Late)}, at)
 	state.Name, state.Open = l.group, loads.Open
 	l.g.book.Reported(l.service, l.g.knowledge.view().targets[l.service], byAddress, state)
-	l.g.regate(l.service)
+	l.g.roomMade(l.service)
 }
 
 // startLoads begins to follow the loads of services that have rank groups.
@@ -196,7 +196,18 @@
 	return gt
 }
 
-// regate lets requests go that wait for a service.
+// roomMade lets requests go that wait for a service, after something that may have made room for
+// them. Mostly nobody waits, and entries hear of each group several times a second.
+func (g *Gateway) roomMade(service string) {
+	g.mu.Lock()
+	gt := g.gates[service]
+	g.mu.Unlock()
+	if gt != nil && gt.Waits() {
+		g.regate(service)
+	}
+}
+
+// regate reckons what may go for a service, and lets requests go that wait.
 func (g *Gateway) regate(service string) {
 	v := g.knowledge.view()
 	if v == nil {
