The rates' tests wait until each entry knows the targets

Cause: the test pressed an entry as soon as it took requests. That an entry does so before it has read the targets is as before and not what these tests are about.

Change: the set-up waits for the targets, as startFleet does; bounds and checks are the same. Refusals are kept as status, time and text, so a failure can be read.

--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -100,14 +100,23 @@
 type limitedFleet struct {
 	t       *testing.T
 	store   *memStore
+	service string
+	targets int
 	mu      sync.Mutex
 	entries []*fleet
 	sent    int
-	refused []*http.Response
+	refused []refusal
+}
+
+// refusal is what a caller gets in place of an answer.
+type refusal struct {
+	status   int
+	comeBack string
+	body     string
 }
 
 func startLimitedFleet(t *testing.T, entries int, service string, targets ...*testTarget) *limitedFleet {
-	f := &limitedFleet{t: t, store: new(memStore)}
+	f := &limitedFleet{t: t, store: new(memStore), service: service, targets: len(targets)}
 	f.store.put(serving.TopicConfig, "config", testConfig())
 	for _, target := range targets {
 		f.store.put(serving.TopicTargets, target.id, serving.Target{Service: service, Address: target.addr, DataCentre: "a"})
@@ -121,7 +130,12 @@
 // start starts an entry, which takes the place of an earlier one of its name.
 func (f *limitedFleet) start(name string) {
 	e := startGateway(f.t, name, f.store)
-	NewWithT(f.t).Eventually(e.gw.Ready, "5s", "5ms").Should(BeTrue())
+	NewWithT(f.t).Eventually(func() int {
+		if v := e.gw.knowledge.view(); v != nil {
+			return len(v.targets[f.service])
+		}
+		return 0
+	}, "5s", "5ms").Should(Equal(f.targets))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = slices.DeleteFunc(f.entries, func(o *fleet) bool { return o.gw.opts.Name == name })
@@ -161,13 +175,13 @@
 	f.sent++
 	e := &fleet{t: f.t, addr: f.entries[rng.IntN(len(f.entries))].addr, rid: f.sent}
 	f.mu.Unlock()
-	resp, _, err := e.ask("POST", path, "k1", "")
+	resp, body, err := e.ask("POST", path, "k1", "")
 	if err != nil || resp.StatusCode == http.StatusOK {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refused = append(f.refused, resp)
+	f.refused = append(f.refused, refusal{status: resp.StatusCode, comeBack: resp.Header.Get("Retry-After"), body: body})
 }
 
 // Guards against a target that names a rate and gets more than that from all entries together,
@@ -217,9 +231,9 @@
 	}
 	f.mu.Lock()
 	g.Expect(len(f.refused)).To(BeNumerically(">", 20))
-	for _, resp := range f.refused {
-		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
-		g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	for _, r := range f.refused {
+		g.Expect(r.status).To(Equal(http.StatusServiceUnavailable), "%+v", r)
+		g.Expect(r.comeBack).NotTo(BeEmpty(), "%+v", r)
 	}
 	f.mu.Unlock()
 	g.Eventually(func() bool {
