--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -187,6 +187,7 @@
 // Guards against a target that names a rate and gets more than that from all entries together,
 // whichever service it is of, while entries crash and start again.
 func TestATargetGetsNoMoreThanTheRateThatItNames(t *testing.T) {
+	t.Parallel()
 	for service, path := range map[string]string{"plain": "/once/x", "llm": "/s/x"} {
 		t.Run(service, func(t *testing.T) {
 			t.Parallel()
