--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -91,12 +91,12 @@
 		case e != nil:
 			return nil, e
 		case target == nil:
-			return t.awaitSlot(ctx)
+			return t.awaitPermit(ctx)
 		case t.mayGo(ctx, target):
 			return target, nil
 		}
 		t.giveBack(target)
-		t.r.wish.AvoidLimited, t.r.wish.Again = asked >= slotAsks, true
+		t.r.wish.AvoidLimited, t.r.wish.Again = asked >= permitAsks, true
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	g.peers = peers.Serve(peersLn, map[peers.Kind]peers.Handler{
 		peers.KindHeartbeat: g.mesh.group.Answer,
 		peers.KindProbe:     g.mesh.group.AnswerProbe,
-		peers.KindSlot:      g.mesh.answerSlot,
+		peers.KindPermit:    g.mesh.answerPermit,
 	}, g.peerFailed)
 	g.startDuties()
 	g.serveCallers()
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -29,7 +29,7 @@
 	f := startFleet(t, "plain", target)
 	known := f.gw.knowledge.view().targets["plain"][0]
 	g.Eventually(func() bool {
-		_, self := f.gw.mesh.keeper(known.Run())
+		_, self := f.gw.mesh.owner(known.Run())
 		return self
 	}, "5s", "5ms").Should(BeTrue())
 	for _, rate := range []float64{1.5, 1.5, 0.8, placing.Unlimited} {
--- a/members/keeper_test.go
+++ b/members/owner_test.go
@@ -11,7 +11,7 @@
 	"github.com/heatherrail/heatherrail/peers"
 )
 
-func keeperTables(count int) []*Table {
+func ownerTables(count int) []*Table {
 	now := time.Unix(1000, 0)
 	var tables []*Table
 	for i := range count {
@@ -24,21 +24,21 @@
 	return tables
 }
 
-// Guards against two entries that keep the same thing, and against all that is kept changing
+// Guards against two entries that own the same thing, and against all that is owned changing
 // hands when one entry comes or goes.
-func TestAllEntriesNameTheSameKeeper(t *testing.T) {
+func TestAllEntriesNameTheSameOwner(t *testing.T) {
 	g := NewWithT(t)
 	const entries, things = 12, 600
-	tables := keeperTables(entries)
-	kept, before := make(map[string]int), make(map[string]string)
+	tables := ownerTables(entries)
+	owned, before := make(map[string]int), make(map[string]string)
 	for i := range things {
 		of := fmt.Sprintf("target-%d", i)
-		name, _ := tables[0].Keeper(of)
-		kept[name]++
+		name, _ := tables[0].Owner(of)
+		owned[name]++
 		before[of] = name
 		selves := 0
 		for _, table := range tables {
-			other, self := table.Keeper(of)
+			other, self := table.Owner(of)
 			g.Expect(other).To(Equal(name))
 			if self {
 				selves++
@@ -46,16 +46,16 @@
 		}
 		g.Expect(selves).To(Equal(1))
 	}
-	for name, n := range kept {
+	for name, n := range owned {
 		g.Expect(n).To(BeNumerically("<", 2*things/entries), name)
 	}
-	g.Expect(kept).To(HaveLen(entries))
+	g.Expect(owned).To(HaveLen(entries))
 
 	lost := peers.Member{Entry: peers.Presence{Name: "e3", Incarnation: 1, Beat: 1}, Lost: true}
 	tables[0].Take([]peers.Member{lost}, time.Unix(2000, 0))
 	for of, name := range before {
 		if name != "e3" {
-			now, _ := tables[0].Keeper(of)
+			now, _ := tables[0].Owner(of)
 			g.Expect(now).To(Equal(name))
 		}
 	}
@@ -63,13 +63,13 @@
 	g.Expect([]int{living, known}).To(Equal([]int{entries - 1, entries}))
 }
 
-// Guards against an entry that stops, or has not begun, and is asked for what it does not keep.
-func TestOnlyEntriesThatTakeRequestsKeepAnything(t *testing.T) {
+// Guards against an entry that stops, or has not begun, and is asked for what it does not own.
+func TestOnlyEntriesThatTakeRequestsOwnAnything(t *testing.T) {
 	g := NewWithT(t)
-	tables := keeperTables(3)
+	tables := ownerTables(3)
 	tables[0].Self(false, true)
 	for i := range 50 {
-		name, self := tables[0].Keeper(fmt.Sprint(i))
+		name, self := tables[0].Owner(fmt.Sprint(i))
 		g.Expect(self).To(BeFalse())
 		g.Expect(name).NotTo(Equal("e0"))
 	}
--- a/members/table.go
+++ b/members/table.go
@@ -281,10 +281,10 @@
 	return living, len(t.byName) + 1
 }
 
-// Keeper returns the entry that keeps something of a name, the same one at all entries that
-// know the same: of those that live and take requests the one that comes first in an order of
-// the name's own. When an entry comes or goes only what it keeps changes hands.
-func (t *Table) Keeper(of string) (name string, self bool) {
+// Owner returns the entry that is responsible for something, by rendezvous hashing over those
+// that live and take requests: entries that know the same agree, and when one comes or goes only
+// what it owns moves.
+func (t *Table) Owner(of string) (name string, self bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var most uint64
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -14,7 +14,7 @@
 	KindOrder     Kind = 3 // RankOrder, answered by an OrderResult
 	KindLoads     Kind = 4 // LoadsQuery, answered by Loads
 	KindProbe     Kind = 5 // ProbeQuery, answered by ProbeResult
-	KindSlot      Kind = 6 // SlotQuery, answered by SlotResult
+	KindPermit    Kind = 6 // PermitQuery, answered by PermitResult
 )
 
 // Heartbeat is an entry's sign of life; an answer brings what the other one lacks.
@@ -42,24 +42,24 @@
 	AgeMS     uint32  // since it said so last
 }
 
-// SlotQuery asks the entry that keeps the slots of a target for one.
+// PermitQuery asks the entry that issues the permits of a target for one.
 //
-//msgp:tuple SlotQuery
-type SlotQuery struct {
+//msgp:tuple PermitQuery
+type PermitQuery struct {
 	Rate      Rate   // of the target, as the asker knows it
 	MaxWaitMS uint32 // that the request may wait
-	Refuses   bool   // without a slot a caller is refused
+	Refuses   bool   // without a permit a caller is refused
 }
 
-// SlotResult tells when a request may go.
+// PermitResult tells when a request may go to a target.
 //
-//msgp:tuple SlotResult
-type SlotResult struct {
-	Kept       bool // whoever was asked keeps the slots; else the rest is not told
+//msgp:tuple PermitResult
+type PermitResult struct {
+	Owner      bool // whoever was asked issues the permits; else the rest is not told
 	Granted    bool
-	WaitMS     uint32 // until the slot, or until one may be free
+	WaitMS     uint32 // until the permit is valid, or until one may be free
 	ComeBackMS uint32 // for a caller that is refused
-	Rate       Rate   // as whoever keeps the slots knows it
+	Rate       Rate   // as whoever issues the permits knows it
 }
 
 // Doubt is what one entry has seen of a target that broke off connections or did not answer.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -1004,6 +1004,122 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *PermitQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.Rate.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	o = msgp.AppendUint32(o, z.MaxWaitMS)
+	o = msgp.AppendBool(o, z.Refuses)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PermitQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.Rate.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.MaxWaitMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxWaitMS")
+		return
+	}
+	z.Refuses, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Refuses")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PermitQuery) Msgsize() (s int) {
+	s = 1 + z.Rate.Msgsize() + msgp.Uint32Size + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PermitResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendBool(o, z.Owner)
+	o = msgp.AppendBool(o, z.Granted)
+	o = msgp.AppendUint32(o, z.WaitMS)
+	o = msgp.AppendUint32(o, z.ComeBackMS)
+	o, err = z.Rate.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PermitResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Owner, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.WaitMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMS")
+		return
+	}
+	z.ComeBackMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ComeBackMS")
+		return
+	}
+	bts, err = z.Rate.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PermitResult) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + z.Rate.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1911,122 +2027,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *SlotQuery) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o, err = z.Rate.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Rate")
-		return
-	}
-	o = msgp.AppendUint32(o, z.MaxWaitMS)
-	o = msgp.AppendBool(o, z.Refuses)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *SlotQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	bts, err = z.Rate.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Rate")
-		return
-	}
-	z.MaxWaitMS, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxWaitMS")
-		return
-	}
-	z.Refuses, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Refuses")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SlotQuery) Msgsize() (s int) {
-	s = 1 + z.Rate.Msgsize() + msgp.Uint32Size + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *SlotResult) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
-	o = msgp.AppendBool(o, z.Kept)
-	o = msgp.AppendBool(o, z.Granted)
-	o = msgp.AppendUint32(o, z.WaitMS)
-	o = msgp.AppendUint32(o, z.ComeBackMS)
-	o, err = z.Rate.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Rate")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *SlotResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Kept, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Kept")
-		return
-	}
-	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Granted")
-		return
-	}
-	z.WaitMS, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "WaitMS")
-		return
-	}
-	z.ComeBackMS, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ComeBackMS")
-		return
-	}
-	bts, err = z.Rate.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Rate")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SlotResult) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + z.Rate.Msgsize()
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z SlowRank) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/placing/letgo.go
+++ b/placing/letgo.go
@@ -17,7 +17,7 @@
 // LetGo hands targets to requests that wait at a gate, as far as targets have room.
 //
 // If all targets name a rate nobody waits here: how soon a request may go is then told by
-// whoever keeps the slots of the targets.
+// whoever issues the permits of the targets.
 func LetGo(g *Gate, b *Book, l Lane, now time.Time) {
 	if b.AllLimited(l.Targets) {
 		g.release()
--- a/placing/slots_test.go
+++ b/placing/permits_test.go
@@ -11,7 +11,7 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-const slotWindow = 4 * time.Second
+const permitWindow = 4 * time.Second
 
 // mostIn returns the most moments in any window.
 func mostIn(at []time.Time, window time.Duration) int {
@@ -26,13 +26,13 @@
 	return most
 }
 
-// Guards against slots that come faster than the rate, however often they are asked for and
+// Guards against permits that come faster than the rate, however often they are asked for and
 // whenever the rate changes.
-func TestSlotsKeepTheRateInEveryWindow(t *testing.T) {
+func TestPermitsKeepTheRateInEveryWindow(t *testing.T) {
 	for seed := range uint64(30) {
 		g := NewWithT(t)
 		rng := rand.New(rand.NewPCG(seed, 1))
-		b, begun := slotBook(), time.Unix(1000, 0)
+		b, begun := permitBook(), time.Unix(1000, 0)
 		var granted []time.Time
 		now, highest := begun, 0.0
 		for range 4000 {
@@ -42,34 +42,34 @@
 				highest = max(highest, rate)
 				b.RateSaid(RateLimit{Run: limitedRun, Rate: rate}, Said{Earliest: now, Latest: now.Add(1)}, now)
 			}
-			q := SlotQuery{MaxWait: time.Duration(rng.Int64N(int64(300 * time.Millisecond))), Refuses: rng.IntN(2) == 0}
-			if slot := b.TakeSlot(limitedRun, 1, q, now); slot.Granted {
-				g.Expect(slot.Wait).To(BeNumerically("<=", q.MaxWait))
-				granted = append(granted, now.Add(slot.Wait))
+			q := PermitQuery{MaxWait: time.Duration(rng.Int64N(int64(300 * time.Millisecond))), Refuses: rng.IntN(2) == 0}
+			if permit := b.TakePermit(limitedRun, 1, q, now); permit.Granted {
+				g.Expect(permit.Wait).To(BeNumerically("<=", q.MaxWait))
+				granted = append(granted, now.Add(permit.Wait))
 			}
 		}
 		g.Expect(granted).NotTo(BeEmpty())
-		g.Expect(float64(mostIn(granted, slotWindow))).To(BeNumerically("<=", highest*slotWindow.Seconds()+1), "seed %d", seed)
+		g.Expect(float64(mostIn(granted, permitWindow))).To(BeNumerically("<=", highest*permitWindow.Seconds()+1), "seed %d", seed)
 	}
 }
 
-func slotBook() *Book { return NewBook("e", "a", rand.New(rand.NewPCG(1, 2))) }
+func permitBook() *Book { return NewBook("e", "a", rand.New(rand.NewPCG(1, 2))) }
 
 func nameRate(b *Book, run serving.Run, rate float64, now time.Time) {
 	b.RateSaid(RateLimit{Run: run, Rate: rate}, Said{Earliest: now, Latest: now}, now)
 }
 
-// Guards against two entries that grant slots at a time, as one begins to keep them while the
+// Guards against two entries that grant permits at a time, as one begins to issue them while the
 // other has not heard of it.
-func TestNoSlotIsGrantedRightAfterTakingOver(t *testing.T) {
+func TestNoPermitIsGrantedRightAfterTakingOver(t *testing.T) {
 	g := NewWithT(t)
-	b, now := slotBook(), time.Unix(1000, 0)
+	b, now := permitBook(), time.Unix(1000, 0)
 	nameRate(b, limitedRun, 10, now)
-	g.Expect(b.TakeSlot(limitedRun, 1, SlotQuery{}, now)).To(Equal(Slot{Wait: takeOver}))
-	g.Expect(b.TakeSlot(limitedRun, 1, SlotQuery{}, now.Add(takeOver)).Granted).To(BeTrue())
-	b.LeaveSlots(limitedRun)
+	g.Expect(b.TakePermit(limitedRun, 1, PermitQuery{}, now)).To(Equal(Permit{Wait: takeOver}))
+	g.Expect(b.TakePermit(limitedRun, 1, PermitQuery{}, now.Add(takeOver)).Granted).To(BeTrue())
+	b.StopIssuing(limitedRun)
 	later := now.Add(time.Minute)
-	g.Expect(b.TakeSlot(limitedRun, 1, SlotQuery{}, later).Granted).To(BeFalse())
+	g.Expect(b.TakePermit(limitedRun, 1, PermitQuery{}, later).Granted).To(BeFalse())
 }
 
 // Guards against a fleet that has split, whose sides grant the whole rate each.
@@ -78,33 +78,33 @@
 	var granted []time.Time
 	begun := time.Unix(1000, 0)
 	for _, part := range []float64{3.0 / 8, 5.0 / 8} {
-		b := slotBook()
+		b := permitBook()
 		nameRate(b, limitedRun, 2, begun)
 		for at := time.Duration(0); at < 30*time.Second; at += 10 * time.Millisecond {
-			if b.TakeSlot(limitedRun, part, SlotQuery{}, begun.Add(at)).Granted {
+			if b.TakePermit(limitedRun, part, PermitQuery{}, begun.Add(at)).Granted {
 				granted = append(granted, begun.Add(at))
 			}
 		}
 	}
 	g.Expect(len(granted)).To(BeNumerically("~", 60, 4))
-	g.Expect(mostIn(granted, slotWindow)).To(BeNumerically("<=", 10), "what the rate allows, and one for each side")
+	g.Expect(mostIn(granted, permitWindow)).To(BeNumerically("<=", 10), "what the rate allows, and one for each side")
 }
 
-// Guards against refused callers who all come back for the same slot.
+// Guards against refused callers who all come back for the same permit.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
 	g := NewWithT(t)
-	b, now := slotBook(), time.Unix(1000, 0)
+	b, now := permitBook(), time.Unix(1000, 0)
 	nameRate(b, limitedRun, 2, now)
 	now = now.Add(2 * time.Second)
-	b.TakeSlot(limitedRun, 1, SlotQuery{}, now)
+	b.TakePermit(limitedRun, 1, PermitQuery{}, now)
 	now = now.Add(takeOver)
-	g.Expect(b.TakeSlot(limitedRun, 1, SlotQuery{}, now).Granted).To(BeTrue())
-	refuse := SlotQuery{MaxWait: 100 * time.Millisecond, Refuses: true}
+	g.Expect(b.TakePermit(limitedRun, 1, PermitQuery{}, now).Granted).To(BeTrue())
+	refuse := PermitQuery{MaxWait: 100 * time.Millisecond, Refuses: true}
 	for i := 1; i <= 10; i++ {
-		g.Expect(b.TakeSlot(limitedRun, 1, refuse, now).ComeBack).To(Equal(time.Duration(i) * 500 * time.Millisecond))
+		g.Expect(b.TakePermit(limitedRun, 1, refuse, now).ComeBack).To(Equal(time.Duration(i) * 500 * time.Millisecond))
 	}
 	for range 100 {
-		g.Expect(b.TakeSlot(limitedRun, 1, refuse, now).ComeBack).To(BeNumerically("<=", promiseMost+500*time.Millisecond))
+		g.Expect(b.TakePermit(limitedRun, 1, refuse, now).ComeBack).To(BeNumerically("<=", promiseMost+500*time.Millisecond))
 	}
 }
 
@@ -112,28 +112,28 @@
 // that nobody hears when it wants more.
 func TestATargetThatWantsNothingIsTriedNowAndThen(t *testing.T) {
 	g := NewWithT(t)
-	b, now := slotBook(), time.Unix(1000, 0)
+	b, now := permitBook(), time.Unix(1000, 0)
 	nameRate(b, limitedRun, 0, now)
 	var granted []time.Time
 	for at := time.Duration(0); at < 2*time.Minute; at += 50 * time.Millisecond {
-		if b.TakeSlot(limitedRun, 1, SlotQuery{}, now.Add(at)).Granted {
+		if b.TakePermit(limitedRun, 1, PermitQuery{}, now.Add(at)).Granted {
 			granted = append(granted, now.Add(at))
 		}
 	}
 	g.Expect(len(granted)).To(And(BeNumerically(">=", 3), BeNumerically("<=", 4)))
 	raised := granted[len(granted)-1].Add(time.Second)
 	nameRate(b, limitedRun, 5, raised)
-	g.Expect(b.TakeSlot(limitedRun, 1, SlotQuery{}, raised).Granted).To(BeTrue(), "an earlier, lower rate delays nothing")
+	g.Expect(b.TakePermit(limitedRun, 1, PermitQuery{}, raised).Granted).To(BeTrue(), "an earlier, lower rate delays nothing")
 }
 
 // Guards against requests that wait at the gate for targets which none of them may go to.
 func TestNobodyWaitsAtTheGateIfAllTargetsNameARate(t *testing.T) {
 	g := NewWithT(t)
-	b, gt, now := slotBook(), new(Gate), time.Unix(1000, 0)
+	b, gt, now := permitBook(), new(Gate), time.Unix(1000, 0)
 	targets := []*serving.Target{{ID: "i1", Service: "s"}, {ID: "i2", Service: "s"}}
 	lane := Lane{Service: &serving.Service{Name: "s", Engine: &serving.EngineModel{Slots: 4}}, Targets: targets, Entries: 1}
 	nameRate(b, targets[0].Run(), 1, now)
-	b.NoSlot(targets[0].Run(), now.Add(time.Second))
+	b.NoPermit(targets[0].Run(), now.Add(time.Second))
 	w, _, _ := gt.Enter(&Request{Arrived: now}, now)
 	LetGo(gt, b, lane, now)
 	g.Expect(<-w.Granted()).To(Equal(targets[1]))
@@ -144,19 +144,19 @@
 	g.Expect(<-w.Granted()).To(BeNil())
 	g.Expect(gt.Waits()).To(BeFalse())
 	all := func(*serving.Target) bool { return false }
-	limited, unkept := b.Limited(targets, all, now)
-	g.Expect(limited).To(Equal([]*serving.Target{targets[1], targets[0]}), "the one with a slot first")
-	g.Expect(unkept).To(BeZero())
-	b.Unkept(targets[1].Run(), now.Add(time.Second))
-	limited, unkept = b.Limited(targets, all, now)
+	limited, unowned := b.Limited(targets, all, now)
+	g.Expect(limited).To(Equal([]*serving.Target{targets[1], targets[0]}), "the one with a permit first")
+	g.Expect(unowned).To(BeZero())
+	b.NoOwner(targets[1].Run(), now.Add(time.Second))
+	limited, unowned = b.Limited(targets, all, now)
 	g.Expect(limited).To(Equal(targets[:1]))
-	g.Expect(unkept).To(Equal(time.Second))
+	g.Expect(unowned).To(Equal(time.Second))
 }
 
 // Guards against news of many rates that fill messages, and against such as are never told.
 func TestAllRatesAreToldInMessagesOfAFewEach(t *testing.T) {
 	g := NewWithT(t)
-	b, now := slotBook(), time.Unix(1000, 0)
+	b, now := permitBook(), time.Unix(1000, 0)
 	told := make(map[string]bool)
 	for i := range 200 {
 		nameRate(b, serving.Run{ID: string(rune('a'+i%20)) + string(rune('a'+i/20))}, 1, now.Add(time.Duration(i)))
--- a/placing/ratefleet_test.go
+++ b/placing/ratefleet_test.go
@@ -91,9 +91,8 @@
 	f.now = end
 }
 
-// keeper is the first living entry in an order of the target's own; each entry hears after a
-// moment that another one is down.
-func (f *rateFleet) keeper() *rateEntry {
+// owner is the first living entry, in everybody's view.
+func (f *rateFleet) owner() *rateEntry {
 	for _, e := range f.entries {
 		if !e.down {
 			return e
@@ -121,22 +120,22 @@
 		return // it goes to another target
 	}
 	f.asked++
-	keeper, runs := f.keeper(), e.runs
-	if keeper == e {
-		f.granted(e, runs, e.book.TakeSlot(limitedRun, f.part(), SlotQuery{}, f.now))
+	owner, runs := f.owner(), e.runs
+	if owner == e {
+		f.granted(e, runs, e.book.TakePermit(limitedRun, f.part(), PermitQuery{}, f.now))
 		return
 	}
-	e.book.LeaveSlots(limitedRun)
-	e.book.NoSlot(limitedRun, f.now.Add(500*time.Millisecond)) // unless an answer comes
+	e.book.StopIssuing(limitedRun)
+	e.book.NoPermit(limitedRun, f.now.Add(500*time.Millisecond)) // unless an answer comes
 	rate, said := e.book.RateOf(limitedRun)
 	age := f.now.Sub(said)
 	f.carry(func() {
-		if keeper.down {
+		if owner.down {
 			return
 		}
-		keeper.book.RateSaid(RateLimit{Run: limitedRun, Rate: rate}, Said{Latest: f.now.Add(-age)}, f.now)
-		slot := keeper.book.TakeSlot(limitedRun, f.part(), SlotQuery{}, f.now)
-		f.carry(func() { f.granted(e, runs, slot) })
+		owner.book.RateSaid(RateLimit{Run: limitedRun, Rate: rate}, Said{Latest: f.now.Add(-age)}, f.now)
+		permit := owner.book.TakePermit(limitedRun, f.part(), PermitQuery{}, f.now)
+		f.carry(func() { f.granted(e, runs, permit) })
 	})
 }
 
@@ -150,13 +149,13 @@
 	return float64(living) / float64(len(f.entries))
 }
 
-func (f *rateFleet) granted(e *rateEntry, runs int, slot Slot) {
+func (f *rateFleet) granted(e *rateEntry, runs int, permit Permit) {
 	if e.down || e.runs != runs {
 		return
 	}
-	e.book.NoSlot(limitedRun, f.now.Add(slot.Wait))
-	if slot.Granted {
-		f.after(slot.Wait, func() { f.send(e) })
+	e.book.NoPermit(limitedRun, f.now.Add(permit.Wait))
+	if permit.Granted {
+		f.after(permit.Wait, func() { f.send(e) })
 	}
 }
 
@@ -245,10 +244,10 @@
 					f.run(6 * time.Second)
 					f.restart(f.rng.IntN(entries), 2*time.Second)
 					f.run(6 * time.Second)
-					f.restart(0, 3*time.Second) // the one that keeps the slots
+					f.restart(0, 3*time.Second) // the owner
 					f.run(8 * time.Second)
 					came := f.target.came[from:]
-					g.Expect(mostIn(came, slotWindow)).To(BeNumerically("<=", int(rate*slotWindow.Seconds())+2), "rate %g", rate)
+					g.Expect(mostIn(came, permitWindow)).To(BeNumerically("<=", int(rate*permitWindow.Seconds())+2), "rate %g", rate)
 					g.Expect(float64(len(came))).To(BeNumerically(">=", rate*20*0.5), "rate %g", rate)
 					g.Expect(float64(f.asked)).To(BeNumerically("<=", pressed*20))
 				}
@@ -265,7 +264,7 @@
 // Guards against what is known of one run of a target being taken for another's.
 func TestARateIsForgottenWithItsTarget(t *testing.T) {
 	g := NewWithT(t)
-	b, now := slotBook(), time.Unix(1000, 0)
+	b, now := permitBook(), time.Unix(1000, 0)
 	nameRate(b, limitedRun, 1, now)
 	b.Forget(func(run serving.Run) bool { return run == limitedRun }, now)
 	rate, _ := b.RateOf(limitedRun)
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -44,12 +44,12 @@
 }
 
 type rateLimit struct {
-	rate   float64
-	said   time.Time // the latest time at which the target is taken to have said so
-	learnt time.Time // when this entry learnt of the latest change
-	closed time.Time // this entry gets no slot before
-	unkept time.Time // nobody answers this entry that could grant a slot, and is not asked before
-	slots  slots
+	rate    float64
+	said    time.Time // the latest time at which the target is taken to have said so
+	learnt  time.Time // when this entry learnt of the latest change
+	closed  time.Time // this entry gets no permit before
+	unowned time.Time // whoever issues permits did not answer, and is not asked before
+	permits permits
 }
 
 func newRateLimits() rateLimits {
@@ -67,7 +67,7 @@
 // limited tells whether a target names a rate.
 func (l *rateLimits) limited(run serving.Run) bool { return l.rate(run) != Unlimited }
 
-// closed tells whether this entry gets no slot of a target now.
+// closed tells whether this entry gets no permit of a target now.
 func (l *rateLimits) closed(run serving.Run, now time.Time) bool {
 	known := l.byRun[run]
 	return known != nil && known.rate != Unlimited && now.Before(known.closed)
@@ -102,7 +102,7 @@
 	}
 	taken.Tell = differs(said.Rate, known.rate)
 	known.rate, known.learnt = said.Rate, now
-	known.closed, known.slots.promised = time.Time{}, time.Time{}
+	known.closed, known.permits.promised = time.Time{}, time.Time{}
 	return taken
 }
 
@@ -209,10 +209,11 @@
 	return limited
 }
 
-// Limited returns the targets that could be used and name a rate, those first of which a slot is
-// to be had soonest; targets that failed lately come last. unkept is how long it takes until a
-// slot of one of the others can be asked for; 0: there are none. drop must not use the book.
-func (b *Book) Limited(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) (list []*serving.Target, unkept time.Duration) {
+// Limited returns the targets that could be used and name a rate, those first of which a permit is
+// to be had soonest; targets that failed lately come last. Targets for which nobody issues permits
+// are left out; unowned is how long it takes until one of them is asked for again, 0 if there are
+// none. drop must not use the book.
+func (b *Book) Limited(targets []*serving.Target, drop func(*serving.Target) bool, now time.Time) (list []*serving.Target, unowned time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var runs []serving.Run
@@ -220,9 +221,9 @@
 		if !b.usable(t) || !b.limits.limited(t.Run()) || drop(t) {
 			continue
 		}
-		if left := b.limits.byRun[t.Run()].unkept.Sub(now); left > 0 {
-			if unkept == 0 || left < unkept {
-				unkept = left
+		if left := b.limits.byRun[t.Run()].unowned.Sub(now); left > 0 {
+			if unowned == 0 || left < unowned {
+				unowned = left
 			}
 			continue
 		}
@@ -235,7 +236,7 @@
 		return cmp.Or(compareBool(skip[x.Run()], skip[y.Run()]),
 			later(now, b.limits.byRun[x.Run()].closed).Compare(later(now, b.limits.byRun[y.Run()].closed)))
 	})
-	return list, unkept
+	return list, unowned
 }
 
 func compareBool(x, y bool) int {
@@ -248,8 +249,8 @@
 	return -1
 }
 
-// NoSlot notes that this entry gets no slot of a target for a time.
-func (b *Book) NoSlot(run serving.Run, until time.Time) {
+// NoPermit notes that this entry gets no permit of a target for a time.
+func (b *Book) NoPermit(run serving.Run, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if known := b.limits.byRun[run]; known != nil {
@@ -257,12 +258,12 @@
 	}
 }
 
-// Unkept notes that nobody answers who could grant a slot of a target, and that this entry asks
-// for none for a time.
-func (b *Book) Unkept(run serving.Run, until time.Time) {
+// NoOwner notes that whoever issues the permits of a target does not answer, and that this entry
+// asks for none for a time.
+func (b *Book) NoOwner(run serving.Run, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if known := b.limits.byRun[run]; known != nil {
-		known.closed, known.unkept = until, until
+		known.closed, known.unowned = until, until
 	}
 }
