A scenario's failed wait for a group shows its state and the latest lines about it

What was seen: the known red map_switch said only that the group kept its map, so nothing could be traced from its one failure.

Change: the failure shows the group's state and the last twenty lines of each process that name it. No check changes.

Conclusion: the next failure can be read.

--- a/scenarios/groups_test.go
+++ b/scenarios/groups_test.go
@@ -4,10 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/heatherrail/heatherrail/control"
@@ -75,7 +79,36 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return "", fmt.Errorf("group %s %s", group, fault)
+	state, err := w.group(group)
+	if err != nil {
+		return "", err
+	}
+	return "", fmt.Errorf("group %s %s, state %+v; latest lines about it:\n%s", group, fault, state, w.linesAbout(group))
+}
+
+// tracedLines is how many lines of each process a failure shows.
+const tracedLines = 20
+
+// linesAbout returns the latest lines of all processes that name a group.
+func (w *world) linesAbout(group string) string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(w.procs)) {
+		log, err := os.ReadFile(filepath.Join(w.dir, name+".log"))
+		if err != nil {
+			fmt.Fprintln(&text, err)
+			continue
+		}
+		var lines []string
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, group) {
+				lines = append(lines, name+": "+line)
+			}
+		}
+		for _, line := range lines[max(0, len(lines)-tracedLines):] {
+			text.WriteString(line)
+		}
+	}
+	return text.String()
 }
 
 // owner pause|resume|lapsed GROUP freezes the holder of a group's lease, lets it go
