--- a/members/group.go
+++ b/members/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -58,12 +57,6 @@
 	synced  bool               // somebody has told all that it knows
 }
 
-type client struct {
-	address string
-	asker   Asker
-	used    time.Time
-}
-
 // Figures of the protocol.
 const (
 	// probeEvery: with it, some entry asks a dead one within half a second in the mean,
@@ -213,51 +206,6 @@
 	}
 }
 
-// client returns a client of an entry; nil if it is not known.
-func (g *Group) client(name string) Asker {
-	address, ok := g.table.Address(name)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c := g.clients[name]
-	if c != nil && (!ok || c.address != address) {
-		c.asker.Close()
-		delete(g.clients, name)
-		c = nil
-	}
-	if !ok {
-		return nil
-	}
-	if c == nil {
-		c = &client{address: address, asker: g.opts.Dial(address)}
-		g.clients[name] = c
-	}
-	c.used = time.Now()
-	return c.asker
-}
-
-func (g *Group) closeIdle() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for name, c := range g.clients {
-		if time.Since(c.used) > idleAfter {
-			c.asker.Close()
-			delete(g.clients, name)
-		}
-	}
-}
-
-// ErrUnknown: no entry of that name is known.
-var ErrUnknown = errors.New("entry is not known")
-
-// Ask asks an entry something else, on the connection for questions.
-func (g *Group) Ask(ctx context.Context, name string, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
-	asker := g.client(name)
-	if asker == nil {
-		return ErrUnknown
-	}
-	return asker.Ask(ctx, kind, question, answer, limit)
-}
-
 // heartbeat returns what this entry tells of itself and others.
 func (g *Group) heartbeat() *peers.Heartbeat {
 	self, changed := g.table.Self(g.opts.Carrier.State())
--- a/placing/ratefleet_test.go
+++ b/placing/ratefleet_test.go
@@ -219,9 +219,8 @@
 	})
 }
 
-// Guards against a fleet that together sends more than a target wants, while entries crash and
-// start again, questions and news are lost or late, and the rate changes; and against a cost
-// that grows with the fleet.
+// Guards against a fleet that overruns a rate while entries crash and news is lost, and against a
+// cost that grows with the fleet.
 func TestAFleetKeepsToARateAtAnySize(t *testing.T) {
 	for _, entries := range []int{8, 46, 410} {
 		for seed := range uint64(6) {
