Evacuation: no target of a data centre gets work while its evacuation is ordered

What callers saw: nothing; operators did. Cause: no program read the order. It lies in the topic of the configuration under a key of its own, and every record but the configuration's was passed over. Change: an order is a record of that topic like the configuration: one entry reads it, the others are told, and one that starts, was cut off or met a store that forgot its history gets it with the newest records. The topic's keys can now go, so its replica is no longer one whose keys are never removed. Targets of such a data centre stay listed, marked; placement takes none of them, for first tries, later ones, resumed streams and those that waited for a permit. What runs there is finished. Their engines go on with the passes of their group. A record that can't be read, or names a data centre without targets, is logged and changes nothing. Ruled out: leaving the targets out of the view. Their group would seem to lack ranks, its loads could not be asked for near by, and connections, rates and accounts would be forgotten.

--- a/demo/hosted/fleet.go
+++ b/demo/hosted/fleet.go
@@ -43,6 +43,9 @@
 	grace       = 5 * time.Second
 )
 
+// plainZones are where the plain targets are, none of them near an entry.
+var plainZones = [plainVMs]string{"x", "y"}
+
 var shape = standin.GroupShape{
 	Ranks: rankVMs, Sets: 2, Experts: 24, Places: 6, Slots: 10,
 	Fixed: 20 * time.Millisecond, PerStream: 4 * time.Millisecond, Copy: 15 * time.Millisecond, Events: 16,
@@ -75,14 +78,16 @@
 
 // runs counts how often plain targets have run each request.
 type runs struct {
-	mu   sync.Mutex
-	byID map[string]int
+	mu       sync.Mutex
+	byID     map[string]int
+	byTarget map[string]int
 }
 
 func (r *runs) note(run standin.Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byID[run.Request]++
+	r.byTarget[run.Target]++
 }
 
 // most returns how many requests ran, and the most runs of one.
@@ -97,7 +102,7 @@
 
 // Start starts a system.
 func Start(log logr.Logger) (*Fleet, error) {
-	f := &Fleet{log: log, store: standin.NewStore(), group: standin.NewGroup(shape), books: runs{byID: make(map[string]int)}}
+	f := &Fleet{log: log, store: standin.NewStore(), group: standin.NewGroup(shape), books: runs{byID: make(map[string]int), byTarget: make(map[string]int)}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	if err := f.start(); err != nil {
 		f.Close()
@@ -158,7 +163,7 @@
 		if err != nil {
 			return err
 		}
-		f.announce(e.ID, draftService, address)
+		f.announce(e.ID, standin.TargetRecord{Service: draftService, Address: address})
 		engines = append(engines, address)
 	}
 	for n, address := range engines {
@@ -174,17 +179,19 @@
 		if err != nil {
 			return err
 		}
-		f.announce(id, plainService, address)
+		f.announce(id, standin.TargetRecord{Service: plainService, Address: address, Zone: plainZones[n]})
 	}
 	return nil
 }
 
 // announce writes a target's records to the store until the fleet is closed.
-func (f *Fleet) announce(id, service, address string) {
-	f.store.PutTarget(id, standin.TargetRecord(service, address, false, 1))
+func (f *Fleet) announce(id string, record standin.TargetRecord) {
+	record.Sequence = 1
+	f.store.PutTarget(id, record.Fields())
 	f.tasks.Go(func() {
-		for sequence := uint64(2); sleep(f.ctx, targetBeat); sequence++ {
-			f.store.PutTarget(id, standin.TargetRecord(service, address, false, sequence))
+		for sleep(f.ctx, targetBeat) {
+			record.Sequence++
+			f.store.PutTarget(id, record.Fields())
 		}
 	})
 }
@@ -232,24 +239,25 @@
 	}
 	vm := &entryVM{name: fmt.Sprintf("entry-%d", n), callers: callers.Addr().String()}
 	vm.gateway = gateway.Start(gateway.Options{
-		Name:         vm.name,
-		Incarnation:  uint64(time.Now().UnixNano()),
-		DataCentre:   "z",
-		Callers:      vm.callers,
-		Peers:        peers.Addr().String(),
-		Protocol:     platform.Protocol(),
-		Store:        platform.NewStore(f.address),
-		DecodeConfig: platform.DecodeConfigRecord,
-		DecodeTarget: platform.DecodeTarget,
-		Drain:        drain,
-		ConfigApply:  configApply,
-		TargetBeat:   targetBeat,
-		Grace:        grace,
-		LifetimeMax:  lifetimeMax,
-		Retries:      gateway.RetryBounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second},
-		AgentPort:    f.port,
-		Log:          f.log,
-		Metrics:      metrics.New(),
+		Name:             vm.name,
+		Incarnation:      uint64(time.Now().UnixNano()),
+		DataCentre:       "z",
+		Callers:          vm.callers,
+		Peers:            peers.Addr().String(),
+		Protocol:         platform.Protocol(),
+		Store:            platform.NewStore(f.address),
+		DecodeConfig:     platform.DecodeConfigRecord,
+		DecodeEvacuation: platform.DecodeEvacuation,
+		DecodeTarget:     platform.DecodeTarget,
+		Drain:            drain,
+		ConfigApply:      configApply,
+		TargetBeat:       targetBeat,
+		Grace:            grace,
+		LifetimeMax:      lifetimeMax,
+		Retries:          gateway.RetryBounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second},
+		AgentPort:        f.port,
+		Log:              f.log,
+		Metrics:          metrics.New(),
 	}, callers, peers)
 	f.entries = append(f.entries, vm)
 	return nil
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -61,7 +61,7 @@
 }
 
 func testKnowledge() *knowledge {
-	return newKnowledge(&Options{DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget, TargetBeat: time.Second, Log: logr.Discard(), Metrics: metrics.New()})
+	return newKnowledge(&Options{DecodeConfig: decodeTestConfig, DecodeEvacuation: decodeTestEvacuation, DecodeTarget: decodeTestTarget, TargetBeat: time.Second, Log: logr.Discard(), Metrics: metrics.New()})
 }
 
 func targetRecord(offset uint64, key, value string) serving.Record {
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -110,6 +110,16 @@
 	return c, key == "config", err
 }
 
+var errNoOrder = errors.New("no order")
+
+func decodeTestEvacuation(key string, value []byte) (string, bool, error) {
+	dataCentre, ok := strings.CutPrefix(key, "away-from-")
+	if ok && len(value) > 0 && !json.Valid(value) {
+		return "", true, errNoOrder
+	}
+	return dataCentre, ok, nil
+}
+
 func decodeTestTarget(id string, value []byte) (serving.Target, error) {
 	var t serving.Target
 	err := json.Unmarshal(value, &t)
@@ -235,7 +245,7 @@
 func testOptions(name string, store serving.Store) Options {
 	return Options{
 		Name: name, Incarnation: 1, DataCentre: "a", Protocol: testProtocol, Store: store,
-		DecodeConfig: decodeTestConfig, DecodeTarget: decodeTestTarget,
+		DecodeConfig: decodeTestConfig, DecodeEvacuation: decodeTestEvacuation, DecodeTarget: decodeTestTarget,
 		Drain: 400 * time.Millisecond, ConfigApply: 400 * time.Millisecond, TargetBeat: time.Second, Grace: 2 * time.Second, LifetimeMax: 5 * time.Second,
 		Retries: RetryBounds{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, AgentPort: "1",
 		Log: logr.Discard(), Metrics: metrics.New(),
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -21,22 +21,24 @@
 // knowledge is the gateway's copy of the store's topics. News come from the
 // store and from peers alike.
 type knowledge struct {
-	decodeConfig func(string, []byte) (serving.Config, bool, error)
-	decodeTarget func(string, []byte) (serving.Target, error)
-	outageGap    time.Duration
-	log          logr.Logger
-	metrics      *metrics.Set
-	current      atomic.Pointer[view]
+	decodeConfig     func(string, []byte) (serving.Config, bool, error)
+	decodeEvacuation func(string, []byte) (string, bool, error)
+	decodeTarget     func(string, []byte) (serving.Target, error)
+	outageGap        time.Duration
+	log              logr.Logger
+	metrics          *metrics.Set
+	current          atomic.Pointer[view]
 
-	mu       sync.Mutex
-	replicas [serving.Topics]*serving.Replica
-	fresh    [serving.Topics]time.Time // when the replica was last known to be complete
-	config   *serving.Index
-	targets  *serving.TargetSet
-	regained time.Time                 // when the store was back after an outage for all entries
-	failing  bool                      // our own calls to the store
-	entries  map[string]peers.Presence // by name, from their records
-	met      func(p peers.Presence)    // hears of each record of an entry
+	mu        sync.Mutex
+	replicas  [serving.Topics]*serving.Replica
+	fresh     [serving.Topics]time.Time // when the replica was last known to be complete
+	config    *serving.Index
+	targets   *serving.TargetSet
+	evacuated map[string]bool           // data centres whose targets get no work
+	regained  time.Time                 // when the store was back after an outage for all entries
+	failing   bool                      // our own calls to the store
+	entries   map[string]peers.Presence // by name, from their records
+	met       func(p peers.Presence)    // hears of each record of an entry
 }
 
 // outageBeats is how many of the targets' heartbeats nobody may have read the targets for
@@ -46,19 +48,22 @@
 
 func newKnowledge(o *Options) *knowledge {
 	k := &knowledge{
-		decodeConfig: o.DecodeConfig,
-		decodeTarget: o.DecodeTarget,
-		outageGap:    outageBeats * o.TargetBeat,
-		log:          o.Log,
-		metrics:      o.Metrics,
-		targets:      serving.NewTargetSet(),
-		entries:      make(map[string]peers.Presence),
-		met:          func(peers.Presence) {},
+		decodeConfig:     o.DecodeConfig,
+		decodeEvacuation: o.DecodeEvacuation,
+		decodeTarget:     o.DecodeTarget,
+		outageGap:        outageBeats * o.TargetBeat,
+		log:              o.Log,
+		metrics:          o.Metrics,
+		targets:          serving.NewTargetSet(),
+		evacuated:        make(map[string]bool),
+		entries:          make(map[string]peers.Presence),
+		met:              func(peers.Presence) {},
 	}
 	for i := range k.replicas {
 		k.replicas[i] = serving.NewPermanentReplica()
 	}
 	k.replicas[serving.TopicTargets] = serving.NewReplica(k.sameTarget)
+	k.replicas[serving.TopicConfig] = serving.NewReplica(nil)
 	return k
 }
 
@@ -187,7 +192,7 @@
 	for i := range news {
 		switch t {
 		case serving.TopicConfig:
-			changed = k.applyConfig(&news[i]) || changed
+			changed = k.applyConfig(&news[i]) || k.applyEvacuation(&news[i]) || changed
 		case serving.TopicTargets:
 			changed = k.applyTarget(&news[i], now) || changed
 		case serving.TopicEntries:
@@ -198,7 +203,7 @@
 		changed = true
 	}
 	if changed && k.config != nil {
-		k.current.Store(&view{index: k.config, targets: k.targets.ByService(k.config.Names)})
+		k.current.Store(&view{index: k.config, targets: serving.MarkEvacuated(k.targets.ByService(k.config.Names), k.evacuated)})
 	}
 	k.mu.Unlock()
 }
@@ -224,6 +229,31 @@
 	return true
 }
 
+// applyEvacuation applies an order to evacuate a data centre, or its withdrawal. A record that
+// can't be read changes nothing.
+func (k *knowledge) applyEvacuation(rec *serving.Record) bool {
+	dataCentre, ok, err := k.decodeEvacuation(rec.Key, rec.Value)
+	if !ok {
+		return false
+	}
+	if err != nil {
+		k.metrics.Count("evacuations_ignored", 1)
+		k.log.Error(err, "order to evacuate ignored", "key", rec.Key, "offset", rec.Offset)
+		return false
+	}
+	ordered := len(rec.Value) > 0
+	if ordered == k.evacuated[dataCentre] {
+		return false
+	}
+	if ordered {
+		k.evacuated[dataCentre] = true
+	} else {
+		delete(k.evacuated, dataCentre)
+	}
+	k.log.Info("evacuation", "data_centre", dataCentre, "ordered", ordered, "targets", k.targets.In(dataCentre), "offset", rec.Offset)
+	return true
+}
+
 func (k *knowledge) applyTarget(rec *serving.Record, now time.Time) bool {
 	if len(rec.Value) == 0 {
 		believe := now
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -42,6 +42,10 @@
 	// DecodeConfig decodes a record of serving.TopicConfig; ok is false for records
 	// that are something else.
 	DecodeConfig func(key string, value []byte) (c serving.Config, ok bool, err error)
+	// DecodeEvacuation decodes an order to evacuate a data centre, a record of
+	// serving.TopicConfig without a value if the order is withdrawn; ok is false for records
+	// that are something else.
+	DecodeEvacuation func(key string, value []byte) (dataCentre string, ok bool, err error)
 	// DecodeTarget decodes a record of serving.TopicTargets.
 	DecodeTarget func(id string, value []byte) (serving.Target, error)
 
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -51,6 +52,10 @@
 			t.giveBack(target)
 			return nil, e
 		}
+		if !t.open(target) {
+			t.giveBack(target)
+			continue
+		}
 		return target, nil
 	}
 	if e := t.ended(ctx); e != nil {
@@ -61,6 +66,11 @@
 	return nil, t.orLast(e)
 }
 
+// open tells whether a target may get work still, after a wait for its permit.
+func (t *tries) open(target *serving.Target) bool {
+	return slices.ContainsFunc(t.targets(), func(o *serving.Target) bool { return o.Run() == target.Run() && o.Open() })
+}
+
 // permitWait is how long the request may wait for a permit: as long as one that has just come
 // may and still be in time, so that those that can't be leave permits to others.
 func (r *request) permitWait(now time.Time) time.Duration {
--- a/placing/place.go
+++ b/placing/place.go
@@ -78,7 +78,7 @@
 // usable tells whether a target takes requests at all, as far as is known.
 func (b *Book) usable(t *serving.Target) bool {
 	a := b.accounts[t.Run()]
-	return !t.Leaving && (a == nil || !a.gone)
+	return t.Open() && (a == nil || !a.gone)
 }
 
 // sample is how many targets a placement compares. All entries have the same
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -17,8 +17,13 @@
 	Slots      int
 	Leaving    bool
 	ColdLeft   time.Duration // how much longer it is slow after its start
+	// Evacuated: an operator has ordered that its data centre gets no work.
+	Evacuated bool
 }
 
+// Open tells whether the target may get work.
+func (t *Target) Open() bool { return !t.Leaving && !t.Evacuated }
+
 // Run names one run of a target. A target that starts again under its id holds and
 // knows nothing of before, so what is booked of it goes by this.
 type Run struct {
@@ -103,6 +108,17 @@
 	delete(s.lapsed, id)
 }
 
+// In returns how many targets a data centre has.
+func (s *TargetSet) In(dataCentre string) int {
+	n := 0
+	for _, t := range s.byID {
+		if t.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // Expire removes lapsed targets that have not come back; down keeps them, since
 // nothing can come back while the store is away.
 func (s *TargetSet) Expire(now time.Time, down bool) bool {
@@ -152,3 +168,23 @@
 	}
 	return lists
 }
+
+// MarkEvacuated returns the targets of each service with those of some data centres marked as
+// evacuated. They stay listed, since their engines still work for the rest of their group.
+func MarkEvacuated(byService map[string][]*Target, evacuated map[string]bool) map[string][]*Target {
+	if len(evacuated) == 0 {
+		return byService
+	}
+	marked := make(map[string][]*Target, len(byService))
+	for service, list := range byService {
+		for _, t := range list {
+			if evacuated[t.DataCentre] {
+				closed := *t
+				closed.Evacuated = true
+				t = &closed
+			}
+			marked[service] = append(marked[service], t)
+		}
+	}
+	return marked
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -202,7 +202,9 @@
 }
 
 func (f *fleet) register(t *targetProc) {
-	f.store.PutTarget(t.ID, standin.TargetRecord(t.service, t.proxy.address(), t.leaving, t.records.Add(1)))
+	f.store.PutTarget(t.ID, standin.TargetRecord{
+		Service: t.service, Address: t.proxy.address(), Leaving: t.leaving, Sequence: t.records.Add(1),
+	}.Fields())
 }
 
 const heartbeat = 400 * time.Millisecond
