Cold targets: all entries together keep to the rate that a cold target bears

Cause: the time for which a target is cold was decoded and used by nobody. An idle target that comes back looks the best of all to every entry until the first report of its load. Change: the class of fault is that of rates that targets name, and so is the mechanism: a try at a cold target needs a permit of the entry that owns it, spaced by the service's rate for cold targets; the lower of two rates counts. The question carries the rate, so an owner that has not read the record yet keeps it too.

--- /dev/null
+++ b/gateway/cold_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/serving"
+)
+
+// Guards against a target that says it is cold and gets all that comes.
+func TestAColdTargetGetsNoMoreThanItBears(t *testing.T) {
+	g := NewWithT(t)
+	const rate = 4.0
+	target := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool { return reply(w, r, 200, sealed, "x") })
+	config := testConfig()
+	config.Services[1].ColdRate = rate
+	store := new(memStore)
+	store.put(serving.TopicConfig, "config", config)
+	store.put(serving.TopicTargets, "i1", serving.Target{Service: "plain", Address: target.addr, DataCentre: "a", ColdLeft: 3 * time.Second})
+	f := startGateway(t, "gw", store)
+	g.Eventually(f.gw.Ready, "5s", "5ms").Should(BeTrue())
+	begun, refused := time.Now(), 0
+	for time.Since(begun) < 2*time.Second {
+		resp, _, err := f.ask("POST", "/once/x", "k1", "", "Left", "100")
+		g.Expect(err).NotTo(HaveOccurred())
+		if resp.StatusCode == 503 {
+			refused++
+			g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+	}
+	g.Expect(refused).To(BeNumerically(">", 0))
+	g.Expect(len(target.arrivals())).To(And(BeNumerically(">=", 4), BeNumerically("<=", 2*rate+1)))
+	g.Eventually(func() int {
+		resp, _, err := f.ask("POST", "/once/x", "k1", "", "Left", "100")
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode
+	}, "5s", "5ms").Should(Equal(200))
+}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -272,10 +272,13 @@
 		k.log.Info("record of a target ignored", "target", rec.Key, "offset", rec.Offset, "error", err.Error())
 		return k.targets.Remove(rec.Key, now, now)
 	}
+	if t.ColdLeft > 0 {
+		t.ColdUntil = now.Add(t.ColdLeft)
+	}
 	if !k.targets.Put(t, rec.Offset) {
 		return false
 	}
-	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "born", t.Born)
+	k.log.Info("target known", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "born", t.Born, "cold_ms", t.ColdLeft.Milliseconds())
 	return true
 }
 
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -13,7 +13,7 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// A target that names a rate gets a request only with a permit of the entry that owns it.
+// A target that names a rate, or is cold, gets a request only with a permit of the entry that owns it.
 const (
 	// permitAsks is how many targets a request needs a permit of before it leaves such targets
 	// alone.
@@ -26,10 +26,27 @@
 
 // mayGo tells whether the request may go to a target right now.
 func (t *tries) mayGo(ctx context.Context, target *serving.Target) bool {
-	if rate, _ := t.g.book.RateOf(target.Run()); rate == placing.Unlimited {
+	cold := t.coldRate(target, time.Now())
+	if rate, _ := t.g.book.RateOf(target.Run()); rate != placing.Unlimited {
+		return t.g.permit(ctx, target, placing.PermitQuery{Cold: cold}).Granted
+	}
+	if cold == 0 {
 		return true
 	}
-	return t.g.permit(ctx, target, placing.PermitQuery{}).Granted
+	permit := t.g.permit(ctx, target, placing.PermitQuery{Cold: cold, MaxWait: t.r.permitWait(time.Now())})
+	if !permit.Granted {
+		return false
+	}
+	sleep(ctx, permit.Wait)
+	return t.open(target)
+}
+
+// coldRate returns how many requests a second a target takes since it is cold; 0 if it is not.
+func (t *tries) coldRate(target *serving.Target, now time.Time) float64 {
+	if !target.Cold(now) {
+		return 0
+	}
+	return t.r.service.ColdRate
 }
 
 // awaitPermit waits for a permit of a target that names a rate, if one is valid in time; else
@@ -42,7 +59,11 @@
 	candidates = candidates[:min(len(candidates), permitAsks)]
 	permit := placing.Permit{Wait: unowned, ComeBack: unowned}
 	for i, target := range candidates {
-		permit = t.g.permit(ctx, target, placing.PermitQuery{MaxWait: t.r.permitWait(time.Now()), Refuses: i == len(candidates)-1})
+		permit = t.g.permit(ctx, target, placing.PermitQuery{
+			MaxWait: t.r.permitWait(time.Now()),
+			Refuses: i == len(candidates)-1,
+			Cold:    t.coldRate(target, time.Now()),
+		})
 		if !permit.Granted {
 			continue
 		}
@@ -93,6 +114,9 @@
 		return placing.Permit{Wait: permitRest, ComeBack: permitRest}
 	case permit.Granted:
 		g.opts.Metrics.Count("permits_granted", 1)
+	case q.Cold > 0:
+		g.opts.Metrics.Count("permits_denied_cold", 1)
+		g.book.NoColdPermit(target.Run(), now.Add(permit.Wait))
 	default:
 		g.opts.Metrics.Count("permits_denied", 1)
 		g.book.NoPermit(target.Run(), now.Add(permit.Wait))
@@ -110,7 +134,7 @@
 		return placing.Permit{}, false
 	}
 	sent := time.Now()
-	question := &peers.PermitQuery{Rate: m.rate(run, sent), MaxWaitMS: uint32(q.MaxWait.Milliseconds()), Refuses: q.Refuses}
+	question := &peers.PermitQuery{Rate: m.rate(run, sent), MaxWaitMS: uint32(q.MaxWait.Milliseconds()), Refuses: q.Refuses, Cold: q.Cold}
 	answer, err := m.askPermit(ctx, owner, question)
 	if err != nil {
 		m.g.opts.Log.Info("owner of a target does not answer", "target", run.ID, "owner", owner, "error", err.Error())
@@ -156,6 +180,7 @@
 	permit := m.g.book.TakePermit(run, m.part(), placing.PermitQuery{
 		MaxWait: time.Duration(q.MaxWaitMS) * time.Millisecond,
 		Refuses: q.Refuses,
+		Cold:    q.Cold,
 	}, now)
 	return &peers.PermitResult{
 		Owner:      true,
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -46,9 +46,10 @@
 //
 //msgp:tuple PermitQuery
 type PermitQuery struct {
-	Rate      Rate   // of the target, as the asker knows it
-	MaxWaitMS uint32 // that the request may wait
-	Refuses   bool   // without a permit a caller is refused
+	Rate      Rate    // of the target, as the asker knows it
+	MaxWaitMS uint32  // that the request may wait
+	Refuses   bool    // without a permit a caller is refused
+	Cold      float64 // requests a second that the target takes, as it is cold; 0: it is not
 }
 
 // PermitResult tells when a request may go to a target.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -1007,8 +1007,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PermitQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o, err = z.Rate.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Rate")
@@ -1016,6 +1016,7 @@
 	}
 	o = msgp.AppendUint32(o, z.MaxWaitMS)
 	o = msgp.AppendBool(o, z.Refuses)
+	o = msgp.AppendFloat64(o, z.Cold)
 	return
 }
 
@@ -1027,8 +1028,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	bts, err = z.Rate.UnmarshalMsg(bts)
@@ -1046,13 +1047,18 @@
 		err = msgp.WrapError(err, "Refuses")
 		return
 	}
+	z.Cold, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cold")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PermitQuery) Msgsize() (s int) {
-	s = 1 + z.Rate.Msgsize() + msgp.Uint32Size + msgp.BoolSize
+	s = 1 + z.Rate.Msgsize() + msgp.Uint32Size + msgp.BoolSize + msgp.Float64Size
 	return
 }
 
--- a/placing/permits.go
+++ b/placing/permits.go
@@ -10,6 +10,7 @@
 type PermitQuery struct {
 	MaxWait time.Duration // that the request may wait for it
 	Refuses bool          // without a permit its caller is refused, and told when to come back
+	Cold    float64       // requests a second that the target takes while it is cold; 0: it is not
 }
 
 // Permit is the answer.
@@ -53,7 +54,10 @@
 // take grants the next permit, if it is valid in time.
 func (p *permits) take(rate float64, q PermitQuery, now time.Time) Permit {
 	every := interval(rate)
-	free := later(now, p.since.Add(takeOver))
+	free := now
+	if !p.since.IsZero() {
+		free = later(now, p.since.Add(takeOver))
+	}
 	if !p.last.IsZero() {
 		free = later(free, p.last.Add(every))
 	}
@@ -83,7 +87,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.limits.byRun[run]
-	if known == nil || known.rate == Unlimited {
+	named := known != nil && known.rate != Unlimited
+	if q.Cold > 0 && (!named || q.Cold < known.rate) {
+		return b.coldLimit(run, now).take(q.Cold*part, q, now)
+	}
+	if !named {
 		return Permit{Granted: true}
 	}
 	if known.permits.since.IsZero() {
@@ -99,4 +107,7 @@
 	if known := b.limits.byRun[run]; known != nil {
 		known.permits.since = time.Time{}
 	}
+	if cold := b.limits.cold[run]; cold != nil {
+		cold.permits.since = time.Time{}
+	}
 }
--- a/placing/ratefleet_test.go
+++ b/placing/ratefleet_test.go
@@ -23,6 +23,7 @@
 	target  rateTarget
 	lossy   float64 // part of questions and news that are lost
 	slow    time.Duration
+	cold    float64 // rate of the target while it is cold; 0: it is not
 	asked   int
 	sent    int
 }
@@ -112,7 +113,7 @@
 }
 
 func (f *rateFleet) request(e *rateEntry) {
-	if rate, _ := e.book.RateOf(limitedRun); rate == Unlimited {
+	if rate, _ := e.book.RateOf(limitedRun); rate == Unlimited && f.cold == 0 {
 		f.send(e)
 		return
 	}
@@ -122,11 +123,11 @@
 	f.asked++
 	owner, runs := f.owner(), e.runs
 	if owner == e {
-		f.granted(e, runs, e.book.TakePermit(limitedRun, f.part(), PermitQuery{}, f.now))
+		f.granted(e, runs, e.book.TakePermit(limitedRun, f.part(), PermitQuery{Cold: f.cold}, f.now))
 		return
 	}
 	e.book.StopIssuing(limitedRun)
-	e.book.NoPermit(limitedRun, f.now.Add(500*time.Millisecond)) // unless an answer comes
+	f.noPermit(e, 500*time.Millisecond) // unless an answer comes
 	rate, said := e.book.RateOf(limitedRun)
 	age := f.now.Sub(said)
 	f.carry(func() {
@@ -134,11 +135,19 @@
 			return
 		}
 		owner.book.RateSaid(RateLimit{Run: limitedRun, Rate: rate}, Said{Latest: f.now.Add(-age)}, f.now)
-		permit := owner.book.TakePermit(limitedRun, f.part(), PermitQuery{}, f.now)
+		permit := owner.book.TakePermit(limitedRun, f.part(), PermitQuery{Cold: f.cold}, f.now)
 		f.carry(func() { f.granted(e, runs, permit) })
 	})
 }
 
+func (f *rateFleet) noPermit(e *rateEntry, wait time.Duration) {
+	if f.cold > 0 {
+		e.book.NoColdPermit(limitedRun, f.now.Add(wait))
+		return
+	}
+	e.book.NoPermit(limitedRun, f.now.Add(wait))
+}
+
 func (f *rateFleet) part() float64 {
 	living := 0
 	for _, e := range f.entries {
@@ -153,7 +162,7 @@
 	if e.down || e.runs != runs {
 		return
 	}
-	e.book.NoPermit(limitedRun, f.now.Add(permit.Wait))
+	f.noPermit(e, permit.Wait)
 	if permit.Granted {
 		f.after(permit.Wait, func() { f.send(e) })
 	}
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,19 +42,30 @@
 // rateLimits are the rates that targets have named.
 type rateLimits struct {
 	byRun map[serving.Run]*rateLimit
+	cold  map[serving.Run]*coldLimit // of which this entry issues the permits
+	waits map[serving.Run]permitWait
 }
 
 type rateLimit struct {
 	rate    float64
 	said    time.Time // the latest time at which the target is taken to have said so
 	learnt  time.Time // when this entry learnt of the latest change
-	closed  time.Time // this entry gets no permit before
-	unowned time.Time // whoever issues permits did not answer, and is not asked before
 	permits permits
 }
 
+// permitWait is for how long a target gets nothing from this entry.
+type permitWait struct {
+	closed  time.Time // no permit is to be had before
+	unowned time.Time // whoever issues permits did not answer, and is not asked before
+	cold    bool      // since the target is cold; else for the rate that it names, if it still does
+}
+
 func newRateLimits() rateLimits {
-	return rateLimits{byRun: make(map[serving.Run]*rateLimit)}
+	return rateLimits{
+		byRun: make(map[serving.Run]*rateLimit),
+		cold:  make(map[serving.Run]*coldLimit),
+		waits: make(map[serving.Run]permitWait),
+	}
 }
 
 // rate returns the rate that a target names; Unlimited if it names none.
@@ -69,8 +81,14 @@
 
 // closed tells whether this entry gets no permit of a target now.
 func (l *rateLimits) closed(run serving.Run, now time.Time) bool {
-	known := l.byRun[run]
-	return known != nil && known.rate != Unlimited && now.Before(known.closed)
+	w := l.waits[run]
+	return now.Before(w.closed) && (w.cold || l.limited(run))
+}
+
+// bounded tells whether a target names a rate, or a permit of it was denied lately since it is
+// cold.
+func (l *rateLimits) bounded(run serving.Run, now time.Time) bool {
+	return l.limited(run) || l.closed(run, now)
 }
 
 // take takes what a target said.
@@ -102,7 +120,8 @@
 	}
 	taken.Tell = differs(said.Rate, known.rate)
 	known.rate, known.learnt = said.Rate, now
-	known.closed, known.permits.promised = time.Time{}, time.Time{}
+	known.permits.promised = time.Time{}
+	delete(l.waits, said.Run)
 	return taken
 }
 
@@ -118,6 +137,8 @@
 
 // forget drops what targets said that are not known any more, and ends that all have heard of.
 func (l *rateLimits) forget(known func(run serving.Run) bool, now time.Time) {
+	l.forgetCold(known, now)
+	maps.DeleteFunc(l.waits, func(run serving.Run, w permitWait) bool { return !known(run) || !now.Before(w.closed) })
 	for run, o := range l.byRun {
 		if !known(run) || o.rate == Unlimited && now.Sub(o.learnt) > endedLife {
 			delete(l.byRun, run)
@@ -209,7 +230,7 @@
 	return limited
 }
 
-// Limited returns the targets that could be used and name a rate, those first of which a permit is
+// Limited returns the targets that could be used and are bounded by permits, those first of which a permit is
 // to be had soonest; targets that failed lately come last. Targets for which nobody issues permits
 // are left out; unowned is how long it takes until one of them is asked for again, 0 if there are
 // none. drop must not use the book.
@@ -218,10 +239,10 @@
 	defer b.mu.Unlock()
 	var runs []serving.Run
 	for _, t := range targets {
-		if !b.usable(t) || !b.limits.limited(t.Run()) || drop(t) {
+		if !b.usable(t) || !b.limits.bounded(t.Run(), now) || drop(t) {
 			continue
 		}
-		if left := b.limits.byRun[t.Run()].unowned.Sub(now); left > 0 {
+		if left := b.limits.waits[t.Run()].unowned.Sub(now); left > 0 {
 			if unowned == 0 || left < unowned {
 				unowned = left
 			}
@@ -234,7 +255,7 @@
 	b.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(x, y *serving.Target) int {
 		return cmp.Or(compareBool(skip[x.Run()], skip[y.Run()]),
-			later(now, b.limits.byRun[x.Run()].closed).Compare(later(now, b.limits.byRun[y.Run()].closed)))
+			later(now, b.limits.waits[x.Run()].closed).Compare(later(now, b.limits.waits[y.Run()].closed)))
 	})
 	return list, unowned
 }
@@ -253,9 +274,14 @@
 func (b *Book) NoPermit(run serving.Run, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if known := b.limits.byRun[run]; known != nil {
-		known.closed = until
-	}
+	b.limits.waits[run] = permitWait{closed: until}
+}
+
+// NoColdPermit notes that this entry gets no permit of a cold target for a time.
+func (b *Book) NoColdPermit(run serving.Run, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits.waits[run] = permitWait{closed: until, cold: true}
 }
 
 // NoOwner notes that whoever issues the permits of a target does not answer, and that this entry
@@ -263,7 +289,5 @@
 func (b *Book) NoOwner(run serving.Run, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if known := b.limits.byRun[run]; known != nil {
-		known.closed, known.unowned = until, until
-	}
+	b.limits.waits[run] = permitWait{closed: until, unowned: until}
 }
--- a/serving/config.go
+++ b/serving/config.go
@@ -100,6 +100,7 @@
 	Name       string
 	HealthPath string
 	MaxConns   int          // of one target, all callers together
+	ColdRate   float64      // requests a second that a cold target takes, all entries together; 0: any
 	Engine     *EngineModel // nil for a plain service
 }
 
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -16,7 +16,8 @@
 	Version    string // of its software
 	Slots      int
 	Leaving    bool
-	ColdLeft   time.Duration // how much longer it is slow after its start
+	ColdLeft   time.Duration // how much longer it is cold, as of its record
+	ColdUntil  time.Time     // when it is not cold any more, at the latest
 	// Evacuated: an operator has ordered that its data centre gets no work.
 	Evacuated bool
 }
@@ -24,6 +25,9 @@
 // Open tells whether the target may get work.
 func (t *Target) Open() bool { return !t.Leaving && !t.Evacuated }
 
+// Cold tells whether the target bears only a few requests a second.
+func (t *Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
 // Run names one run of a target. A target that starts again under its id holds and
 // knows nothing of before, so what is booked of it goes by this.
 type Run struct {
@@ -38,6 +42,7 @@
 // them is left out.
 func (t Target) Same(o Target) bool {
 	t.Sequence, o.Sequence = 0, 0
+	t.ColdUntil, o.ColdUntil = time.Time{}, time.Time{}
 	return t == o
 }
 
