Members: questions to the table copy nothing of the fleet

Cause: an entry computes its place among those that read the store ten times a second for each of three topics, by a sorted copy of all living entries; draws, digests and owners went over all names with a sort, a hash or a string each. All of it grows with the fleet at every entry, so with its square over the fleet. Change: names are kept sorted, the digest is kept up to date, hashes of names are computed once, a place is counted.

--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -63,15 +63,7 @@
 // position returns this entry's place among those that may read the store, and
 // how many there are. Those that do not reach the store come last.
 func (m *mesh) position() (place, of int) {
-	reaches := m.g.knowledge.reachesStore()
-	living := m.group.Table().Living()
-	for i := range living {
-		p := &living[i]
-		if p.Store && (!reaches || p.Name < m.g.opts.Name) || !p.Store && !reaches && p.Name < m.g.opts.Name {
-			place++
-		}
-	}
-	return place, len(living) + 1
+	return m.group.Table().Position(m.g.knowledge.reachesStore())
 }
 
 // entries returns how many entries live, this one among them.
--- a/members/news.go
+++ b/members/news.go
@@ -56,13 +56,7 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := digest(&peers.Member{Entry: t.self})
-	for _, m := range t.byName {
-		if !m.Lost {
-			sum ^= digest(&m.Member)
-		}
-	}
-	return sum
+	return t.sum ^ digest(&peers.Member{Entry: t.self})
 }
 
 func digest(m *peers.Member) uint64 {
--- a/members/table.go
+++ b/members/table.go
@@ -28,6 +28,8 @@
 	mu     sync.Mutex
 	self   peers.Presence
 	byName map[string]*member
+	names  []string // of byName, sorted
+	sum    uint64   // of the digests of those that are not lost
 	turn   []string // names that are still to be asked in this turn
 	rng    *rand.Rand
 	quiet  time.Time // of the latest news
@@ -35,6 +37,8 @@
 
 type member struct {
 	peers.Member
+	digest  uint64
+	hash    uint64    // of its name
 	learnt  time.Time // when the latest news of it came
 	told    int       // messages that have carried these
 	heard   time.Time // its own word
@@ -86,7 +90,7 @@
 		return false
 	}
 	p.Ready, p.Beat = false, 0
-	t.byName[p.Name] = &member{Member: peers.Member{Entry: p}, heard: now}
+	t.put(peers.Member{Entry: p}).heard = now
 	return true
 }
 
@@ -102,7 +106,8 @@
 	}
 	known := t.byName[p.Name]
 	if known == nil {
-		t.byName[p.Name] = &member{Member: peers.Member{Entry: p}, learnt: now, heard: now}
+		known = t.put(peers.Member{Entry: p})
+		known.learnt, known.heard = now, now
 		t.quiet = now
 		return true, nil
 	}
@@ -114,7 +119,7 @@
 	if news {
 		t.learn(known, now)
 	}
-	known.Member = peers.Member{Entry: p}
+	t.replace(known, peers.Member{Entry: p})
 	known.heard, known.failed, known.unheard = now, 0, false
 	return news, believed
 }
@@ -169,7 +174,8 @@
 		if m.Lost {
 			return // nothing is lost that was not known
 		}
-		t.byName[m.Entry.Name] = &member{Member: *m, learnt: now, heard: now}
+		known = t.put(*m)
+		known.learnt, known.heard = now, now
 		t.quiet = now
 		told.News = true
 		return
@@ -194,10 +200,49 @@
 		known.unheard = false
 		known.heard = now
 	}
-	known.Member = m
+	t.replace(known, m)
 	t.learn(known, now)
 }
 
+// put keeps an entry anew, in place of what was known of one with its name.
+func (t *Table) put(m peers.Member) *member {
+	name := m.Entry.Name
+	t.remove(name)
+	known := &member{hash: xxhash.Sum64String(name)}
+	at, _ := slices.BinarySearch(t.names, name)
+	t.names = slices.Insert(t.names, at, name)
+	t.byName[name] = known
+	known.Lost = true // it is not summed up yet
+	t.replace(known, m)
+	return known
+}
+
+// replace sets what is known of an entry.
+func (t *Table) replace(known *member, m peers.Member) {
+	if !known.Lost {
+		t.sum ^= known.digest
+	}
+	known.Member, known.digest = m, digest(&m)
+	if !known.Lost {
+		t.sum ^= known.digest
+	}
+}
+
+// remove forgets an entry.
+func (t *Table) remove(name string) {
+	known := t.byName[name]
+	if known == nil {
+		return
+	}
+	if !known.Lost {
+		t.sum ^= known.digest
+	}
+	delete(t.byName, name)
+	if at, found := slices.BinarySearch(t.names, name); found {
+		t.names = slices.Delete(t.names, at, at+1)
+	}
+}
+
 // learn notes that there is news of an entry.
 func (t *Table) learn(m *member, now time.Time) {
 	m.learnt, m.told = now, 0
@@ -257,13 +302,12 @@
 func (t *Table) Living() []peers.Presence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []peers.Presence
-	for _, m := range t.byName {
-		if m.lives() {
+	list := make([]peers.Presence, 0, len(t.names))
+	for _, name := range t.names {
+		if m := t.byName[name]; m.lives() {
 			list = append(list, m.Entry)
 		}
 	}
-	slices.SortFunc(list, func(a, b peers.Presence) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -287,17 +331,42 @@
 func (t *Table) Owner(of string) (name string, self bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	key := xxhash.Sum64String(of)
 	var most uint64
-	consider := func(p *peers.Presence) {
-		if rank := xxhash.Sum64String(p.Name + "\x00" + of); p.Ready && (name == "" || rank > most) {
+	consider := func(p *peers.Presence, hash uint64) {
+		if rank := mixed(hash ^ key); p.Ready && (name == "" || rank > most) {
 			name, most = p.Name, rank
 		}
 	}
-	consider(&t.self)
+	consider(&t.self, xxhash.Sum64String(t.self.Name))
 	for _, m := range t.byName {
 		if m.lives() {
-			consider(&m.Entry)
+			consider(&m.Entry, m.hash)
 		}
 	}
 	return name, name == t.self.Name
 }
+
+// mixed spreads each bit of a number over all bits, by the finalizer of MurmurHash3.
+func mixed(v uint64) uint64 {
+	v = (v ^ v>>33) * 0xff51afd7ed558ccd
+	v = (v ^ v>>33) * 0xc4ceb9fe1a85ec53
+	return v ^ v>>33
+}
+
+// Position returns the place of this entry among those that live, and how many they are: those
+// that reach the store come first, each part by name. reaches tells whether this entry does.
+func (t *Table) Position(reaches bool) (place, of int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, m := range t.byName {
+		if !m.lives() {
+			continue
+		}
+		of++
+		if m.Entry.Store != reaches && m.Entry.Store || m.Entry.Store == reaches && name < t.self.Name {
+			place++
+		}
+	}
+	return place, of + 1
+}
--- a/members/turns.go
+++ b/members/turns.go
@@ -17,10 +17,7 @@
 				return name, true
 			}
 		}
-		for name := range t.byName {
-			t.turn = append(t.turn, name)
-		}
-		slices.Sort(t.turn)
+		t.turn = append(t.turn[:0:0], t.names...)
 		t.rng.Shuffle(len(t.turn), func(i, j int) { t.turn[i], t.turn[j] = t.turn[j], t.turn[i] })
 	}
 	return "", false
@@ -32,12 +29,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
-	for name, m := range t.byName {
-		if m.failed > 0 && m.lives() {
+	for _, name := range t.names {
+		if m := t.byName[name]; m.failed > 0 && m.lives() {
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
 	return names
 }
 
@@ -55,7 +51,7 @@
 	for name, m := range t.byName {
 		switch {
 		case !alone && (m.Lost && now.Sub(m.lostAt) > forgetAfter || m.unheard && now.Sub(m.heard) > forgetAfter):
-			delete(t.byName, name)
+			t.remove(name)
 		case m.Lost:
 			lost = append(lost, name)
 		}
@@ -71,13 +67,19 @@
 func (t *Table) Draw(count int, other string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var names []string
-	for name, m := range t.byName {
-		if m.lives() && name != other {
-			names = append(names, name)
+	drawn := make([]string, 0, count)
+	seen := 0
+	for _, name := range t.names {
+		if !t.byName[name].lives() || name == other {
+			continue
+		}
+		seen++
+		if len(drawn) < count {
+			drawn = append(drawn, name)
+		} else if at := t.rng.IntN(seen); at < count {
+			drawn[at] = name
 		}
 	}
-	slices.Sort(names)
-	t.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(count, len(names))]
+	t.rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn
 }
