Leaders read the store again soon while ranks are missing

Cause (known red): a leader that has read the store while engines still register reads it again after 3 s. Until then entries get no loads and the map does not follow demand. Change: the pause between readings begins at 0.25 s and doubles up to 3 s as long as ranks are missing; a leader of engines left over reads as rarely as before.

--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -17,6 +17,7 @@
 	a        *Agent
 	members  map[string]*member // by engine address
 	readNext time.Time          // no sooner
+	reads    int                // since all ranks were there last
 	model    *serving.EngineModel
 	gapAim   time.Duration // for the pauses in the service's streams
 	lacking  bool          // ranks were missing when the group was asked last
@@ -26,18 +27,20 @@
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
 
-// reread reads the engines of the service from the store, but not more often than
-// every rereadEvery: calls are paid for. A read that failed is made again sooner.
+// reread reads the engines of the service from the store, but less and less often as long as
+// ranks are missing: calls are paid for, and engines that are too few for a group may wait for
+// others for good. A read that failed is made again sooner.
 //
-// Failure: an agent starts while the store is away. Symptom: the group is led three
-// seconds after the store's return, and until then all streams run on the map that
-// engines start with, each pass two to three times as long.
+// Failure: an agent starts while the store is away, or while other engines still register.
+// Symptom: the group is led seconds after the last of them is there, and until then all streams
+// run on the map that engines start with, each pass two to three times as long.
 func (g *group) reread() {
 	now := time.Now()
 	if now.Before(g.readNext) {
 		return
 	}
-	g.readNext = now.Add(rereadEvery)
+	g.readNext = now.Add(min(rereadFirst<<min(g.reads, rereadDoublings), rereadEvery))
+	g.reads++
 	if err := g.readTargets(now); err != nil {
 		g.readNext = now.Add(rereadFailed)
 		g.a.opts.Log.Info("engines of the group not read", "error", err.Error())
@@ -53,8 +56,11 @@
 
 // Paces of reading the store.
 const (
+	rereadFirst  = 250 * time.Millisecond
 	rereadEvery  = 3 * time.Second
 	rereadFailed = 250 * time.Millisecond // a few calls a second, of one agent of a group
+	// rereadDoublings of rereadFirst are longer than rereadEvery.
+	rereadDoublings = 4
 )
 
 func (g *group) readTargets(now time.Time) error {
@@ -172,7 +178,7 @@
 	slices.SortStableFunc(ranks, func(x, y rank) int { return x.state.Rank - y.state.Rank })
 	g.lacking = len(ranks) == 0 || len(ranks) < ranks[0].state.Ranks
 	if !g.lacking {
-		g.inVain = 0
+		g.inVain, g.reads = 0, 0
 	}
 	return ranks, isComplete(ranks)
 }
