News of entries go mostly to the own data centre, and arrivals are told half as often

Cause: when all start, everybody tells everybody of everybody: each of n entries is told in 4 log n messages, so an entry sends n log n records. And each item of news is pushed to five entries drawn from all data centres. Change: that an entry lives is told in 2 log n messages, with those counted that bring it again; that it is lost as often as before. Four of the five that are told at once are of the own data centre, one of another. Ruled out: half as often for lost entries too.

--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -22,6 +22,10 @@
 
 func newMesh(g *Gateway) *mesh {
 	o := g.opts
+	dial := o.Dial
+	if dial == nil {
+		dial = func(address string) members.Asker { return peers.NewClient(address) }
+	}
 	m := &mesh{g: g, topics: make(map[string][]peers.TopicState)}
 	m.group = members.New(members.Options{
 		Self: peers.Presence{
@@ -32,7 +36,7 @@
 			Peers:       o.Peers,
 		},
 		Carrier: m,
-		Dial:    func(address string) members.Asker { return peers.NewClient(address) },
+		Dial:    dial,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:     o.Log,
 		Count:   func(counter string) { o.Metrics.Count(counter, 1) },
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -55,7 +56,8 @@
 	Grace       time.Duration // between the order to stop and the end
 	LifetimeMax time.Duration // of an answer of the directory
 	Retries     RetryBounds
-	AgentPort   string // on each VM with an engine; where its agent answers peers
+	AgentPort   string                             // on each VM with an engine; where its agent answers peers
+	Dial        func(address string) members.Asker // returns a client of another entry; nil: by TCP
 
 	Log     logr.Logger
 	Metrics *metrics.Set
--- a/members/fleet_test.go
+++ b/members/fleet_test.go
@@ -60,13 +60,16 @@
 	return f
 }
 
+// dataCentre spreads entries over data centres.
+func dataCentre(n int) string { return string(rune('a' + n%3)) }
+
 func address(n int) string { return fmt.Sprintf("10.0.%d.%d:1", n/200, n%200) }
 
 // add makes an entry; start sets it going.
 func (f *fleet) add(n int, incarnation uint64) *entry {
 	e := &entry{f: f, name: fmt.Sprintf("entry-%03d", n), address: address(n), ready: true}
 	e.group = New(Options{
-		Self:    peers.Presence{Name: e.name, Incarnation: incarnation, Peers: e.address, Callers: e.address},
+		Self:    peers.Presence{Name: e.name, Incarnation: incarnation, DataCentre: dataCentre(n), Peers: e.address, Callers: e.address},
 		Carrier: e,
 		Dial:    func(to string) Asker { return f.dial(e, to) },
 		Rand:    rand.New(rand.NewPCG(f.rng.Uint64(), 3)),
@@ -84,8 +87,8 @@
 	ctx, cancel := context.WithCancel(e.f.ctx)
 	e.cancel = cancel
 	e.f.done.Go(func() { e.group.Run(ctx) })
-	for _, o := range known {
-		e.group.Recorded(peers.Presence{Name: o.name, Incarnation: 1, Peers: o.address, Callers: o.address})
+	for n, o := range known {
+		e.group.Recorded(peers.Presence{Name: o.name, Incarnation: 1, DataCentre: dataCentre(n), Peers: o.address, Callers: o.address})
 	}
 }
 
--- a/members/group.go
+++ b/members/group.go
@@ -190,7 +190,7 @@
 			return
 		case <-g.news:
 		}
-		for _, name := range g.table.Draw(fanOut, "") {
+		for _, name := range g.table.DrawNear(fanOut) {
 			g.enqueue(name)
 		}
 		g.pause(ctx, tellPause)
--- a/members/news.go
+++ b/members/news.go
@@ -12,9 +12,13 @@
 
 // Figures of what is told.
 const (
-	// newsTimes is how many questions and answers carry what was learnt, for each doubling
+	// lostTimes is how many questions and answers carry that an entry is lost, for each doubling
 	// of the fleet: some of them go to entries that are dead, and more to such as know it.
-	newsTimes = 4
+	lostTimes = 4
+	// newsTimes is the same for other news, with the messages that bring it again counted too.
+	// Callers miss nothing if an entry hears later of one more, and when all start at once this
+	// is nearly all that they tell.
+	newsTimes = 2
 	newsLife  = 3 * time.Second // and no longer
 	// newsMost bounds what one message carries.
 	newsMost = 64
@@ -26,7 +30,7 @@
 	defer t.mu.Unlock()
 	var latest []*member
 	for _, m := range t.byName {
-		if now.Sub(m.learnt) < newsLife && m.told < newsTimes*bits.Len(uint(len(t.byName))) {
+		if now.Sub(m.learnt) < newsLife && m.told < m.times()*bits.Len(uint(len(t.byName))) {
 			latest = append(latest, m)
 		}
 	}
@@ -41,6 +45,15 @@
 	return list
 }
 
+// times returns how many messages carry what was learnt of an entry, for each doubling of the
+// fleet.
+func (m *member) times() int {
+	if m.Lost {
+		return lostTimes
+	}
+	return newsTimes
+}
+
 // All returns all that is known of others.
 func (t *Table) All() []peers.Member {
 	t.mu.Lock()
--- a/members/table.go
+++ b/members/table.go
@@ -40,7 +40,7 @@
 	digest  uint64
 	hash    uint64    // of its name
 	learnt  time.Time // when the latest news of it came
-	told    int       // messages that have carried these
+	told    int       // messages that have carried these, to this entry again or from it
 	heard   time.Time // its own word
 	lostAt  time.Time
 	failed  int  // questions in a row without an answer
@@ -182,6 +182,9 @@
 	}
 	o := order(m.Entry, known.Entry)
 	if o < 0 || o == 0 && (known.Lost || !m.Lost) {
+		if o == 0 && !known.Lost && !m.Lost {
+			known.told++ // whoever told it knows it, and tells others
+		}
 		return
 	}
 	if m.Lost && now.Sub(known.heard) < heardLately {
--- a/members/turns.go
+++ b/members/turns.go
@@ -67,10 +67,32 @@
 func (t *Table) Draw(count int, other string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.draw(count, func(m *member) bool { return m.Entry.Name != other })
+}
+
+// DrawNear is Draw with most of the entries drawn in this one's data centre: what is told along
+// them costs little of the links between data centres. Each entry that is told tells one of
+// another data centre, so news cross as often as a data centre has entries.
+func (t *Table) DrawNear(count int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	near := t.draw(count-drawnFar, func(m *member) bool { return m.Entry.DataCentre == t.self.DataCentre })
+	far := t.draw(count-len(near), func(m *member) bool { return m.Entry.DataCentre != t.self.DataCentre })
+	if missing := count - len(near) - len(far); missing > 0 {
+		return t.draw(count, func(*member) bool { return true })
+	}
+	return append(near, far...)
+}
+
+// drawnFar is how many of those drawn are in other data centres.
+const drawnFar = 1
+
+// draw draws among the entries that live and fit; the lock must be held.
+func (t *Table) draw(count int, fits func(*member) bool) []string {
 	drawn := make([]string, 0, count)
 	seen := 0
 	for _, name := range t.names {
-		if !t.byName[name].lives() || name == other {
+		if m := t.byName[name]; !m.lives() || !fits(m) {
 			continue
 		}
 		seen++
