A start of all entries costs the store one call for most of them

Cause: at its turn after a start each entry reads three topics at once, one of them in two pages, unless others have told it before; in a large fleet they have not. Change: at its turn it reads which other entries there are. The test of the turn is changed: it expected an entry that knows nobody's records to read targets at its turn.

--- a/gateway/register.go
+++ b/gateway/register.go
@@ -59,17 +59,36 @@
 func (g *Gateway) starting() bool { return time.Since(g.started) < startTime }
 
 // awaitPeers waits until this entry is to read a topic for the first time, or has been
-// told it.
+// told it. What it reads at its turn is which other entries there are: these tell it the rest,
+// and each call to the store that a start of all entries does not make is one for each of them.
 func (g *Gateway) awaitPeers(t serving.Topic) {
-	until := g.started.Add(g.startDelay())
+	turn := g.started.Add(g.startDelay())
+	until := turn.Add(startWait)
 	for time.Now().Before(until) && g.ctx.Err() == nil {
 		if _, loaded := g.knowledge.position(t); loaded {
 			return
 		}
-		sleep(g.ctx, min(time.Until(until), startPoll))
+		if !time.Now().Before(turn) && (t == serving.TopicEntries || g.alone()) {
+			return
+		}
+		sleep(g.ctx, min(untilNext(turn, until), startPoll))
 	}
 }
 
+// untilNext returns how long it is until the first of two times that has not passed.
+func untilNext(first, last time.Time) time.Duration {
+	if wait := time.Until(first); wait > 0 {
+		return wait
+	}
+	return time.Until(last)
+}
+
+// alone tells whether this entry has read which others there are, and found none.
+func (g *Gateway) alone() bool {
+	_, loaded := g.knowledge.position(serving.TopicEntries)
+	return loaded && g.mesh.entries() == 1
+}
+
 // startPoll is a small part of startSpread.
 const startPoll = 20 * time.Millisecond
 
--- a/gateway/register_test.go
+++ b/gateway/register_test.go
@@ -86,8 +86,16 @@
 		gw := quietGateway("entry-004")
 		turn := gw.startDelay()
 		g.Expect(turn).To(BeNumerically(">", 2*startPoll))
-		gw.awaitPeers(serving.TopicTargets)
+		gw.awaitPeers(serving.TopicEntries)
 		g.Expect(time.Since(gw.started)).To(Equal(turn), "nobody has told it")
+		hear(gw, 0, 0)
+		gw.started = time.Now()
+		gw.awaitPeers(serving.TopicTargets)
+		g.Expect(time.Since(gw.started)).To(Equal(turn), "there is nobody to tell it")
+		hear(gw, 3, 3)
+		gw.started = time.Now()
+		gw.awaitPeers(serving.TopicTargets)
+		g.Expect(time.Since(gw.started)).To(Equal(turn+startWait), "those that it knows do not tell it")
 
 		told := quietGateway("entry-004")
 		time.AfterFunc(startPoll, func() {
