The other ranks take over what an evacuated data centre did

Cause: the limit of streams is one for each target, and a third of them takes none. But the part of a pass that experts do, 0.85 of it, goes by the streams of the whole group, and engines of the evacuated data centre go on doing theirs. Change: the limit of a target rises by what the others leave of that part; room is counted over targets that get work. What is left of the loss is the start of all after a loss of power with a third of the ranks away.

--- a/placing/groups.go
+++ b/placing/groups.go
@@ -113,7 +113,7 @@
 		g.targets = len(o.Targets)
 		g.short.note(len(o.Targets), now)
 		o.Targets = b.withoutSlow(o.Targets, now)
-		o.most = b.limitOf(o.key, l, now)
+		o.most = b.limitOf(o.key, l, openShare(o.Targets), now)
 	}
 	list = b.withoutIdle(list, now)
 	b.leastUsedFirst(list, now)
@@ -147,7 +147,7 @@
 		for _, t := range o.Targets {
 			sum += b.load(t, now)
 		}
-		used[o.key] = float64(sum) / math.Max(o.most*float64(len(o.Targets)), 1)
+		used[o.key] = float64(sum) / math.Max(o.most*float64(openOf(o.Targets)), 1)
 	}
 	slices.SortStableFunc(list, func(x, y groupLane) int { return cmp.Compare(used[x.key], used[y.key]) })
 }
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -42,11 +42,20 @@
 // The limit is a mean over the targets of a group, since passes last for as long as
 // all streams of the group together need, and so need not be a whole number.
 func limit(m *serving.EngineModel, gapAim time.Duration, imbalance, pace float64) float64 {
+	return limitAmong(m, gapAim, imbalance, pace, 1)
+}
+
+// limitAmong is limit where only a share of the targets get work.
+//
+// Load pattern: a data centre is evacuated, whose engines go on doing their experts' part of each
+// pass. The others may run more streams each: what experts do goes by the streams of the whole
+// group, and only the rest by those of one rank.
+func limitAmong(m *serving.EngineModel, gapAim time.Duration, imbalance, pace, share float64) float64 {
 	slots := float64(m.Slots)
 	if gapAim <= 0 || m.StepPerWriter <= 0 || ablate.Off(ablate.Limit) {
 		return slots
 	}
-	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)
+	factor := (1 - m.ExpertShare) + m.ExpertShare*max(imbalance, 1)*share
 	step := float64(gapAim) * gapShare / copySlows / float64(max(m.Stride, 1))
 	each := float64(m.StepPerWriter) + readShare(m)
 	n := (step - float64(m.Step)*max(pace, 1)) / (each * factor)
@@ -66,18 +75,34 @@
 	return m.UsualPrompt / m.ReadRate / m.UsualAnswer * float64(time.Second)
 }
 
-// limitOf returns how many streams a target of a group may run now, in the mean. The lock
-// must be held.
-func (b *Book) limitOf(k groupKey, l Lane, now time.Time) float64 {
+// openShare returns which share of some targets get work.
+func openShare(targets []*serving.Target) float64 {
+	return float64(openOf(targets)) / float64(max(len(targets), 1))
+}
+
+// openOf returns how many of some targets are in no evacuated data centre.
+func openOf(targets []*serving.Target) int {
+	open := 0
+	for _, t := range targets {
+		if !t.Evacuated {
+			open++
+		}
+	}
+	return open
+}
+
+// limitOf returns how many streams a target of a group may run now, in the mean, if a share of
+// them get work. The lock must be held.
+func (b *Book) limitOf(k groupKey, l Lane, share float64, now time.Time) float64 {
 	state := b.group(k)
 	if now.Sub(state.At) > ReportLife {
 		// Nobody reports, so the map does not follow either: what was worst lately comes.
-		return limit(l.Service.Engine, l.GapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1))
+		return limitAmong(l.Service.Engine, l.GapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1), share)
 	}
 	if state.Imbalance == 0 {
 		// The group has just been formed: it uses the map that engines start with, and
 		// what waited for it comes all at once.
-		return limit(l.Service.Engine, l.GapAim, firstImbalance, state.Pace)
+		return limitAmong(l.Service.Engine, l.GapAim, firstImbalance, state.Pace, share)
 	}
-	return limit(l.Service.Engine, l.GapAim, max(state.Imbalance, min(state.Worst, bornImbalance)), state.Pace)
+	return limitAmong(l.Service.Engine, l.GapAim, max(state.Imbalance, min(state.Worst, bornImbalance)), state.Pace, share)
 }
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -332,9 +332,9 @@
 	const aim = 120 * time.Millisecond
 	b.Reported("s", nil, nil, NewGroupState(nil, 1.2, 3, Waiting{}, now))
 	l, key := Lane{Service: s, GapAim: aim}, groupKey{service: "s"}
-	reported := b.limitOf(key, l, now)
-	silent := b.limitOf(key, l, now.Add(2*ReportLife))
+	reported := b.limitOf(key, l, 1, now)
+	silent := b.limitOf(key, l, 1, now.Add(2*ReportLife))
 	g.Expect(silent).To(Equal(limit(testModel(), aim, 3, 1)))
 	g.Expect(silent).To(BeNumerically("<=", reported))
-	g.Expect(testBook().limitOf(key, l, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
+	g.Expect(testBook().limitOf(key, l, 1, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
 }
--- a/placing/room.go
+++ b/placing/room.go
@@ -39,7 +39,7 @@
 	}
 	s := &state.share
 	if !s.known {
-		room := l.most*float64(len(l.Targets)) - float64(state.Total)
+		room := l.most*float64(openOf(l.Targets)) - float64(state.Total)
 		coming := d.perSecond * float64(l.Entries) * reportsApart.Seconds()
 		want := float64(max(state.Wanting.InTime, d.waiting.InTime)) + coming
 		*s = roomShare{
@@ -95,7 +95,7 @@
 	part, room := 0.0, false
 	for i := range lanes {
 		l := &lanes[i]
-		part += l.most * float64(len(l.Targets)) / float64(max(l.Entries, 1))
+		part += l.most * float64(openOf(l.Targets)) / float64(max(l.Entries, 1))
 		room = room || b.group(l.key).share.mayGo(true)
 	}
 	return room && b.lates(lanes[0].Service.Name).mayGo(part)
