The directory names at most as many entries as callers read, the same ones everywhere

Cause: callers read 64 addresses of an answer. In a data centre of the fleet there are some hundred entries, so answers named more than the protocol has, and what callers made of that was theirs. Change: the 64 that come first by a hash of their address. Entries that know the same name the same ones, and when one goes one other takes its place: callers close their connections to addresses that an answer leaves out.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -50,6 +50,7 @@
 		TargetBeat:       s.TargetBeat,
 		Grace:            s.Grace,
 		LifetimeMax:      s.LifetimeMax,
+		AddressesMax:     platform.AddressesMax,
 		Retries: gateway.RetryBounds{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Directory answers tell callers which entries to use.
@@ -31,5 +35,19 @@
 	if len(answer.Addresses) == 0 {
 		answer.Addresses = elsewhere
 	}
+	answer.Addresses = some(answer.Addresses, g.opts.AddressesMax)
 	return answer
 }
+
+// some returns at most so many of the addresses, 0 for all of them. Entries that know the same
+// choose the same ones, and few change as entries come and go: callers close their connections to
+// addresses that a new answer leaves out.
+func some(addresses []string, most int) []string {
+	if most == 0 || len(addresses) <= most {
+		return addresses
+	}
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
+	})
+	return addresses[:most]
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -50,14 +50,15 @@
 	// DecodeTarget decodes a record of serving.TopicTargets.
 	DecodeTarget func(id string, value []byte) (serving.Target, error)
 
-	Drain       time.Duration // within it a leaving target gets no more work
-	ConfigApply time.Duration // within it an accepted configuration is in force
-	TargetBeat  time.Duration // between two records of a target that lives
-	Grace       time.Duration // between the order to stop and the end
-	LifetimeMax time.Duration // of an answer of the directory
-	Retries     RetryBounds
-	AgentPort   string                             // on each VM with an engine; where its agent answers peers
-	Dial        func(address string) members.Asker // returns a client of another entry; nil: by TCP
+	Drain        time.Duration // within it a leaving target gets no more work
+	ConfigApply  time.Duration // within it an accepted configuration is in force
+	TargetBeat   time.Duration // between two records of a target that lives
+	Grace        time.Duration // between the order to stop and the end
+	LifetimeMax  time.Duration // of an answer of the directory
+	AddressesMax int           // that an answer of the directory names; 0: any number
+	Retries      RetryBounds
+	AgentPort    string                             // on each VM with an engine; where its agent answers peers
+	Dial         func(address string) members.Asker // returns a client of another entry; nil: by TCP
 
 	Log     logr.Logger
 	Metrics *metrics.Set
