Names: Admit, TTLs, and limits that begin with max and min

LetGo is Admit, regate admitWaiting, the ...Life constants are TTLs, ...Most and ...Least begin with max and min; compute, record and permission in comments. No behaviour changes.

--- a/bench/group/entry.go
+++ b/bench/group/entry.go
@@ -98,7 +98,7 @@
 	if e.w.pattern.Outage.has(e.w.clock.now.Sub(e.w.engines.begun)) {
 		return
 	}
-	placing.LetGo(&e.gate, e.book, e.lane(), e.w.clock.now)
+	placing.Admit(&e.gate, e.book, e.lane(), e.w.clock.now)
 	var still []waiting
 	var targets []*serving.Target
 	var jobs []*job
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -14,16 +14,16 @@
 	Lifetime  time.Duration
 }
 
-// answerLife is how long callers may keep an answer. Some keep it three times as
+// answerTTL is how long callers may keep an answer. Some keep it three times as
 // long; within the usual grace of eight seconds an entry that stops has then left
 // all of them.
-const answerLife = 2 * time.Second
+const answerTTL = 2 * time.Second
 
 // Entries returns the entries for callers in a data centre: those there, and all
 // of them if none is there. Callers draw one of the addresses; a list that also
 // named other data centres would send most of them the longer way.
 func (g *Gateway) Entries(dataCentre string) DirectoryAnswer {
-	answer := DirectoryAnswer{Lifetime: min(answerLife, g.opts.LifetimeMax)}
+	answer := DirectoryAnswer{Lifetime: min(answerTTL, g.opts.LifetimeMax)}
 	var elsewhere []string
 	for _, p := range g.mesh.usable() {
 		if p.DataCentre == dataCentre {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -161,7 +161,7 @@
 		e.RetryAfter = comeBack
 		return nil, e
 	}
-	t.g.regate(t.r.service.Name)
+	t.g.admitWaiting(t.r.service.Name)
 	timer := time.NewTimer(time.Until(t.r.arrived.Add(t.r.wish.MaxWait)))
 	defer timer.Stop()
 	select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 			g.sweep(v.targets)
 			g.startLoads(followed)
 			for i := range v.index.Services {
-				g.regate(v.index.Services[i].Name)
+				g.admitWaiting(v.index.Services[i].Name)
 			}
 		}
 	}
@@ -292,7 +292,7 @@
 	until := begun.Add(share(g.opts.Grace, takeShare))
 	g.stopAt.Store(&until)
 	g.mesh.tell()
-	quiet := begun.Add(3 * answerLife)
+	quiet := begun.Add(3 * answerTTL)
 	last := begun.Add(share(g.opts.Grace, 1-lastShare))
 	for time.Now().Before(last) && ctx.Err() == nil {
 		if time.Now().After(quiet) && g.inFlight.Load() == 0 {
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -13,7 +13,7 @@
 	q.Topics = m.states()
 	q.Wants = m.want(name)
 	q.Doubts = m.doubts()
-	q.Rates = m.rates(ratesMost)
+	q.Rates = m.rates(maxRates)
 	return func() { m.wanted(q.Wants) }
 }
 
@@ -141,7 +141,7 @@
 		m.tell()
 	}
 	answer.Topics, answer.Doubts = m.states(), m.doubts()
-	answer.Rates = m.rates(ratesMost)
+	answer.Rates = m.rates(maxRates)
 	if q.All {
 		answer.Rates = m.rates(ratesAll)
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -67,7 +67,7 @@
 		l.drop(nil)
 		return false
 	}
-	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportLife {
+	if !loads.Known || time.Duration(loads.AgeMS)*time.Millisecond > placing.ReportTTL {
 		l.drop(nil)
 		return false
 	}
@@ -80,8 +80,8 @@
 	return true
 }
 
-// unknownMost is how many agents of a large group are asked before its leader is.
-const unknownMost = 3
+// maxUnknown is how many agents of a large group are asked before its leader is.
+const maxUnknown = 3
 
 // nextAsked is who is asked next.
 type nextAsked int
@@ -104,7 +104,7 @@
 	switch {
 	case loads.Known:
 		return askAgain
-	case refers && (!loads.Spread || inRow >= unknownMost):
+	case refers && (!loads.Spread || inRow >= maxUnknown):
 		return askLeader
 	case reads && loads.Spread:
 		return askAnother
@@ -239,12 +239,12 @@
 	gt := g.gates[service]
 	g.mu.Unlock()
 	if gt != nil && gt.Waits() {
-		g.regate(service)
+		g.admitWaiting(service)
 	}
 }
 
-// regate reckons what may go for a service, and lets requests go that wait.
-func (g *Gateway) regate(service string) {
+// admitWaiting computes what a service may be sent, and admits requests that wait.
+func (g *Gateway) admitWaiting(service string) {
 	v := g.knowledge.view()
 	if v == nil {
 		return
@@ -257,7 +257,7 @@
 	if gt == nil {
 		return
 	}
-	placing.LetGo(gt, g.book, placing.Lane{
+	placing.Admit(gt, g.book, placing.Lane{
 		Service: s,
 		GapAim:  v.index.GapAim(service),
 		Targets: v.targets[service],
--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -58,7 +58,7 @@
 	return p
 }
 
-// read takes note of an entry by its record in the store.
+// read records an entry by its record in the store.
 func (m *mesh) read(p peers.Presence) { m.group.Recorded(p) }
 
 // tell has others hear at once that there is news.
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -102,7 +102,7 @@
 	return min(r.wish.MaxWait, left)
 }
 
-// permit asks for leave to send a request to a target. If it is not granted the target gets
+// permit asks for permission to send a request to a target. If it is not granted the target gets
 // nothing from this entry until it may be.
 func (g *Gateway) permit(ctx context.Context, target *serving.Target, q placing.PermitQuery) placing.Permit {
 	permit, answered := g.mesh.permit(ctx, target.Run(), q)
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -10,7 +10,7 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// noteRate takes note of the rate that a target names in an answer, or that it names none any
+// noteRate records the rate that a target names in an answer, or that it names none any
 // more. Only a whole success proves the latter: what else answers at its address may leave the
 // field out.
 func (g *Gateway) noteRate(x *exchange) {
@@ -55,8 +55,8 @@
 
 // Bounds of what one message tells of rates.
 const (
-	ratesMost = 16
-	ratesAll  = 2048 // to an entry that asks for all
+	maxRates = 16
+	ratesAll = 2048 // to an entry that asks for all
 )
 
 // rates returns what this entry tells others of the rates that targets name.
--- a/lockstep/contact.go
+++ b/lockstep/contact.go
@@ -23,7 +23,7 @@
 // most are back at once, and until then its rank's counts are missing.
 const (
 	restFirst = 200 * time.Millisecond
-	restMost  = 1600 * time.Millisecond
+	maxRest   = 1600 * time.Millisecond
 )
 
 // resting tells whether the agent is passed over.
@@ -59,7 +59,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lostAt = time.Now()
-	c.rest = min(max(2*c.rest, restFirst), restMost)
+	c.rest = min(max(2*c.rest, restFirst), maxRest)
 }
 
 // contacts are the agents that one agent asks, by address.
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -34,10 +34,10 @@
 const (
 	recentHalfLife = 80 * time.Millisecond // one or two passes
 	steadyHalfLife = 700 * time.Millisecond
-	// movedShare and movedLeast: by chance the map fits the last passes worse by a
+	// movedShare and minMoved: by chance the map fits the last passes worse by a
 	// tenth; a move makes it about twice as bad.
 	movedShare = 1.2
-	movedLeast = 0.05
+	minMoved   = 0.05
 	// enoughChoices for each expert tell demand from chance within a few percent.
 	enoughChoices = 200
 )
@@ -81,7 +81,7 @@
 		return false
 	}
 	recent, steady := imbalance(layouts, d.recent.loads, nil, m), imbalance(layouts, d.steady.loads, nil, m)
-	if recent < steady*movedShare+movedLeast || ablate.Off(ablate.TwoMeans) {
+	if recent < steady*movedShare+minMoved || ablate.Off(ablate.TwoMeans) {
 		return false
 	}
 	copy(d.steady.loads, d.recent.loads)
@@ -181,9 +181,9 @@
 	busyUrgency  = 0.6
 	// idleCopyCost comes on top, divided by the square of the streams that a rank runs: the
 	// fewer there are, the fewer gain, and the further their passes are from the limit. Below
-	// idleLeast the square counts no less.
+	// minIdle the square counts no less.
 	idleCopyCost = 0.5
-	idleLeast    = 0.01
+	minIdle      = 0.01
 	// evenEnough: what is left to gain below it is less than what a switch costs, so the
 	// leader's small processor is spared the look for a plan.
 	evenEnough = 1.08
@@ -310,7 +310,7 @@
 	}
 	each := busyCopyCost + (calmCopyCost-busyCopyCost)*calm
 	if !ablate.Off(ablate.Urgency) {
-		each += idleCopyCost / max(pl.streams*pl.streams, idleLeast)
+		each += idleCopyCost / max(pl.streams*pl.streams, minIdle)
 	}
 	gigabytes := float64(p.copies) * pl.model.ExpertBytes / 1e9 / float64(len(p.layouts[0]))
 	// A plan that gains less until the horizon costs every stream a pause for nothing.
--- a/lockstep/refusals.go
+++ b/lockstep/refusals.go
@@ -16,7 +16,7 @@
 // Pauses after refusals.
 const (
 	refusedPause = time.Second
-	refusedMost  = 16 * time.Second
+	maxRefused   = 16 * time.Second
 )
 
 func (r *refusals) note(now time.Time) {
@@ -24,7 +24,7 @@
 	if r.inRow == 1 {
 		return
 	}
-	r.until = now.Add(min(refusedPause<<min(r.inRow-2, 8), refusedMost))
+	r.until = now.Add(min(refusedPause<<min(r.inRow-2, 8), maxRefused))
 }
 
 func (r *refusals) waits(now time.Time) bool { return now.Before(r.until) }
--- a/lockstep/waits.go
+++ b/lockstep/waits.go
@@ -13,8 +13,8 @@
 	at           time.Time
 }
 
-// waitLife is for how long an entry's word counts: several of its questions.
-const waitLife = time.Second
+// waitTTL is for how long an entry's word counts: several of its questions.
+const waitTTL = time.Second
 
 func (w *waits) note(entry string, inTime, late int, now time.Time) {
 	if entry == "" {
@@ -29,7 +29,7 @@
 // sum returns the requests that wait, and forgets entries that do not ask any more.
 func (w *waits) sum(now time.Time) (inTime, late int) {
 	for entry, s := range w.byEntry {
-		if now.Sub(s.at) > waitLife {
+		if now.Sub(s.at) > waitTTL {
 			delete(w.byEntry, entry)
 			continue
 		}
--- a/members/news.go
+++ b/members/news.go
@@ -19,9 +19,9 @@
 	// Callers miss nothing if an entry hears later of one more, and when all start at once this
 	// is nearly all that they tell.
 	newsTimes = 2
-	newsLife  = 3 * time.Second // and no longer
-	// newsMost bounds what one message carries.
-	newsMost = 64
+	newsTTL   = 3 * time.Second // and no longer
+	// maxNews bounds what one message carries.
+	maxNews = 64
 )
 
 // News returns what was learnt lately, for one message; what was told least goes first.
@@ -30,7 +30,7 @@
 	defer t.mu.Unlock()
 	var latest []*member
 	for _, m := range t.byName {
-		if now.Sub(m.learnt) < newsLife && m.told < m.times()*bits.Len(uint(len(t.byName))) {
+		if now.Sub(m.learnt) < newsTTL && m.told < m.times()*bits.Len(uint(len(t.byName))) {
 			latest = append(latest, m)
 		}
 	}
@@ -38,7 +38,7 @@
 		return cmp.Or(cmp.Compare(a.told, b.told), b.learnt.Compare(a.learnt), cmp.Compare(a.Entry.Name, b.Entry.Name))
 	})
 	var list []peers.Member
-	for _, m := range latest[:min(len(latest), newsMost)] {
+	for _, m := range latest[:min(len(latest), maxNews)] {
 		m.told++
 		list = append(list, m.Member)
 	}
--- a/placing/letgo.go
+++ b/placing/admit.go
@@ -14,11 +14,11 @@
 	Entries int // that send to them
 }
 
-// LetGo hands targets to requests that wait at a gate, as far as targets have room.
+// Admit hands targets to requests that wait at a gate, as far as targets have room.
 //
 // If all targets name a rate nobody waits here: how soon a request may go is then told by
 // whoever issues the permits of the targets.
-func LetGo(g *Gate, b *Book, l Lane, now time.Time) {
+func Admit(g *Gate, b *Book, l Lane, now time.Time) {
 	if b.AllLimited(l.Targets) {
 		g.release()
 		return
@@ -29,7 +29,7 @@
 	g.grant(now, func() bool { return b.lateMayGo(lanes) }, func(r *Request) *serving.Target { return b.reserve(lanes, r, now) })
 }
 
-// prepare reckons what this entry may send.
+// prepare computes what this entry may send.
 func (b *Book) prepare(lanes []groupLane, d demand, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/placing/letgo_bench_test.go
+++ b/placing/admit_bench_test.go
@@ -9,8 +9,8 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// BenchmarkLetGo lets one request go to a dozen groups of 24 engines, all of them reported.
-func BenchmarkLetGo(b *testing.B) {
+// BenchmarkAdmit lets one request go to a dozen groups of 24 engines, all of them reported.
+func BenchmarkAdmit(b *testing.B) {
 	const groups, ranks = 12, 24
 	now := time.Unix(1000, 0)
 	book, gate := NewBook("e", "a", rand.New(rand.NewPCG(1, 1))), new(Gate)
@@ -34,7 +34,7 @@
 	for b.Loop() {
 		r := &Request{Arrived: now, MaxWait: time.Second}
 		w, _, _ := gate.Enter(r, now)
-		LetGo(gate, book, lane, now)
+		Admit(gate, book, lane, now)
 		t := <-w.Granted()
 		a := book.Account(t)
 		book.Answered(a, Size{})
--- a/placing/cold.go
+++ b/placing/cold.go
@@ -17,8 +17,8 @@
 }
 
 const (
-	// coldLife ends the memory of a target that nobody asks for any more.
-	coldLife = 30 * time.Second
+	// coldTTL ends the memory of a target that nobody asks for any more.
+	coldTTL = 30 * time.Second
 	// takeOverPart of the rate is granted by an entry that begins to issue the permits of a cold
 	// target, while the one before may still do. To grant none would leave all targets idle
 	// after a loss of power, when all are cold and all entries begin to issue permits.
@@ -55,7 +55,7 @@
 // forgetCold drops cold targets that are not known any more or were not asked for lately.
 func (l *rateLimits) forgetCold(known func(run serving.Run) bool, now time.Time) {
 	for run, c := range l.cold {
-		if !known(run) || now.Sub(c.used) > coldLife {
+		if !known(run) || now.Sub(c.used) > coldTTL {
 			delete(l.cold, run)
 		}
 	}
--- a/placing/doubt.go
+++ b/placing/doubt.go
@@ -21,16 +21,16 @@
 
 // Figures of doubts.
 const (
-	// doubtLife is for how long a failure counts: as long as a target is kept out at first.
-	doubtLife = 2 * time.Second
+	// doubtTTL is for how long a failure counts: as long as a target is kept out at first.
+	doubtTTL = 2 * time.Second
 	// witnesses are the entries that must have seen a target fail before those that have not
 	// keep it out. One alone may be cut off, or be slow itself.
 	witnesses = 2
-	// hungMost requests without an answer in a row, at all entries together, keep a target
+	// maxHung requests without an answer in a row, at all entries together, keep a target
 	// out; so many at one entry keep it out there. One may be longer than its time by itself.
-	hungMost = 3
-	// doubtsMost bounds what one message carries.
-	doubtsMost = 16
+	maxHung = 3
+	// maxDoubts bounds what one message carries.
+	maxDoubts = 16
 )
 
 // doubts are what this entry and others have seen of targets.
@@ -104,7 +104,7 @@
 
 // take takes what another entry has seen; it tells whether that is new.
 func (d *doubts) take(o Doubt, now time.Time) bool {
-	if o.Entry == d.entry || now.Sub(o.latest()) >= doubtLife {
+	if o.Entry == d.entry || now.Sub(o.latest()) >= doubtTTL {
 		return false
 	}
 	known := d.seen[doubtKey{run: o.Run, entry: o.Entry}]
@@ -134,7 +134,7 @@
 // forget drops what no longer counts.
 func (d *doubts) forget(now time.Time) {
 	for key, o := range d.seen {
-		if now.Sub(o.latest()) >= doubtLife {
+		if now.Sub(o.latest()) >= doubtTTL {
 			delete(d.seen, key)
 		}
 	}
@@ -154,7 +154,7 @@
 // entry keeps it out.
 func (d *doubts) weight(run serving.Run, now time.Time) float64 {
 	well := d.lastWell(run)
-	counts := func(at time.Time) bool { return at.After(well) && now.Sub(at) < doubtLife }
+	counts := func(at time.Time) bool { return at.After(well) && now.Sub(at) < doubtTTL }
 	brokenAt, hungAt, unanswered := 0, 0, 0 // the first two: entries
 	for key, o := range d.seen {
 		if key.run != run {
@@ -168,7 +168,7 @@
 			unanswered += o.Unanswered
 		}
 	}
-	return max(float64(brokenAt)/witnesses, min(float64(hungAt)/witnesses, float64(unanswered)/hungMost))
+	return max(float64(brokenAt)/witnesses, min(float64(hungAt)/witnesses, float64(unanswered)/maxHung))
 }
 
 // urgent tells whether others should hear at once of what has made a target's weight rise:
@@ -216,7 +216,7 @@
 	before := b.doubts.weight(t.Run(), now)
 	b.doubts.hung(t.Run(), now)
 	after := b.doubts.weight(t.Run(), now)
-	kept := after >= 1 || b.doubts.own(t.Run()).Unanswered >= hungMost
+	kept := after >= 1 || b.doubts.own(t.Run()).Unanswered >= maxHung
 	if kept {
 		b.ejector.Hold(t.Run(), now)
 	}
@@ -244,7 +244,7 @@
 	slices.SortFunc(list, func(x, y Doubt) int {
 		return cmp.Or(y.latest().Compare(x.latest()), cmp.Compare(x.Entry, y.Entry), cmp.Compare(x.Run.ID, y.Run.ID))
 	})
-	return list[:min(len(list), doubtsMost)]
+	return list[:min(len(list), maxDoubts)]
 }
 
 // Doubted takes what another entry has seen, or has heard of. It returns the targets that are
--- a/placing/doubt_test.go
+++ b/placing/doubt_test.go
@@ -69,7 +69,7 @@
 	g.Expect(tells(third, two.Doubts(now), now.Add(5*time.Millisecond))).To(BeFalse())
 	g.Expect(tells(one, third.Doubts(now), now)).To(BeFalse())
 	g.Expect(shareOf(third, targets, "x", now)).To(BeNumerically(">", 0.2))
-	g.Expect(third.Doubts(now.Add(doubtLife))).To(BeEmpty())
+	g.Expect(third.Doubts(now.Add(doubtTTL))).To(BeEmpty())
 }
 
 // The entries of a data centre are cut off from one that they send to, and tell so. A target
@@ -121,7 +121,7 @@
 	for i := range 100 {
 		b.Broke(&serving.Target{ID: string(rune('A' + i)), Service: "p"}, now)
 	}
-	g.Expect(b.Doubts(now)).To(HaveLen(doubtsMost))
+	g.Expect(b.Doubts(now)).To(HaveLen(maxDoubts))
 }
 
 func entryBook(name string) *Book {
@@ -174,7 +174,7 @@
 		now := time.Now()
 		b, l := twoGroups(0, 0, now)
 		sent := now
-		for range hungMost {
+		for range maxHung {
 			now = now.Add(800 * time.Millisecond)
 			if moving {
 				b.Began(l.Targets[1], sent.Add(time.Millisecond), now)
@@ -219,7 +219,7 @@
 	now := time.Now()
 	targets := plainTargets("x", "y", "z")
 	slow, other := entryBook("slow"), entryBook("other")
-	for range 3 * hungMost {
+	for range 3 * maxHung {
 		now = now.Add(100 * time.Millisecond)
 		slow.Silent(targets[0], false, now, now)
 		slow.Broke(targets[1], now)
--- a/placing/finish.go
+++ b/placing/finish.go
@@ -18,15 +18,15 @@
 	// paceWeight is the weight of one pause: an entry's streams have thirty a second
 	// and more.
 	paceWeight = 32
-	// paceLife: without a stream to see, nothing is known any more.
-	paceLife = time.Second
+	// paceTTL: without a stream to see, nothing is known any more.
+	paceTTL = time.Second
 	// honouredShare of the time that callers have left is the longest that they wait
 	// before they come back. Source: the platform's statement.
 	honouredShare = 1.0 / 3
 )
 
 func (p *streamPace) take(pause time.Duration, now time.Time) {
-	if now.Sub(p.at) > paceLife {
+	if now.Sub(p.at) > paceTTL {
 		p.mean = pause
 	}
 	p.at = now
@@ -42,7 +42,7 @@
 // Passes that are long for another reason are short again once the map has followed,
 // within half a second, so only a slow rank counts.
 func (p *streamPace) canFinish(r *Request, now time.Time) bool {
-	if ablate.Off(ablate.CannotFinish) || !p.slowRank || r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceLife {
+	if ablate.Off(ablate.CannotFinish) || !p.slowRank || r.Events == 0 || r.Deadline.IsZero() || now.Sub(p.at) > paceTTL {
 		return true
 	}
 	return time.Duration(r.Events*float64(p.mean)) <= r.Deadline.Sub(now)
--- a/placing/gate.go
+++ b/placing/gate.go
@@ -22,7 +22,7 @@
 type Gate struct {
 	mu      sync.Mutex
 	waiting []*Waiter
-	rate    rate // of requests let go
+	rate    rate // of requests admitted
 	entered int  // requests that were taken in
 	broken  bool // no group of the service runs requests
 	pace    streamPace
@@ -133,7 +133,7 @@
 	g.waiting = nil
 }
 
-// next returns the request to let go next: of the most urgent ones the oldest that
+// next returns the request to admit next: of the most urgent ones the oldest that
 // can still be in time for its first event, and only then those that can't. A late
 // answer is worth the same whether it comes a little or much too late, so letting
 // late ones go first would make all that wait behind them late too. -1: none may go.
--- a/placing/groups.go
+++ b/placing/groups.go
@@ -32,8 +32,8 @@
 	assumed float64
 }
 
-// groupLife is how long a group is remembered that nobody reports any more.
-const groupLife = time.Minute
+// groupTTL is how long a group is remembered that nobody reports any more.
+const groupTTL = time.Minute
 
 // group returns what is known of a group; the lock must be held.
 func (b *Book) group(k groupKey) *groupBook {
@@ -57,7 +57,7 @@
 		if o.service != t.Service || o.name == "" {
 			continue
 		}
-		if now.Sub(g.At) < ReportLife {
+		if now.Sub(g.At) < ReportTTL {
 			return groupKey{service: t.Service}
 		}
 		k = o
@@ -73,7 +73,7 @@
 // be held.
 func (b *Book) forgetGroups(service string, now time.Time) {
 	for k, g := range b.groups {
-		if k.service == service && k.name != "" && now.Sub(g.At) > groupLife && now.Sub(g.short.told) > groupLife {
+		if k.service == service && k.name != "" && now.Sub(g.At) > groupTTL && now.Sub(g.short.told) > groupTTL {
 			delete(b.groups, k)
 		}
 	}
@@ -128,7 +128,7 @@
 func (b *Book) withoutIdle(list []groupLane, now time.Time) []groupLane {
 	runs := func(l groupLane) bool {
 		g := b.group(l.key)
-		return l.key.name != "" && now.Sub(g.At) < ReportLife && g.Open
+		return l.key.name != "" && now.Sub(g.At) < ReportTTL && g.Open
 	}
 	if !slices.ContainsFunc(list, func(l groupLane) bool { return runs(l) && !b.group(l.key).breaker.broken }) {
 		return list
@@ -212,7 +212,7 @@
 }
 
 // incomplete tells whether a group is reported to lack ranks.
-func (g *groupBook) incomplete(now time.Time) bool { return now.Sub(g.At) < ReportLife && !g.Open }
+func (g *groupBook) incomplete(now time.Time) bool { return now.Sub(g.At) < ReportTTL && !g.Open }
 
 // named tells whether any group of a service that has targets has a name. The lock must be
 // held.
--- a/placing/groups_test.go
+++ b/placing/groups_test.go
@@ -37,7 +37,7 @@
 		w, _, _ := gt.Enter(waiting(1, now), now)
 		waiters = append(waiters, w)
 	}
-	LetGo(gt, b, l, now)
+	Admit(gt, b, l, now)
 	count := make(map[string]int)
 	for _, w := range waiters {
 		select {
--- a/placing/late.go
+++ b/placing/late.go
@@ -74,7 +74,7 @@
 	arrivalsKeep  = 0.75 // of the mean so far, each time: it follows within a second
 )
 
-// take notes how many requests have come, all told.
+// take records how many requests have come, all told.
 func (a *arrivals) take(total int, now time.Time) {
 	if a.counted.IsZero() {
 		a.seen, a.counted = total, now
--- a/placing/late_test.go
+++ b/placing/late_test.go
@@ -54,7 +54,7 @@
 		g.Expect(ok).To(BeTrue())
 		l := testLane(fullEntries, target)
 		l.Service.Engine, l.GapAim = testModel(), 120*time.Millisecond
-		LetGo(gt, b, l, now)
+		Admit(gt, b, l, now)
 		g.Expect(gt.Leave(w)).To(Equal(!goes), "%d want room for a few", wanting)
 	}
 }
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -95,7 +95,7 @@
 // them get work. The lock must be held.
 func (b *Book) limitOf(k groupKey, l Lane, share float64, now time.Time) float64 {
 	state := b.group(k)
-	if now.Sub(state.At) > ReportLife {
+	if now.Sub(state.At) > ReportTTL {
 		// Nobody reports, so the map does not follow either: what was worst lately comes.
 		return limitAmong(l.Service.Engine, l.GapAim, max(calmImbalance, min(state.Worst, bornImbalance)), max(state.Pace, 1), share)
 	}
--- a/placing/permits.go
+++ b/placing/permits.go
@@ -6,7 +6,7 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// PermitQuery asks for leave to send one request to a target that names a rate.
+// PermitQuery asks for permission to send one request to a target that names a rate.
 type PermitQuery struct {
 	MaxWait time.Duration // that the request may wait for it
 	Refuses bool          // without a permit its caller is refused, and told when to come back
@@ -36,17 +36,17 @@
 	// takeOver: an entry that begins to issue the permits of a target grants none for so long,
 	// in which the one that did before hears of it and stops.
 	takeOver = time.Second
-	// permitMost is the longest time between two permits. A target that asks for next to nothing
+	// maxInterval is the longest time between two permits. A target that asks for next to nothing
 	// is sent a request now and then all the same, or it would never be heard to want more.
-	permitMost = 30 * time.Second
-	// promiseMost: refused callers are told to come back one after the other over this time.
-	promiseMost = 5 * time.Second
+	maxInterval = 30 * time.Second
+	// maxPromise: refused callers are told to come back one after the other over this time.
+	maxPromise = 5 * time.Second
 )
 
 // interval returns the time between two permits.
 func interval(rate float64) time.Duration {
-	if rate*permitMost.Seconds() < 1 {
-		return permitMost
+	if rate*maxInterval.Seconds() < 1 {
+		return maxInterval
 	}
 	return time.Duration(float64(time.Second) / rate)
 }
@@ -75,7 +75,7 @@
 // another permit, or all would come for the same one.
 func (p *permits) promise(free time.Time, every time.Duration) time.Time {
 	p.promised = later(p.promised.Add(every), free)
-	if p.promised.Sub(free) > promiseMost {
+	if p.promised.Sub(free) > maxPromise {
 		p.promised = free
 	}
 	return p.promised
--- a/placing/permits_test.go
+++ b/placing/permits_test.go
@@ -104,7 +104,7 @@
 		g.Expect(b.TakePermit(limitedRun, 1, refuse, now).ComeBack).To(Equal(time.Duration(i) * 500 * time.Millisecond))
 	}
 	for range 100 {
-		g.Expect(b.TakePermit(limitedRun, 1, refuse, now).ComeBack).To(BeNumerically("<=", promiseMost+500*time.Millisecond))
+		g.Expect(b.TakePermit(limitedRun, 1, refuse, now).ComeBack).To(BeNumerically("<=", maxPromise+500*time.Millisecond))
 	}
 }
 
@@ -135,12 +135,12 @@
 	nameRate(b, targets[0].Run(), 1, now)
 	b.NoPermit(targets[0].Run(), now.Add(time.Second))
 	w, _, _ := gt.Enter(&Request{Arrived: now}, now)
-	LetGo(gt, b, lane, now)
+	Admit(gt, b, lane, now)
 	g.Expect(<-w.Granted()).To(Equal(targets[1]))
 
 	nameRate(b, targets[1].Run(), 1, now)
 	w, _, _ = gt.Enter(&Request{Arrived: now}, now)
-	LetGo(gt, b, lane, now)
+	Admit(gt, b, lane, now)
 	g.Expect(<-w.Granted()).To(BeNil())
 	g.Expect(gt.Waits()).To(BeFalse())
 	all := func(*serving.Target) bool { return false }
--- a/placing/place.go
+++ b/placing/place.go
@@ -34,7 +34,7 @@
 	left := make([]*serving.Target, 0, len(targets))
 	for _, t := range targets {
 		a := b.accounts[t.Run()]
-		if a == nil || now.Sub(a.others.at) >= ReportLife || a.others.Pace < avoidPace {
+		if a == nil || now.Sub(a.others.at) >= ReportTTL || a.others.Pace < avoidPace {
 			left = append(left, t)
 		}
 	}
@@ -71,7 +71,7 @@
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(lanes, func(l groupLane) bool {
 		state := b.group(l.key)
-		return now.Sub(state.At) < ReportLife && state.Pace >= avoidPace
+		return now.Sub(state.At) < ReportTTL && state.Pace >= avoidPace
 	})
 }
 
@@ -167,7 +167,7 @@
 		return work
 	}
 	work += readWeight * a.reading
-	if now.Sub(a.others.at) < ReportLife && a.others.Pace > slowPace && !ablate.Off(ablate.SlowWeight) {
+	if now.Sub(a.others.at) < ReportTTL && a.others.Pace > slowPace && !ablate.Off(ablate.SlowWeight) {
 		work += slowWeight * (a.others.Pace - 1)
 	}
 	return work
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -86,7 +86,7 @@
 	b.Reported("s", []*serving.Target{known, away}, map[string]RankLoad{"1": {Running: 5, Waiting: 1}}, GroupState{Mean: 6, At: now})
 	g.Expect(b.load(known, now)).To(Equal(6))
 	g.Expect(b.load(away, now)).To(Equal(6))
-	g.Expect(b.load(away, now.Add(2*ReportLife))).To(BeZero(), "nothing is known of the group any more")
+	g.Expect(b.load(away, now.Add(2*ReportTTL))).To(BeZero(), "nothing is known of the group any more")
 }
 
 const fullEntries = 46
@@ -281,7 +281,7 @@
 	}
 	let := func() int {
 		before := gt.Waiting(now)
-		LetGo(gt, b, l, now)
+		Admit(gt, b, l, now)
 		after := gt.Waiting(now)
 		return before.InTime + before.Late - after.InTime - after.Late
 	}
@@ -333,7 +333,7 @@
 	b.Reported("s", nil, nil, NewGroupState(nil, 1.2, 3, Waiting{}, now))
 	l, key := Lane{Service: s, GapAim: aim}, groupKey{service: "s"}
 	reported := b.limitOf(key, l, 1, now)
-	silent := b.limitOf(key, l, 1, now.Add(2*ReportLife))
+	silent := b.limitOf(key, l, 1, now.Add(2*ReportTTL))
 	g.Expect(silent).To(Equal(limit(testModel(), aim, 3, 1)))
 	g.Expect(silent).To(BeNumerically("<=", reported))
 	g.Expect(testBook().limitOf(key, l, 1, now)).To(Equal(limit(testModel(), aim, calmImbalance, 1)), "nothing was seen yet")
--- a/placing/rate.go
+++ b/placing/rate.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// rate tells how fast requests are let go.
+// rate tells how fast requests are admitted.
 type rate struct {
 	times [rateMemory]time.Time
 	n     int
@@ -15,7 +15,7 @@
 	r.n++
 }
 
-// expect returns how long it takes until so many more have been let go; 0 as long
+// expect returns how long it takes until so many more have been admitted; 0 as long
 // as too few have been to tell.
 func (r *rate) expect(n int, now time.Time) time.Duration {
 	if r.n < rateMemory {
@@ -25,7 +25,7 @@
 	return span / rateMemory * time.Duration(n)
 }
 
-// perSecond returns how many requests are let go a second.
+// perSecond returns how many requests are admitted a second.
 func (r *rate) perSecond(now time.Time) float64 {
 	each := r.expect(1, now)
 	if each <= 0 {
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -31,9 +31,9 @@
 
 // Figures of rate limits.
 const (
-	// endedLife is for how long it is remembered that a target names no rate any more, for
+	// endedTTL is for how long it is remembered that a target names no rate any more, for
 	// entries that have not heard so.
-	endedLife = 30 * time.Second
+	endedTTL = 30 * time.Second
 	// rateNews is the part by which a rate must change for others to hear of it at once: a
 	// target may name another one in each answer.
 	rateNews = 0.1
@@ -140,7 +140,7 @@
 	l.forgetCold(known, now)
 	maps.DeleteFunc(l.waits, func(run serving.Run, w permitWait) bool { return !known(run) || !now.Before(w.closed) })
 	for run, o := range l.byRun {
-		if !known(run) || o.rate == Unlimited && now.Sub(o.learnt) > endedLife {
+		if !known(run) || o.rate == Unlimited && now.Sub(o.learnt) > endedTTL {
 			delete(l.byRun, run)
 		}
 	}
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -6,8 +6,8 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// ReportLife is how long a report is believed.
-const ReportLife = 2 * time.Second
+// ReportTTL is how long a report is believed.
+const ReportTTL = 2 * time.Second
 
 // RankLoad is what is reported of one target of a group.
 type RankLoad struct {
@@ -73,7 +73,7 @@
 	return s
 }
 
-// assume reckons what other entries have running at each target, as long as nobody
+// assume estimates what other entries have running at each target, as long as nobody
 // reports it: as much as this one.
 //
 // Failure: the agent that reports for a group stands still. Symptom: every entry
@@ -85,7 +85,7 @@
 func (b *Book) assume(l *groupLane, now time.Time) {
 	state := b.group(l.key)
 	state.assumed = 0
-	if now.Sub(state.At) >= ReportLife && len(l.Targets) > 0 {
+	if now.Sub(state.At) >= ReportTTL && len(l.Targets) > 0 {
 		own := 0
 		for _, a := range b.accounts {
 			if b.keyOf(a.target, now) == l.key {
@@ -126,12 +126,12 @@
 	a := b.accounts[t.Run()]
 	if a != nil {
 		own = a.running
-		if now.Sub(a.others.at) < ReportLife {
+		if now.Sub(a.others.at) < ReportTTL {
 			return own + max(a.others.Running+a.others.Waiting-a.others.ownThen, 0)
 		}
 	}
 	state := b.group(b.keyOf(t, now))
-	if now.Sub(state.At) < ReportLife {
+	if now.Sub(state.At) < ReportTTL {
 		return max(own, state.Mean)
 	}
 	return own + int(state.assumed+0.5)
--- a/placing/request.go
+++ b/placing/request.go
@@ -18,7 +18,7 @@
 
 	// AvoidLimited: it goes to no target that names a rate.
 	AvoidLimited bool
-	// Again: it was let go before and not sent, so it counts neither as coming nor as let go.
+	// Again: it was admitted before and not sent, so it counts neither as coming nor as admitted.
 	Again bool
 
 	placed time.Time // when it got its place
--- a/placing/room.go
+++ b/placing/room.go
@@ -21,7 +21,7 @@
 	known    bool
 	odds     float64 // that a request may go; 1: there is room for all that can be in time
 	left     int     // requests that may still go
-	entered  int     // that the gate had taken in when left was reckoned
+	entered  int     // that the gate had taken in when left was computed
 	lateOdds float64 // the same for requests that are late already
 	lateLeft int
 }
@@ -29,11 +29,11 @@
 // reportsApart is how far apart reports come, at most.
 const reportsApart = 200 * time.Millisecond
 
-// renew reckons the share after a report, and adds to it for requests that have
+// renew computes the share after a report, and adds to it for requests that have
 // come since. The lock must be held.
 func (b *Book) renew(l *groupLane, d demand, now time.Time) {
 	state := b.group(l.key)
-	if now.Sub(state.At) >= ReportLife {
+	if now.Sub(state.At) >= ReportTTL {
 		state.share = roomShare{}
 		return
 	}
--- a/placing/short.go
+++ b/placing/short.go
@@ -15,14 +15,14 @@
 
 // Figures of short groups.
 const (
-	// sizeLife is for how long the size of a group is believed.
-	sizeLife = 5 * time.Second
+	// sizeTTL is for how long the size of a group is believed.
+	sizeTTL = 5 * time.Second
 	// shortAfter is longer than records of targets take to come back after a loss of power
 	// or an outage of the store.
 	shortAfter = 3 * time.Second
 	// Callers are told to come back after as long as the group has been short, within these.
-	shortLeast = time.Second
-	shortMost  = 30 * time.Second
+	minShort = time.Second
+	maxShort = 30 * time.Second
 )
 
 func (s *shortGroup) size(ranks int, now time.Time) { s.ranks, s.told = ranks, now }
@@ -30,7 +30,7 @@
 // note takes how many targets the group has.
 func (s *shortGroup) note(targets int, now time.Time) {
 	switch {
-	case targets >= s.ranks || now.Sub(s.told) > sizeLife:
+	case targets >= s.ranks || now.Sub(s.told) > sizeTTL:
 		s.since = time.Time{}
 	case s.since.IsZero():
 		s.since = now
@@ -47,4 +47,4 @@
 
 // ComeBack returns when the caller of a group that has been short for a time does best to
 // come back: nobody knows when the missing engines start.
-func ComeBack(short time.Duration) time.Duration { return min(max(short, shortLeast), shortMost) }
+func ComeBack(short time.Duration) time.Duration { return min(max(short, minShort), maxShort) }
--- a/placing/short_test.go
+++ b/placing/short_test.go
@@ -41,7 +41,7 @@
 	s.size(12, start)
 	s.note(10, start)
 	g.Expect(s.lasting(start.Add(4 * time.Second))).To(Equal(4 * time.Second))
-	s.note(10, start.Add(sizeLife+time.Second))
+	s.note(10, start.Add(sizeTTL+time.Second))
 	g.Expect(s.lasting(start.Add(8 * time.Second))).To(BeZero())
 
 	b := testBook()
--- a/placing/slow_test.go
+++ b/placing/slow_test.go
@@ -70,7 +70,7 @@
 	g.Expect(wait).To(BeNumerically("~", 8*time.Second/3, time.Millisecond))
 	_, ok = enter(12)
 	g.Expect(ok).To(BeTrue())
-	now = now.Add(2 * paceLife)
+	now = now.Add(2 * paceTTL)
 	_, ok = enter(20)
 	g.Expect(ok).To(BeTrue(), "nothing runs that could tell")
 	pauses(500 * time.Millisecond)
