Requests for a service that is evacuated as a whole are refused at once

Cause: at the gate of a rank group they waited until their time was over, though no target may get them. Test: fails without the check, after four seconds.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/heatherrail/heatherrail/placing"
@@ -150,6 +151,9 @@
 	if t.g.book.AllLimited(t.targets()) {
 		return nil, nil
 	}
+	if allEvacuated(t.targets()) {
+		return nil, t.orLast(result.New(result.NoTarget, "all targets of %s are evacuated", t.r.service.Name))
+	}
 	if comeBack, ok := gt.CanFinish(&t.r.wish, time.Now()); !ok {
 		e := result.New(result.DeadlineUnmet, "%.0f events would not end in time", t.r.wish.Events)
 		e.RetryAfter = comeBack
@@ -188,6 +192,11 @@
 	return nil, t.orLast(result.New(result.WaitTooLong, "waited %d ms", time.Since(t.r.arrived).Milliseconds()))
 }
 
+// allEvacuated tells whether targets are known and an operator wants none of them to get work.
+func allEvacuated(targets []*serving.Target) bool {
+	return len(targets) > 0 && !slices.ContainsFunc(targets, func(t *serving.Target) bool { return !t.Evacuated })
+}
+
 // ended tells why nothing more can be done: the caller has left, or the time is
 // over. Without a try that may have run, the request certainly did not run.
 func (t *tries) ended(ctx context.Context) *result.Error {
--- a/gateway/evacuate_test.go
+++ b/gateway/evacuate_test.go
@@ -91,3 +91,23 @@
 	}
 	g.Expect(k.view().index.Version).To(Equal(uint64(7)))
 }
+
+// Guards against requests that wait at a gate for targets none of which may get work.
+func TestNobodyWaitsForAServiceThatIsEvacuated(t *testing.T) {
+	g := NewWithT(t)
+	target := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool { return reply(w, r, 200, sealed, "x") })
+	config := testConfig()
+	config.Services[0].Engine = &serving.EngineModel{Slots: 4, Sets: 2}
+	store := new(memStore)
+	store.put(serving.TopicConfig, "config", config)
+	store.put(serving.TopicConfig, "away-from-a", map[string]int{})
+	store.put(serving.TopicTargets, "i1", serving.Target{Service: "llm", Address: target.addr, DataCentre: "a"})
+	f := startGateway(t, "gw", store)
+	g.Eventually(func() bool { return f.gw.Ready() && evacuatedAt(f.gw, "i1")() }, "5s", "5ms").Should(BeTrue())
+	begun := time.Now()
+	resp, _, err := f.ask("POST", "/s/x", "k1", "p")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(503))
+	g.Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	g.Expect(target.arrivals()).To(BeEmpty())
+}
