--- a/members/group.go
+++ b/members/group.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// Recorded records an entry by its record in the store.
+// Recorded keeps an entry by its record in the store.
 func (g *Group) Recorded(p peers.Presence) {
 	if g.table.Recorded(p, time.Now()) {
 		g.opts.Log.Info("entry known", "entry", p.Name, "address", p.Peers)
--- a/members/table.go
+++ b/members/table.go
@@ -77,7 +77,7 @@
 	return t.self, changed
 }
 
-// Recorded records an entry by its record in the store. A record may be older than
+// Recorded keeps an entry by its record in the store. A record may be older than
 // what the entry said itself, and says nothing of whether it takes requests.
 func (t *Table) Recorded(p peers.Presence, now time.Time) (isNew bool) {
 	t.mu.Lock()
