Entries tell each other that a topic is empty

Cause: all entries start before the first configuration and the first targets are written. A topic that has been read and was empty was told like one that was never read, so each entry read each topic itself. Ruled out: that entries are told too late. They were told in time, and of nothing. Change: an entry tells of each topic whether it has been read; a topic told as empty counts as known.

--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -57,7 +57,7 @@
 		next, loaded := k.position(t)
 		state := peers.TopicState{}
 		if loaded {
-			state = peers.TopicState{Next: next, AgeMS: roundUp(min(k.age(t, now), time.Hour))}
+			state = peers.TopicState{Next: next, AgeMS: roundUp(min(k.age(t, now), time.Hour)), Read: true}
 		}
 		states = append(states, state)
 	}
@@ -96,7 +96,7 @@
 		fresher = true
 	}
 	for t := range h.Topics {
-		if t < serving.Topics && h.Topics[t].Next > 0 {
+		if t < serving.Topics && h.Topics[t].Read {
 			fresher = m.g.knowledge.confirm(serving.Topic(t), h.Topics[t].Next, asOf(&h.Topics[t], sent)) || fresher
 		}
 	}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -170,6 +170,9 @@
 func (k *knowledge) confirm(t serving.Topic, next uint64, asOf time.Time) (fresher bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if next == 0 {
+		k.replicas[t].Empty()
+	}
 	if !k.replicas[t].Loaded() || k.replicas[t].Next() < next {
 		return false
 	}
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -51,6 +51,7 @@
 	nearLink     = 300 * time.Microsecond
 	farLink      = time.Millisecond
 	storeAnswer  = 4 * time.Millisecond
+	lateRecords  = 600 * time.Millisecond // after all entries have started
 )
 
 // scaleStore counts calls.
@@ -92,8 +93,6 @@
 func newScaleFleet(size int, seed uint64) *scaleFleet {
 	f := &scaleFleet{store: new(scaleStore), entries: make(map[string]*scaleEntry)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.store.put(serving.TopicConfig, "config", testConfig())
-	f.store.putTargets(1)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for n := range size {
 		f.add(n, rng.Uint64())
@@ -118,15 +117,21 @@
 	f.names = append(f.names, o.Peers)
 }
 
-// start starts all entries within a third of a second, and the heartbeats of targets.
+// start starts all entries within a third of a second; the configuration and the targets come after
+// that, so that the first entries read topics without records.
 func (f *scaleFleet) start() {
 	for _, address := range f.names {
 		f.entries[address].start()
 		time.Sleep(300 * time.Millisecond / time.Duration(len(f.names)))
 	}
 	go func() {
-		for sequence := uint64(2); sleepOr(f.ctx, scaleBeat); sequence++ {
+		sleep(f.ctx, lateRecords)
+		f.store.put(serving.TopicConfig, "config", testConfig())
+		for sequence := uint64(1); ; sequence++ {
 			f.store.putTargets(sequence)
+			if !sleepOr(f.ctx, scaleBeat) {
+				return
+			}
 		}
 	}()
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -122,6 +122,7 @@
 type TopicState struct {
 	Next  uint64 // all records before this offset are known
 	AgeMS uint32 // since some entry read them all from the store
+	Read  bool   // some entry has read the topic; it may have been empty
 }
 
 // TopicNews are records of a topic that the receiver lacks.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -263,10 +263,11 @@
 	o = msgp.AppendBool(o, z.All)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Topics)))
 	for za0002 := range z.Topics {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendUint64(o, z.Topics[za0002].Next)
 		o = msgp.AppendUint32(o, z.Topics[za0002].AgeMS)
+		o = msgp.AppendBool(o, z.Topics[za0002].Read)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.News)))
 	for za0003 := range z.News {
@@ -382,8 +383,8 @@
 			err = msgp.WrapError(err, "Topics", za0002)
 			return
 		}
-		if zb0005 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 			return
 		}
 		z.Topics[za0002].Next, bts, err = msgp.ReadUint64Bytes(bts)
@@ -396,6 +397,11 @@
 			err = msgp.WrapError(err, "Topics", za0002, "AgeMS")
 			return
 		}
+		z.Topics[za0002].Read, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Topics", za0002, "Read")
+			return
+		}
 	}
 	var zb0006 uint32
 	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -478,7 +484,7 @@
 	for za0001 := range z.Members {
 		s += 1 + z.Members[za0001].Entry.Msgsize() + msgp.BoolSize
 	}
-	s += msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Topics) * (12 + msgp.Uint64Size + msgp.Uint32Size)) + msgp.ArrayHeaderSize
+	s += msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Topics) * (17 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
 	for za0003 := range z.News {
 		s += z.News[za0003].Msgsize()
 	}
@@ -2230,10 +2236,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z TopicState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Next)
 	o = msgp.AppendUint32(o, z.AgeMS)
+	o = msgp.AppendBool(o, z.Read)
 	return
 }
 
@@ -2245,8 +2252,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Next, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2259,12 +2266,17 @@
 		err = msgp.WrapError(err, "AgeMS")
 		return
 	}
+	z.Read, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Read")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z TopicState) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize
 	return
 }
--- a/serving/replica.go
+++ b/serving/replica.go
@@ -88,6 +88,12 @@
 // Loaded tells whether the whole topic has been seen once.
 func (r *Replica) Loaded() bool { return r.loaded }
 
+// Empty notes that the whole topic was seen and had no records.
+//
+// Failure: all entries start before the first configuration is written. Symptom: there is nothing
+// that one could tell the others, so each reads each empty topic from the store itself.
+func (r *Replica) Empty() { r.loaded = true }
+
 // Next returns the offset up to which all records are known.
 func (r *Replica) Next() uint64 { return r.next }
 
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -274,3 +274,13 @@
 	g.Expect(lists).To(HaveLen(1))
 	g.Expect(lists["s"]).To(HaveLen(1))
 }
+
+// Guards against a topic without records that counts as never read, so that nobody can be told it.
+func TestATopicWithoutRecordsMayBeKnown(t *testing.T) {
+	g := NewWithT(t)
+	r := NewReplica(nil)
+	r.Empty()
+	g.Expect(r.Loaded()).To(BeTrue())
+	g.Expect(r.Next()).To(BeZero())
+	g.Expect(r.Apply([]Record{{Key: "a", Value: []byte("x"), Offset: 0}}, 1)).To(HaveLen(1))
+}
