That entries live is told a bounded number of times, however many they are

Change: in no more than 12 messages. Of what 12 messages carry next to nobody misses it, at any size.

--- a/members/news.go
+++ b/members/news.go
@@ -19,7 +19,10 @@
 	// Callers miss nothing if an entry hears later of one more, and when all start at once this
 	// is nearly all that they tell.
 	newsTimes = 2
-	newsTTL   = 3 * time.Second // and no longer
+	// maxTold bounds that however large the fleet is: of what so many messages carry next to none
+	// of the others misses it, and who does finds it by the digest.
+	maxTold = 12
+	newsTTL = 3 * time.Second // and no longer
 	// maxNews bounds what one message carries.
 	maxNews = 64
 )
@@ -30,7 +33,7 @@
 	defer t.mu.Unlock()
 	var latest []*member
 	for _, m := range t.byName {
-		if now.Sub(m.learnt) < newsTTL && m.told < m.times()*bits.Len(uint(len(t.byName))) {
+		if now.Sub(m.learnt) < newsTTL && m.told < m.timesTold(len(t.byName)) {
 			latest = append(latest, m)
 		}
 	}
@@ -45,13 +48,13 @@
 	return list
 }
 
-// times returns how many messages carry what was learnt of an entry, for each doubling of the
-// fleet.
-func (m *member) times() int {
+// timesTold returns how many messages carry what was learnt of an entry, in a fleet of a size.
+func (m *member) timesTold(fleet int) int {
+	doublings := bits.Len(uint(fleet))
 	if m.Lost {
-		return lostTimes
+		return lostTimes * doublings
 	}
-	return newsTimes
+	return min(newsTimes*doublings, maxTold)
 }
 
 // All returns all that is known of others.
