--- a/demo/hosted/evacuate_test.go
+++ b/demo/hosted/evacuate_test.go
@@ -1,11 +1,9 @@
 package hosted
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 )
 
@@ -20,17 +18,7 @@
 // that starts while it is in force among them, and against targets that get no work after it.
 func TestAnEvacuatedZoneGetsNoWorkFromAnyEntry(t *testing.T) {
 	g := NewWithT(t)
-	f, err := Start(logr.Discard())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer f.Close()
-	g.Eventually(f.directory, "5s", "20ms").Should(HaveLen(entryVMs))
-	c := newCallers(f)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(ctx)
-	}()
+	f, c, end := startWithCallers(t)
 	away := f.plain[1].ID
 	g.Eventually(func() int { return f.books.ranAt(away) }, "5s", "20ms").Should(BeNumerically(">", 0))
 
@@ -43,8 +31,7 @@
 
 	f.store.Evacuate(plainZones[1], false)
 	g.Eventually(func() int { return f.books.ranAt(away) }, "5s", "20ms").Should(BeNumerically(">", ran))
-	cancel()
-	<-done
+	end()
 	tally := c.take()
 	g.Expect(tally.LogsAnswered).To(Equal(tally.Logs), "the other target has room")
 }
--- a/demo/hosted/limit_test.go
+++ b/demo/hosted/limit_test.go
@@ -17,21 +17,32 @@
 	limitWindow  = 4 * time.Second
 )
 
-// Guards against a rank of a group and a plain target that name a rate in the platform's words
-// and get more from all entries together.
-func TestEnginesAndPlainTargetsGetNoMoreThanTheRateThatTheyName(t *testing.T) {
+// startWithCallers starts a system and callers; end stops the callers and waits for their answers.
+func startWithCallers(t *testing.T) (f *Fleet, c *callers, end func()) {
+	t.Helper()
 	g := NewWithT(t)
 	f, err := Start(logr.Discard())
 	g.Expect(err).NotTo(HaveOccurred())
-	defer f.Close()
+	t.Cleanup(f.Close)
 	g.Eventually(f.directory, "5s", "20ms").Should(HaveLen(entryVMs))
-	c := newCallers(f)
+	c = newCallers(f)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		c.run(ctx)
 	}()
+	return f, c, func() {
+		cancel()
+		<-done
+	}
+}
+
+// Guards against a rank of a group and a plain target that name a rate in the platform's words
+// and get more from all entries together.
+func TestEnginesAndPlainTargetsGetNoMoreThanTheRateThatTheyName(t *testing.T) {
+	g := NewWithT(t)
+	f, c, end := startWithCallers(t)
 	time.Sleep(2 * time.Second)
 	const rate = 1.5
 	f.group.Engines()[0].SetRate(rate)
@@ -42,8 +53,7 @@
 		g.Expect(rates[0].Most(limitWindow, limitSettles)).To(And(
 			BeNumerically("<=", int(rate*limitWindow.Seconds())+2), BeNumerically(">=", 2)), name)
 	}
-	cancel()
-	<-done
+	end()
 	tally := c.take()
 	g.Expect(tally.DraftsWhole).To(Equal(tally.Drafts), "the other engines have room")
 	g.Expect(tally.LogsAnswered).To(Equal(tally.Logs))
