Taken back: leaders of large groups are asked for loads last

Cause, supposed from reading, not shown: an entry that looks for groups counts agents in a row that know no loads, and any answer of a group that it reads already begins the count anew; so it does not get to the leader, and each agent that it asked is left alone for 5 s. Service goes before it.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -27,7 +27,6 @@
 	readers   map[string]*loadReader // by group
 	searching bool                   // a reader looks for a group
 	inVain    map[string]time.Time   // engines that were asked and told of no group, by address
-	unknown   int                    // agents in a row that were asked and knew no loads
 }
 
 const (
@@ -91,18 +90,6 @@
 	}
 }
 
-// noteAnswer counts the agents in a row that knew no loads, and tells whether a reader reads a
-// group.
-func (f *follower) noteAnswer(l *loadReader, known bool) (unknown int, reads bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.unknown++
-	if known {
-		f.unknown = 0
-	}
-	return f.unknown, f.readers[l.group] == l
-}
-
 // claim notes that a reader reads a group; false if another one does. A reader may come
 // from another group, if the engines that it asks have moved.
 func (f *follower) claim(l *loadReader, group string) bool {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -6,7 +6,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -82,22 +81,3 @@
 	g.Expect(f.claim(second, "h")).To(BeTrue(), "its engines have joined another group")
 	g.Expect(f.readers).To(HaveLen(1))
 }
-
-// Guards against all entries of a fleet that ask the few leaders of large groups, as long as the
-// other agents are not told the loads yet.
-func TestLeadersOfLargeGroupsAreAskedLast(t *testing.T) {
-	g := NewWithT(t)
-	f, _ := followed()
-	l := &loadReader{f: f, client: peers.NewClient("agent:1")}
-	unknown := &peers.Loads{Leader: "leader:1", Spread: true}
-	for range 5 {
-		g.Expect(l.afterwards(unknown)).To(Equal(askAgain), "it looks for a group")
-		g.Expect(l.afterwards(unknown)).To(Equal(askAgain))
-		g.Expect(l.afterwards(unknown)).To(Equal(askLeader))
-		g.Expect(l.afterwards(&peers.Loads{Known: true})).To(Equal(askAgain))
-	}
-	g.Expect(f.claim(l, "g")).To(BeTrue())
-	g.Expect(l.afterwards(unknown)).To(Equal(askAnother), "it reads a group")
-	small := &peers.Loads{Leader: "leader:1"}
-	g.Expect(l.afterwards(small)).To(Equal(askLeader), "nobody else is told those of a small group")
-}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -54,14 +54,10 @@
 		return false
 	}
 	l.size(&loads)
-	switch l.afterwards(&loads) {
-	case askLeader:
+	if !loads.Known && loads.Leader != "" && loads.Leader != l.client.Addr() {
 		l.client.Close()
 		l.client = peers.NewClient(loads.Leader)
 		return true
-	case askAnother:
-		l.drop(nil)
-		return true
 	}
 	if loads.Known && !l.f.claim(l, loads.Group) {
 		l.drop(nil)
@@ -80,38 +76,6 @@
 	return true
 }
 
-// maxUnknown is how many agents of a large group are asked before its leader is.
-const maxUnknown = 3
-
-// nextAsked is who is asked next.
-type nextAsked int
-
-const (
-	askAgain   nextAsked = iota
-	askLeader            // the agent's leader
-	askAnother           // another agent of the group
-)
-
-// afterwards returns who is asked after an answer, if that knows no loads.
-//
-// Failure: all agents start at once, and each refers the entries that ask it to the leader of its
-// group. Symptom: all entries of the fleet connect to a few agents, several times a second, while
-// these form the groups. In a large group any agent is told the loads soon, so another one is
-// asked, and the leader only by entries that find none.
-func (l *loadReader) afterwards(loads *peers.Loads) nextAsked {
-	inRow, reads := l.f.noteAnswer(l, loads.Known)
-	refers := loads.Leader != "" && loads.Leader != l.client.Addr()
-	switch {
-	case loads.Known:
-		return askAgain
-	case refers && (!loads.Spread || inRow >= maxUnknown):
-		return askLeader
-	case reads && loads.Spread:
-		return askAnother
-	}
-	return askAgain
-}
-
 // size notes how many ranks the group has.
 func (l *loadReader) size(loads *peers.Loads) {
 	if loads.Ranks > 0 {
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -74,7 +74,7 @@
 	a.waits.note(q.Entry, int(q.Waiting), int(q.Late), time.Now())
 	loads := a.loads.loads
 	if !loads.Known || len(loads.Engines) == 0 {
-		return &peers.Loads{Leader: a.leader, Group: a.group, Ranks: peers.Count(a.ranks), Spread: a.ranks > directRanks}, nil
+		return &peers.Loads{Leader: a.leader, Group: a.group, Ranks: peers.Count(a.ranks)}, nil
 	}
 	loads.Elsewhere = a.loads.own && len(loads.Engines) > directRanks
 	loads.AgeMS = uint32(min(time.Since(a.loads.asOf), time.Hour).Milliseconds())
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -289,7 +289,6 @@
 	Slow      []SlowRank
 	Group     string // told, as Ranks, also if the loads are not Known
 	Ranks     uint16 // of the whole group, those that have no engine among them
-	Spread    bool   // all agents of the group are told the loads, this one will be
 }
 
 // SlowRank is a rank that takes longer than usual.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -530,8 +530,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.Elsewhere)
@@ -558,7 +558,6 @@
 	}
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendUint16(o, z.Ranks)
-	o = msgp.AppendBool(o, z.Spread)
 	return
 }
 
@@ -570,8 +569,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -740,11 +739,6 @@
 		err = msgp.WrapError(err, "Ranks")
 		return
 	}
-	z.Spread, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Spread")
-		return
-	}
 	o = bts
 	return
 }
@@ -755,7 +749,7 @@
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size + msgp.BoolSize
+	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (11 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size
 	return
 }
 
