--- a/demo/hosted/fleet.go
+++ b/demo/hosted/fleet.go
@@ -57,6 +57,7 @@
 	store   *standin.Store
 	address string // of the store
 	group   *standin.Group
+	mu      sync.Mutex // guards entries while callers ask which there are
 	entries []*entryVM
 	agents  []*lockstep.Agent
 	plain   []*standin.Target
@@ -259,6 +260,8 @@
 		Log:              f.log,
 		Metrics:          metrics.New(),
 	}, callers, peers)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.entries = append(f.entries, vm)
 	return nil
 }
@@ -282,12 +285,17 @@
 
 // kill ends an entry as a crash would.
 func (f *Fleet) kill(n int) {
-	f.entries[n].down = true
-	f.entries[n].gateway.Abort()
+	f.mu.Lock()
+	vm := f.entries[n]
+	vm.down = true
+	f.mu.Unlock()
+	vm.gateway.Abort()
 }
 
 // alive returns an entry that was not killed.
 func (f *Fleet) alive(n int) *entryVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i := range f.entries {
 		if vm := f.entries[(n+i)%len(f.entries)]; !vm.down {
 			return vm
