Signals for targets that ask for rest or leave: one decoded answer, log line, counter, placement field

Change: platform.DecodeAnswer decodes all that a response's header states (not run, fault, seal, rate limit, rest, retry hint, leaving) into serving.Answer; the gateway no longer reads response headers by name. The tracker records the end of a rest, 'target asks for rest' is logged when one begins, rests_asked counts the answers, and 'placed' shows rest_ms. No decision reads any of it.

Measured: gateway (race detector), platform, placing, serving, story and losses tests pass.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -48,6 +48,7 @@
 		DecodeConfig:            platform.DecodeConfigRecord,
 		DecodeEvacuation:        platform.DecodeEvacuation,
 		DecodeTarget:            platform.DecodeTarget,
+		DecodeAnswer:            platform.DecodeAnswer,
 		DrainTimeout:            s.DrainTimeout,
 		ConfigApplyTimeout:      s.ConfigApplyTimeout,
 		TargetHeartbeatInterval: s.TargetHeartbeatInterval,
--- a/demo/hosted/fleet.go
+++ b/demo/hosted/fleet.go
@@ -251,6 +251,7 @@
 		Store:                   platform.NewStore(f.storeAddr),
 		DecodeConfig:            platform.DecodeConfigRecord,
 		DecodeEvacuation:        platform.DecodeEvacuation,
+		DecodeAnswer:            platform.DecodeAnswer,
 		DecodeTarget:            platform.DecodeTarget,
 		DrainTimeout:            drainTimeout,
 		ConfigApplyTimeout:      configApplyTimeout,
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -29,6 +29,7 @@
 	target            *serving.Target
 	targetState       *placing.TargetState
 	resp              *upstream.Response
+	answer            serving.Answer // decoded header of resp
 	awaitingFirstByte bool
 	sentAt            time.Time
 	dispatch          *dispatch
@@ -262,7 +263,9 @@
 		d.g.endAttempt(state, d.r)
 		return nil, d.handleSendError(ctx, target, err)
 	}
+	a.answer = d.g.opts.DecodeAnswer(resp.Status, &resp.Header)
 	d.g.recordRateLimit(a)
+	d.recordRest(a)
 	if e := d.checkResponse(a); e != nil {
 		// After a rank loss the target may be used again once its group has recovered.
 		d.triedRuns[target.Run()] = e.Code != result.RankLost
@@ -297,24 +300,21 @@
 // checkResponse checks the response header and records the outcome. It returns nil if the
 // response is to be delivered to the caller.
 func (d *dispatch) checkResponse(a *attempt) *result.Error {
-	headers := &d.g.opts.Headers
-	header := &a.resp.Header
 	status := a.resp.Status
-	notRun := len(header.Peek(headers.NotRun)) > 0
 	switch {
 	case status == statusMisdirected:
 		d.g.tracker.MarkReplaced(a.target)
 		return result.New(result.TargetLeaving, "another target has taken the address of %s", a.target.ID)
-	case notRun:
+	case a.answer.NotRun:
 		e := result.New(result.TargetBusy, "%s did not run the request, status %d", a.target.ID, status)
-		if fault := string(header.Peek(headers.FaultAt)); fault != "" {
+		if a.answer.FaultAt != "" {
 			e.Code = result.RankLost
-			e.Detail += ", fault at " + fault
+			e.Detail += ", fault at " + a.answer.FaultAt
 			d.g.tracker.RecordGroupRefusal(a.target, time.Now())
 		} else {
 			d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		}
-		e.RetryAfter = parseRetryAfter(string(header.Peek("Retry-After")))
+		e.RetryAfter = a.answer.RetryAfter
 		return e
 	}
 	d.mayHaveRunCount++
@@ -322,7 +322,7 @@
 		d.g.tracker.RecordGroupResponse(a.target, time.Now())
 	}
 	switch {
-	case status/100 == 2 && len(header.Peek(headers.Seal)) == 0:
+	case status/100 == 2 && !a.answer.Sealed:
 		d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		return result.New(result.AnswerBroken, "%s answered %d without a seal", a.target.ID, status)
 	case status/100 == 5 && d.r.route.Repeatable() && d.mayHaveRunCount < d.r.route.MaxAttempts && d.hasAlternative():
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/placing"
@@ -26,8 +28,8 @@
 // testHeaders are header names that no platform uses, as the package must not depend on the names
 // of a platform.
 var testHeaders = HeaderNames{
-	RequestID: "Rid", Deadline: "Left", Key: "Key", Team: "Team", Instance: "Run-Id", NotRun: "Not-Run",
-	FaultAt: "Fault-At", RateLimit: "Rate", Seal: "Seal", ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
+	RequestID: "Rid", Deadline: "Left", Key: "Key", Team: "Team", Instance: "Run-Id",
+	ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
 }
 
 // memStore is a store in memory that can be made unreachable.
@@ -127,6 +129,26 @@
 	return t, err
 }
 
+// decodeTestAnswer decodes response headers under names that no platform uses.
+func decodeTestAnswer(status int, header *fasthttp.ResponseHeader) serving.Answer {
+	a := serving.Answer{
+		NotRun:    len(header.Peek("Not-Run")) > 0,
+		FaultAt:   string(header.Peek("Fault-At")),
+		Sealed:    len(header.Peek("Seal")) > 0,
+		RateLimit: serving.NoRateLimit,
+		Leaving:   len(header.Peek("Leaving")) > 0,
+	}
+	if rate := string(header.Peek("Rate")); rate != "" {
+		var err error
+		a.RateLimit, err = strconv.ParseFloat(rate, 64)
+		a.RateLimitInvalid = err != nil
+	}
+	if rest, err := time.ParseDuration(string(header.Peek("Rest"))); err == nil {
+		a.Rest, a.RetryAfter = rest, rest
+	}
+	return a
+}
+
 // testTarget is a target whose responses are written by the test.
 type testTarget struct {
 	id       string
@@ -245,7 +267,7 @@
 func testOptions(name string, store serving.Store) Options {
 	return Options{
 		Name: name, Incarnation: 1, DataCentre: "a", Headers: testHeaders, Store: store,
-		DecodeConfig: decodeTestConfig, DecodeEvacuation: decodeTestEvacuation, DecodeTarget: decodeTestTarget,
+		DecodeConfig: decodeTestConfig, DecodeEvacuation: decodeTestEvacuation, DecodeTarget: decodeTestTarget, DecodeAnswer: decodeTestAnswer,
 		DrainTimeout: 400 * time.Millisecond, ConfigApplyTimeout: 400 * time.Millisecond, TargetHeartbeatInterval: time.Second, ShutdownGrace: 2 * time.Second, MaxDirectoryTTL: 5 * time.Second,
 		RetryBudget: RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, AgentPort: "1",
 		Log: logr.Discard(), Metrics: metrics.New(),
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -8,24 +8,21 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
 
 	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// HeaderNames are the names of the headers that callers and targets use. The comment on each field
-// says what the header holds.
+// HeaderNames are the names of the headers of requests. The comment on each field says what the
+// header holds.
 type HeaderNames struct {
 	RequestID   string // identifies one attempt of a caller; echoed by targets
 	Deadline    string // time left until the caller's deadline, in milliseconds
 	Key         string // API key of the caller's team; never forwarded
 	Team        string // team name, sent to the target
 	Instance    string // id of the target run that may handle the request
-	NotRun      string // in a response: the target did not run the request
-	FaultAt     string // in a response: the target that caused the failure
-	RateLimit   string // in a response: requests per second that the target accepts from all entries together
-	Seal        string // in a response: proof that the response comes from the target itself
 	ResumeAfter string // id of the last event that the caller of a stream has
 	Priority    string // priority of the request; 0 is the most urgent
 	Tokens      string // prompt tokens and maximum output tokens, separated by a comma
@@ -50,6 +47,8 @@
 	DecodeEvacuation func(key string, value []byte) (dataCentre string, ok bool, err error)
 	// DecodeTarget decodes a record of serving.TopicTargets.
 	DecodeTarget func(id string, value []byte) (serving.Target, error)
+	// DecodeAnswer decodes the header of a target's response.
+	DecodeAnswer func(status int, header *fasthttp.ResponseHeader) serving.Answer
 
 	DrainTimeout            time.Duration // time within which a leaving target must stop getting new requests
 	ConfigApplyTimeout      time.Duration // time within which an accepted configuration must be in force
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -85,12 +84,3 @@
 		c.SetConnectionClose()
 	}
 }
-
-// parseRetryAfter parses the Retry-After header of a target in seconds; 0 if it is invalid.
-func parseRetryAfter(value string) time.Duration {
-	s, err := strconv.ParseFloat(value, 64)
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/heatherrail/heatherrail/peers"
@@ -14,19 +13,15 @@
 // reports none. Only a success with a seal proves that the target reports none: another process at
 // the target's address may omit the header.
 func (g *Gateway) recordRateLimit(a *attempt) {
-	names := &g.opts.Headers
-	header := &a.resp.Header
-	value := string(header.Peek(names.RateLimit))
-	limit := placing.RateLimit{Run: a.target.Run(), Rate: placing.Unlimited}
-	switch rate, ok := parseRate(value); {
+	answer := &a.answer
+	limit := placing.RateLimit{Run: a.target.Run(), Rate: answer.RateLimit}
+	switch {
 	case a.resp.Status == statusMisdirected:
 		return
-	case ok:
-		limit.Rate = rate
-	case value != "":
+	case answer.RateLimitInvalid:
 		g.opts.Metrics.Count("rate_limits_unread", 1)
 		return
-	case a.resp.Status/100 != 2 || len(header.Peek(names.Seal)) == 0:
+	case answer.RateLimit == serving.NoRateLimit && (a.resp.Status/100 != 2 || !answer.Sealed):
 		return
 	}
 	now := time.Now()
@@ -35,15 +30,6 @@
 	}
 }
 
-// parseRate parses a rate limit in requests per second.
-func parseRate(value string) (float64, bool) {
-	rate, err := strconv.ParseFloat(value, 64)
-	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
-		return 0, false
-	}
-	return rate, true
-}
-
 func (g *Gateway) applyRate(limit placing.RateLimit, bounds placing.TimeBounds, now time.Time) placing.RateLimitUpdate {
 	update := g.tracker.RecordRateLimit(limit, bounds, now)
 	if update.Propagate {
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -17,7 +17,7 @@
 }
 
 // Unlimited is the rate of a target that reports no limit.
-const Unlimited = -1
+const Unlimited = serving.NoRateLimit
 
 // TimeBounds bounds the time at which a target wrote a response, which is not known exactly.
 type TimeBounds struct{ Earliest, Latest time.Time }
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -103,6 +103,7 @@
 	Imbalance   float64       // imbalance of the target's group
 	MaxSlowdown float64       // slowdown of the slowest rank in the target's group
 	RateLimit   float64       // rate limit that the target reports, in requests a second; Unlimited: none
+	Rest        time.Duration // how long the target still wants no requests from this entry; 0: it does not rest
 }
 
 // Snapshot returns what is known of a target.
@@ -110,7 +111,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	state := tr.group(tr.groupKeyOf(t, now))
-	s := TargetSnapshot{Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.limits.rate(t.Run())}
+	s := TargetSnapshot{Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.limits.rate(t.Run()), Rest: tr.restOf(t.Run(), now)}
 	if !state.ReportedAt.IsZero() {
 		s.ReportAge = now.Sub(state.ReportedAt)
 	}
--- a/placing/tracker.go
+++ b/placing/tracker.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	lateShares  map[string]*lateShare // by service name
 	failures    failureReports
 	limits      rateLimits
+	restUntil   map[serving.Run]time.Time // end of the rest that each target has asked for
 	hasIdleConn func(run serving.Run) bool
 }
 
@@ -46,6 +48,7 @@
 		lateShares: make(map[string]*lateShare),
 		failures:   newFailureReports(entry),
 		limits:     newRateLimits(),
+		restUntil:  make(map[serving.Run]time.Time),
 	}
 }
 
@@ -133,6 +136,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.limits.prune(known, now)
+	maps.DeleteFunc(tr.restUntil, func(run serving.Run, until time.Time) bool { return !known(run) || !now.Before(until) })
 	var pruned []serving.Run
 	for run, ts := range tr.states {
 		if ts.running == 0 && !known(run) {
