Entries keep to the rest that a target asks for, in every attempt

Placement goes by load, so an engine that rejects everything and runs nothing looks the best; the admission queue gives a request that was turned away the same engine again. Class: a target's statement about itself that no decision reads.

Change: one place, placing.statements, holds what targets state of themselves: rate limits, cold times, rests. A resting target is not placed on, gets no permit, counts for no headroom and does not hide the rate limits of others; the check is repeated after each wait. If all targets rest, a request waits only if the first rest ends within its wait, and is refused at once otherwise, also when it is queued already (TargetResting). Refused callers get the end of the first rest, spread one after the other; the rest of one target is no longer passed on while another one is free. After a rest a target takes requests with permits only for a second, as a cold target does, no more from all entries together than it can run at once: rests end at the same time everywhere. Rests concern one entry, so nothing is exchanged between entries for them.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -57,6 +57,14 @@
 // nextResponse sends the request to a target, and to other targets after failures that permit a
 // retry. It returns the attempt whose response is to be delivered, or the final error.
 func (d *dispatch) nextResponse(ctx context.Context, resumeAfter string) (*attempt, *result.Error) {
+	a, e := d.tryTargets(ctx, resumeAfter)
+	if e != nil {
+		d.setRestRetryAfter(e)
+	}
+	return a, e
+}
+
+func (d *dispatch) tryTargets(ctx context.Context, resumeAfter string) (*attempt, *result.Error) {
 	for {
 		if e := d.stopError(ctx); e != nil {
 			return nil, e
@@ -94,7 +102,7 @@
 			return nil, e
 		case target == nil:
 			return d.awaitPermit(ctx)
-		case d.acquirePermit(ctx, target):
+		case d.acquirePermit(ctx, target) && !d.g.tracker.IsResting(target.Run(), time.Now()):
 			return target, nil
 		}
 		d.releaseTarget(target)
@@ -108,8 +116,11 @@
 	if queue := d.g.admissionQueue(d.r.service); queue != nil && d.mustQueue() {
 		return d.awaitAdmission(ctx, queue)
 	}
+	if e := d.awaitRest(ctx); e != nil {
+		return nil, e
+	}
 	targets := d.targets()
-	if d.g.tracker.AllRateLimited(targets) {
+	if d.g.tracker.AllRateLimited(targets, time.Now()) {
 		return nil, nil
 	}
 	target := d.g.tracker.Place(d.g.tracker.AllowedTargets(targets, &d.r.placement), d.wasTried, time.Now())
@@ -152,9 +163,12 @@
 		e.RetryAfter = placing.ShortageRetryAfter(downFor)
 		return nil, d.preferLastError(e)
 	}
-	if d.g.tracker.AllRateLimited(d.targets()) {
+	if d.g.tracker.AllRateLimited(d.targets(), time.Now()) {
 		return nil, nil
 	}
+	if e := d.refuseIfResting(); e != nil {
+		return nil, e
+	}
 	if allEvacuated(d.targets()) {
 		return nil, d.preferLastError(result.New(result.NoTarget, "all targets of service %s are evacuated", d.r.service.Name))
 	}
@@ -174,6 +188,9 @@
 	defer timer.Stop()
 	select {
 	case target := <-waiter.Granted():
+		if target == nil {
+			return nil, d.refuseIfResting()
+		}
 		return target, nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -314,7 +331,9 @@
 		} else {
 			d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		}
-		e.RetryAfter = a.answer.RetryAfter
+		if a.answer.Rest == 0 { // a rest concerns this target only
+			e.RetryAfter = a.answer.RetryAfter
+		}
 		return e
 	}
 	d.mayHaveRunCount++
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -45,13 +45,14 @@
 	return d.acceptsWork(target)
 }
 
-// coldRate returns the requests per second that a cold target accepts; 0 if the target is not
-// cold.
+// coldRate returns the requests per second that a target accepts while it is cold or has just ended
+// a rest; 0 if it is neither.
 func (d *dispatch) coldRate(target *serving.Target, now time.Time) float64 {
-	if !target.IsCold(now) {
-		return 0
+	rate := d.g.tracker.RecoveryRate(target, now)
+	if cold := d.r.service.ColdRate; target.IsCold(now) && cold > 0 && (rate == 0 || cold < rate) {
+		return cold
 	}
-	return d.r.service.ColdRate
+	return rate
 }
 
 // awaitPermit waits for a permit of a target that reports a rate limit. If no permit becomes valid
@@ -94,7 +95,7 @@
 
 // acceptsWork reports whether a target still accepts requests after the wait for its permit.
 func (d *dispatch) acceptsWork(target *serving.Target) bool {
-	return slices.ContainsFunc(d.targets(), func(o *serving.Target) bool { return o.Run() == target.Run() && o.IsAvailable() })
+	return !d.g.tracker.IsResting(target.Run(), time.Now()) && slices.ContainsFunc(d.targets(), func(o *serving.Target) bool { return o.Run() == target.Run() && o.IsAvailable() })
 }
 
 // maxPermitWait returns how long the request may wait for a permit: as long as a request that has
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/heatherrail/heatherrail/result"
+)
 
 // recordRest records that a target has asked this entry for rest.
 func (d *dispatch) recordRest(a *attempt) {
@@ -12,3 +17,55 @@
 		d.g.opts.Log.Info("target asks for rest", "target", a.target.ID, "ms", a.answer.Rest.Milliseconds(), "request", d.r.id)
 	}
 }
+
+// awaitRest waits for the end of the first rest if all targets that the request may still be sent
+// to rest. The request is refused at once if it cannot wait that long.
+func (d *dispatch) awaitRest(ctx context.Context) *result.Error {
+	for {
+		now := time.Now()
+		rest := d.g.tracker.RestOfAll(d.targets(), d.wasTried, now)
+		if rest == 0 {
+			return nil
+		}
+		if rest > d.r.maxPermitWait(now) {
+			return d.restError(rest)
+		}
+		sleep(ctx, rest)
+		if e := d.stopError(ctx); e != nil {
+			return e
+		}
+	}
+}
+
+// refuseIfResting refuses a request at once that cannot wait in the admission queue until the first
+// of the targets ends its rest.
+func (d *dispatch) refuseIfResting() *result.Error {
+	now := time.Now()
+	rest := d.g.tracker.RestOfAll(d.targets(), nil, now)
+	if rest == 0 || d.r.placement.CanWait(rest, now) {
+		return nil
+	}
+	return d.restError(rest)
+}
+
+// restError returns the error of a request that is not sent because all targets rest.
+func (d *dispatch) restError(rest time.Duration) *result.Error {
+	e := result.New(result.TargetResting, "all targets of service %s rest, the first one for %d ms", d.r.service.Name, rest.Milliseconds())
+	if d.mayHaveRunCount > 0 {
+		return d.preferLastError(e)
+	}
+	return e
+}
+
+// setRestRetryAfter sets the Retry-After of a refused request to the end of the first rest if all
+// targets rest.
+func (d *dispatch) setRestRetryAfter(e *result.Error) {
+	if e.Run() != result.RunNot {
+		return
+	}
+	now := time.Now()
+	targets := d.targets()
+	if rest := d.g.tracker.RestOfAll(targets, nil, now); rest > 0 {
+		e.RetryAfter = d.g.tracker.RestRetryAfter(d.r.service.Name, targets, rest, d.g.cluster.knownCount(), now)
+	}
+}
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -140,3 +140,27 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	return d
 }
+
+// Guards against requests that are refused although the only target ends its rest in time for them,
+// and against a target that gets no requests after its rest.
+func TestRequestsWaitForTheEndOfAShortRest(t *testing.T) {
+	t.Parallel()
+	for service, path := range restPaths() {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			const rest = 700 * time.Millisecond
+			target := startRestingTarget(t, "i1", rest)
+			e := startEntryWithQueue(t, service, target.testTarget)
+			_, _, err := e.request("POST", path, "k1", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			target.setRest(0)
+			from := len(target.received())
+			resp, _, err := e.request("POST", path, "k1", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			g.Expect(target.countBetween(time.Millisecond, rest)).To(BeZero())
+			g.Expect(target.received()).To(HaveLen(from + 1))
+		})
+	}
+}
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -63,7 +63,7 @@
 	"headers_too_large": CallerFault, "body_too_large": CallerFault, "request_timeout": CallerFault,
 	"no_config": NoConfig, "no_target": NoConfig, "entry_leaving": EntryStopping,
 	"target_lost": TargetFailed, "engine_lost": TargetFailed, "answer_broken": TargetFailed, "target_leaving": TargetFailed,
-	"unreachable": TargetFailed, "rank_lost": GroupBroken, "target_limit": TargetRateLimited,
+	"unreachable": TargetFailed, "rank_lost": GroupBroken, "target_limit": TargetRateLimited, "target_resting": TargetRateLimited,
 }
 
 // cause returns the cause of a loss. line is the last log line of the request;
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -51,7 +51,7 @@
 	Rate           Rate    // rate limit of the target, as the querying entry knows it
 	MaxWaitMS      uint32  // longest time that the request may wait
 	RejectIfDenied bool    // the caller's request is rejected if no permit is granted
-	ColdRate       float64 // requests a second that the target takes while it is cold; 0: it is not cold
+	ColdRate       float64 // requests a second that the target takes while it is cold or has just ended a rest; 0: it is neither
 }
 
 // PermitResult is the response to a PermitQuery: when the request may be sent to the target.
--- a/placing/admissionqueue.go
+++ b/placing/admissionqueue.go
@@ -33,8 +33,8 @@
 	granted chan *serving.Target
 }
 
-// Granted returns the channel on which the request gets its target, or nil if all targets report a
-// rate limit.
+// Granted returns the channel on which the request gets its target, or nil if the request is released
+// without one; see Admit.
 func (w *Waiter) Granted() <-chan *serving.Target { return w.granted }
 
 // Enqueue adds a request to the queue. If the request would wait longer than its MaxWait, it is not
@@ -126,14 +126,18 @@
 	}
 }
 
-// releaseAll ends the wait of all queued requests without granting them targets.
-func (q *AdmissionQueue) releaseAll() {
+// release ends the wait of the queued requests for which hopeless is true, without granting them
+// targets.
+func (q *AdmissionQueue) release(hopeless func(r *Request) bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, w := range q.waiting {
-		w.granted <- nil
-	}
-	q.waiting = nil
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
+		released := hopeless(w.request)
+		if released {
+			w.granted <- nil
+		}
+		return released
+	})
 }
 
 // nextIndex returns the index of the request to admit next, or -1 if no request may be admitted.
--- a/placing/admit.go
+++ b/placing/admit.go
@@ -17,17 +17,22 @@
 
 // Admit grants targets to requests in the admission queue while the targets have headroom.
 //
-// If every available target reports a rate limit, Admit releases the whole queue without targets:
-// the permits of the targets then decide when each request is sent.
+// If every target that accepts requests reports a rate limit, Admit releases the whole queue without
+// targets: the permits of the targets then decide when each request is sent. If all targets rest, it
+// releases the requests that cannot wait for the end of the first rest.
 func Admit(q *AdmissionQueue, tr *Tracker, pool TargetPool, now time.Time) {
-	if tr.AllRateLimited(pool.Targets) {
-		q.releaseAll()
+	if tr.AllRateLimited(pool.Targets, now) {
+		q.release(func(*Request) bool { return true })
+		return
+	}
+	if rest := tr.RestOfAll(pool.Targets, nil, now); rest > 0 {
+		q.release(func(r *Request) bool { return !r.CanWait(rest, now) })
 		return
 	}
 	pools := tr.groupPools(pool, now)
 	q.setSlowRank(tr.hasSlowRank(pools, now))
 	tr.updateHeadroom(pools, q.demand(now), now)
-	q.grant(now, func() bool { return tr.canAdmitLate(pools) }, func(r *Request) *serving.Target { return tr.reserve(pools, r, now) })
+	q.grant(now, func() bool { return tr.canAdmitLate(pools, now) }, func(r *Request) *serving.Target { return tr.reserve(pools, r, now) })
 }
 
 // updateHeadroom recomputes this entry's share of each group's headroom.
--- a/placing/cold.go
+++ b/placing/cold.go
@@ -31,10 +31,10 @@
 // coldPermitsOf returns the permits of a cold target and creates them if needed. The lock must be
 // held.
 func (tr *Tracker) coldPermitsOf(run serving.Run, now time.Time) *coldPermits {
-	cold := tr.limits.cold[run]
+	cold := tr.stated.cold[run]
 	if cold == nil {
 		cold = new(coldPermits)
-		tr.limits.cold[run] = cold
+		tr.stated.cold[run] = cold
 	}
 	cold.lastUsed = now
 	return cold
@@ -60,10 +60,10 @@
 
 // pruneCold drops cold targets that are no longer known or had no permit query within
 // coldPermitTTL.
-func (l *rateLimits) pruneCold(known func(run serving.Run) bool, now time.Time) {
-	for run, c := range l.cold {
+func (s *statements) pruneCold(known func(run serving.Run) bool, now time.Time) {
+	for run, c := range s.cold {
 		if !known(run) || now.Sub(c.lastUsed) > coldPermitTTL {
-			delete(l.cold, run)
+			delete(s.cold, run)
 		}
 	}
 }
--- a/placing/groups.go
+++ b/placing/groups.go
@@ -115,13 +115,31 @@
 		g.targets = len(p.Targets)
 		g.shortage.update(len(p.Targets), now)
 		p.Targets = tr.withoutSlowRanks(p.Targets, now)
-		p.maxStreams = tr.groupStreamLimit(p.key, pool, acceptingShare(p.Targets), now)
+		p.maxStreams = tr.groupStreamLimit(p.key, pool, float64(tr.countAccepting(p.Targets, now))/float64(max(len(p.Targets), 1)), now)
 	}
 	pools = tr.withoutIncomplete(pools, now)
 	tr.sortByUtilisation(pools, now)
 	return pools
 }
 
+// capacity returns how many streams the targets that accept requests may run together.
+// The lock must be held.
+func (tr *Tracker) capacity(p *groupPool, now time.Time) float64 {
+	return p.maxStreams * float64(tr.countAccepting(p.Targets, now))
+}
+
+// countAccepting returns how many of the targets are neither in an evacuated data centre nor
+// resting. The lock must be held.
+func (tr *Tracker) countAccepting(targets []*serving.Target, now time.Time) int {
+	accepting := 0
+	for _, t := range targets {
+		if !t.Evacuated && tr.stated.restOf(t.Run(), now) == 0 {
+			accepting++
+		}
+	}
+	return accepting
+}
+
 // withoutIncomplete leaves out targets without a reported group and groups that are reported as
 // incomplete, while another group runs requests. A service may have spare engines that are too few
 // to form a group: they refuse every request, and each refusal uses up retry budget. The load
@@ -149,7 +167,7 @@
 		for _, t := range p.Targets {
 			requests += tr.load(t, now)
 		}
-		utilisation[p.key] = float64(requests) / math.Max(p.maxStreams*float64(countAccepting(p.Targets)), 1)
+		utilisation[p.key] = float64(requests) / math.Max(tr.capacity(&p, now), 1)
 	}
 	slices.SortStableFunc(pools, func(x, y groupPool) int { return cmp.Compare(utilisation[x.key], utilisation[y.key]) })
 }
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -38,7 +38,7 @@
 	}
 	s := &state.headroom
 	if !s.known {
-		headroom := p.maxStreams*float64(countAccepting(p.Targets)) - float64(state.TotalRequests)
+		headroom := tr.capacity(p, now) - float64(state.TotalRequests)
 		arriving := d.admittedPerSecond * float64(p.EntryCount) * reportInterval.Seconds()
 		wanted := float64(max(state.Queued.OnTime, d.queued.OnTime)) + arriving
 		*s = headroomShare{
@@ -85,7 +85,7 @@
 }
 
 // canAdmitLate reports whether a request that is already late may be sent to any of the groups.
-func (tr *Tracker) canAdmitLate(pools []groupPool) bool {
+func (tr *Tracker) canAdmitLate(pools []groupPool, now time.Time) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if len(pools) == 0 {
@@ -94,7 +94,7 @@
 	capacity, hasHeadroom := 0.0, false
 	for i := range pools {
 		p := &pools[i]
-		capacity += p.maxStreams * float64(countAccepting(p.Targets)) / float64(max(p.EntryCount, 1))
+		capacity += tr.capacity(p, now) / float64(max(p.EntryCount, 1))
 		hasHeadroom = hasHeadroom || tr.group(p.key).headroom.canAdmit(true)
 	}
 	return hasHeadroom && tr.lateShareOf(pools[0].Service.Name).canAdmit(capacity)
--- a/placing/late_test.go
+++ b/placing/late_test.go
@@ -31,7 +31,7 @@
 	late := func() *Request {
 		return &Request{Arrived: now.Add(-2 * time.Second), LatencyObjective: 500 * time.Millisecond}
 	}
-	for tr.canAdmitLate(pools) && tr.reserve(pools, late(), now) != nil {
+	for tr.canAdmitLate(pools, now) && tr.reserve(pools, late(), now) != nil {
 		sent++
 	}
 	g.Expect(sent).To(BeNumerically("~", maxStreams-4, 1))
@@ -77,7 +77,7 @@
 		tr.updateHeadroom(pools, demand{queued: QueueCounts{Late: perEntry}}, now)
 		late := &Request{Arrived: now.Add(-time.Second), LatencyObjective: 500 * time.Millisecond}
 		for range perEntry {
-			if tr.canAdmitLate(pools) && tr.reserve(pools, late, now) != nil {
+			if tr.canAdmitLate(pools, now) && tr.reserve(pools, late, now) != nil {
 				sent++
 			}
 		}
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -48,8 +48,8 @@
 
 // streamLimitAmong is streamLimit for a group of which only a share of the targets accept requests.
 //
-// The targets of an evacuated data centre get no requests, but their engines still run their
-// experts' part of each pass. The other targets may run more streams each: the experts' work
+// The targets of an evacuated data centre and resting targets get no requests, but their engines
+// still run their experts' part of each pass. The other targets may run more streams each: the experts' work
 // depends on the streams of the whole group, and only the rest depends on the streams of one rank.
 func streamLimitAmong(model *serving.EngineModel, gapObjective time.Duration, imbalance, slowdown, accepting float64) float64 {
 	slots := float64(model.Slots)
@@ -76,22 +76,6 @@
 	return model.MeanPromptTokens / model.PrefillRate / model.MeanOutputTokens * float64(time.Second)
 }
 
-// acceptingShare returns the share of the targets that accept requests.
-func acceptingShare(targets []*serving.Target) float64 {
-	return float64(countAccepting(targets)) / float64(max(len(targets), 1))
-}
-
-// countAccepting returns how many of the targets are not in an evacuated data centre.
-func countAccepting(targets []*serving.Target) int {
-	accepting := 0
-	for _, t := range targets {
-		if !t.Evacuated {
-			accepting++
-		}
-	}
-	return accepting
-}
-
 // groupStreamLimit returns how many streams a target of a group may run now, in the mean, if a
 // share of the targets accept requests. The lock must be held.
 func (tr *Tracker) groupStreamLimit(key groupKey, pool TargetPool, accepting float64, now time.Time) float64 {
--- a/placing/permits.go
+++ b/placing/permits.go
@@ -11,7 +11,7 @@
 type PermitQuery struct {
 	MaxWait        time.Duration // maximum time that the request may wait for its permit
 	RejectIfDenied bool          // if denied, the caller is refused with a Retry-After
-	ColdRate       float64       // requests a second that the target takes while it is cold; 0: it is not cold
+	ColdRate       float64       // requests a second that the target takes while it is cold or has just ended a rest; 0: it is neither
 }
 
 // Permit is the response to a PermitQuery.
@@ -91,7 +91,7 @@
 func (tr *Tracker) IssuePermit(run serving.Run, liveShare float64, q PermitQuery, now time.Time) Permit {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	limit := tr.limits.byRun[run]
+	limit := tr.stated.byRun[run]
 	isLimited := limit != nil && limit.rate != Unlimited
 	if q.ColdRate > 0 && (!isLimited || q.ColdRate < limit.rate) {
 		return tr.coldPermitsOf(run, now).issue(q.ColdRate*liveShare, q, now)
@@ -109,10 +109,10 @@
 func (tr *Tracker) StopIssuingPermits(run serving.Run) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if limit := tr.limits.byRun[run]; limit != nil {
+	if limit := tr.stated.byRun[run]; limit != nil {
 		limit.permits.issuingSince = time.Time{}
 	}
-	if cold := tr.limits.cold[run]; cold != nil {
+	if cold := tr.stated.cold[run]; cold != nil {
 		cold.permits.issuingSince = time.Time{}
 	}
 }
--- a/placing/place.go
+++ b/placing/place.go
@@ -77,12 +77,18 @@
 	})
 }
 
-// isUsable reports whether a target accepts requests, as far as this entry knows.
+// isUsable reports whether a target accepts requests, now or after a rest, as far as this entry
+// knows.
 func (tr *Tracker) isUsable(t *serving.Target) bool {
 	ts := tr.states[t.Run()]
 	return t.IsAvailable() && (ts == nil || !ts.replaced)
 }
 
+// accepts reports whether a target accepts requests now, as far as this entry knows.
+func (tr *Tracker) accepts(t *serving.Target, now time.Time) bool {
+	return tr.isUsable(t) && tr.stated.restOf(t.Run(), now) == 0
+}
+
 // sampleSize is the number of targets that a placement compares. All entries have the same,
 // slightly stale reports: if each compared all targets, all would choose the same one until the
 // next report.
@@ -92,7 +98,7 @@
 func (tr *Tracker) leastCost(targets []*serving.Target, exclude func(*serving.Target) bool, now time.Time) *serving.Target {
 	usable := make([]*serving.Target, 0, len(targets))
 	for _, t := range targets {
-		if tr.isUsable(t) && !tr.limits.isBlocked(t.Run(), now) && !exclude(t) {
+		if tr.accepts(t, now) && !tr.stated.isBlocked(t.Run(), now) && !exclude(t) {
 			usable = append(usable, t)
 		}
 	}
--- a/placing/ratefleet_test.go
+++ b/placing/ratefleet_test.go
@@ -24,6 +24,7 @@
 	lossRate      float64 // share of messages between entries that are lost
 	latency       time.Duration
 	coldRate      float64 // rate of the target while it is cold; 0: it is not cold
+	slots         int     // requests that the target runs at once
 	permitQueries int
 	sent          int
 }
@@ -113,21 +114,25 @@
 }
 
 func (f *rateFleet) request(e *rateEntry) {
-	if rate, _ := e.tracker.RateLimitOf(limitedRun); rate == Unlimited && f.coldRate == 0 {
+	if e.tracker.IsResting(limitedRun, f.now) {
+		return // the request goes to another target
+	}
+	cold := f.startRate(e)
+	if rate, _ := e.tracker.RateLimitOf(limitedRun); rate == Unlimited && cold == 0 {
 		f.send(e)
 		return
 	}
-	if e.tracker.limits.isBlocked(limitedRun, f.now) {
+	if e.tracker.stated.isBlocked(limitedRun, f.now) {
 		return // the request goes to another target
 	}
 	f.permitQueries++
 	owner, runs := f.owner(), e.runs
 	if owner == e {
-		f.applyPermit(e, runs, e.tracker.IssuePermit(limitedRun, f.liveShare(), PermitQuery{ColdRate: f.coldRate}, f.now))
+		f.applyPermit(e, runs, cold, e.tracker.IssuePermit(limitedRun, f.liveShare(), PermitQuery{ColdRate: cold}, f.now))
 		return
 	}
 	e.tracker.StopIssuingPermits(limitedRun)
-	f.denyPermit(e, 500*time.Millisecond) // applies unless the response arrives earlier
+	f.denyPermit(e, 500*time.Millisecond, cold) // applies unless the response arrives earlier
 	rate, reportedAt := e.tracker.RateLimitOf(limitedRun)
 	age := f.now.Sub(reportedAt)
 	f.deliver(func() {
@@ -135,13 +140,28 @@
 			return
 		}
 		owner.tracker.RecordRateLimit(RateLimit{Run: limitedRun, Rate: rate}, TimeBounds{Latest: f.now.Add(-age)}, f.now)
-		permit := owner.tracker.IssuePermit(limitedRun, f.liveShare(), PermitQuery{ColdRate: f.coldRate}, f.now)
-		f.deliver(func() { f.applyPermit(e, runs, permit) })
+		permit := owner.tracker.IssuePermit(limitedRun, f.liveShare(), PermitQuery{ColdRate: cold}, f.now)
+		f.deliver(func() { f.applyPermit(e, runs, cold, permit) })
 	})
 }
 
-func (f *rateFleet) denyPermit(e *rateEntry, wait time.Duration) {
+// startRate returns the rate of the target while it is cold or has just ended a rest.
+func (f *rateFleet) startRate(e *rateEntry) float64 {
 	if f.coldRate > 0 {
+		return f.coldRate
+	}
+	return e.tracker.RecoveryRate(&serving.Target{ID: limitedRun.ID, StartedAtMS: limitedRun.StartedAtMS, Slots: f.slots}, f.now)
+}
+
+// restAll makes the target ask all entries for rest, each in an answer of its own.
+func (f *rateFleet) restAll(rest time.Duration) {
+	for _, e := range f.entries {
+		e.tracker.RecordRest(limitedRun, rest+time.Duration(f.rng.Int64N(int64(10*time.Millisecond))), f.now)
+	}
+}
+
+func (f *rateFleet) denyPermit(e *rateEntry, wait time.Duration, cold float64) {
+	if cold > 0 {
 		e.tracker.RecordColdPermitDenied(limitedRun, f.now.Add(wait))
 		return
 	}
@@ -158,11 +178,11 @@
 	return float64(living) / float64(len(f.entries))
 }
 
-func (f *rateFleet) applyPermit(e *rateEntry, runs int, permit Permit) {
+func (f *rateFleet) applyPermit(e *rateEntry, runs int, cold float64, permit Permit) {
 	if e.down || e.runs != runs {
 		return
 	}
-	f.denyPermit(e, permit.Wait)
+	f.denyPermit(e, permit.Wait, cold)
 	if permit.Granted {
 		f.after(permit.Wait, func() { f.send(e) })
 	}
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -38,13 +37,6 @@
 	minRateChange = 0.1
 )
 
-// rateLimits holds the rate limits of targets and the state of their permits, by run.
-type rateLimits struct {
-	byRun    map[serving.Run]*rateLimit
-	cold     map[serving.Run]*coldPermits // cold targets of which this entry is the permit owner
-	backoffs map[serving.Run]permitBackoff
-}
-
 type rateLimit struct {
 	rate       float64
 	reportedAt time.Time // time at which the target is assumed to have last reported the rate
@@ -59,35 +51,27 @@
 	cold         bool      // true: the target is cold; false: the target has a rate limit, and the backoff ends when the limit is removed
 }
 
-func newRateLimits() rateLimits {
-	return rateLimits{
-		byRun:    make(map[serving.Run]*rateLimit),
-		cold:     make(map[serving.Run]*coldPermits),
-		backoffs: make(map[serving.Run]permitBackoff),
-	}
-}
-
 // rate returns the rate limit that a target reports; Unlimited if it reports none.
-func (l *rateLimits) rate(run serving.Run) float64 {
-	if known := l.byRun[run]; known != nil {
+func (s *statements) rate(run serving.Run) float64 {
+	if known := s.byRun[run]; known != nil {
 		return known.rate
 	}
 	return Unlimited
 }
 
 // isLimited reports whether a target has a rate limit.
-func (l *rateLimits) isLimited(run serving.Run) bool { return l.rate(run) != Unlimited }
+func (s *statements) isLimited(run serving.Run) bool { return s.rate(run) != Unlimited }
 
 // isBlocked reports whether this entry sends nothing to a target now for lack of a permit.
-func (l *rateLimits) isBlocked(run serving.Run, now time.Time) bool {
-	backoff := l.backoffs[run]
-	return now.Before(backoff.until) && (backoff.cold || l.isLimited(run))
+func (s *statements) isBlocked(run serving.Run, now time.Time) bool {
+	backoff := s.backoffs[run]
+	return now.Before(backoff.until) && (backoff.cold || s.isLimited(run))
 }
 
 // needsPermit reports whether a target has a rate limit, or has denied this entry a permit recently
 // because it is cold.
-func (l *rateLimits) needsPermit(run serving.Run, now time.Time) bool {
-	return l.isLimited(run) || l.isBlocked(run, now)
+func (s *statements) needsPermit(run serving.Run, now time.Time) bool {
+	return s.isLimited(run) || s.isBlocked(run, now)
 }
 
 // update applies a rate limit that a target has reported.
@@ -96,13 +80,13 @@
 // newer than the known rate; a higher rate, or the removal of the limit, counts only if it is
 // certainly newer. A limit that is kept too long costs some capacity, while a limit that is dropped
 // too early overloads the target.
-func (l *rateLimits) update(reported RateLimit, bounds TimeBounds, now time.Time) (u RateLimitUpdate) {
-	known := l.byRun[reported.Run]
+func (s *statements) update(reported RateLimit, bounds TimeBounds, now time.Time) (u RateLimitUpdate) {
+	known := s.byRun[reported.Run]
 	if known == nil {
 		if reported.Rate == Unlimited {
 			return RateLimitUpdate{}
 		}
-		l.byRun[reported.Run] = &rateLimit{rate: reported.Rate, reportedAt: bounds.Latest, learntAt: now}
+		s.byRun[reported.Run] = &rateLimit{rate: reported.Rate, reportedAt: bounds.Latest, learntAt: now}
 		return RateLimitUpdate{Propagate: true}
 	}
 	switch {
@@ -121,7 +105,7 @@
 	u.Propagate = isSignificantChange(reported.Rate, known.rate)
 	known.rate, known.learntAt = reported.Rate, now
 	known.permits.lastRetry = time.Time{}
-	delete(l.backoffs, reported.Run)
+	delete(s.backoffs, reported.Run)
 	return u
 }
 
@@ -136,23 +120,11 @@
 	return a == Unlimited || b == Unlimited || max(a, b)-min(a, b) > minRateChange*max(a, b)
 }
 
-// prune drops the limits of targets that are no longer known, and removals of limits that are older
-// than removedLimitTTL.
-func (l *rateLimits) prune(known func(run serving.Run) bool, now time.Time) {
-	l.pruneCold(known, now)
-	maps.DeleteFunc(l.backoffs, func(run serving.Run, backoff permitBackoff) bool { return !known(run) || !now.Before(backoff.until) })
-	for run, limit := range l.byRun {
-		if !known(run) || limit.rate == Unlimited && now.Sub(limit.learntAt) > removedLimitTTL {
-			delete(l.byRun, run)
-		}
-	}
-}
-
 // RecordRateLimit applies a rate limit that a target reported.
 func (tr *Tracker) RecordRateLimit(reported RateLimit, bounds TimeBounds, now time.Time) RateLimitUpdate {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return tr.limits.update(reported, bounds, now)
+	return tr.stated.update(reported, bounds, now)
 }
 
 // RateLimitOf returns the rate limit of a target and when the target last reported it; Unlimited if
@@ -160,7 +132,7 @@
 func (tr *Tracker) RateLimitOf(run serving.Run) (rate float64, reportedAt time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if known := tr.limits.byRun[run]; known != nil {
+	if known := tr.stated.byRun[run]; known != nil {
 		return known.rate, known.reportedAt
 	}
 	return Unlimited, time.Time{}
@@ -179,13 +151,13 @@
 func (tr *Tracker) RateLimits(count int) []ReportedRateLimit {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	runs := make([]serving.Run, 0, len(tr.limits.byRun))
-	for run := range tr.limits.byRun {
+	runs := make([]serving.Run, 0, len(tr.stated.byRun))
+	for run := range tr.stated.byRun {
 		runs = append(runs, run)
 	}
 	if len(runs) > count {
 		slices.SortFunc(runs, func(x, y serving.Run) int {
-			return tr.limits.byRun[y].learntAt.Compare(tr.limits.byRun[x].learntAt)
+			return tr.stated.byRun[y].learntAt.Compare(tr.stated.byRun[x].learntAt)
 		})
 		older := runs[count/2:]
 		tr.rng.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
@@ -193,7 +165,7 @@
 	}
 	list := make([]ReportedRateLimit, 0, len(runs))
 	for _, run := range runs {
-		known := tr.limits.byRun[run]
+		known := tr.stated.byRun[run]
 		list = append(list, ReportedRateLimit{RateLimit: RateLimit{Run: run, Rate: known.rate}, ReportedAt: known.reportedAt})
 	}
 	return list
@@ -208,24 +180,24 @@
 }
 
 func (tr *Tracker) allowed(targets []*serving.Target, r *Request) []*serving.Target {
-	if !r.AvoidRateLimited || len(tr.limits.byRun) == 0 {
+	if !r.AvoidRateLimited || len(tr.stated.byRun) == 0 {
 		return targets
 	}
-	return slices.DeleteFunc(slices.Clone(targets), func(t *serving.Target) bool { return tr.limits.isLimited(t.Run()) })
+	return slices.DeleteFunc(slices.Clone(targets), func(t *serving.Target) bool { return tr.stated.isLimited(t.Run()) })
 }
 
-// AllRateLimited reports whether every usable target has a rate limit.
-func (tr *Tracker) AllRateLimited(targets []*serving.Target) bool {
+// AllRateLimited reports whether every target that accepts requests has a rate limit.
+func (tr *Tracker) AllRateLimited(targets []*serving.Target, now time.Time) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if len(tr.limits.byRun) == 0 {
+	if len(tr.stated.byRun) == 0 {
 		return false
 	}
 	limited := false
 	for _, t := range targets {
 		switch {
-		case !tr.isUsable(t):
-		case !tr.limits.isLimited(t.Run()):
+		case !tr.accepts(t, now):
+		case !tr.stated.isLimited(t.Run()):
 			return false
 		default:
 			limited = true
@@ -234,7 +206,7 @@
 	return limited
 }
 
-// TargetsNeedingPermits returns the usable targets that need permits, sorted by when a permit may be
+// TargetsNeedingPermits returns the targets that accept requests with permits, sorted by when a permit may be
 // available; ejected targets come last. Targets whose permit owner did not respond are left out;
 // ownerRetry is the time until the first of these owners is asked again, 0 if there are none.
 // exclude must not call the tracker.
@@ -243,10 +215,10 @@
 	defer tr.mu.Unlock()
 	var runs []serving.Run
 	for _, t := range targets {
-		if !tr.isUsable(t) || !tr.limits.needsPermit(t.Run(), now) || exclude(t) {
+		if !tr.accepts(t, now) || !tr.stated.needsPermit(t.Run(), now) || exclude(t) {
 			continue
 		}
-		if wait := tr.limits.backoffs[t.Run()].ownerRetryAt.Sub(now); wait > 0 {
+		if wait := tr.stated.backoffs[t.Run()].ownerRetryAt.Sub(now); wait > 0 {
 			if ownerRetry == 0 || wait < ownerRetry {
 				ownerRetry = wait
 			}
@@ -259,7 +231,7 @@
 	tr.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(x, y *serving.Target) int {
 		return cmp.Or(compareBool(ejected[x.Run()], ejected[y.Run()]),
-			later(now, tr.limits.backoffs[x.Run()].until).Compare(later(now, tr.limits.backoffs[y.Run()].until)))
+			later(now, tr.stated.backoffs[x.Run()].until).Compare(later(now, tr.stated.backoffs[y.Run()].until)))
 	})
 	return list, ownerRetry
 }
@@ -278,14 +250,14 @@
 func (tr *Tracker) RecordPermitDenied(run serving.Run, until time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.limits.backoffs[run] = permitBackoff{until: until}
+	tr.stated.backoffs[run] = permitBackoff{until: until}
 }
 
 // RecordColdPermitDenied records that this entry gets no permit of a cold target before until.
 func (tr *Tracker) RecordColdPermitDenied(run serving.Run, until time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.limits.backoffs[run] = permitBackoff{until: until, cold: true}
+	tr.stated.backoffs[run] = permitBackoff{until: until, cold: true}
 }
 
 // RecordOwnerUnreachable records that the permit owner of a target does not respond, and that this
@@ -293,5 +265,5 @@
 func (tr *Tracker) RecordOwnerUnreachable(run serving.Run, until time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.limits.backoffs[run] = permitBackoff{until: until, ownerRetryAt: until}
+	tr.stated.backoffs[run] = permitBackoff{until: until, ownerRetryAt: until}
 }
--- a/placing/ratelimit_test.go
+++ b/placing/ratelimit_test.go
@@ -19,7 +19,7 @@
 // A response or gossip that arrives late must not remove or raise a newer rate limit.
 func TestStaleResponseDoesNotRaiseRateLimit(t *testing.T) {
 	g := NewWithT(t)
-	limits := newRateLimits()
+	limits := newStatements()
 	report := func(rate float64, bounds TimeBounds) RateLimitUpdate {
 		return limits.update(RateLimit{Run: limitedRun, Rate: rate}, bounds, bounds.Latest)
 	}
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -111,7 +111,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	state := tr.group(tr.groupKeyOf(t, now))
-	s := TargetSnapshot{Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.limits.rate(t.Run()), Rest: tr.restOf(t.Run(), now)}
+	s := TargetSnapshot{Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.stated.rate(t.Run()), Rest: tr.stated.restOf(t.Run(), now)}
 	if !state.ReportedAt.IsZero() {
 		s.ReportAge = now.Sub(state.ReportedAt)
 	}
--- a/placing/request.go
+++ b/placing/request.go
@@ -45,6 +45,11 @@
 	return r.LatencyObjective == 0 || now.Sub(r.Arrived) < r.MaxOnTimeWait()
 }
 
+// CanWait reports whether the request may wait in the admission queue for a further time.
+func (r *Request) CanWait(wait time.Duration, now time.Time) bool {
+	return now.Add(wait).Before(r.Arrived.Add(r.MaxWait))
+}
+
 // MaxOnTimeWait returns how long the request may wait for a target and still be on time.
 func (r *Request) MaxOnTimeWait() time.Duration {
 	return time.Duration(float64(r.LatencyObjective) * queueTimeShare)
--- a/placing/tracker.go
+++ b/placing/tracker.go
@@ -1,7 +1,6 @@
 package placing
 
 import (
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,8 +21,7 @@
 	groups      map[groupKey]*groupTracker
 	lateShares  map[string]*lateShare // by service name
 	failures    failureReports
-	limits      rateLimits
-	restUntil   map[serving.Run]time.Time // end of the rest that each target has asked for
+	stated      statements
 	hasIdleConn func(run serving.Run) bool
 }
 
@@ -47,8 +45,7 @@
 		groups:     make(map[groupKey]*groupTracker),
 		lateShares: make(map[string]*lateShare),
 		failures:   newFailureReports(entry),
-		limits:     newRateLimits(),
-		restUntil:  make(map[serving.Run]time.Time),
+		stated:     newStatements(),
 	}
 }
 
@@ -135,8 +132,7 @@
 func (tr *Tracker) Prune(known func(run serving.Run) bool, now time.Time) []serving.Run {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.limits.prune(known, now)
-	maps.DeleteFunc(tr.restUntil, func(run serving.Run, until time.Time) bool { return !known(run) || !now.Before(until) })
+	tr.stated.prune(known, now)
 	var pruned []serving.Run
 	for run, ts := range tr.states {
 		if ts.running == 0 && !known(run) {
--- a/result/codes.go
+++ b/result/codes.go
@@ -77,6 +77,8 @@
 	LimitShare   Code = 251
 	LimitTracked Code = 252
 	TargetLimit  Code = 253
+
+	TargetResting Code = 254
 )
 
 // 3xx: the outcome is unknown; the request may have run.
@@ -142,6 +144,7 @@
 	{LimitShare, "team_limit_elsewhere", http.StatusTooManyRequests, RunNot, shortRetryAfter, "Other entries serve this team's limit; ask GET /v1/entries with the team's key.", "The team's callers don't ask which entries to use."},
 	{LimitTracked, "team_limit_states", http.StatusServiceUnavailable, RunNot, 5 * time.Second, "This entry counts as many teams as it may.", "Spread the callers over more entries."},
 	{TargetLimit, "target_limit", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "All targets of the service report a rate limit, and none takes the request in time.", "The targets are in need; look at `rate limit of a target changed` and at the demand."},
+	{TargetResting, "target_resting", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "All targets of the service have asked this entry for rest.", "The targets are overloaded; look at `target asks for rest` and at the demand."},
 	{FenceStale, "fence_stale", http.StatusConflict, RunNot, 0, "An order carries a superseded fencing number.", "Its sender lost the lease; nothing to do unless it repeats."},
 	{FenceUnknown, "fence_unknown", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "The agent does not know the fencing floor yet.", "Look at the links between entries and this agent."},
 	{LeaseLost, "lease_lost", http.StatusConflict, RunNot, 0, "The sender no longer holds the lease.", "Nothing; the next holder goes on."},
