A target that says itself that it leaves gets no new work, from any entry, with the store or without

What callers would see: requests that a target cuts off when it ends, because the store can't be reached or lists the target as ready.

Cause: no entry read the statement; leaving was known from the store's record only. The same class as the rest: a target's statement about itself that no decision reads.

Change: placing.statements holds it for the run of the target. Such a target is not usable: not placed on, no permits, no wait for its rest; checked again after each wait. A later run under the same ID is free of it.

Messages hold 16 statements with 1,100 targets leaving.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -102,7 +102,7 @@
 			return nil, e
 		case target == nil:
 			return d.awaitPermit(ctx)
-		case d.acquirePermit(ctx, target) && !d.g.tracker.IsResting(target.Run(), time.Now()):
+		case d.acquirePermit(ctx, target) && d.g.tracker.Accepts(target, time.Now()):
 			return target, nil
 		}
 		d.releaseTarget(target)
@@ -281,8 +281,7 @@
 		return nil, d.handleSendError(ctx, target, err)
 	}
 	a.answer = d.g.opts.DecodeAnswer(resp.Status, &resp.Header)
-	d.g.recordRateLimit(a)
-	d.recordRest(a)
+	d.recordStatements(a)
 	if e := d.checkResponse(a); e != nil {
 		// After a rank loss the target may be used again once its group has recovered.
 		d.triedRuns[target.Run()] = e.Code != result.RankLost
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -14,7 +14,8 @@
 	probe.Topics = c.topicStates()
 	probe.RequestedTopics = c.requestTopics(name)
 	probe.FailureReports = c.failureReports()
-	probe.Rates = c.rateMessages(maxGossipRates)
+	probe.Rates = c.rateMessages(maxGossipStatements)
+	probe.Leavings = c.leavingMessages(maxGossipStatements)
 	return func() { c.clearRequestedTopics(probe.RequestedTopics) }
 }
 
@@ -93,6 +94,7 @@
 // paused.
 func (c *cluster) HandleAck(ack *peers.Heartbeat, sent time.Time) {
 	c.recordPeerTopics(ack)
+	c.applyLeavingMessages(ack.Leavings)
 	changed := c.applyFailureReports(ack.FailureReports)
 	ratesChanged, _ := c.applyRateMessages(ack.Rates, sent)
 	changed = changed || ratesChanged
@@ -142,15 +144,17 @@
 // HandleProbe implements members.Piggyback.
 func (c *cluster) HandleProbe(probe, ack *peers.Heartbeat) (probeBack bool) {
 	c.recordPeerTopics(probe)
+	c.applyLeavingMessages(probe.Leavings)
 	ratesChanged, orderUnknown := c.applyRateMessages(probe.Rates, time.Time{})
 	if c.applyFailureReports(probe.FailureReports) || ratesChanged {
 		c.notify()
 	}
 	ack.Topics, ack.FailureReports = c.topicStates(), c.failureReports()
-	ack.Rates = c.rateMessages(maxGossipRates)
+	limit := maxGossipStatements
 	if probe.All {
-		ack.Rates = c.rateMessages(maxFullStateRates)
+		limit = maxFullStateStatements
 	}
+	ack.Rates, ack.Leavings = c.rateMessages(limit), c.leavingMessages(limit)
 	for t := range serving.Topic(serving.NumTopics) {
 		if probe.RequestedTopics&(1<<t) != 0 && int(t) < len(probe.Topics) && probe.Topics[t].Next < ack.Topics[t].Next {
 			ack.Updates = append(ack.Updates, c.topicUpdate(t, probe.Topics[t].Next))
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// Guards against entries that go on sending to a target that has said only to another entry that it
+// leaves, while no entry reaches the store, and against an entry that starts then.
+func TestStatementThatTargetLeavesReachesAllEntries(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	target, other := startLeavingTarget(t, "i1"), startLeavingTarget(t, "i2")
+	c := startRateLimitCluster(t, 2, "plain", target.testTarget, other.testTarget)
+	c.store.setDown(true)
+	target.leaving.Store(true)
+	first, second := c.entries[0], c.entries[1]
+	known := len(target.received())
+	g.Eventually(func() int {
+		_, _, err := first.request("POST", "/once/x", "k1", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(target.received())
+	}, "5s", "5ms").Should(BeNumerically(">", known))
+	c.store.setDown(false)
+	third := startEntry(t, "gw9", c.store)
+	g.Eventually(third.gw.Ready, "5s", "5ms").Should(BeTrue())
+	time.Sleep(first.gw.opts.DrainTimeout)
+	known = len(target.received())
+	for _, e := range []*testEntry{second, third} {
+		for range 20 {
+			resp, _, err := e.request("POST", "/once/x", "k1", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		}
+	}
+	g.Expect(target.received()).To(HaveLen(known))
+}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -95,7 +95,8 @@
 
 // acceptsWork reports whether a target still accepts requests after the wait for its permit.
 func (d *dispatch) acceptsWork(target *serving.Target) bool {
-	return !d.g.tracker.IsResting(target.Run(), time.Now()) && slices.ContainsFunc(d.targets(), func(o *serving.Target) bool { return o.Run() == target.Run() && o.IsAvailable() })
+	now := time.Now()
+	return slices.ContainsFunc(d.targets(), func(o *serving.Target) bool { return o.Run() == target.Run() && d.g.tracker.Accepts(o, now) })
 }
 
 // maxPermitWait returns how long the request may wait for a permit: as long as a request that has
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -39,10 +39,10 @@
 	return update
 }
 
-// Limits on the number of rate limits in one message.
+// Limits on the number of statements of each kind in one message.
 const (
-	maxGossipRates    = 16
-	maxFullStateRates = 2048 // limit of a message to an entry that asks for the full state
+	maxGossipStatements    = 16
+	maxFullStateStatements = 2048 // limit of a message to an entry that asks for the full state
 )
 
 // rateMessages returns the known rate limits of at most limit targets, for other entries.
--- a/gateway/rest.go
+++ b/gateway/statements.go
@@ -4,9 +4,53 @@
 	"context"
 	"time"
 
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
+// recordStatements records what a target states of itself in a response.
+func (d *dispatch) recordStatements(a *attempt) {
+	d.g.recordRateLimit(a)
+	d.recordRest(a)
+	if a.answer.Leaving {
+		now := time.Now()
+		d.g.applyLeaving(placing.Leaving{Run: a.target.Run(), SaidAt: now}, now)
+	}
+}
+
+// applyLeaving records that a target leaves and notifies other entries if this is new.
+func (g *Gateway) applyLeaving(l placing.Leaving, now time.Time) {
+	if !g.tracker.RecordLeaving(l, now) {
+		return
+	}
+	g.opts.Metrics.Count("leavings_learnt", 1)
+	g.opts.Log.Info("target says that it leaves", "target", l.Run.ID, "said_ms", now.Sub(l.SaidAt).Milliseconds())
+	g.cluster.notify()
+}
+
+// leavingMessages returns the statements of at most limit targets that they leave, for other
+// entries.
+func (c *cluster) leavingMessages(limit int) []peers.Leaving {
+	now := time.Now()
+	var messages []peers.Leaving
+	for _, l := range c.g.tracker.Leavings(limit, now) {
+		messages = append(messages, peers.Leaving{Target: l.Run.ID, StartedAtMS: l.Run.StartedAtMS, AgeMS: ageMS(l.SaidAt, now)})
+	}
+	return messages
+}
+
+// applyLeavingMessages merges statements from another entry.
+func (c *cluster) applyLeavingMessages(messages []peers.Leaving) {
+	now := time.Now()
+	for _, m := range messages {
+		if m.Target != "" && m.AgeMS != peers.Never {
+			c.g.applyLeaving(placing.Leaving{Run: serving.Run{ID: m.Target, StartedAtMS: m.StartedAtMS}, SaidAt: timeBefore(now, m.AgeMS)}, now)
+		}
+	}
+}
+
 // recordRest records that a target has asked this entry for rest.
 func (d *dispatch) recordRest(a *attempt) {
 	if a.answer.Rest <= 0 {
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -31,6 +31,16 @@
 	RequestedTopics uint8 // bit set of the topics for which the sender requests updates
 	FailureReports  []FailureReport
 	Rates           []Rate
+	Leavings        []Leaving
+}
+
+// Leaving is the statement of a target that it leaves and must get no new requests.
+//
+//msgp:tuple Leaving
+type Leaving struct {
+	Target      string
+	StartedAtMS int64  // start of the target's run, in Unix milliseconds
+	AgeMS       uint32 // time since the target last said so
 }
 
 // Rate is a target's rate limit on the requests of all entries together.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -193,8 +193,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o, err = z.Entry.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Entry")
@@ -246,6 +246,14 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Leavings)))
+	for za0006 := range z.Leavings {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Leavings[za0006].Target)
+		o = msgp.AppendInt64(o, z.Leavings[za0006].StartedAtMS)
+		o = msgp.AppendUint32(o, z.Leavings[za0006].AgeMS)
+	}
 	return
 }
 
@@ -257,8 +265,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	bts, err = z.Entry.UnmarshalMsg(bts)
@@ -426,6 +434,48 @@
 			return
 		}
 	}
+	var zb0009 uint32
+	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leavings")
+		return
+	}
+	if zb0009 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Leavings) >= int(zb0009) {
+		z.Leavings = (z.Leavings)[:zb0009]
+	} else {
+		z.Leavings = make([]Leaving, zb0009)
+	}
+	for za0006 := range z.Leavings {
+		var zb0010 uint32
+		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Leavings", za0006)
+			return
+		}
+		if zb0010 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+			return
+		}
+		z.Leavings[za0006].Target, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Leavings", za0006, "Target")
+			return
+		}
+		z.Leavings[za0006].StartedAtMS, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Leavings", za0006, "StartedAtMS")
+			return
+		}
+		z.Leavings[za0006].AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Leavings", za0006, "AgeMS")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -448,6 +498,10 @@
 	for za0005 := range z.Rates {
 		s += z.Rates[za0005].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0006 := range z.Leavings {
+		s += 1 + msgp.StringPrefixSize + len(z.Leavings[za0006].Target) + msgp.Int64Size + msgp.Uint32Size
+	}
 	return
 }
 
@@ -527,6 +581,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Leaving) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendInt64(o, z.StartedAtMS)
+	o = msgp.AppendUint32(o, z.AgeMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Leaving) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.StartedAtMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedAtMS")
+		return
+	}
+	z.AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Leaving) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/placing/place.go
+++ b/placing/place.go
@@ -81,10 +81,16 @@
 // knows.
 func (tr *Tracker) isUsable(t *serving.Target) bool {
 	ts := tr.states[t.Run()]
-	return t.IsAvailable() && (ts == nil || !ts.replaced)
+	return t.IsAvailable() && !tr.stated.isLeaving(t.Run()) && (ts == nil || !ts.replaced)
+}
+
+// Accepts reports whether a target accepts requests now, as far as this entry knows.
+func (tr *Tracker) Accepts(t *serving.Target, now time.Time) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.accepts(t, now)
 }
 
-// accepts reports whether a target accepts requests now, as far as this entry knows.
 func (tr *Tracker) accepts(t *serving.Target, now time.Time) bool {
 	return tr.isUsable(t) && tr.stated.restOf(t.Run(), now) == 0
 }
--- a/placing/ratefleet_test.go
+++ b/placing/ratefleet_test.go
@@ -114,7 +114,7 @@
 }
 
 func (f *rateFleet) request(e *rateEntry) {
-	if e.tracker.IsResting(limitedRun, f.now) {
+	if !e.tracker.Accepts(f.servingTarget(), f.now) {
 		return // the request goes to another target
 	}
 	cold := f.startRate(e)
@@ -150,7 +150,11 @@
 	if f.coldRate > 0 {
 		return f.coldRate
 	}
-	return e.tracker.RecoveryRate(&serving.Target{ID: limitedRun.ID, StartedAtMS: limitedRun.StartedAtMS, Slots: f.slots}, f.now)
+	return e.tracker.RecoveryRate(f.servingTarget(), f.now)
+}
+
+func (f *rateFleet) servingTarget() *serving.Target {
+	return &serving.Target{ID: limitedRun.ID, StartedAtMS: limitedRun.StartedAtMS, Slots: f.slots}
 }
 
 // restAll makes the target ask all entries for rest, each in an answer of its own.
--- a/placing/rest.go
+++ b/placing/rest.go
@@ -29,13 +29,6 @@
 	return max(s.rests[run].Sub(now), 0)
 }
 
-// IsResting reports whether a target wants no requests from this entry now.
-func (tr *Tracker) IsResting(run serving.Run, now time.Time) bool {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	return tr.stated.restOf(run, now) > 0
-}
-
 // RecoveryRate returns the requests a second that all entries together may send to a target that
 // has just ended a rest; 0 if it has not. In one second these are no more than the target can run
 // at once.
--- a/placing/rest_test.go
+++ b/placing/rest_test.go
@@ -44,9 +44,9 @@
 	tr.RecordRest(resting.Run(), 10*time.Second, now)
 	g.Expect(tr.RecordRest(resting.Run(), time.Second, now.Add(time.Second))).To(BeFalse())
 	tr.Prune(func(serving.Run) bool { return true }, now.Add(5*time.Second))
-	g.Expect(tr.IsResting(resting.Run(), now.Add(9*time.Second))).To(BeTrue())
-	restarted := serving.Run{ID: resting.ID, StartedAtMS: 7}
-	g.Expect(tr.IsResting(restarted, now.Add(time.Second))).To(BeFalse())
+	g.Expect(tr.Accepts(resting, now.Add(9*time.Second))).To(BeFalse())
+	restarted := &serving.Target{ID: resting.ID, StartedAtMS: 7}
+	g.Expect(tr.Accepts(restarted, now.Add(time.Second))).To(BeTrue())
 	tr.Prune(func(serving.Run) bool { return true }, now.Add(time.Minute))
 	g.Expect(tr.stated.rests).To(BeEmpty())
 }
--- a/placing/statements.go
+++ b/placing/statements.go
@@ -7,14 +7,15 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// statements holds what targets have stated of themselves, by run: rate limits, cold times and
-// rests, with the state that this entry needs to comply with them.
+// statements holds what targets have stated of themselves, by run: rate limits, cold times, rests
+// and that they leave, with the state that this entry needs to comply with them.
 type statements struct {
 	byRun     map[serving.Run]*rateLimit
 	cold      map[serving.Run]*coldPermits // cold targets of which this entry is the permit owner
 	backoffs  map[serving.Run]permitBackoff
 	rests     map[serving.Run]time.Time // end of the latest rest
-	lastRetry map[string]time.Time      // latest time given to a refused caller while all targets rested, by service
+	leavings  map[serving.Run]*leaving
+	lastRetry map[string]time.Time // latest time given to a refused caller while all targets rested, by service
 }
 
 func newStatements() statements {
@@ -23,6 +24,7 @@
 		cold:      make(map[serving.Run]*coldPermits),
 		backoffs:  make(map[serving.Run]permitBackoff),
 		rests:     make(map[serving.Run]time.Time),
+		leavings:  make(map[serving.Run]*leaving),
 		lastRetry: make(map[string]time.Time),
 	}
 }
@@ -30,6 +32,7 @@
 // prune drops the statements of targets that are no longer known, and those that no longer matter.
 func (s *statements) prune(known func(run serving.Run) bool, now time.Time) {
 	s.pruneCold(known, now)
+	s.pruneLeavings(known, now)
 	maps.DeleteFunc(s.backoffs, func(run serving.Run, backoff permitBackoff) bool { return !known(run) || !now.Before(backoff.until) })
 	maps.DeleteFunc(s.rests, func(run serving.Run, until time.Time) bool { return !known(run) || now.Sub(until) > restRecovery })
 	for run, limit := range s.byRun {
