--- a/demo/hosted/callers.go
+++ b/demo/hosted/callers.go
@@ -162,6 +162,7 @@
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", decimal(int(draftTimeout.Milliseconds())))
 	req.Header.Set("X-Key", key)
+	req.Header.Set(standin.EntryHeader, address)
 	req.Header.Set("X-Token-Count", "100,64")
 	resp, err := l.transport.RoundTrip(req)
 	if err != nil {
--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -30,6 +30,9 @@
 	Urgency          Mechanism = "urgency"       // plans price copies as for a busy group
 	FastHoldRecovery Mechanism = "held-soon"     // ranks of a group left on hold are queried with the usual time limits
 	StoreTurns       Mechanism = "store-turns"   // every entry reads the store as often as the first one
+	Rest             Mechanism = "rest"          // targets that ask for rest get work
+	RestRecovery     Mechanism = "rest-recovery" // targets get work without permits right after a rest
+	Leaving          Mechanism = "leaving"       // targets that say that they leave get work until the store says so too
 )
 
 // off is the disabled mechanism, set by the linker; empty: none.
--- a/placing/leaving.go
+++ b/placing/leaving.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -42,7 +43,9 @@
 }
 
 // isLeaving reports whether a target has said that it leaves.
-func (s *statements) isLeaving(run serving.Run) bool { return s.leavings[run] != nil }
+func (s *statements) isLeaving(run serving.Run) bool {
+	return s.leavings[run] != nil && !ablate.Off(ablate.Leaving)
+}
 
 // pruneLeavings drops statements that are older than leavingTTL and whose target is gone.
 func (s *statements) pruneLeavings(known func(run serving.Run) bool, now time.Time) {
--- a/placing/rest.go
+++ b/placing/rest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/ablate"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -26,6 +27,9 @@
 
 // restOf returns how long a target still rests; 0 if it does not rest.
 func (s *statements) restOf(run serving.Run, now time.Time) time.Duration {
+	if ablate.Off(ablate.Rest) {
+		return 0
+	}
 	return max(s.rests[run].Sub(now), 0)
 }
 
@@ -36,7 +40,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	until, known := tr.stated.rests[t.Run()]
-	if !known || now.Before(until) || now.Sub(until) >= restRecovery {
+	if !known || now.Before(until) || now.Sub(until) >= restRecovery || ablate.Off(ablate.RestRecovery) {
 		return 0
 	}
 	return recoveryRate(t)
