Soak: targets ask for rest and say that they leave, in series among the other faults

Two series of rests run beside the rate limits and the other faults, and a target that is replaced says so itself up to 4 s before its record does. The check counts by entry what arrives in a rest or after the time to drain, and excuses entries and connections that were disturbed since.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,11 @@
 	s.faults++
 	switch s.rng.IntN(18) {
 	case 0:
-		s.injectFor("suspend "+e.name, duration, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
+		ended := s.disturbances.begin(e.address(portCallers))
+		s.injectFor("suspend "+e.name, duration, func() { e.signal(syscall.SIGSTOP) }, func() {
+			e.signal(syscall.SIGCONT)
+			ended()
+		})
 	case 1:
 		s.restartEntry(e, syscall.SIGKILL, duration/4)
 	case 2:
@@ -52,22 +56,25 @@
 	case 11:
 		s.injectTargetFault(target, duration, standin.TargetFaults{DropResponse: 0.2, Truncate: 0.2, NotExecuted: 0.2, Fail: 0.1})
 	case 12:
-		s.logEvent("target %d is replaced", target)
-		if err := s.fleet.replaceTarget(target); err != nil {
+		announceAfter := time.Duration(s.rng.Int64N(int64(maxAnnounceDelay)))
+		s.logEvent("target %d is replaced; its record says so after %s", target, announceAfter.Round(time.Millisecond))
+		if err := s.fleet.replaceTarget(target, announceAfter); err != nil {
 			s.logEvent("replacement target not started: %v", err)
 		}
 	case 13:
 		s.logEvent("new configuration")
 		s.fleet.publishConfig()
 	case 14:
-		s.injectProxyFault(s.fleet.proxyOf(target), "target cut off", duration, proxyFaults{Refuse: true, Blackhole: true})
+		s.injectTargetProxyFault(target, "target cut off", duration, proxyFaults{Refuse: true, Blackhole: true})
 	case 15:
-		s.injectProxyFault(s.fleet.proxyOf(target), "target's responses dropped", duration, proxyFaults{DropReplies: true})
+		s.injectTargetProxyFault(target, "target's responses dropped", duration, proxyFaults{DropReplies: true})
 	case 16:
-		s.injectProxyFault(s.fleet.proxyOf(target), "target behind a slow link", duration, proxyFaults{Delay: 40 * time.Millisecond})
+		s.injectTargetProxyFault(target, "target behind a slow link", duration, proxyFaults{Delay: 40 * time.Millisecond})
 	case 17:
 		s.logEvent("reset connections to target %d", target)
-		s.fleet.proxyOf(target).reset()
+		p := s.fleet.proxyOf(target)
+		s.disturbances.begin(p)()
+		p.reset()
 	}
 	select {
 	case <-ctx.Done():
@@ -83,8 +90,8 @@
 	minRateDuration = rateSettleTime + rateWindow/2
 	maxRateDuration = 2*rateSettleTime + rateWindow
 
-	numRateSeries   = uint64(2)
-	firstRateStream = 20 // PCG stream of the first series of rate limits; other random generators use lower streams
+	numStatementSeries = uint64(2)
+	firstRateStream    = 20 // PCG stream of the first series of rate limits; other random generators use lower streams
 )
 
 // injectRateLimits sets rate limits on targets until ctx ends. Each target gets two
@@ -108,6 +115,31 @@
 	}
 }
 
+// Timing of rests. A target that asks for rest rejects all requests for a time of its own, which may
+// be shorter or longer than the rest.
+const (
+	meanRestPause    = 2 * time.Second // between the rests of two targets
+	minRest          = time.Second
+	maxRest          = 4 * time.Second
+	maxRestRejecting = 3 * time.Second
+	firstRestStream  = 30 // PCG stream of the first series of rests
+)
+
+// injectRests makes targets ask for rest until ctx ends. Several series run at once, so that now and
+// then all targets of a service rest.
+func (s *soak) injectRests(ctx context.Context, series uint64) {
+	rng := rand.New(rand.NewPCG(s.opts.Seed, firstRestStream+series))
+	for sleep(ctx, time.Duration(rng.Int64N(int64(2*meanRestPause)))) {
+		target := s.fleet.target(rng.IntN(64))
+		rest := minRest + time.Duration(rng.Int64N(int64(maxRest-minRest)))
+		s.logEvent("%s asks for %s of rest", target.ID, rest.Round(time.Millisecond))
+		target.SetRest(rest)
+		sleep(ctx, time.Duration(rng.Int64N(int64(maxRestRejecting))))
+		s.logEvent("%s takes requests again", target.ID)
+		target.SetRest(0)
+	}
+}
+
 // sleep waits for d and returns true, or returns false as soon as ctx ends.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
@@ -139,6 +171,14 @@
 	})
 }
 
+// injectTargetProxyFault injects a fault between the entries and a target.
+func (s *soak) injectTargetProxyFault(target int, name string, d time.Duration, f proxyFaults) {
+	p := s.fleet.proxyOf(target)
+	ended := s.disturbances.begin(p)
+	s.injectProxyFault(p, name, d, f)
+	time.AfterFunc(d, ended)
+}
+
 func (s *soak) injectTargetFault(target int, d time.Duration, f standin.TargetFaults) {
 	s.injectFor("target returns faulty answers", d, func() { s.fleet.setTargetFaults(target, f) }, func() { s.fleet.setTargetFaults(target, standin.TargetFaults{}) })
 }
@@ -147,13 +187,16 @@
 // the process has exited and the pause has passed.
 func (s *soak) restartEntry(e *entryProc, sig syscall.Signal, pause time.Duration) {
 	s.logEvent("%s to %s", sig, e.name)
+	ended := s.disturbances.begin(e.address(portCallers))
 	e.signal(syscall.SIGCONT)
 	e.signal(sig)
 	if !e.restarting.TryLock() {
+		ended()
 		return // another restart of this entry is in progress
 	}
 	go func() {
 		defer e.restarting.Unlock()
+		defer ended()
 		e.wait()
 		time.Sleep(pause)
 		if err := s.fleet.startEntry(e); err != nil {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -36,7 +36,7 @@
 
 	mu               sync.Mutex
 	targets          []*targetProc
-	rateLimited      []*targetProc // targets that have had a rate limit during the run, including removed targets
+	allTargets       []*targetProc // targets of the whole run, including removed ones
 	lastTargetNumber int
 }
 
@@ -61,10 +61,11 @@
 type targetProc struct {
 	lastSequence atomic.Uint64 // sequence number of the target record last written to the store
 	*standin.Target
-	service string
-	server  *http.Server
-	proxy   *proxy
-	leaving bool
+	service  string
+	server   *http.Server
+	proxy    *proxy
+	replaced bool // the target leaves and another one has been added for it
+	leaving  bool // the target's record says that it leaves
 }
 
 func startFleet(s *soak, dir string) (*fleet, error) {
@@ -197,7 +198,7 @@
 	if t.proxy, err = startProxy(ln.Addr().String()); err != nil {
 		return err
 	}
-	f.targets = append(f.targets, t)
+	f.targets, f.allTargets = append(f.targets, t), append(f.allTargets, t)
 	f.register(t)
 	return nil
 }
@@ -227,22 +228,35 @@
 // that it is leaving.
 const leaveDuration = 3 * time.Second
 
-// replaceTarget marks a target as leaving and adds a new target of the same service.
-// The old target is removed after leaveDuration.
-func (f *fleet) replaceTarget(index int) error {
+// maxAnnounceDelay is the longest time between the first response in which a target may say that it
+// leaves and the record that says so.
+const maxAnnounceDelay = 2 * leavingReactionTime
+
+// replaceTarget makes a target say that it leaves, and adds a new target of the same service. The
+// record of the old target says so announceAfter later; the target is removed leaveDuration after
+// that.
+func (f *fleet) replaceTarget(index int, announceAfter time.Duration) error {
 	f.mu.Lock()
 	t := f.targets[index%len(f.targets)]
-	wasLeaving := t.leaving
-	t.leaving = true
-	f.register(t)
+	wasReplaced := t.replaced
+	t.replaced = true
 	f.mu.Unlock()
-	if wasLeaving {
+	if wasReplaced {
 		return nil
 	}
+	t.SetLeaving()
+	time.AfterFunc(announceAfter, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		t.leaving = true
+		if slices.Contains(f.targets, t) {
+			f.register(t)
+		}
+	})
 	if err := f.addTarget(t.service); err != nil {
 		return err
 	}
-	time.AfterFunc(leaveDuration, func() {
+	time.AfterFunc(announceAfter+leaveDuration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for i := range f.targets {
@@ -268,11 +282,7 @@
 func (f *fleet) setRateLimit(index int, rate float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.targets[index%len(f.targets)]
-	t.SetRateLimit(rate)
-	if !slices.Contains(f.rateLimited, t) {
-		f.rateLimited = append(f.rateLimited, t)
-	}
+	f.targets[index%len(f.targets)].SetRateLimit(rate)
 }
 
 // rateLimitViolations lists the targets that received more requests than their rate
@@ -281,7 +291,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var violations []string
-	for _, t := range f.rateLimited {
+	for _, t := range f.allTargets {
 		for _, n := range t.RateLimits() {
 			allowed := rateSlack*n.PerSecond*rateWindow.Seconds() + rateBurst
 			if received := n.MaxInWindow(rateWindow, rateSettleTime); float64(received) > allowed {
@@ -302,13 +312,16 @@
 	rateSettleTime = 3 * time.Second // time after a change of the rate limit that the check ignores
 )
 
-// proxyOf returns the proxy in front of a target.
-func (f *fleet) proxyOf(index int) *proxy {
+// target returns a target by a number of any size.
+func (f *fleet) target(number int) *targetProc {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.targets[index%len(f.targets)].proxy
+	return f.targets[number%len(f.targets)]
 }
 
+// proxyOf returns the proxy in front of a target.
+func (f *fleet) proxyOf(index int) *proxy { return f.target(index).proxy }
+
 // clearFaults ends all faults and resumes suspended processes.
 func (f *fleet) clearFaults() {
 	f.store.SetFaults(standin.StoreFaults{})
@@ -316,6 +329,7 @@
 	for _, t := range f.targets {
 		t.SetFaults(standin.TargetFaults{})
 		t.SetRateLimit(0)
+		t.SetRest(0)
 		t.proxy.setFaults(proxyFaults{})
 	}
 	f.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,8 @@
 	rng       *rand.Rand
 	fleet     *fleet
 	checker   *checker
+	// disturbances holds when entries, by address, and proxies of targets were disturbed.
+	disturbances disturbances
 
 	mu       sync.Mutex
 	timeline []string
@@ -93,14 +95,18 @@
 	end := s.startedAt.Add(s.opts.Duration - faultFreePeriod)
 	faultCtx, cancelFaults := context.WithDeadline(ctx, end)
 	defer cancelFaults()
-	var rates conc.WaitGroup
-	for series := range numRateSeries {
-		rates.Go(func() { s.injectRateLimits(faultCtx, series) })
+	// The last rests end with the last faults, as the system must recover after these.
+	restCtx, cancelRests := context.WithDeadline(ctx, end.Add(-maxRest))
+	defer cancelRests()
+	var statements conc.WaitGroup
+	for series := range numStatementSeries {
+		statements.Go(func() { s.injectRateLimits(faultCtx, series) })
+		statements.Go(func() { s.injectRests(restCtx, series) })
 	}
 	for faultCtx.Err() == nil {
 		s.injectFault(ctx)
 	}
-	rates.Wait()
+	statements.Wait()
 	s.fleet.clearFaults()
 	s.logEvent("no more faults")
 	tasks.Wait()
@@ -117,6 +123,7 @@
 	r := s.checker.check(s.startedAt.Add(s.opts.Duration - faultFreePeriod + recoveryTime))
 	r.Seed, r.Faults = s.opts.Seed, s.faults
 	r.Violations = append(r.Violations, s.fleet.rateLimitViolations()...)
+	r.Violations = append(r.Violations, s.fleet.boundViolations()...)
 	fmt.Fprintf(out, "seed %d: %d requests, %d whole, %d refused, %d faults, %d broken promises\n",
 		r.Seed, r.Requests, r.Succeeded, r.Refused, r.Faults, len(r.Violations))
 	if len(r.Violations) == 0 {
