Signals for reads at a position that the store does not have

No line tells at which position an entry reads, what the store answers, or that records were passed over; the line on dropped records was never written, since the read of the newest records behind it hides the error.

Change: such a read is counted (store_reads_gone) and logged once for each end of the topic, with the position asked for, the end that the store has, and the position that the entry keeps.

Measured: tests of gateway on the store and the configuration pass.

--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -68,8 +68,6 @@
 			delay = minReadDelay
 			g.state.recordStoreSuccess()
 			g.cluster.notify()
-		case errors.Is(err, serving.ErrTrimmed):
-			g.opts.Log.Info("store has dropped records, reading the newest", "topic", s.topic.String())
 		default:
 			g.opts.Metrics.Count("store_failures", 1)
 			g.state.recordStoreFailure(err)
@@ -97,12 +95,16 @@
 		if !errors.Is(err, serving.ErrTrimmed) {
 			return err
 		}
+		g.opts.Metrics.Count("store_reads_gone", 1)
 	}
 	records, end, err := g.opts.Store.Newest(ctx, t)
 	if err != nil {
 		return err
 	}
 	g.state.applyNewest(t, records, end, start)
+	if loaded {
+		g.state.logGone(t, next, end)
+	}
 	return nil
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -39,6 +39,7 @@
 	storeFailing   bool                      // this entry's last call to the store failed
 	entryPresences map[string]peers.Presence // by entry name, from the records in the store
 	onEntryRecord  func(p peers.Presence)    // called for each record of an entry
+	loggedGone     [serving.NumTopics]uint64 // end of the topic when a read of records that the store does not hold was last logged
 }
 
 // outageHeartbeats defines an outage of the store: no entry has read the targets for this many
@@ -136,6 +137,18 @@
 	s.applyRecords(t, applied)
 }
 
+// logGone logs that the store does not hold the records from an offset on that this entry asked for,
+// and that the entry has read the newest records instead, up to end. It logs once for each end.
+func (s *replicaState) logGone(t serving.Topic, from, end uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loggedGone[t] == end {
+		return
+	}
+	s.loggedGone[t] = end
+	s.log.Info("store does not hold the records asked for", "topic", t.String(), "from", from, "end", end, "next", s.replicas[t].NextOffset())
+}
+
 // applyPeerUpdate applies records from a peer. It ignores an update that would leave a gap.
 func (s *replicaState) applyPeerUpdate(t serving.Topic, update serving.ReplicaUpdate, asOf time.Time) {
 	s.mu.Lock()
