Positions of the store tell its eras apart; entries keep what an older copy has lost

One entry called the store 56 to 69 times a second meanwhile.

Entries compare offsets, and the store gives them out again. A read beyond its end got 410, the newest records then had lower offsets than the known ones and were passed over, and the entry kept the higher offset and asked again at once. It counted as fresh, so no other entry read. Class: a position that is compared without the history that it belongs to.

Change: a position holds the era of the store above the offset, so every comparison of positions, in replicas, between peers and in their messages, puts a later era later. The adapter takes the era from each response; a read at a position of an earlier era reads the newest records instead, a response of an earlier era is refused. When one topic is read in a new era, the reader reads the others at once. The copy is older than what entries know. A configuration of a lower version, an older record of a target and a record of a target that is gone are not taken from it; a configuration and evacuations that it lacks are kept, evacuations for 30 s if nobody writes them again; targets that it lacks get the time that they have after an outage. Kept records reach peers that read the copy themselves: the state of a topic carries their hash.

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -7,6 +7,7 @@
 
 	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // cluster is this entry's view of all entries. It exchanges store topics, failure reports and rate
@@ -18,6 +19,7 @@
 	mu              sync.Mutex
 	peerTopics      map[string][]peers.TopicState // topic states of each peer, as of its latest probe or ack
 	requestedTopics uint8                         // bit set of the topics in open requests to peers
+	mergedKept      [serving.NumTopics]uint64     // hash of the kept records that were last merged from a peer
 }
 
 func newCluster(g *Gateway) *cluster {
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -127,11 +127,11 @@
 	now := time.Now()
 	s.applyNewest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain","sequence":1}`)}, 2, now)
 	s.applyChanges(serving.TopicTargets, []serving.Record{targetRecord(2, "i1", `{"Service":"plain","sequence":2}`)}, 3, now)
-	update := s.updateSince(serving.TopicTargets, 2)
+	update := s.updateSince(serving.TopicTargets, 2, 0)
 	g.Expect(update.Records).To(BeEmpty())
 	g.Expect(update.NextOffset).To(Equal(uint64(3)))
 	s.applyChanges(serving.TopicTargets, []serving.Record{targetRecord(3, "i1", `{"Service":"plain","Leaving":true}`)}, 4, now)
-	update = s.updateSince(serving.TopicTargets, 3)
+	update = s.updateSince(serving.TopicTargets, 3, 0)
 	g.Expect(update.Records).To(HaveLen(1))
 }
 
--- a/gateway/evacuate_test.go
+++ b/gateway/evacuate_test.go
@@ -64,7 +64,7 @@
 	s.applyNewest(serving.TopicConfig, []serving.Record{targetRecord(1, "config", config), targetRecord(2, "away-from-b", "{}")}, 3, now)
 	s.applyNewest(serving.TopicTargets, []serving.Record{targetRecord(1, "i1", `{"Service":"plain","Address":"a","DataCentre":"b"}`)}, 2, now)
 	for _, topic := range []serving.Topic{serving.TopicConfig, serving.TopicTargets} {
-		lagging.applyPeerUpdate(topic, s.updateSince(topic, 0), now)
+		lagging.applyPeerUpdate(topic, s.updateSince(topic, 0, 0), now)
 	}
 	g.Expect(lagging.snapshot().targets["plain"][0].Evacuated).To(BeTrue())
 
@@ -73,7 +73,7 @@
 	s.applyNewest(serving.TopicConfig, []serving.Record{targetRecord(1, "config", config)}, 5, now)
 	g.Expect(s.snapshot().targets["plain"][0].Evacuated).To(BeFalse())
 	next, _ := lagging.readOffset(serving.TopicConfig)
-	lagging.applyPeerUpdate(serving.TopicConfig, s.updateSince(serving.TopicConfig, next), now)
+	lagging.applyPeerUpdate(serving.TopicConfig, s.updateSince(serving.TopicConfig, next, 0), now)
 	g.Expect(lagging.snapshot().targets["plain"][0].Evacuated).To(BeFalse())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 	for g.ctx.Err() == nil {
 		sleep(g.ctx, maintenanceInterval)
 		g.state.expireTargets()
+		g.state.expireKeptOrders(time.Now())
 		if snap := g.state.snapshot(); snap != nil {
 			g.removeLostTargets(snap.targets)
 			g.startLoadFollowers(followed)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -32,8 +32,8 @@
 		if c.requestedTopics&(1<<t) != 0 || int(t) >= len(peerTopics) {
 			continue
 		}
-		next, loaded := c.g.state.readOffset(t)
-		if peerTopics[t].Next > next && (loaded || c.acceptsUnreadTopics()) {
+		own := c.g.state.topicState(t, time.Now())
+		if hasMore(&peerTopics[t], &own) && !c.hasMerged(t, &peerTopics[t], &own) && (own.Read || c.acceptsUnreadTopics()) {
 			requested |= 1 << t
 		}
 	}
@@ -53,19 +53,23 @@
 	c.requestedTopics &^= topics
 }
 
-// topicStates returns, for each topic, the offset up to which this entry has the records and the
-// age of its replica.
+// hasMore reports whether one entry has records of a topic that another one lacks.
+func hasMore(one, other *peers.TopicState) bool {
+	return serving.HasMore(one.Next, one.Kept, other.Next, other.Kept)
+}
+
+// hasMerged reports whether this entry differs from a peer only in kept records that it has merged
+// before, and of which it knows newer ones. The lock must be held.
+func (c *cluster) hasMerged(t serving.Topic, peer, own *peers.TopicState) bool {
+	return peer.Next == own.Next && peer.Kept == c.mergedKept[t]
+}
+
+// topicStates returns what this entry announces of each topic.
 func (c *cluster) topicStates() []peers.TopicState {
 	now := time.Now()
-	replica := c.g.state
 	var states []peers.TopicState
 	for t := range serving.Topic(serving.NumTopics) {
-		next, loaded := replica.readOffset(t)
-		state := peers.TopicState{}
-		if loaded {
-			state = peers.TopicState{Next: next, AgeMS: ceilMS(min(replica.age(t, now), time.Hour)), Read: true}
-		}
-		states = append(states, state)
+		states = append(states, c.g.state.topicState(t, now))
 	}
 	return states
 }
@@ -76,9 +80,10 @@
 	return uint32((age + time.Millisecond - 1) / time.Millisecond)
 }
 
-func (c *cluster) topicUpdate(t serving.Topic, from uint64) peers.TopicUpdate {
-	update := c.g.state.updateSince(t, from)
-	msg := peers.TopicUpdate{Topic: uint8(t), FromOffset: update.FromOffset, NextOffset: update.NextOffset, Full: update.Full}
+// topicUpdate returns the records of a topic that a peer lacks.
+func (c *cluster) topicUpdate(t serving.Topic, peer *peers.TopicState) peers.TopicUpdate {
+	update := c.g.state.updateSince(t, peer.Next, peer.Kept)
+	msg := peers.TopicUpdate{Topic: uint8(t), FromOffset: update.FromOffset, NextOffset: update.NextOffset, LiveFrom: update.LiveFrom, Full: update.Full}
 	for _, rec := range update.Records {
 		msg.Records = append(msg.Records, peers.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
 	}
@@ -127,11 +132,16 @@
 		c.g.opts.Log.Error(err, "news of an entry ignored", "entry", h.Entry.Name)
 		return
 	}
-	update := serving.ReplicaUpdate{FromOffset: msg.FromOffset, NextOffset: msg.NextOffset, Full: msg.Full}
+	update := serving.ReplicaUpdate{FromOffset: msg.FromOffset, NextOffset: msg.NextOffset, LiveFrom: msg.LiveFrom, Full: msg.Full}
 	for _, rec := range msg.Records {
 		update.Records = append(update.Records, serving.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
 	}
 	c.g.state.applyPeerUpdate(serving.Topic(msg.Topic), update, completeAsOf(&h.Topics[msg.Topic], sent))
+	if msg.Full {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.mergedKept[msg.Topic] = h.Topics[msg.Topic].Kept
+	}
 }
 
 // recordPeerTopics stores the topic states of a peer.
@@ -156,8 +166,8 @@
 	}
 	ack.Rates, ack.Leavings = c.rateMessages(limit), c.leavingMessages(limit)
 	for t := range serving.Topic(serving.NumTopics) {
-		if probe.RequestedTopics&(1<<t) != 0 && int(t) < len(probe.Topics) && probe.Topics[t].Next < ack.Topics[t].Next {
-			ack.Updates = append(ack.Updates, c.topicUpdate(t, probe.Topics[t].Next))
+		if probe.RequestedTopics&(1<<t) != 0 && int(t) < len(probe.Topics) && hasMore(&ack.Topics[t], &probe.Topics[t]) {
+			ack.Updates = append(ack.Updates, c.topicUpdate(t, &probe.Topics[t]))
 		}
 	}
 	return orderUnknown || c.isBehind(probe.Topics)
@@ -166,17 +176,19 @@
 // isBehind reports whether a peer has later records of a topic than this entry, or the same
 // records in a replica that is fresher by more than minFreshnessGain.
 func (c *cluster) isBehind(peerTopics []peers.TopicState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
 	for t := range peerTopics {
 		if t >= serving.NumTopics {
 			break
 		}
 		topic := serving.Topic(t)
-		next, loaded := c.g.state.readOffset(topic)
-		if !loaded && !c.acceptsUnreadTopics() {
+		own := c.g.state.topicState(topic, now)
+		if !own.Read && !c.acceptsUnreadTopics() {
 			continue
 		}
-		if peerTopics[t].Next > next || peerTopics[t].Next == next && c.g.state.age(topic, now)-topicAge(&peerTopics[t]) > minFreshnessGain {
+		if hasMore(&peerTopics[t], &own) && !c.hasMerged(topic, &peerTopics[t], &own) || peerTopics[t].Next == own.Next && c.g.state.age(topic, now)-topicAge(&peerTopics[t]) > minFreshnessGain {
 			return true
 		}
 	}
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -32,14 +32,45 @@
 	ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint",
 }
 
-// memStore is a store in memory that can be made unreachable.
+// memStore is a store in memory that can be made unreachable, and can come back from an older copy.
 type memStore struct {
 	mu     sync.Mutex
 	topics [serving.NumTopics][]serving.Record
+	era    uint64
 	isDown bool
 	reads  int
 }
 
+// lengths returns the number of records of each topic, as a copy to which restore can go back.
+func (s *memStore) lengths() (copied [serving.NumTopics]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.topics {
+		copied[t] = len(s.topics[t])
+	}
+	return copied
+}
+
+// restore replaces the content of the store by an older copy.
+func (s *memStore) restore(copied [serving.NumTopics]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for t, n := range copied {
+		s.topics[t] = s.topics[t][:n:n]
+	}
+}
+
+// positioned returns records with the positions of the current era.
+func (s *memStore) positioned(records []serving.Record) []serving.Record {
+	var list []serving.Record
+	for _, r := range records {
+		r.Offset = serving.PositionAt(s.era, r.Offset)
+		list = append(list, r)
+	}
+	return list
+}
+
 var errStoreDown = errors.New("store is unreachable")
 
 // Newest implements serving.Store.
@@ -58,11 +89,11 @@
 	for _, r := range newest {
 		list = append(list, r)
 	}
-	return list, uint64(len(s.topics[t])), nil
+	return s.positioned(list), serving.PositionAt(s.era, uint64(len(s.topics[t]))), nil
 }
 
 // Changes implements serving.Store.
-func (s *memStore) Changes(ctx context.Context, t serving.Topic, from uint64, wait time.Duration) ([]serving.Record, uint64, error) {
+func (s *memStore) Changes(ctx context.Context, t serving.Topic, from serving.Position, wait time.Duration) ([]serving.Record, serving.Position, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
@@ -70,10 +101,15 @@
 			s.mu.Unlock()
 			return nil, 0, errStoreDown
 		}
-		records := s.topics[t]
+		if serving.EraOf(from) != s.era {
+			s.reads++
+			s.mu.Unlock()
+			return nil, 0, serving.ErrRestored
+		}
+		records, next := s.positioned(s.topics[t]), serving.PositionAt(s.era, uint64(len(s.topics[t])))
 		s.mu.Unlock()
-		if uint64(len(records)) > from || !time.Now().Before(end) || ctx.Err() != nil {
-			return records[min(from, uint64(len(records))):], max(from, uint64(len(records))), nil
+		if next > from || !time.Now().Before(end) || ctx.Err() != nil {
+			return records[min(serving.OffsetOf(from), uint64(len(records))):], max(from, next), nil
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
@@ -100,6 +136,14 @@
 	s.topics[t] = append(s.topics[t], serving.Record{Key: key, Value: text, Offset: uint64(len(s.topics[t]))})
 }
 
+// readCount returns the number of reads of the newest records, and of reads at a position that the
+// store does not have.
+func (s *memStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *memStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/ablate"
@@ -58,7 +59,9 @@
 		if age, alone := g.aloneReadAge(); alone && s.topic == serving.TopicEntries {
 			maxAge = age
 		}
-		if age := g.state.age(s.topic, time.Now()); age < maxAge {
+		position, _ := g.cluster.readerPosition()
+		mustRead := position == 0 && g.state.isOfEarlierEra(s.topic)
+		if age := g.state.age(s.topic, time.Now()); age < maxAge && !mustRead {
 			sleep(ctx, min(maxAge-age, minReadDelay))
 			continue
 		}
@@ -77,8 +80,8 @@
 	}
 }
 
-// readTopic reads a topic once: the newest record of each key if the topic has not been read or
-// the store has dropped records, otherwise the changes.
+// readTopic reads a topic once: the newest record of each key if the topic has not been read, or if
+// the store has dropped records or come back from an older copy; otherwise the changes.
 func (g *Gateway) readTopic(ctx context.Context, t serving.Topic, wait time.Duration) error {
 	next, loaded := g.state.readOffset(t)
 	g.opts.Metrics.Count("store_reads", 1)
@@ -92,7 +95,7 @@
 			g.state.applyChanges(t, records, after, start)
 			return nil
 		}
-		if !errors.Is(err, serving.ErrTrimmed) {
+		if !errors.Is(err, serving.ErrTrimmed) && !errors.Is(err, serving.ErrRestored) {
 			return err
 		}
 		g.opts.Metrics.Count("store_reads_gone", 1)
@@ -101,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if end < next {
+		return fmt.Errorf("%w: topic %s ends at %d, %d is known", serving.ErrEarlierEra, t, end, next)
+	}
 	g.state.applyNewest(t, records, end, start)
 	if loaded {
 		g.state.logGone(t, next, end)
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -183,6 +183,10 @@
 
 // applyEntry applies the record of an entry.
 func (s *replicaState) applyEntry(rec *serving.Record) {
+	if len(rec.Value) == 0 { // the store has lost the record
+		delete(s.entryPresences, rec.Key)
+		return
+	}
 	var p peers.Presence
 	if _, err := p.UnmarshalMsg(slices.Clone(rec.Value)); err != nil {
 		s.log.Error(err, "record of an entry ignored", "entry", rec.Key)
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -315,3 +315,36 @@
 }
 
 const idleMeasureTime = 6 * time.Second
+
+// The store comes back from a copy that lacks a configuration, targets and most records of entries.
+// Guards against entries that each read it anew or write their records anew, and against a
+// configuration that is in force late at any size.
+func TestScaleRestoreOfTheStoreStaysCheap(t *testing.T) {
+	forEachScale(t, func(t *testing.T, g *WithT, c *scaleCluster) {
+		c.start()
+		time.Sleep(2 * startSettleTime)
+		copied := c.store.lengths()
+		for n := range copied {
+			copied[n] /= 2
+		}
+		c.store.restore(copied)
+		config := testConfig()
+		config.Version = 12
+		c.store.put(serving.TopicConfig, "config", config)
+		cost := c.measure(5 * time.Second)
+		size := float64(len(c.entries))
+		calls := cost.storeCallRate * 5
+		t.Logf("%.0f store calls, %.0f bytes per entry", calls, cost.byteRate*5)
+		for _, e := range c.entries {
+			g.Expect(e.gw.state.snapshot().index.Version).To(Equal(uint64(12)))
+			g.Expect(e.gw.state.snapshot().targets["plain"]).To(HaveLen(scaleTargets))
+		}
+		c.stop()
+		g.Expect(calls).To(BeNumerically("<=", 2*minEntryRecords+maxRestoreReads))
+		g.Expect(cost.byteRate*5).To(BeNumerically("<=", maxStartBytes+maxStartTables*presenceBytes*size))
+	})
+}
+
+// maxRestoreReads is the limit on reads of the store in the seconds after a restore: those of a
+// quiet fleet, and a few for each topic.
+const maxRestoreReads = 30
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,12 +35,13 @@
 	completeAt     [serving.NumTopics]time.Time // when the replica was last known to be complete
 	config         *serving.Index
 	targets        *serving.TargetSet
-	evacuated      map[string]bool           // data centres whose targets get no requests
-	outageEndedAt  time.Time                 // end of the last outage in which no entry reached the store
-	storeFailing   bool                      // this entry's last call to the store failed
-	entryPresences map[string]peers.Presence // by entry name, from the records in the store
-	onEntryRecord  func(p peers.Presence)    // called for each record of an entry
-	loggedGone     [serving.NumTopics]uint64 // end of the topic when a read of records that the store does not hold was last logged
+	evacuated      map[string]bool                     // data centres whose targets get no requests
+	outageEndedAt  time.Time                           // end of the last outage in which no entry reached the store
+	storeFailing   bool                                // this entry's last call to the store failed
+	entryPresences map[string]peers.Presence           // by entry name, from the records in the store
+	onEntryRecord  func(p peers.Presence)              // called for each record of an entry
+	loggedGone     [serving.NumTopics]serving.Position // end of the topic when a read of records that the store does not hold was last logged
+	keptSince      time.Time                           // since when the replica of the configuration topic has kept records that the store has lost; zero: it keeps none
 }
 
 // outageHeartbeats defines an outage of the store: no entry has read the targets for this many
@@ -65,10 +67,50 @@
 		s.replicas[i] = serving.NewPermanentReplica()
 	}
 	s.replicas[serving.TopicTargets] = serving.NewReplica(s.isSameTarget)
+	s.replicas[serving.TopicTargets].SetRestorePolicy(serving.RestorePolicy{IsOlder: s.isOlderTarget, IgnoreRemoved: true})
 	s.replicas[serving.TopicConfig] = serving.NewReplica(nil)
+	s.replicas[serving.TopicConfig].SetRestorePolicy(serving.RestorePolicy{IsOlder: s.isOlderConfig, KeepMissing: true})
 	return s
 }
 
+// keptOrderTTL is how long an evacuation stays in force that the store has lost. The operator writes
+// lost orders again; one that is still missing later has been withdrawn.
+const keptOrderTTL = 30 * time.Second
+
+// expireKeptOrders withdraws the evacuations that the store has lost and that were not written
+// again. A configuration can only be replaced.
+func (s *replicaState) expireKeptOrders(now time.Time) {
+	s.mu.Lock()
+	r := s.replicas[serving.TopicConfig]
+	switch {
+	case r.Kept() == 0:
+		s.keptSince = time.Time{}
+	case s.keptSince.IsZero():
+		s.keptSince = now
+	case now.Sub(s.keptSince) >= keptOrderTTL:
+		s.applyRecords(serving.TopicConfig, r.DropKept(func(key string) bool {
+			_, isEvacuation, _ := s.decodeEvacuation(key, nil)
+			return !isEvacuation
+		}))
+		return
+	}
+	s.mu.Unlock()
+}
+
+// isOlderTarget reports whether a record of a target is certainly older than another one.
+func (s *replicaState) isOlderTarget(id string, a, b []byte) bool {
+	older, aErr := s.decodeTarget(id, a)
+	newer, bErr := s.decodeTarget(id, b)
+	return aErr == nil && bErr == nil && older.IsOlderThan(&newer)
+}
+
+// isOlderConfig reports whether a record of the configuration has a lower version than another one.
+func (s *replicaState) isOlderConfig(key string, a, b []byte) bool {
+	older, isConfig, aErr := s.decodeConfig(key, a)
+	newer, _, bErr := s.decodeConfig(key, b)
+	return isConfig && aErr == nil && bErr == nil && older.Version < newer.Version
+}
+
 // isSameTarget reports whether two records of a target have the same meaning.
 func (s *replicaState) isSameTarget(id string, old, new []byte) bool {
 	oldTarget, oldErr := s.decodeTarget(id, old)
@@ -79,14 +121,40 @@
 // snapshot returns the current snapshot, nil until there is a configuration.
 func (s *replicaState) snapshot() *snapshot { return s.current.Load() }
 
-// readOffset returns the offset from which a topic is to be read next, and whether the topic has
+// readOffset returns the position from which a topic is to be read next, and whether the topic has
 // been read completely.
-func (s *replicaState) readOffset(t serving.Topic) (next uint64, loaded bool) {
+func (s *replicaState) readOffset(t serving.Topic) (next serving.Position, loaded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.replicas[t].NextOffset(), s.replicas[t].IsLoaded()
 }
 
+// topicState returns what this entry announces of its replica of a topic to peers.
+func (s *replicaState) topicState(t serving.Topic, now time.Time) peers.TopicState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.replicas[t]
+	if !r.IsLoaded() {
+		return peers.TopicState{}
+	}
+	return peers.TopicState{Next: r.NextOffset(), Kept: r.Kept(), AgeMS: ceilMS(min(now.Sub(s.completeAt[t]), time.Hour)), Read: true}
+}
+
+// isOfEarlierEra reports whether a topic was last read in an earlier era of the store than another
+// topic, so that it must be read again.
+func (s *replicaState) isOfEarlierEra(t serving.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := serving.EraOf(s.replicas[t].NextOffset())
+	return slices.ContainsFunc(s.replicas[:], func(r *serving.Replica) bool { return serving.EraOf(r.NextOffset()) > era })
+}
+
+// eraOf returns the era of the store in which a topic was last read.
+func (s *replicaState) eraOf(t serving.Topic) uint64 {
+	next, _ := s.readOffset(t)
+	return serving.EraOf(next)
+}
+
 // age returns the time since a topic was last known to be complete.
 func (s *replicaState) age(t serving.Topic, now time.Time) time.Duration {
 	s.mu.Lock()
@@ -120,9 +188,9 @@
 	}
 }
 
-// applyChanges applies records read from the store that make the topic complete up to offset next
+// applyChanges applies records read from the store that make the topic complete up to position next
 // as of the time asOf.
-func (s *replicaState) applyChanges(t serving.Topic, records []serving.Record, next uint64, asOf time.Time) {
+func (s *replicaState) applyChanges(t serving.Topic, records []serving.Record, next serving.Position, asOf time.Time) {
 	s.mu.Lock()
 	applied := s.replicas[t].Apply(records, next)
 	s.recordComplete(t, asOf)
@@ -130,23 +198,41 @@
 }
 
 // applyNewest applies a read of the newest record of each key.
-func (s *replicaState) applyNewest(t serving.Topic, records []serving.Record, end uint64, asOf time.Time) {
+func (s *replicaState) applyNewest(t serving.Topic, records []serving.Record, end serving.Position, asOf time.Time) {
 	s.mu.Lock()
+	s.enterEra(t, end)
 	applied := s.replicas[t].ApplySnapshot(records, end)
 	s.recordComplete(t, asOf)
 	s.applyRecords(t, applied)
 }
 
-// logGone logs that the store does not hold the records from an offset on that this entry asked for,
+// enterEra records that a topic is about to be replaced by its content in a new era of the store. For
+// targets this counts as the end of an outage: those that the store has lost write their records
+// again.
+func (s *replicaState) enterEra(t serving.Topic, end serving.Position) {
+	r := s.replicas[t]
+	if !r.IsLoaded() || serving.EraOf(end) <= serving.EraOf(r.NextOffset()) {
+		return
+	}
+	if t == serving.TopicTargets {
+		s.outageEndedAt = time.Now()
+	}
+	s.metrics.Count("store_restores", 1)
+	s.log.Info("store has come back from an older copy", "topic", t.String(), "era", serving.EraOf(end),
+		"end", serving.OffsetOf(end), "known", serving.OffsetOf(r.NextOffset()))
+}
+
+// logGone logs that the store does not hold the records from a position on that this entry asked for,
 // and that the entry has read the newest records instead, up to end. It logs once for each end.
-func (s *replicaState) logGone(t serving.Topic, from, end uint64) {
+func (s *replicaState) logGone(t serving.Topic, from, end serving.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.loggedGone[t] == end {
 		return
 	}
 	s.loggedGone[t] = end
-	s.log.Info("store does not hold the records asked for", "topic", t.String(), "from", from, "end", end, "next", s.replicas[t].NextOffset())
+	s.log.Info("store does not hold the records asked for", "topic", t.String(), "era", serving.EraOf(from),
+		"from", serving.OffsetOf(from), "store_era", serving.EraOf(end), "end", serving.OffsetOf(end))
 }
 
 // applyPeerUpdate applies records from a peer. It ignores an update that would leave a gap.
@@ -156,6 +242,9 @@
 		s.mu.Unlock()
 		return
 	}
+	if update.Full {
+		s.enterEra(t, update.NextOffset)
+	}
 	applied := s.replicas[t].ApplyUpdate(update)
 	s.recordComplete(t, asOf)
 	s.applyRecords(t, applied)
@@ -181,14 +270,14 @@
 	return now.Sub(s.completeAt[serving.TopicTargets]) > s.outageThreshold
 }
 
-// confirmComplete applies the report of a peer that its replica had all records before offset next
+// confirmComplete applies the report of a peer that its replica had all records before position next
 // as of the time asOf. If this entry has these records too, its replica is as fresh as the peer's.
 // isFresher is true if the gain in freshness is worth propagating.
-func (s *replicaState) confirmComplete(t serving.Topic, next uint64, asOf time.Time) (isFresher bool) {
+func (s *replicaState) confirmComplete(t serving.Topic, next serving.Position, asOf time.Time) (isFresher bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if next == 0 {
-		s.replicas[t].MarkEmpty()
+	if serving.OffsetOf(next) == 0 && !s.replicas[t].IsLoaded() {
+		s.replicas[t].MarkEmpty(next)
 	}
 	if !s.replicas[t].IsLoaded() || s.replicas[t].NextOffset() < next {
 		return false
@@ -198,11 +287,12 @@
 	return isFresher
 }
 
-// updateSince returns the update for a peer that has a topic up to offset next.
-func (s *replicaState) updateSince(t serving.Topic, next uint64) serving.ReplicaUpdate {
+// updateSince returns the update for a peer that has a topic up to position next and keeps records of
+// earlier eras with a hash.
+func (s *replicaState) updateSince(t serving.Topic, next serving.Position, kept uint64) serving.ReplicaUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replicas[t].UpdateSince(next)
+	return s.replicas[t].UpdateSince(next, kept)
 }
 
 // applyRecords applies changed records and replaces the snapshot if needed. The caller must hold the
@@ -238,14 +328,14 @@
 		return false
 	}
 	if err != nil {
-		s.log.Error(err, "configuration ignored", "offset", rec.Offset)
+		s.log.Error(err, "configuration ignored", "offset", serving.OffsetOf(rec.Offset))
 		return false
 	}
 	if s.config != nil && c.Version <= s.config.Version {
 		return false
 	}
 	s.config = serving.NewIndex(c)
-	s.log.Info("configuration in force", "version", c.Version, "offset", rec.Offset,
+	s.log.Info("configuration in force", "version", c.Version, "offset", serving.OffsetOf(rec.Offset),
 		"routes", len(c.Routes), "services", len(c.Services), "teams", len(c.Teams))
 	return true
 }
@@ -259,7 +349,7 @@
 	}
 	if err != nil {
 		s.metrics.Count("evacuations_ignored", 1)
-		s.log.Error(err, "order to evacuate ignored", "key", rec.Key, "offset", rec.Offset)
+		s.log.Error(err, "order to evacuate ignored", "key", rec.Key, "offset", serving.OffsetOf(rec.Offset))
 		return false
 	}
 	ordered := len(rec.Value) > 0
@@ -271,7 +361,7 @@
 	} else {
 		delete(s.evacuated, dataCentre)
 	}
-	s.log.Info("evacuation", "data_centre", dataCentre, "ordered", ordered, "targets", s.targets.CountInDataCentre(dataCentre), "offset", rec.Offset)
+	s.log.Info("evacuation", "data_centre", dataCentre, "ordered", ordered, "targets", s.targets.CountInDataCentre(dataCentre), "offset", serving.OffsetOf(rec.Offset))
 	return true
 }
 
@@ -292,7 +382,7 @@
 		// The newest record of the key is invalid, so the target counts as gone until it writes
 		// its next record.
 		s.metrics.Count("target_records_ignored", 1)
-		s.log.Info("record of a target ignored", "target", rec.Key, "offset", rec.Offset, "error", err.Error())
+		s.log.Info("record of a target ignored", "target", rec.Key, "offset", serving.OffsetOf(rec.Offset), "error", err.Error())
 		return s.targets.Remove(rec.Key, now, now)
 	}
 	if t.ColdRemaining > 0 {
--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -32,6 +32,8 @@
 	StoreTurns       Mechanism = "store-turns"   // every entry reads the store as often as the first one
 	Rest             Mechanism = "rest"          // targets that ask for rest get work
 	RestRecovery     Mechanism = "rest-recovery" // targets get work without permits right after a rest
+	StoreEra         Mechanism = "store-era"     // positions of the store do not tell the eras of the store apart
+	KeptRecords      Mechanism = "kept-records"  // records that the store has lost are not kept until they are written again
 	Leaving          Mechanism = "leaving"       // targets that say that they leave get work until the store says so too
 )
 
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -133,7 +133,8 @@
 //
 //msgp:tuple TopicState
 type TopicState struct {
-	Next  uint64 // the entry knows all records before this offset
+	Next  uint64 // the entry knows all records before this position
+	Kept  uint64 // hash of the records that the entry keeps from earlier eras of the store; 0: none
 	AgeMS uint32 // time since an entry last read all these records from the store
 	Read  bool   // an entry has read the topic, which may have been empty
 }
@@ -143,9 +144,10 @@
 //msgp:tuple TopicUpdate
 type TopicUpdate struct {
 	Topic      uint8
-	FromOffset uint64 // the update applies to a receiver that knows all records before this offset
+	FromOffset uint64 // the update applies to a receiver that knows all records before this position
 	NextOffset uint64
-	Full       bool // Records are the newest records of all existing keys, for a receiver at any offset
+	LiveFrom   uint64 // records from this position on have been written in the era of the store
+	Full       bool   // Records are the newest records of all existing keys, for a receiver at any offset
 	Records    []Record
 	Packed     []byte // Records in msgpack, compressed with DEFLATE; set instead of Records if they are large
 }
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -215,11 +215,11 @@
 	o = msgp.AppendBool(o, z.All)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Topics)))
 	for za0002 := range z.Topics {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Topics[za0002].Next)
-		o = msgp.AppendUint32(o, z.Topics[za0002].AgeMS)
-		o = msgp.AppendBool(o, z.Topics[za0002].Read)
+		o, err = z.Topics[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Topics", za0002)
+			return
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Updates)))
 	for za0003 := range z.Updates {
@@ -337,46 +337,26 @@
 		z.Topics = make([]TopicState, zb0004)
 	}
 	for za0002 := range z.Topics {
-		var zb0005 uint32
-		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Topics[za0002].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Topics", za0002)
 			return
 		}
-		if zb0005 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
-			return
-		}
-		z.Topics[za0002].Next, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Topics", za0002, "Next")
-			return
-		}
-		z.Topics[za0002].AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Topics", za0002, "AgeMS")
-			return
-		}
-		z.Topics[za0002].Read, bts, err = msgp.ReadBoolBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Topics", za0002, "Read")
-			return
-		}
 	}
-	var zb0006 uint32
-	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Updates")
 		return
 	}
-	if zb0006 > zb417a25dlimitArrays {
+	if zb0005 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Updates) >= int(zb0006) {
-		z.Updates = (z.Updates)[:zb0006]
+	if cap(z.Updates) >= int(zb0005) {
+		z.Updates = (z.Updates)[:zb0005]
 	} else {
-		z.Updates = make([]TopicUpdate, zb0006)
+		z.Updates = make([]TopicUpdate, zb0005)
 	}
 	for za0003 := range z.Updates {
 		bts, err = z.Updates[za0003].UnmarshalMsg(bts)
@@ -390,20 +370,20 @@
 		err = msgp.WrapError(err, "RequestedTopics")
 		return
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "FailureReports")
 		return
 	}
-	if zb0007 > zb417a25dlimitArrays {
+	if zb0006 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.FailureReports) >= int(zb0007) {
-		z.FailureReports = (z.FailureReports)[:zb0007]
+	if cap(z.FailureReports) >= int(zb0006) {
+		z.FailureReports = (z.FailureReports)[:zb0006]
 	} else {
-		z.FailureReports = make([]FailureReport, zb0007)
+		z.FailureReports = make([]FailureReport, zb0006)
 	}
 	for za0004 := range z.FailureReports {
 		bts, err = z.FailureReports[za0004].UnmarshalMsg(bts)
@@ -412,20 +392,20 @@
 			return
 		}
 	}
-	var zb0008 uint32
-	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Rates")
 		return
 	}
-	if zb0008 > zb417a25dlimitArrays {
+	if zb0007 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Rates) >= int(zb0008) {
-		z.Rates = (z.Rates)[:zb0008]
+	if cap(z.Rates) >= int(zb0007) {
+		z.Rates = (z.Rates)[:zb0007]
 	} else {
-		z.Rates = make([]Rate, zb0008)
+		z.Rates = make([]Rate, zb0007)
 	}
 	for za0005 := range z.Rates {
 		bts, err = z.Rates[za0005].UnmarshalMsg(bts)
@@ -434,30 +414,30 @@
 			return
 		}
 	}
-	var zb0009 uint32
-	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Leavings")
 		return
 	}
-	if zb0009 > zb417a25dlimitArrays {
+	if zb0008 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Leavings) >= int(zb0009) {
-		z.Leavings = (z.Leavings)[:zb0009]
+	if cap(z.Leavings) >= int(zb0008) {
+		z.Leavings = (z.Leavings)[:zb0008]
 	} else {
-		z.Leavings = make([]Leaving, zb0009)
+		z.Leavings = make([]Leaving, zb0008)
 	}
 	for za0006 := range z.Leavings {
-		var zb0010 uint32
-		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0009 uint32
+		zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Leavings", za0006)
 			return
 		}
-		if zb0010 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+		if zb0009 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0009}
 			return
 		}
 		z.Leavings[za0006].Target, bts, err = msgp.ReadStringBytes(bts)
@@ -486,7 +466,11 @@
 	for za0001 := range z.Members {
 		s += 1 + z.Members[za0001].Entry.Msgsize() + msgp.BoolSize
 	}
-	s += msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Topics) * (17 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
+	s += msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0002 := range z.Topics {
+		s += z.Topics[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Updates {
 		s += z.Updates[za0003].Msgsize()
 	}
@@ -2184,11 +2168,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TopicState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TopicState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Next)
+	o = msgp.AppendUint64(o, z.Kept)
 	o = msgp.AppendUint32(o, z.AgeMS)
 	o = msgp.AppendBool(o, z.Read)
 	return
@@ -2202,8 +2187,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Next, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2211,6 +2196,11 @@
 		err = msgp.WrapError(err, "Next")
 		return
 	}
+	z.Kept, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
 	z.AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AgeMS")
@@ -2226,19 +2216,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TopicState) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize
+func (z *TopicState) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *TopicUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint8(o, z.Topic)
 	o = msgp.AppendUint64(o, z.FromOffset)
 	o = msgp.AppendUint64(o, z.NextOffset)
+	o = msgp.AppendUint64(o, z.LiveFrom)
 	o = msgp.AppendBool(o, z.Full)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
@@ -2260,8 +2251,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Topic, bts, err = msgp.ReadUint8Bytes(bts)
@@ -2279,6 +2270,11 @@
 		err = msgp.WrapError(err, "NextOffset")
 		return
 	}
+	z.LiveFrom, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LiveFrom")
+		return
+	}
 	z.Full, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Full")
@@ -2369,7 +2365,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TopicUpdate) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Records {
 		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value) + msgp.Uint64Size
 	}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -148,7 +148,7 @@
 	peer, startedLater := NewReplica(nil), NewReplica(nil)
 	peer.ApplySnapshot([]Record{{Key: "gone", Value: []byte("x"), Offset: 5}, {Key: "stays", Value: []byte("x"), Offset: 6}}, 7)
 	startedLater.ApplySnapshot([]Record{{Key: "stays", Value: []byte("x"), Offset: 6}, {Key: "new", Value: []byte("x"), Offset: 8}}, 9)
-	changes := peer.ApplyUpdate(startedLater.UpdateSince(peer.NextOffset()))
+	changes := peer.ApplyUpdate(startedLater.UpdateSince(peer.NextOffset(), peer.Kept()))
 	g.Expect(peer.NextOffset()).To(Equal(uint64(9)))
 	g.Expect(signedKeys(changes)).To(ConsistOf("-gone", "+new"))
 }
@@ -163,7 +163,7 @@
 	peer.ApplySnapshot(old, 7)
 	peer.Apply([]Record{{Key: "late", Value: []byte("x"), Offset: 7}}, 8)
 	reader.ApplySnapshot([]Record{{Key: "stays", Value: []byte("x"), Offset: 6}}, 10)
-	changes := peer.ApplyUpdate(reader.UpdateSince(peer.NextOffset()))
+	changes := peer.ApplyUpdate(reader.UpdateSince(peer.NextOffset(), peer.Kept()))
 	g.Expect(signedKeys(changes)).To(ConsistOf("-gone", "-late"))
 }
 
@@ -212,7 +212,7 @@
 					replicas[rng.IntN(len(replicas))] = NewReplica(nil)
 				}
 			default:
-				r.ApplyUpdate(replicas[rng.IntN(len(replicas))].UpdateSince(r.NextOffset()))
+				r.ApplyUpdate(replicas[rng.IntN(len(replicas))].UpdateSince(r.NextOffset(), r.Kept()))
 			}
 			for _, r := range replicas {
 				g.Expect(existingKeys(r)).To(ConsistOf(newestKeys(log[:r.NextOffset()])), "seed %d, offset %d", seed, r.NextOffset())
@@ -271,7 +271,7 @@
 func TestEmptyTopicCountsAsLoaded(t *testing.T) {
 	g := NewWithT(t)
 	r := NewReplica(nil)
-	r.MarkEmpty()
+	r.MarkEmpty(0)
 	g.Expect(r.IsLoaded()).To(BeTrue())
 	g.Expect(r.NextOffset()).To(BeZero())
 	g.Expect(r.Apply([]Record{{Key: "a", Value: []byte("x"), Offset: 0}}, 1)).To(HaveLen(1))
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -48,6 +48,10 @@
 	return t == o
 }
 
+// IsOlderThan reports whether a record of a target is certainly older than another one of the same
+// ID.
+func (t *Target) IsOlderThan(o *Target) bool { return !t.isAtLeastAsNewAs(o) }
+
 // isAtLeastAsNewAs reports whether a record is at least as new as another one of the same ID.
 // The store may apply a write seconds after it was sent. A record from before a restart, or
 // from before the target began to leave, could then replace the newer one, and a leaving
