Entries write their records again when the store has lost them

What callers would see: after a restore and a later restart of the fleet, starting entries find no records of others, announce only themselves and use the full headroom of the groups.

Cause: an entry wrote its record once and never looked again. The class is that of a write taken for lasting because it was acknowledged; entries' records are the only ones that we write.

Change: in a new era the records that the store lacks are dropped from the replica, and the check whether a record is needed runs again once the topic has been read in that era. An entry writes at most once in an era, and as before only if fewer than sixteen others have a record or come first.

--- a/gateway/register.go
+++ b/gateway/register.go
@@ -113,19 +113,22 @@
 	return snap
 }
 
-// register writes this entry's record if the store has records of too few live entries.
+// register writes this entry's record if the store has records of too few live entries. It writes the
+// record again if the store has lost it.
 func (g *Gateway) register() {
 	delay := minReadDelay
+	writtenInEra := noEra
 	for g.ctx.Err() == nil {
+		era := g.state.eraOf(serving.TopicEntries)
 		switch needed, known := g.needsRecord(); {
 		case !known && g.isStarting():
 			sleep(g.ctx, startupCheckInterval)
 		case !known:
 			sleep(g.ctx, minReadDelay)
-		case !needed:
+		case !needed || era == writtenInEra:
 			sleep(g.ctx, registerCheckInterval)
 		case g.writeRecord():
-			return
+			writtenInEra, delay = era, minReadDelay
 		default:
 			sleep(g.ctx, delay)
 			delay = min(2*delay, maxReadDelay)
@@ -133,6 +136,9 @@
 	}
 }
 
+// noEra is not an era of the store.
+const noEra uint64 = math.MaxUint64
+
 func (g *Gateway) writeRecord() bool {
 	p := g.cluster.presence()
 	value, err := p.MarshalMsg(nil)
@@ -151,7 +157,7 @@
 // fewer than minEntryRecords other live entries either have a record or come before this entry by
 // name. known is false until the records have been read.
 func (g *Gateway) needsRecord() (needed, known bool) {
-	if _, loaded := g.state.readOffset(serving.TopicEntries); !loaded {
+	if _, loaded := g.state.readOffset(serving.TopicEntries); !loaded || g.state.isOfEarlierEra(serving.TopicEntries) {
 		return false, false
 	}
 	records := g.state.copyEntryPresences()
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
 
@@ -166,3 +167,21 @@
 	time.Sleep(time.Second)
 	g.Expect(c.store.readCount()-before).To(BeNumerically("<=", 4*len(c.entries)), "reads beside those of changes")
 }
+
+// Guards against a record of an entry that the store has lost and that the entry takes for written.
+func TestLostRecordOfAnEntryIsNeededAgain(t *testing.T) {
+	g := NewWithT(t)
+	gw := idleGateway("entry-000")
+	value, err := (&peers.Presence{Name: "entry-000", Incarnation: 1, PeerAddr: "entry-000:1"}).MarshalMsg(nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	gw.state.applyNewest(serving.TopicEntries, []serving.Record{{Key: "entry-000", Value: value, Offset: 1}}, 2, time.Now())
+	needed, _ := gw.needsRecord()
+	g.Expect(needed).To(BeFalse())
+	gw.state.applyNewest(serving.TopicConfig, nil, serving.PositionAt(1, 0), time.Now())
+	_, known := gw.needsRecord()
+	g.Expect(known).To(BeFalse(), "the records of this era have not been read")
+	gw.state.applyNewest(serving.TopicEntries, nil, serving.PositionAt(1, 0), time.Now())
+	needed, known = gw.needsRecord()
+	g.Expect(known).To(BeTrue())
+	g.Expect(needed).To(BeTrue())
+}
