Agents renew the cost model of their engines, and never take an older one

One that starts while the store has an older copy would plan maps by that copy's cost model for good.

Change: the leader of a group reads it again every 30 s, beside its rounds, and keeps the version that it has if the store's is lower; a list of targets of an earlier era of the store is refused. Cost: one call in 30 s for each group.

Measured: TestCostModelIsRenewedAndNeverReverts; it can't be written against the code before, which never read the model again. Tests of lockstep pass.

--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -19,11 +19,20 @@
 	members              map[string]*member // engines of the service by address
 	nextRead             time.Time          // earliest time of the next read of the store
 	readsWhileIncomplete int                // reads of the store since all ranks were last seen
-	model                *serving.EngineModel
-	eventGapObjective    time.Duration // longest gap between two events with which a stream of the service is on time
-	ranksMissing         bool          // the latest collect did not find all ranks
-	lastSearch           time.Time     // when members of other groups were last asked whether they have joined this one
-	failedSearches       int           // consecutive searches that did not find all ranks
+	costModel
+	modelReads     chan costModel // result of a read of the cost model that runs beside the rounds; nil: none runs
+	targetsEnd     serving.Position
+	ranksMissing   bool      // the latest collect did not find all ranks
+	lastSearch     time.Time // when members of other groups were last asked whether they have joined this one
+	failedSearches int       // consecutive searches that did not find all ranks
+}
+
+// costModel is what the configuration says of the service of a group.
+type costModel struct {
+	model             *serving.EngineModel
+	eventGapObjective time.Duration // longest gap between two events with which a stream of the service is on time
+	version           uint64        // version of the configuration
+	readAt            time.Time
 }
 
 func newGroup(a *Agent) *group { return &group{a: a, members: make(map[string]*member)} }
@@ -50,10 +59,42 @@
 	if g.model != nil {
 		return
 	}
-	if err := g.readModel(); err != nil {
+	read, err := g.a.readCostModel()
+	if err != nil {
 		g.nextRead = now.Add(failedReadInterval)
 		g.a.opts.Log.Info("reading the cost model failed", "error", err.Error())
+		return
 	}
+	g.costModel = read
+}
+
+// modelTTL is how long a cost model is used before it is read again. A store that has come back from
+// an older copy has an older configuration until the operator has written the lost one again.
+const modelTTL = 30 * time.Second
+
+// renewModel reads the cost model again once it is older than modelTTL. The read runs beside the
+// rounds of the leader, as it may last long while the store is slow or down.
+func (g *group) renewModel(now time.Time) {
+	select {
+	case read := <-g.modelReads:
+		g.modelReads, g.readAt = nil, now
+		if read.model != nil && read.version >= g.version {
+			g.costModel = read
+		}
+	default:
+	}
+	if g.model == nil || g.modelReads != nil || now.Sub(g.readAt) < modelTTL {
+		return
+	}
+	results := make(chan costModel, 1)
+	g.modelReads = results
+	g.a.tasks.Go(func() {
+		read, err := g.a.readCostModel()
+		if err != nil {
+			g.a.opts.Log.Info("reading the cost model failed", "error", err.Error())
+		}
+		results <- read
+	})
 }
 
 // Intervals between reads of the store.
@@ -66,10 +107,14 @@
 )
 
 func (g *group) readTargets(now time.Time) error {
-	records, _, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicTargets)
+	records, end, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicTargets)
 	if err != nil {
 		return err
 	}
+	if serving.EraOf(end) < serving.EraOf(g.targetsEnd) {
+		return serving.ErrEarlierEra
+	}
+	g.targetsEnd = end
 	listed := make(map[string]bool)
 	for _, rec := range records {
 		if len(rec.Value) == 0 {
@@ -123,25 +168,27 @@
 	g.members[address] = m
 }
 
-func (g *group) readModel() error {
-	records, _, err := g.a.opts.Store.Newest(g.a.ctx, serving.TopicConfig)
+// readCostModel reads the cost model from the store. It is empty if the store has none.
+func (a *Agent) readCostModel() (read costModel, err error) {
+	records, _, err := a.opts.Store.Newest(a.ctx, serving.TopicConfig)
 	if err != nil {
-		return err
+		return read, err
 	}
+	read.readAt = time.Now()
 	for _, rec := range records {
-		c, ok, err := g.a.opts.DecodeConfig(rec.Key, rec.Value)
+		c, ok, err := a.opts.DecodeConfig(rec.Key, rec.Value)
 		if err != nil {
-			return err
+			return read, err
 		}
 		if !ok {
 			continue
 		}
 		index := serving.NewIndex(c)
-		if s := index.Service(g.a.opts.Service); s != nil {
-			g.model, g.eventGapObjective = s.Engine, index.EventGapObjective(g.a.opts.Service)
+		if s := index.Service(a.opts.Service); s != nil {
+			read.model, read.eventGapObjective, read.version = s.Engine, index.EventGapObjective(a.opts.Service), c.Version
 		}
 	}
-	return nil
+	return read, nil
 }
 
 // collectFunc asks one member for its state.
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -81,6 +81,7 @@
 	if len(l.group.members) < own.Ranks || l.group.model == nil {
 		l.group.refresh()
 	}
+	l.group.renewModel(startedAt)
 	l.group.addMember(l.a.opts.EngineAddr)
 	ranks, complete := l.group.collect(own.Group, &peers.Collect{
 		Counts: l.wantsCounts(),
--- a/lockstep/leader_test.go
+++ b/lockstep/leader_test.go
@@ -191,3 +191,41 @@
 		g.Expect(reportedRanks).To(Equal(ranks))
 	})
 }
+
+// The store comes back from an older copy while an agent starts. The group must not stay with the
+// older cost model, nor go back to it later, and its rounds must not wait for the store.
+func TestCostModelIsRenewedAndNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(newSimGroup(4, 1, 8, 1))
+		a := f.agents[0]
+		version := uint64(5)
+		a.opts.DecodeConfig = func(string, []byte) (serving.Config, bool, error) {
+			c := simConfig(f.group)
+			c.Version, c.Services[0].Engine.Slots = version, int(version)
+			return c, true, nil
+		}
+		group := newGroup(a)
+		group.refresh()
+		g.Expect(group.model.Slots).To(Equal(5))
+		renew := func() {
+			time.Sleep(modelTTL)
+			started := time.Now()
+			group.renewModel(started)
+			g.Expect(time.Since(started)).To(BeZero())
+			time.Sleep(time.Second)
+			group.renewModel(time.Now())
+		}
+		version = 9
+		renew()
+		g.Expect(group.model.Slots).To(Equal(9))
+		version = 7
+		renew()
+		g.Expect(group.model.Slots).To(Equal(9))
+		f.storeDown.Store(true)
+		renew()
+		g.Expect(group.model.Slots).To(Equal(9))
+		a.cancel()
+		a.tasks.Wait()
+	})
+}
