Soak: the store comes back from older copies; accepted configurations are checked

Two of twenty faults take the store away for a moment and bring it back from a copy up to 8 s old; the operator writes its lost records again up to 1.5 s later and otherwise keeps ordering and withdrawing the evacuation of a zone without targets. Callers also send to the route that only the newest configuration has. A 404 there 2 s after the configuration was accepted is a violation, unless the entry, its connection to the store or the store was disturbed since; one configuration is published when the store has been stable for 3 s after the last fault, so the time without faults is 7 s.

--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +55,49 @@
 	return n
 }
 
+// configApplyTime is the time after which an accepted configuration must be in force; it is in the
+// settings of the processes.
+const configApplyTime = drainSeconds * time.Second
+
+// configViolations lists the requests that an entry refused because it did not know the route of an
+// accepted configuration. The rules excuse entries that were disturbed since, and all while the store
+// was.
+func (f *fleet) configViolations(records []Record) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var violations []string
+	for i := range records {
+		rec := &records[i]
+		accepted := rec.Config.AcceptedAt
+		if rec.Status != http.StatusNotFound || rec.Sent.Sub(accepted) < configApplyTime || f.isReplaced(rec.Config, rec.Sent) {
+			continue
+		}
+		e := f.entryAt(rec.Entry)
+		if f.s.disturbances.any(accepted, rec.Sent, rec.Entry, f.store, e.proxy) {
+			continue
+		}
+		violations = append(violations, fmt.Sprintf("%s: %s does not know configuration %d, accepted %s before", rec.ID, e.name, rec.Config.Version, rec.Sent.Sub(accepted).Round(time.Millisecond)))
+	}
+	return violations
+}
+
+// isReplaced reports whether another configuration was published before a request may have been
+// handled.
+func (f *fleet) isReplaced(c publishedConfig, sent time.Time) bool {
+	for _, other := range f.configs {
+		if other.Version > c.Version && other.AcceptedAt.Before(sent.Add(callTimeout)) {
+			return true
+		}
+	}
+	return false
+}
+
+// entryAt returns the entry with an address for callers.
+func (f *fleet) entryAt(address string) *entryProc {
+	i := slices.IndexFunc(f.entries, func(e *entryProc) bool { return e.address(portCallers) == address })
+	return f.entries[i]
+}
+
 // disturbances records when entries and connections were disturbed by faults.
 type disturbances struct {
 	mu    sync.Mutex
@@ -76,7 +121,20 @@
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		span.to = time.Now().Add(disturbanceMargin)
+		if span.to.IsZero() {
+			span.to = time.Now().Add(disturbanceMargin)
+		}
+	}
+}
+
+// endOf ends the disturbances of a subject after a time.
+func (d *disturbances) endOf(subject any, after time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, span := range d.spans {
+		if span.subject == subject && span.to.IsZero() {
+			span.to = time.Now().Add(after)
+		}
 	}
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,7 +43,7 @@
 		}
 		if len(addresses) > 0 {
 			id := fmt.Sprintf("r%d-%d", caller, n)
-			s.checker.recordResponse(sendRequest(transport, addresses[rng.IntN(len(addresses))], id, kind(rng.IntN(int(numKinds)))))
+			s.checker.recordResponse(s.sendRequest(transport, addresses[rng.IntN(len(addresses))], id, kind(rng.IntN(int(numKinds)))))
 		}
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanCallPause))))
 	}
@@ -58,10 +58,15 @@
 }
 
 // sendRequest sends one request and returns a Record of the request and its response.
-func sendRequest(t *http.Transport, address, id string, k kind) Record {
-	rec := Record{ID: id, Kind: k, Sent: time.Now()}
+func (s *soak) sendRequest(t *http.Transport, address, id string, k kind) Record {
+	rec := Record{ID: id, Kind: k, Entry: address, Sent: time.Now()}
+	path := paths[k]
+	if k == configured {
+		rec.Config = s.fleet.newestConfig()
+		path = rec.Config.path()
+	}
 	rec.Response = standin.Send(t, address, standin.Request{
-		Host: host, Path: paths[k] + "x", ID: id, Key: key, Timeout: callTimeout, Stream: k == stream,
+		Host: host, Path: path + "x", ID: id, Key: key, Timeout: callTimeout, Stream: k == stream,
 	})
 	return rec
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -12,22 +12,27 @@
 // Record is one request with the response that the caller received.
 type Record struct {
 	standin.Response
-	ID   string
-	Kind kind
-	Sent time.Time
+	ID    string
+	Kind  kind
+	Entry string // address of the entry
+	Sent  time.Time
+	// Config is the configuration whose route the request uses, if its kind is configured.
+	Config publishedConfig
 }
 
-// kind is the kind of a request: non-idempotent, idempotent or a stream.
+// kind is the kind of a request: non-idempotent, idempotent, a stream, or an idempotent request to a
+// route that only the newest configuration has.
 type kind uint8
 
 const (
 	nonIdempotent kind = iota
 	idempotent
 	stream
+	configured
 	numKinds
 )
 
-func (k kind) String() string { return [...]string{"once", "idempotent", "stream"}[k] }
+func (k kind) String() string { return [...]string{"once", "idempotent", "stream", "configured"}[k] }
 
 // checker collects the responses that callers received and the requests that targets
 // ran, and compares the two after the run.
@@ -59,6 +64,19 @@
 	c.records = append(c.records, r)
 }
 
+// recordsOf returns the records of one kind of request.
+func (c *checker) recordsOf(k kind) []Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Record
+	for _, rec := range c.records {
+		if rec.Kind == k {
+			list = append(list, rec)
+		}
+	}
+	return list
+}
+
 // meansNotRun reports whether an HTTP status guarantees that the request did not run.
 func meansNotRun(status int) bool {
 	switch status {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -23,7 +24,7 @@
 	target := s.rng.IntN(64)
 	duration := minFaultDuration + time.Duration(s.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 	s.faults++
-	switch s.rng.IntN(18) {
+	switch s.rng.IntN(20) {
 	case 0:
 		ended := s.disturbances.begin(e.address(portCallers))
 		s.injectFor("suspend "+e.name, duration, func() { e.signal(syscall.SIGSTOP) }, func() {
@@ -47,11 +48,12 @@
 		s.logEvent("store trims its history")
 		s.fleet.store.TrimHistory()
 	case 8:
-		s.injectProxyFault(e.proxy, e.name+" cut off from the store", duration, proxyFaults{Refuse: true, Blackhole: true})
+		s.injectStoreProxyFault(e, " cut off from the store", duration, proxyFaults{Refuse: true, Blackhole: true})
 	case 9:
-		s.injectProxyFault(e.proxy, e.name+" receives nothing from the store", duration, proxyFaults{DropReplies: true, Delay: 5 * time.Millisecond})
+		s.injectStoreProxyFault(e, " receives nothing from the store", duration, proxyFaults{DropReplies: true, Delay: 5 * time.Millisecond})
 	case 10:
 		s.logEvent("reset %s's connections to the store", e.name)
+		s.disturbStore(e.proxy, 0)
 		e.proxy.reset()
 	case 11:
 		s.injectTargetFault(target, duration, standin.TargetFaults{DropResponse: 0.2, Truncate: 0.2, NotExecuted: 0.2, Fail: 0.1})
@@ -75,6 +77,8 @@
 		p := s.fleet.proxyOf(target)
 		s.disturbances.begin(p)()
 		p.reset()
+	case 18, 19:
+		s.injectRestore(duration)
 	}
 	select {
 	case <-ctx.Done():
@@ -160,7 +164,43 @@
 	})
 }
 
+// Parameters of restores of the store.
+const (
+	maxCopyAge      = 8 * time.Second
+	maxRewriteDelay = 1500 * time.Millisecond // until the operator has written its lost records again
+)
+
+// injectRestore takes the store away for a moment and brings it back from a copy some seconds old.
+func (s *soak) injectRestore(outage time.Duration) {
+	outage /= 4
+	age, rewriteAfter := time.Duration(s.rng.Int64N(int64(maxCopyAge))), time.Duration(s.rng.Int64N(int64(maxRewriteDelay)))
+	s.disturbStore(s.fleet.store, outage+rewriteAfter)
+	s.injectFor(fmt.Sprintf("store away, comes back from a copy %s old", age.Round(time.Millisecond)), outage,
+		func() { s.fleet.store.SetFaults(standin.StoreFaults{Down: true}) },
+		func() {
+			rewrite := s.fleet.restoreStore(age)
+			s.fleet.store.SetFaults(standin.StoreFaults{})
+			time.AfterFunc(rewriteAfter, rewrite)
+		})
+}
+
+// storeStabilityTime is the time after a disturbance of the store, or of the connection to it, in
+// which configurations may be in force late. Source: the platform's rule.
+const storeStabilityTime = 3 * time.Second
+
+// disturbStore records a disturbance of the store or of an entry's connection to it.
+func (s *soak) disturbStore(subject any, d time.Duration) {
+	time.AfterFunc(d+storeStabilityTime, s.disturbances.begin(subject))
+}
+
+// injectStoreProxyFault injects a fault between an entry and the store.
+func (s *soak) injectStoreProxyFault(e *entryProc, name string, d time.Duration, f proxyFaults) {
+	s.disturbStore(e.proxy, d)
+	s.injectProxyFault(e.proxy, e.name+name, d, f)
+}
+
 func (s *soak) injectStoreFault(name string, d time.Duration, f standin.StoreFaults) {
+	s.disturbStore(s.fleet.store, d)
 	s.injectFor(name, d, func() { s.fleet.store.SetFaults(f) }, func() { s.fleet.store.SetFaults(standin.StoreFaults{}) })
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,8 +80,9 @@
 }
 
 // faultFreePeriod is the time without faults at the end of a run. Requests sent in this
-// period show whether the system has recovered.
-const faultFreePeriod = 3 * time.Second
+// period show whether the system has recovered, and whether a configuration that is published
+// once the store is stable again comes into force in time.
+const faultFreePeriod = storeStabilityTime + configApplyTime + 2*time.Second
 
 func (s *soak) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Duration)
@@ -92,6 +93,7 @@
 		tasks.Go(func() { s.runCaller(ctx, i, seed) })
 	}
 	tasks.Go(func() { s.fleet.renewTargets(ctx) })
+	tasks.Go(func() { s.fleet.toggleOrders(ctx) })
 	end := s.startedAt.Add(s.opts.Duration - faultFreePeriod)
 	faultCtx, cancelFaults := context.WithDeadline(ctx, end)
 	defer cancelFaults()
@@ -108,7 +110,14 @@
 	}
 	statements.Wait()
 	s.fleet.clearFaults()
+	s.disturbances.endOf(s.fleet.store, storeStabilityTime)
+	for _, e := range s.fleet.entries {
+		s.disturbances.endOf(e.proxy, storeStabilityTime)
+	}
 	s.logEvent("no more faults")
+	sleep(ctx, storeStabilityTime+disturbanceMargin)
+	s.logEvent("new configuration")
+	s.fleet.publishConfig()
 	tasks.Wait()
 }
 
@@ -124,6 +133,7 @@
 	r.Seed, r.Faults = s.opts.Seed, s.faults
 	r.Violations = append(r.Violations, s.fleet.rateLimitViolations()...)
 	r.Violations = append(r.Violations, s.fleet.boundViolations()...)
+	r.Violations = append(r.Violations, s.fleet.configViolations(s.checker.recordsOf(configured))...)
 	fmt.Fprintf(out, "seed %d: %d requests, %d whole, %d refused, %d faults, %d broken promises\n",
 		r.Seed, r.Requests, r.Succeeded, r.Refused, r.Faults, len(r.Violations))
 	if len(r.Violations) == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 }
 
 func options(program string, seed uint64, out *strings.Builder) soak.Options {
-	return soak.Options{Program: program, Seed: seed, Duration: 12 * time.Second, Entries: 3, Targets: 3, Callers: 12, Out: out}
+	return soak.Options{Program: program, Seed: seed, Duration: 16 * time.Second, Entries: 3, Targets: 3, Callers: 12, Out: out}
 }
 
 // Entries are killed, the store fails and targets drop responses. No non-idempotent request may run
