A request released from the admission queue is queued again if targets have become free

Found by reading: a request that was released since all targets rested, and then found one free, was answered that the service has no target. Now it goes through admission again. Tests of gateway pass with the race detector.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -189,7 +189,7 @@
 	select {
 	case target := <-waiter.Granted():
 		if target == nil {
-			return nil, d.refuseIfResting()
+			return d.retryAdmission(ctx, queue)
 		}
 		return target, nil
 	case <-timer.C:
@@ -213,6 +213,17 @@
 	return nil, d.preferLastError(result.New(result.WaitTooLong, "no target accepted the request within %d ms", time.Since(d.r.arrived).Milliseconds()))
 }
 
+// retryAdmission handles a request that was released from the admission queue without a target: it
+// is refused, returns nil to wait for a permit, or is queued again if targets have become free
+// meanwhile.
+func (d *dispatch) retryAdmission(ctx context.Context, queue *placing.AdmissionQueue) (*serving.Target, *result.Error) {
+	if d.g.tracker.AllRateLimited(d.targets(), time.Now()) {
+		return nil, nil
+	}
+	d.r.placement.Requeued = true
+	return d.awaitAdmission(ctx, queue)
+}
+
 // allEvacuated reports whether there are targets and an operator has ordered to evacuate all of
 // them.
 func allEvacuated(targets []*serving.Target) bool {
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -341,7 +341,7 @@
 		}
 		c.stop()
 		g.Expect(calls).To(BeNumerically("<=", 2*minEntryRecords+maxRestoreReads))
-		g.Expect(cost.byteRate*5).To(BeNumerically("<=", maxStartBytes+maxStartTables*presenceBytes*size))
+		g.Expect(cost.byteRate * 5).To(BeNumerically("<=", maxStartBytes+maxStartTables*presenceBytes*size))
 	})
 }
 
