Agents of our own form keep to the rest that their target asks for

Change: the queue before the target sends nothing until the time has passed, whether a request is new or has waited in the queue; the entry gets 'target busy' with what is left, and tries another target.

Tests of agent and outcomes pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -121,6 +121,7 @@
 	}
 	a.startRank()
 	a.queue = newBackendQueue(o.Backend, o.Settings, a.reportToEntry)
+	a.queue.ignoreRest = o.Off.Rest
 	a.opts.Backend = a.queue
 	a.tasks.Go(a.acceptLoop)
 	a.tasks.Go(a.reportLoop)
--- a/agent/health.go
+++ b/agent/health.go
@@ -29,6 +29,7 @@
 		return
 	}
 	h.agent.log.Info("engine down")
+	h.agent.queue.endRest()
 	h.reportToAll()
 	go h.probeUntilUp()
 }
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,9 +21,11 @@
 	backend    outside.Backend
 	start      time.Time
 	onRejected func(entry string) // called with the name of the entry whose request was rejected
+	ignoreRest bool               // tests only: send requests to a resting backend
 
 	mu        sync.Mutex
 	admission *route.TargetQueue
+	restUntil time.Time // end of the rest that the backend has asked for
 }
 
 func newBackendQueue(b outside.Backend, s settings.Agent, onRejected func(entry string)) *backendQueue {
@@ -47,15 +51,60 @@
 	if err != nil {
 		return nil, &outside.SendError{MayHaveRun: false, Err: err}
 	}
+	if err := q.checkRest(time.Now()); err != nil {
+		slot.finish(false)
+		return nil, &outside.SendError{MayHaveRun: false, Err: err}
+	}
 	reply, err := q.backend.Run(ctx, call)
 	if err != nil {
 		slot.finish(false)
 		return nil, err
 	}
+	q.recordRest(reply, time.Now())
 	reply.Body = &countedBody{ReadCloser: reply.Body, slot: slot}
 	return reply, nil
 }
 
+// checkRest returns the error for a request while the backend rests.
+func (q *backendQueue) checkRest(now time.Time) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	rest := q.restUntil.Sub(now)
+	if rest <= 0 || q.ignoreRest {
+		return nil
+	}
+	err := result.New(result.TargetBusy, "the target has asked for rest, %s are left", rest.Round(time.Millisecond))
+	err.RetryAfter = rest
+	return err
+}
+
+// recordRest records that the backend asks for rest: it rejects a request with a Retry-After.
+func (q *backendQueue) recordRest(reply *outside.Reply, now time.Time) {
+	if reply.Status != http.StatusServiceUnavailable {
+		return
+	}
+	seconds, err := strconv.ParseFloat(outside.Header(reply.Headers, "Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return
+	}
+	rest := time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if until := now.Add(rest); until.After(q.restUntil) {
+		q.restUntil = until
+	}
+}
+
+// maxRest is the longest rest; a backend that asks for more gets requests again after this time.
+const maxRest = 24 * time.Hour
+
+// endRest forgets the rest of a backend that has ended.
+func (q *backendQueue) endRest() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.restUntil = time.Time{}
+}
+
 func (q *backendQueue) now() time.Duration { return time.Since(q.start) }
 
 // acquire waits until the request may run.
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -21,6 +21,7 @@
 	down   bool
 	active int           // calls in progress
 	resume chan struct{} // non-nil while stalled; closed at the end of the stall
+	rest   restState     // has its own lock
 }
 
 // NewPlain returns a stand-in without entries.
@@ -48,6 +49,12 @@
 	})
 }
 
+// SetRest makes the service reject calls and ask for rest in each reply; 0 ends it.
+func (p *Plain) SetRest(rest time.Duration) { p.rest.set(rest) }
+
+// Rests returns the rests that the service has asked for.
+func (p *Plain) Rests() []Rest { return p.rest.all() }
+
 // Active returns the number of calls in progress.
 func (p *Plain) Active() int {
 	p.mu.Lock()
@@ -77,6 +84,9 @@
 	if down {
 		return nil, &outside.SendError{MayHaveRun: false, Err: errEngineDown}
 	}
+	if reply := p.rest.reject(); reply != nil {
+		return reply, nil
+	}
 	p.update(func() { p.active++ })
 	defer p.update(func() { p.active-- })
 	if err := p.awaitTurn(ctx); err != nil {
--- a/internal/safeguard/safeguard.go
+++ b/internal/safeguard/safeguard.go
@@ -9,6 +9,7 @@
 	Deduplication    bool // agent: keep the deduplication table of idempotency keys
 	DispatchCheck    bool // agent: ask the entries that may have dispatched an unknown key
 	EntryList        bool // agent: also ask the entries that have no connection to the agent
+	Rest             bool // agent: send nothing to a target that has asked for rest
 	Incarnation      bool // agent: refuse requests sent to an earlier incarnation
 	DispatchLog      bool // entry: record dispatches and report them to agents that ask
 	Supersede        bool // entry: send nothing to an agent that a newer one of the same target supersedes
--- a/outcomes/check.go
+++ b/outcomes/check.go
@@ -20,6 +20,13 @@
 	RuleCompleteAnswer = "a whole answer is what the target produced for this caller"
 	RuleDeadline       = "nothing goes on past its deadline"
 	RuleTerminates     = "every request ends"
+	RuleRest           = "a target that has asked for rest gets no requests"
+)
+
+// Limits on the calls that a resting target may get. Calls may be on their way when it asks for rest.
+const (
+	restReactionTime = 500 * time.Millisecond
+	maxCallsInRest   = 2
 )
 
 // deadlineSlack is the time after the deadline within which a response must have
@@ -35,6 +42,7 @@
 	c.checkNotRun()
 	c.checkCompleteAnswers()
 	c.checkDeadlines()
+	c.checkRests()
 	return c.violations
 }
 
@@ -103,6 +111,22 @@
 	}
 }
 
+func (c *checker) checkRests() {
+	for target, rests := range c.history.Rests {
+		for _, r := range rests {
+			n := 0
+			for _, at := range r.Arrivals {
+				if at.Sub(r.From) > restReactionTime {
+					n++
+				}
+			}
+			if n > maxCallsInRest {
+				c.addViolation(RuleRest, "%s asked for %s of rest and got %d calls in it", target, r.Until.Sub(r.From), n)
+			}
+		}
+	}
+}
+
 func (c *checker) checkDeadlines() {
 	for _, i := range c.history.Invocations {
 		switch {
--- a/outcomes/faults.go
+++ b/outcomes/faults.go
@@ -28,6 +28,7 @@
 	FaultVMReplaced    Fault = "target VM replaced"
 	FaultDrain         Fault = "target drained and replaced"
 	FaultEntryDrain    Fault = "entry drained and replaced"
+	FaultRest          Fault = "target asks for rest"
 	FaultTargetChange  Fault = "configuration changes the targets"
 	FaultCrashRequest  Fault = "a request crashes its targets"
 )
@@ -85,6 +86,8 @@
 		w.must(w.startEntry(entryIdx))
 		time.Sleep(duration)
 		w.Log.SetFaults(fake.LogFaults{})
+	case FaultRest:
+		w.rest(targetName, duration, rng)
 	case FaultTargetChange:
 		w.mu.Lock()
 		spare := !w.hasSpare
@@ -163,6 +166,17 @@
 	w.must(w.startAgent(targetName))
 }
 
+// rest makes a plain target reject calls for a time and ask for a rest of up to twice that time.
+func (w *World) rest(targetName string, rejecting time.Duration, rng *rand.Rand) {
+	t := w.targets[targetName]
+	if t.plain == nil {
+		return
+	}
+	t.plain.SetRest(time.Duration(1 + rng.Int64N(int64(2*rejecting))))
+	time.Sleep(rejecting)
+	t.plain.SetRest(0)
+}
+
 func (w *World) drainEntry(i int) {
 	w.mu.Lock()
 	w.entries[i].leaving = true
--- a/outcomes/history.go
+++ b/outcomes/history.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/heatherrail/heatherrail/internal/fake"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 )
@@ -50,6 +51,7 @@
 	mu          sync.Mutex
 	Invocations []*Invocation
 	Executions  []*Execution
+	Rests       map[string][]fake.Rest // by target
 }
 
 func (h *History) addInvocation(i *Invocation) {
--- a/outcomes/run.go
+++ b/outcomes/run.go
@@ -21,7 +21,8 @@
 	Logger   logr.Logger
 }
 
-// PlanForSeed returns the plan of a seed, with one or two faults.
+// PlanForSeed returns the plan of a seed, with one or two faults. In one plan of four, targets also
+// ask for rest.
 func PlanForSeed(seed uint64) Plan {
 	rng := newRand(seed, seed)
 	p := Plan{Seed: seed, Callers: 5, Duration: 6 * time.Second, Logger: logr.Discard()}
@@ -29,6 +30,9 @@
 	if rng.IntN(3) > 0 {
 		p.Faults = append(p.Faults, Faults[rng.IntN(len(Faults))])
 	}
+	if rng.IntN(4) == 0 {
+		p.Faults = append(p.Faults, FaultRest)
+	}
 	return p
 }
 
@@ -60,6 +64,7 @@
 	}
 	callers.Wait()
 	faults.Wait()
+	w.recordRests()
 	w.Close()
 	return w, nil
 }
--- a/outcomes/safeguards_test.go
+++ b/outcomes/safeguards_test.go
@@ -31,6 +31,7 @@
 		{"superseded agent", safeguard.Off{Supersede: true}, safeguard.Off{}, RuleAtMostOnce, runOldAndNewAgent},
 		{"unknown outcome of an earlier attempt", safeguard.Off{UncertainOutcome: true}, safeguard.Off{}, RuleNotRun, loseAgentsAfterDispatch},
 		{"deadline", safeguard.Off{Deadline: true}, safeguard.Off{}, RuleDeadline, stallEngines},
+		{"rest", safeguard.Off{Rest: true}, safeguard.Off{}, RuleRest, sendToRestingTargets},
 		{"continuation", safeguard.Off{Continue: true}, safeguard.Off{}, RuleCompleteAnswer, killEngineInStream},
 	}
 	for _, tc := range cases {
@@ -47,6 +48,7 @@
 		w, err := NewWorld(Options{Engines: 2, PlainTargets: 3, Entries: 2, Latency: time.Millisecond, Off: off, Logger: logr.Discard()})
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		scenario(w)
+		w.recordRests()
 		w.Close()
 		time.Sleep(time.Minute)
 		for _, v := range Check(w.History) {
@@ -115,6 +117,19 @@
 	old.Close()
 }
 
+// sendToRestingTargets sends requests while all plain targets ask for rest.
+func sendToRestingTargets(w *World) {
+	for _, name := range w.targetNames() {
+		if t := w.targets[name]; t.plain != nil {
+			t.plain.SetRest(3 * time.Second)
+		}
+	}
+	for n := range 40 {
+		w.send("team-0", n%2, plainJob(fmt.Sprint(n)), 0)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func stallEngines(w *World) {
 	w.targets["prog-llm-1"].engine.Stall(true)
 	w.targets["prog-llm-2"].engine.Stall(true)
--- a/outcomes/world.go
+++ b/outcomes/world.go
@@ -302,6 +302,18 @@
 
 const logRetryPause = 100 * time.Millisecond
 
+// recordRests adds the rests of all targets to the history.
+func (w *World) recordRests() {
+	w.History.mu.Lock()
+	defer w.History.mu.Unlock()
+	w.History.Rests = make(map[string][]fake.Rest)
+	for name, t := range w.targets {
+		if t.plain != nil {
+			w.History.Rests[name] = t.plain.Rests()
+		}
+	}
+}
+
 // Close stops all processes and waits for them.
 func (w *World) Close() {
 	w.mu.Lock()
