--- a/demo/hosted/fleet.go
+++ b/demo/hosted/fleet.go
@@ -168,10 +168,12 @@
 		f.publishTarget(e.ID, standin.TargetRecord{Service: draftService, Address: address})
 		engines = append(engines, address)
 	}
+	listeners, err := listenOnOnePort(engines)
+	if err != nil {
+		return err
+	}
 	for n, address := range engines {
-		if err := f.startAgent(n, address); err != nil {
-			return err
-		}
+		f.startAgent(n, address, listeners[n])
 	}
 	for n := range plainTargetCount {
 		id := fmt.Sprintf("logbook-%d", n)
@@ -199,19 +201,51 @@
 	})
 }
 
-// startAgent starts the agent of an engine, on the IP address of the engine.
-func (f *Fleet) startAgent(n int, engine string) error {
-	ip, _, err := net.SplitHostPort(engine)
-	if err != nil {
-		return err
-	}
-	ln, err := net.Listen("tcp", net.JoinHostPort(ip, f.agentPort))
-	if err != nil {
-		return err
+// maxPortAttempts is how many ports are tried until one is free on all addresses. Other processes
+// may use the same loopback addresses.
+const maxPortAttempts = 50
+
+// listenOnOnePort listens on the IP addresses of the given addresses, with the same port on each.
+func listenOnOnePort(addresses []string) (listeners []net.Listener, err error) {
+	for range maxPortAttempts {
+		if listeners, err = tryOnePort(addresses); err == nil {
+			return listeners, nil
+		}
 	}
-	if f.agentPort == "" {
-		_, f.agentPort, _ = net.SplitHostPort(ln.Addr().String()) // the address of a listener is always valid
+	return nil, err
+}
+
+// tryOnePort listens on the first IP address with a port from the system, and on the others with the
+// same port.
+func tryOnePort(addresses []string) (listeners []net.Listener, err error) {
+	defer func() {
+		if err != nil {
+			for _, ln := range listeners {
+				err = errors.Join(err, ln.Close())
+			}
+		}
+	}()
+	port := "0"
+	for _, address := range addresses {
+		ip, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return listeners, err
+		}
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+		if err != nil {
+			return listeners, err
+		}
+		listeners = append(listeners, ln)
+		if _, port, err = net.SplitHostPort(ln.Addr().String()); err != nil {
+			return listeners, err
+		}
 	}
+	return listeners, nil
+}
+
+// startAgent starts the agent of an engine.
+func (f *Fleet) startAgent(n int, engine string, ln net.Listener) {
+	_, f.agentPort, _ = net.SplitHostPort(ln.Addr().String()) // the address of a listener is always valid
 	f.agents = append(f.agents, lockstep.Start(lockstep.Options{
 		VM:              fmt.Sprintf("rank-%d", n),
 		Engine:          platform.NewLocalEngine(engine),
@@ -227,7 +261,6 @@
 		Log:             f.log,
 		Metrics:         metrics.New(),
 	}, ln))
-	return nil
 }
 
 func (f *Fleet) startEntry(n int) error {
