A run that ended hides no target when the store comes back from a copy with both

Found by reading: of two records with one address the later one counts, and a record of the copy has a later position than one of the era before. A run that had ended before an entry knew of it would have hidden the target at its address for the seconds until its record lapses.

Change: a record that the new era holds unchanged gets its position there, so the copy's own order decides.

--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -185,3 +185,18 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(needed).To(BeTrue())
 }
+
+// Guards against a run that ended before an entry knew of it, and that hides the target which has
+// taken its address when the store comes back from a copy with both.
+func TestEndedRunInOlderCopyHidesNoTarget(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := testReplicaState()
+	s.applyNewest(serving.TopicConfig, []serving.Record{inEra(0, 3, "config", olderConfig)}, 4, now)
+	s.applyNewest(serving.TopicTargets, []serving.Record{inEra(0, 8, "new", `{"Service":"plain","Address":"a","Sequence":1}`)}, 9, now)
+	s.applyNewest(serving.TopicTargets, []serving.Record{
+		inEra(1, 2, "ended", `{"Service":"plain","Address":"a","Sequence":5}`),
+		inEra(1, 6, "new", `{"Service":"plain","Address":"a","Sequence":1}`),
+	}, serving.PositionAt(1, 7), now)
+	g.Expect(available(s)).To(ConsistOf("new"))
+}
--- a/serving/replica.go
+++ b/serving/replica.go
@@ -110,8 +110,8 @@
 
 // NewReplica returns an empty replica. equivalent reports whether two records of a key
 // have the same meaning, as with records that a target writes only as heartbeats. A
-// record that is equivalent to the known one is not a change and is not sent to peers.
-// If equivalent is nil, every record is a change.
+// record that is equivalent to the known one of the same era is not a change and is not
+// sent to peers. If equivalent is nil, every record is a change.
 func NewReplica(equivalent func(key string, old, new []byte) bool) *Replica {
 	return &Replica{equivalent: equivalent, records: make(map[string]Record)}
 }
@@ -180,10 +180,7 @@
 	case EraOf(known.Offset) != EraOf(rec.Offset) && r.isOlder(known, rec):
 	case known.Offset >= rec.Offset:
 		return false
-	case r.isEquivalent(known, rec):
-		if EraOf(known.Offset) < EraOf(rec.Offset) {
-			r.records[rec.Key] = rec // the store of the new era holds the record, so it is not kept any longer
-		}
+	case r.isEquivalent(known, rec) && EraOf(known.Offset) == EraOf(rec.Offset):
 		return false
 	case len(known.Value) == 0 && r.policy.IgnoreRemoved && EraOf(known.Offset) < EraOf(rec.Offset) && rec.Offset < r.liveFrom:
 		return false
