Statements of leaving targets are gossiped for five seconds, then only now and then

Found by reading: sixteen statements went with each message for the five minutes that they are kept, so a release of many targets would have cost each entry some KB a second, where a node has five.

Change: what an entry has learnt within five seconds goes with each message, sixteen at most, and a sample of two older ones, so that an entry that has missed one gets it later; an entry that starts gets all.

--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -15,7 +15,7 @@
 	probe.RequestedTopics = c.requestTopics(name)
 	probe.FailureReports = c.failureReports()
 	probe.Rates = c.rateMessages(maxGossipStatements)
-	probe.Leavings = c.leavingMessages(maxGossipStatements)
+	probe.Leavings = c.leavingMessages(maxGossipStatements, maxGossipOldLeavings)
 	return func() { c.clearRequestedTopics(probe.RequestedTopics) }
 }
 
@@ -160,11 +160,11 @@
 		c.notify()
 	}
 	ack.Topics, ack.FailureReports = c.topicStates(), c.failureReports()
-	limit := maxGossipStatements
 	if probe.All {
-		limit = maxFullStateStatements
+		ack.Rates, ack.Leavings = c.rateMessages(maxFullStateStatements), c.leavingMessages(maxFullStateStatements, maxFullStateStatements)
+	} else {
+		ack.Rates, ack.Leavings = c.rateMessages(maxGossipStatements), c.leavingMessages(maxGossipStatements, maxGossipOldLeavings)
 	}
-	ack.Rates, ack.Leavings = c.rateMessages(limit), c.leavingMessages(limit)
 	for t := range serving.Topic(serving.NumTopics) {
 		if probe.RequestedTopics&(1<<t) != 0 && int(t) < len(probe.Topics) && hasMore(&ack.Topics[t], &probe.Topics[t]) {
 			ack.Updates = append(ack.Updates, c.topicUpdate(t, &probe.Topics[t]))
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -42,6 +42,7 @@
 // Limits on the number of statements of each kind in one message.
 const (
 	maxGossipStatements    = 16
+	maxGossipOldLeavings   = 2    // statements of leaving targets that other entries should know already
 	maxFullStateStatements = 2048 // limit of a message to an entry that asks for the full state
 )
 
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -316,6 +316,33 @@
 
 const idleMeasureTime = 6 * time.Second
 
+// Many targets have left in a release. Guards against idle traffic that grows with their number, and
+// against entries that do not learn of a target which tells only one of them.
+func TestScaleLeavingTargetsStayCheap(t *testing.T) {
+	forEachScale(t, func(t *testing.T, g *WithT, c *scaleCluster) {
+		c.start()
+		time.Sleep(startSettleTime)
+		first := c.entries[c.addresses[0]].gw
+		for n := range scaleTargets / 4 {
+			now := time.Now()
+			first.applyLeaving(placing.Leaving{Run: serving.Run{ID: fmt.Sprintf("i%d", n)}, SaidAt: now}, now)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		for _, e := range c.entries {
+			for n := range scaleTargets / 4 {
+				target := &serving.Target{ID: fmt.Sprintf("i%d", n)}
+				g.Expect(e.gw.tracker.Accepts(target, time.Now())).To(BeFalse(), "%s at %s", target.ID, e.gw.opts.Name)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		cost := c.measure(idleMeasureTime)
+		t.Logf("per entry and second: %.0f bytes", cost.byteRate)
+		c.stop()
+		g.Expect(cost.byteRate).To(BeNumerically("<=", 5000))
+	})
+}
+
 // The store comes back from a copy that lacks a configuration, targets and most records of entries.
 // Guards against entries that each read it anew or write their records anew, and against a
 // configuration that is in force late at any size.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -30,12 +30,12 @@
 	g.cluster.notify()
 }
 
-// leavingMessages returns the statements of at most limit targets that they leave, for other
-// entries.
-func (c *cluster) leavingMessages(limit int) []peers.Leaving {
+// leavingMessages returns statements of targets that they leave, for other entries; see
+// placing.Tracker.Leavings.
+func (c *cluster) leavingMessages(fresh, older int) []peers.Leaving {
 	now := time.Now()
 	var messages []peers.Leaving
-	for _, l := range c.g.tracker.Leavings(limit, now) {
+	for _, l := range c.g.tracker.Leavings(fresh, older, now) {
 		messages = append(messages, peers.Leaving{Target: l.Run.ID, StartedAtMS: l.Run.StartedAtMS, AgeMS: ageMS(l.SaidAt, now)})
 	}
 	return messages
--- a/placing/leaving.go
+++ b/placing/leaving.go
@@ -56,32 +56,32 @@
 	}
 }
 
-// Leavings returns at most count statements for other entries, see newestAndSample.
-func (tr *Tracker) Leavings(count int, now time.Time) []Leaving {
+// leavingSpreadTime is the time within which a statement reaches all entries. Later it is sent only
+// now and then, to entries that have missed it: many targets leave within leavingTTL in a release.
+const leavingSpreadTime = 5 * time.Second
+
+// Leavings returns statements for other entries: at most fresh of those that this entry has learnt
+// within leavingSpreadTime, the newest first, and a random sample of at most older others.
+func (tr *Tracker) Leavings(fresh, older int, now time.Time) []Leaving {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	var runs []serving.Run
+	var newRuns, oldRuns []serving.Run
 	for run, l := range tr.stated.leavings {
-		if now.Sub(l.saidAt) < leavingTTL {
-			runs = append(runs, run)
+		switch {
+		case now.Sub(l.saidAt) >= leavingTTL:
+		case now.Sub(l.learntAt) < leavingSpreadTime:
+			newRuns = append(newRuns, run)
+		default:
+			oldRuns = append(oldRuns, run)
 		}
 	}
+	slices.SortFunc(newRuns, func(x, y serving.Run) int {
+		return tr.stated.leavings[y].learntAt.Compare(tr.stated.leavings[x].learntAt)
+	})
+	tr.rng.Shuffle(len(oldRuns), func(i, j int) { oldRuns[i], oldRuns[j] = oldRuns[j], oldRuns[i] })
 	var list []Leaving
-	for _, run := range tr.newestAndSample(runs, func(run serving.Run) time.Time { return tr.stated.leavings[run].learntAt }, count) {
+	for _, run := range append(newRuns[:min(len(newRuns), fresh)], oldRuns[:min(len(oldRuns), older)]...) {
 		list = append(list, Leaving{Run: run, SaidAt: tr.stated.leavings[run].saidAt})
 	}
 	return list
 }
-
-// newestAndSample returns at most count of the runs: half of them are the ones learnt most recently,
-// the rest is sampled anew on each call, so that an entry that has missed one gets it later. It
-// reorders runs. The lock must be held.
-func (tr *Tracker) newestAndSample(runs []serving.Run, learntAt func(serving.Run) time.Time, count int) []serving.Run {
-	if len(runs) <= count {
-		return runs
-	}
-	slices.SortFunc(runs, func(x, y serving.Run) int { return learntAt(y).Compare(learntAt(x)) })
-	older := runs[count/2:]
-	tr.rng.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
-	return runs[:count]
-}
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -145,7 +145,9 @@
 	ReportedAt time.Time
 }
 
-// RateLimits returns at most count of the known rate limits; see newestAndSample.
+// RateLimits returns at most count of the known rate limits. Half of them are the most recently
+// learnt ones; the rest is sampled anew on each call, so that an entry that has missed one gets it
+// later.
 func (tr *Tracker) RateLimits(count int) []ReportedRateLimit {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -153,7 +155,14 @@
 	for run := range tr.stated.byRun {
 		runs = append(runs, run)
 	}
-	runs = tr.newestAndSample(runs, func(run serving.Run) time.Time { return tr.stated.byRun[run].learntAt }, count)
+	if len(runs) > count {
+		slices.SortFunc(runs, func(x, y serving.Run) int {
+			return tr.stated.byRun[y].learntAt.Compare(tr.stated.byRun[x].learntAt)
+		})
+		older := runs[count/2:]
+		tr.rng.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+		runs = runs[:count]
+	}
 	list := make([]ReportedRateLimit, 0, len(runs))
 	for _, run := range runs {
 		known := tr.stated.byRun[run]
