A rest outlasts the record of its target

Cause: what targets state was forgotten with their records, and the store had not listed these targets for a moment. Class: a statement dropped with the record of its target.

Change: rests end by time only. The test of it fails before.

--- a/placing/rest_test.go
+++ b/placing/rest_test.go
@@ -35,15 +35,16 @@
 	g.Expect(tr.Place([]*serving.Target{resting}, accepting, now.Add(3*time.Second))).To(Equal(resting))
 }
 
-// Guards against a later response that shortens a rest, and against a rest that is dropped with the
-// statements of other targets or kept for another run.
+// Guards against a later response that shortens a rest, and against a rest that is dropped while the
+// store does not list the target or kept for another run.
 func TestRestEndsNoEarlierThanStated(t *testing.T) {
 	g := NewWithT(t)
 	tr, now := restTracker(), time.Unix(1000, 0)
 	resting, _ := restTargets()
 	tr.RecordRest(resting.Run(), 10*time.Second, now)
 	g.Expect(tr.RecordRest(resting.Run(), time.Second, now.Add(time.Second))).To(BeFalse())
-	tr.Prune(func(serving.Run) bool { return true }, now.Add(5*time.Second))
+	tr.Prune(allKnown, now.Add(4*time.Second))
+	tr.Prune(noneKnown, now.Add(5*time.Second))
 	g.Expect(tr.Accepts(resting, now.Add(9*time.Second))).To(BeFalse())
 	restarted := &serving.Target{ID: resting.ID, StartedAtMS: 7}
 	g.Expect(tr.Accepts(restarted, now.Add(time.Second))).To(BeTrue())
--- a/placing/statements.go
+++ b/placing/statements.go
@@ -34,7 +34,8 @@
 	s.pruneCold(known, now)
 	s.pruneLeavings(known, now)
 	maps.DeleteFunc(s.backoffs, func(run serving.Run, backoff permitBackoff) bool { return !known(run) || !now.Before(backoff.until) })
-	maps.DeleteFunc(s.rests, func(run serving.Run, until time.Time) bool { return !known(run) || now.Sub(until) > restRecovery })
+	// A rest is kept while its target is unknown: the store may have lost the target's record.
+	maps.DeleteFunc(s.rests, func(_ serving.Run, until time.Time) bool { return now.Sub(until) > restRecovery })
 	for run, limit := range s.byRun {
 		if !known(run) || limit.rate == Unlimited && now.Sub(limit.learntAt) > removedLimitTTL {
 			delete(s.byRun, run)
