What one copy of the store lacked returns with the next

The store came back from copies of before its first records several times within a second.

Cause: targets that the first copy lacked counted as removed, so that the next copies, which had them again, were not taken for news, until the time for their return was over, which had begun with the first of them. Class: absence in a copy taken for a removal.

Change: a record that the first copy of an era lacks is remembered apart from removals, and counts again once any later copy or writer has it, unless that is older. Each time the missing targets get the whole time anew.

--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -200,3 +200,23 @@
 	}, serving.PositionAt(1, 7), now)
 	g.Expect(available(s)).To(ConsistOf("new"))
 }
+
+// The store comes back from one copy that lacks all targets, and then from others, before an entry has
+// read a record that was written since. Guards against targets that count as removed although the
+// store lists them again.
+func TestTargetsReturnWithALaterCopy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := stateBeforeRestore(now)
+	s.applyNewest(serving.TopicTargets, nil, serving.PositionAt(1, 0), now)
+	s.applyNewest(serving.TopicTargets, []serving.Record{
+		inEra(2, 0, "stays", `{"Service":"plain","Address":"a","Sequence":5}`),
+		inEra(2, 1, "gone", `{"Service":"plain","Address":"c","Sequence":5}`),
+	}, serving.PositionAt(2, 2), now)
+	time.Sleep(serving.LapsedGrace / 2)
+	s.applyNewest(serving.TopicTargets, []serving.Record{inEra(3, 0, "stays", `{"Service":"plain","Address":"a","Sequence":5}`)}, serving.PositionAt(3, 2), time.Now())
+	time.Sleep(serving.LapsedGrace/2 + 10*time.Millisecond)
+	s.confirmComplete(serving.TopicTargets, serving.PositionAt(3, 2), time.Now())
+	s.expireTargets()
+	g.Expect(available(s)).To(ConsistOf("stays", "added"), "the last restore starts the time for missing targets anew")
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -216,6 +216,7 @@
 	}
 	if t == serving.TopicTargets {
 		s.outageEndedAt = time.Now()
+		s.targets.ExtendLapsed(s.outageEndedAt.Add(serving.LapsedGrace))
 	}
 	s.metrics.Count("store_restores", 1)
 	s.log.Info("store has come back from an older copy", "topic", t.String(), "era", serving.EraOf(end),
--- a/serving/replica.go
+++ b/serving/replica.go
@@ -71,7 +71,8 @@
 	equivalent func(key string, old, new []byte) bool
 	policy     RestorePolicy
 	records    map[string]Record
-	nextOffset Position // all records before this position are known
+	lost       map[string]Record // records that the copy with which an era began lacked, which does not show that they were removed
+	nextOffset Position          // all records before this position are known
 	// removalsKnownFrom is the position from which on this replica knows all removals. Earlier
 	// removals are unknown, because a snapshot does not contain the removals that happened
 	// before the snapshot was read.
@@ -113,7 +114,7 @@
 // record that is equivalent to the known one of the same era is not a change and is not
 // sent to peers. If equivalent is nil, every record is a change.
 func NewReplica(equivalent func(key string, old, new []byte) bool) *Replica {
-	return &Replica{equivalent: equivalent, records: make(map[string]Record)}
+	return &Replica{equivalent: equivalent, records: make(map[string]Record), lost: make(map[string]Record)}
 }
 
 // NewPermanentReplica returns an empty replica of a topic whose keys are never removed in an era.
@@ -173,6 +174,9 @@
 
 func (r *Replica) put(rec Record) bool {
 	known, ok := r.records[rec.Key]
+	if lost, isLost := r.lost[rec.Key]; isLost {
+		known, ok = lost, true
+	}
 	switch {
 	case !ok:
 	case EraOf(known.Offset) != EraOf(rec.Offset) && r.isOlder(rec, known):
@@ -186,6 +190,7 @@
 		return false
 	}
 	r.records[rec.Key] = rec
+	delete(r.lost, rec.Key)
 	return true
 }
 
@@ -209,7 +214,8 @@
 	if EraOf(end) < EraOf(r.nextOffset) {
 		return nil
 	}
-	if !r.loaded || EraOf(end) > EraOf(r.nextOffset) {
+	isNewEra := EraOf(end) > EraOf(r.nextOffset)
+	if !r.loaded || isNewEra {
 		r.liveFrom = liveFrom
 		r.removalsKnownFrom = max(r.removalsKnownFrom, PositionAt(EraOf(end), 0))
 	}
@@ -223,6 +229,10 @@
 			continue
 		}
 		changes = append(changes, r.remove(known))
+		if isNewEra {
+			delete(r.records, key)
+			r.lost[key] = known
+		}
 	}
 	r.nextOffset = max(r.nextOffset, end)
 	r.loaded = true
--- a/serving/targets.go
+++ b/serving/targets.go
@@ -112,6 +112,13 @@
 	return true
 }
 
+// ExtendLapsed gives all lapsed targets until a time to write their records again.
+func (s *TargetSet) ExtendLapsed(until time.Time) {
+	for id := range s.lapsed {
+		s.lapsed[id] = until
+	}
+}
+
 func (s *TargetSet) drop(id string) {
 	delete(s.byID, id)
 	delete(s.offsets, id)
