Readers wait a little after a read that must be repeated

Found by reading: a reader whose store answers in an earlier era than a peer has seen would have read in a loop.

--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -71,6 +71,9 @@
 			delay = minReadDelay
 			g.state.recordStoreSuccess()
 			g.cluster.notify()
+			if mustRead {
+				sleep(ctx, minReadDelay) // a store that answers in an earlier era than a peer has seen is not read in a loop
+			}
 		default:
 			g.opts.Metrics.Count("store_failures", 1)
 			g.state.recordStoreFailure(err)
