--- a/demo/hosted/statements_test.go
+++ b/demo/hosted/statements_test.go
@@ -9,8 +9,8 @@
 	"github.com/heatherrail/heatherrail/platform/standin"
 )
 
-// restReactionTime is the time after which a rest must hold, and maxSendsInRest the number of
-// requests that an entry may send in the rest of it. Source: the platform's rule.
+// A rest must hold after restReactionTime; an entry may send maxSendsInRest requests in what is left
+// of it. Source: the platform's rule.
 const (
 	restReactionTime = 500 * time.Millisecond
 	maxSendsInRest   = 2
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -56,9 +56,8 @@
 }
 
 const (
-	// restReactionTime is the time after which a rest must hold once a target has asked for it, and
-	// maxSendsInRest the number of requests that an entry may send in the rest of it. Source: the
-	// platform's rule.
+	// A rest must hold after restReactionTime; the entry may send maxSendsInRest requests in what is
+	// left of it. Source: the platform's rule.
 	restReactionTime = 500 * time.Millisecond
 	maxSendsInRest   = 2
 )
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -60,9 +60,8 @@
 	return ids
 }
 
-// Guards against an entry that goes back to what an older copy says: the configuration, an
-// evacuation, targets that leave or are gone; and against targets that it drops since the copy does
-// not have them yet.
+// Guards against an entry that goes back to a configuration, evacuation or target of an older copy,
+// and that drops targets which the copy lacks.
 func TestOlderCopyOfTheStoreRevertsNothing(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
@@ -93,8 +92,8 @@
 	g.Expect(available(s)).To(ConsistOf("stays"))
 }
 
-// Guards against an entry that starts after a restore, reads the older copy itself, and does not learn
-// from its peers what the store has lost; and against a peer of the earlier era that pulls it back.
+// Guards against an entry that starts with the older copy and does not learn from peers what the store
+// has lost, and against a peer of the earlier era that pulls it back.
 func TestEntryThatReadsTheOlderCopyLearnsOfLostRecords(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
@@ -201,9 +200,8 @@
 	g.Expect(available(s)).To(ConsistOf("new"))
 }
 
-// The store comes back from one copy that lacks all targets, and then from others, before an entry has
-// read a record that was written since. Guards against targets that count as removed although the
-// store lists them again.
+// Guards against targets that count as removed since one copy lacked them, although the next copy, which
+// comes before any new record, has them.
 func TestTargetsReturnWithALaterCopy(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -343,9 +343,8 @@
 	})
 }
 
-// The store comes back from a copy that lacks a configuration, targets and most records of entries.
-// Guards against entries that each read it anew or write their records anew, and against a
-// configuration that is in force late at any size.
+// Guards against entries that each read a restored store anew or write their records anew, and against
+// a configuration that is in force late in a large fleet.
 func TestScaleRestoreOfTheStoreStaysCheap(t *testing.T) {
 	forEachScale(t, func(t *testing.T, g *WithT, c *scaleCluster) {
 		c.start()
--- a/serving/restore_test.go
+++ b/serving/restore_test.go
@@ -72,9 +72,8 @@
 	return r
 }
 
-// The store comes back from older copies while replicas read it, start anew and update each other in
-// any order. Guards against a replica that goes back to an older value, and against replicas that
-// differ from the store once its writers have written again.
+// Guards against a replica that goes back to an older value when the store does, and against replicas
+// that differ from the store once its writers have written again.
 func TestReplicasFollowAStoreThroughRestores(t *testing.T) {
 	for seed := range uint64(200) {
 		g := NewWithT(t)
