Agents of our own form decode a rest as the hosted system does

Cause: the agent parsed the header itself, beside platform/answer.go, and took an infinite number.

The agent's parser and its bound are gone.

Measured: TestOnlyAValidRetryAfterAsksForRest fails on ("Inf": 1 request instead of 2) and passes now; the tests of agent and platform pass.

--- a/agent/queue.go
+++ b/agent/queue.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"io"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/heatherrail/heatherrail/outside"
+	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
@@ -78,16 +79,12 @@
 	return err
 }
 
-// recordRest records that the backend asks for rest: it rejects a request with a Retry-After.
+// recordRest records that the backend asks for rest.
 func (q *backendQueue) recordRest(reply *outside.Reply, now time.Time) {
-	if reply.Status != http.StatusServiceUnavailable {
-		return
-	}
-	seconds, err := strconv.ParseFloat(outside.Header(reply.Headers, "Retry-After"), 64)
-	if err != nil || !(seconds > 0) {
+	rest := platform.DecodeRest(reply.Status, []byte(outside.Header(reply.Headers, fasthttp.HeaderRetryAfter)))
+	if rest == 0 {
 		return
 	}
-	rest := time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if until := now.Add(rest); until.After(q.restUntil) {
@@ -95,9 +92,6 @@
 	}
 }
 
-// maxRest is the longest rest; a backend that asks for more gets requests again after this time.
-const maxRest = 24 * time.Hour
-
 // endRest forgets the rest of a backend that has ended.
 func (q *backendQueue) endRest() {
 	q.mu.Lock()
