Load reports carry urgency levels, pauses and expected shifts

Callers of a service with several kinds of request saw the most urgent ones wait and be late while others were served: entries knew only how many requests wait, and no process knew how long passes last for callers.

Queries for loads now state queued requests by urgency level and the longest gap between events, and load reports have fields for the totals, the measured time per stream and the expected shift of demand.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -51,7 +51,14 @@
 	}
 	var loads peers.Loads
 	queued := r.queuedRequests()
-	query := &peers.LoadsQuery{Roster: r.rosterID, Entry: r.g.opts.Name, QueuedOnTime: peers.ClampUint16(queued.OnTime), QueuedLate: peers.ClampUint16(queued.Late)}
+	query := &peers.LoadsQuery{
+		Roster:        r.rosterID,
+		Entry:         r.g.opts.Name,
+		QueuedOnTime:  peers.ClampUint16(queued.OnTime),
+		QueuedLate:    peers.ClampUint16(queued.Late),
+		QueuedByLevel: peers.PackLevels(queued.ByLevel[:]),
+		LongestGapMS:  peers.ClampUint16(int(r.g.tracker.TakeLongestGap(r.service, r.group).Milliseconds())),
+	}
 	err := r.client.Ask(ctx, peers.KindLoads, query, &loads, loadsTimeout)
 	if err != nil {
 		r.disconnect(err)
@@ -164,7 +171,13 @@
 		}
 	}
 	r.follower.setEngines(r.group, r.engines)
-	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.PeakImbalance), placing.QueueCounts{OnTime: int(loads.QueuedOnTime), Late: int(loads.QueuedLate)}, reportedAt)
+	queued := placing.QueueCounts{OnTime: int(loads.QueuedOnTime), Late: int(loads.QueuedLate)}
+	peers.AddLevels(queued.ByLevel[:], loads.QueuedByLevel)
+	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.PeakImbalance), queued, reportedAt)
+	state.StreamTime = time.Duration(float64(loads.StreamTimeMS) * float64(time.Millisecond))
+	if loads.ShiftInMS != peers.Never {
+		state.ShiftAt = reportedAt.Add(time.Duration(loads.ShiftInMS) * time.Millisecond)
+	}
 	state.Name, state.Complete = r.group, loads.Complete
 	r.g.tracker.ApplyLoadReport(r.service, r.g.state.snapshot().targets[r.service], byAddress, state)
 	r.g.admitIfQueued(r.service)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,6 +130,7 @@
 		b.longestPause = max(b.longestPause, pause)
 		if queue := b.g.admissionQueue(b.dispatch.r.service); queue != nil {
 			queue.RecordEventGap(pause, now)
+			b.g.tracker.RecordEventGap(b.current.target, pause, now)
 		}
 	}
 	b.lastEventAt = now
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -99,7 +99,7 @@
 	groupRanks        int          // number of ranks of the engine's group
 	leaderAddr        string       // peer address of the leader's agent
 	groupLoads        groupLoads
-	entryQueues       entryQueues
+	entryReports      entryReports
 	proxyArm          peers.ProxyArm
 
 	armToken   chan struct{} // semaphore, held while an arm order or a fence is processed: the two never overlap
--- a/lockstep/collect.go
+++ b/lockstep/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -153,19 +154,23 @@
 	return d
 }
 
-// addQueueCounts adds to s the number of requests that are queued at the entries that query this
-// agent, or an agent of its subtree, for loads.
-func (a *Agent) addQueueCounts(s *peers.RankState) {
-	onTime, late := a.queueCounts()
-	s.QueuedOnTime, s.QueuedLate = uint32(onTime), uint32(late)
+// addEntryReports adds to s what the entries have reported that query this agent, or an agent of
+// its subtree, for loads.
+func (a *Agent) addEntryReports(s *peers.RankState) {
+	queued, longestGap := a.takeEntryReports()
 	s.EnginesUnknown = a.enginesUnknown()
 	for i := range s.Subtree {
 		below := &s.Subtree[i]
-		s.QueuedOnTime += below.QueuedOnTime
-		s.QueuedLate += below.QueuedLate
+		queued.OnTime += int(below.QueuedOnTime)
+		queued.Late += int(below.QueuedLate)
+		peers.AddLevels(queued.ByLevel[:], below.QueuedByLevel)
+		longestGap = max(longestGap, time.Duration(below.LongestGapMS)*time.Millisecond)
 		s.EnginesUnknown = s.EnginesUnknown || below.EnginesUnknown
-		below.QueuedOnTime, below.QueuedLate = 0, 0
+		below.QueuedOnTime, below.QueuedLate, below.QueuedByLevel, below.LongestGapMS = 0, 0, nil, 0
 	}
+	s.QueuedOnTime, s.QueuedLate = uint32(queued.OnTime), uint32(queued.Late)
+	s.QueuedByLevel = peers.PackLevels(queued.ByLevel[:])
+	s.LongestGapMS = peers.ClampUint16(int(longestGap.Milliseconds()))
 }
 
 func (a *Agent) handleCollect(payload []byte) (msgp.Marshaler, error) {
@@ -185,7 +190,7 @@
 	state := a.collectSubtree(&q)
 	state.Fenced = fenced
 	if q.Loads.Known {
-		a.addQueueCounts(&state)
+		a.addEntryReports(&state)
 	}
 	return &state, nil
 }
--- /dev/null
+++ b/lockstep/entryreports.go
@@ -0,0 +1,80 @@
+package lockstep
+
+import (
+	"time"
+
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/placing"
+)
+
+// entryReports holds the latest reports of the entries that query this agent for loads. Entries use
+// the queue counts to divide the headroom of a group among themselves. The leader derives from the
+// gaps between events how long passes last for callers.
+type entryReports struct {
+	byEntry map[string]entryReport
+}
+
+// entryReport is what one entry reports with its query for loads.
+type entryReport struct {
+	queued     placing.QueueCounts
+	longestGap time.Duration // longest gap since the gaps were last taken; 0: none
+	reportedAt time.Time
+}
+
+// entryReportTTL is how long an entry's queue counts are used: several times the interval at which
+// an entry queries for loads.
+const entryReportTTL = time.Second
+
+// record stores the report of an entry.
+func (e *entryReports) record(q *peers.LoadsQuery, now time.Time) {
+	if q.Entry == "" {
+		return
+	}
+	if e.byEntry == nil {
+		e.byEntry = make(map[string]entryReport)
+	}
+	report := entryReport{
+		queued:     placing.QueueCounts{OnTime: int(q.QueuedOnTime), Late: int(q.QueuedLate)},
+		longestGap: max(e.byEntry[q.Entry].longestGap, time.Duration(q.LongestGapMS)*time.Millisecond),
+		reportedAt: now,
+	}
+	peers.AddLevels(report.queued.ByLevel[:], q.QueuedByLevel)
+	e.byEntry[q.Entry] = report
+}
+
+// queued returns the total queue counts and removes entries whose report has expired.
+func (e *entryReports) queued(now time.Time) (total placing.QueueCounts) {
+	for entry, report := range e.byEntry {
+		if now.Sub(report.reportedAt) > entryReportTTL {
+			delete(e.byEntry, entry)
+			continue
+		}
+		total.Add(&report.queued)
+	}
+	return total
+}
+
+// takeLongestGap returns the longest gap that the entries have reported since the previous call; 0:
+// none. With reports of several entries it returns the second longest: all entries see each pass,
+// and a single longer gap comes from an entry that was stalled itself.
+func (e *entryReports) takeLongestGap() time.Duration {
+	var longest, second time.Duration
+	count := 0
+	for entry, report := range e.byEntry {
+		if report.longestGap == 0 {
+			continue
+		}
+		count++
+		if report.longestGap > longest {
+			longest, second = report.longestGap, longest
+		} else {
+			second = max(second, report.longestGap)
+		}
+		report.longestGap = 0
+		e.byEntry[entry] = report
+	}
+	if count > 1 {
+		return second
+	}
+	return longest
+}
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -30,6 +30,7 @@
 	peakImbalance imbalancePeak
 	hold          holdTracker
 	roundTime     time.Duration // duration of the latest round
+	longestGap    time.Duration // longest gap between events that entries have reported in the latest round; 0: none
 
 	sentRoster     uint64 // Loads.Roster (hash of the engine list) that the agents received last
 	enginesUnknown bool   // some agent has loads but not the list of engines that they belong to
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -7,6 +7,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/placing"
 )
 
 // Entries, the processes that take requests from callers, place requests by the loads of a group's
@@ -59,12 +60,12 @@
 	return a.groupLoads.loads.Known && len(a.groupLoads.loads.Engines) == 0
 }
 
-// queueCounts returns the numbers of requests that are queued at the entries that query this agent:
-// those that can still be on time, and those that are late.
-func (a *Agent) queueCounts() (onTime, late int) {
+// takeEntryReports returns the numbers of requests that are queued at the entries that query this
+// agent, and the longest gap between events that they have reported since the previous call.
+func (a *Agent) takeEntryReports() (queued placing.QueueCounts, longestGap time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.entryQueues.sum(time.Now())
+	return a.entryReports.queued(time.Now()), a.entryReports.takeLongestGap()
 }
 
 // handleLoads answers a LoadsQuery of an entry and records the entry's queue counts.
@@ -75,7 +76,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.entryQueues.record(q.Entry, int(q.QueuedOnTime), int(q.QueuedLate), time.Now())
+	a.entryReports.record(&q, time.Now())
 	loads := a.groupLoads.loads
 	if !loads.Known || len(loads.Engines) == 0 {
 		return &peers.Loads{Leader: a.leaderAddr, Group: a.groupName, Ranks: peers.ClampUint16(a.groupRanks)}, nil
@@ -101,8 +102,9 @@
 		PeakImbalance: float32(l.peakImbalance.peak),
 		Group:         own.Group,
 		Ranks:         peers.ClampUint16(own.Ranks),
+		ShiftInMS:     peers.Never,
 	}
-	onTime, late := l.a.queueCounts()
+	queued, longestGap := l.a.takeEntryReports()
 	rosterHash := fnv.New64a()
 	for i := range ranks {
 		s := &ranks[i].state
@@ -113,10 +115,14 @@
 		if s.Slowdown > 1 {
 			loads.Slow = append(loads.Slow, peers.SlowRank{Rank: uint16(i), Slowdown: float32(s.Slowdown)})
 		}
-		onTime += int(s.QueuedOnTime)
-		late += int(s.QueuedLate)
+		queued.OnTime += int(s.QueuedOnTime)
+		queued.Late += int(s.QueuedLate)
+		peers.AddLevels(queued.ByLevel[:], s.QueuedByLevel)
+		longestGap = max(longestGap, time.Duration(s.LongestGapMS)*time.Millisecond)
 	}
-	loads.QueuedOnTime, loads.QueuedLate = peers.ClampUint16(onTime), peers.ClampUint16(late)
+	l.longestGap = longestGap
+	loads.QueuedOnTime, loads.QueuedLate = peers.ClampUint16(queued.OnTime), peers.ClampUint16(queued.Late)
+	loads.QueuedByLevel = peers.PackLevels(queued.ByLevel[:])
 	loads.Roster = rosterHash.Sum64()
 	return loads
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -15,6 +15,7 @@
 	KindLoads     Kind = 4 // request LoadsQuery, response Loads
 	KindProbe     Kind = 5 // request ProbeQuery, response ProbeResult
 	KindPermit    Kind = 6 // request PermitQuery, response PermitResult
+	KindDemand    Kind = 7 // request DemandSample, response DemandAck
 )
 
 // Heartbeat shows a peer that an entry is alive and gossips its state. The response, another
@@ -212,6 +213,9 @@
 	QueuedLate     uint32 // requests that are queued at the entries that query this agent and can no longer be on time
 	EnginesUnknown bool   // the agent does not know which engines the loads belong to
 
+	QueuedByLevel []uint16 // requests of QueuedOnTime by urgency level, without trailing zeros
+	LongestGapMS  uint16   // longest gap between two events of a stream that entries have reported since the last Collect; 0: none
+
 	Subtree []RankState // states of the ranks below this one in the tree; their selections and queued requests are added to this state's own
 }
 
@@ -282,6 +286,9 @@
 	Entry        string // name of the querying entry
 	QueuedOnTime uint16 // requests that are queued at the querying entry and can still be on time
 	QueuedLate   uint16 // requests that are queued at the querying entry and can no longer be on time
+
+	QueuedByLevel []uint16 // requests of QueuedOnTime by urgency level, without trailing zeros
+	LongestGapMS  uint16   // longest gap between two events of the entry's streams at the group since its previous query; 0: none
 }
 
 // Loads holds the loads of the ranks of a group.
@@ -305,6 +312,30 @@
 	Slow          []SlowRank
 	Group         string // name of the group; set even if Known is false
 	Ranks         uint16 // number of ranks in the group, including those without an engine; set even if Known is false
+
+	QueuedByLevel []uint16 // requests of QueuedOnTime by urgency level, without trailing zeros
+	StreamTimeMS  float32  // measured time that each stream per rank adds to the longest pass around a shift of demand; 0: unknown
+	ShiftInMS     uint32   // time until the next shift of demand is expected; Never: unknown
+}
+
+// DemandSample holds the expert selections of one group of a service since its latest shift of
+// demand. The leader of the group sends it to the leaders of the service's other groups.
+//
+//msgp:tuple DemandSample
+type DemandSample struct {
+	Group   string
+	Shifted bool    // the sender has just detected the shift
+	AgeMS   uint32  // time since the sender detected the shift
+	Unit    float64 // selections of the most selected expert
+	Experts uint32  // number of experts in Bands, over all layer sets
+	Bands   []byte  // selections of each expert as a share of Unit; see expert.EncodeLoads
+}
+
+// DemandAck is the response to a DemandSample.
+//
+//msgp:tuple DemandAck
+type DemandAck struct {
+	Leads bool // the receiver leads a group of the service
 }
 
 // SlowRank is a rank that is slower than usual.
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -118,6 +118,124 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z DemandAck) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendBool(o, z.Leads)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DemandAck) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Leads, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leads")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DemandAck) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DemandSample) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendString(o, z.Group)
+	o = msgp.AppendBool(o, z.Shifted)
+	o = msgp.AppendUint32(o, z.AgeMS)
+	o = msgp.AppendFloat64(o, z.Unit)
+	o = msgp.AppendUint32(o, z.Experts)
+	o = msgp.AppendBytes(o, z.Bands)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DemandSample) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Group, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	z.Shifted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Shifted")
+		return
+	}
+	z.AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMS")
+		return
+	}
+	z.Unit, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unit")
+		return
+	}
+	z.Experts, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Experts")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bands")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Bands == nil || uint32(cap(z.Bands)) < zb0002 {
+		z.Bands = make([]byte, zb0002)
+	} else {
+		z.Bands = z.Bands[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Bands, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DemandSample) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Group) + msgp.BoolSize + msgp.Uint32Size + msgp.Float64Size + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Bands)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *FailureReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -616,8 +734,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 17
-	o = append(o, 0xdc, 0x0, 0x11)
+	// array header, size 20
+	o = append(o, 0xdc, 0x0, 0x14)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.AskOthers)
@@ -644,6 +762,12 @@
 	}
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendUint16(o, z.Ranks)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.QueuedByLevel)))
+	for za0003 := range z.QueuedByLevel {
+		o = msgp.AppendUint16(o, z.QueuedByLevel[za0003])
+	}
+	o = msgp.AppendFloat32(o, z.StreamTimeMS)
+	o = msgp.AppendUint32(o, z.ShiftInMS)
 	return
 }
 
@@ -655,8 +779,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 17 {
-		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -825,6 +949,38 @@
 		err = msgp.WrapError(err, "Ranks")
 		return
 	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "QueuedByLevel")
+		return
+	}
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.QueuedByLevel) >= int(zb0007) {
+		z.QueuedByLevel = (z.QueuedByLevel)[:zb0007]
+	} else {
+		z.QueuedByLevel = make([]uint16, zb0007)
+	}
+	for za0003 := range z.QueuedByLevel {
+		z.QueuedByLevel[za0003], bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "QueuedByLevel", za0003)
+			return
+		}
+	}
+	z.StreamTimeMS, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StreamTimeMS")
+		return
+	}
+	z.ShiftInMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ShiftInMS")
+		return
+	}
 	o = bts
 	return
 }
@@ -835,19 +991,24 @@
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (15 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size
+	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (15 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size + msgp.ArrayHeaderSize + (len(z.QueuedByLevel) * (msgp.Uint16Size)) + msgp.Float32Size + msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadsQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Roster)
 	o = msgp.AppendString(o, z.Entry)
 	o = msgp.AppendUint16(o, z.QueuedOnTime)
 	o = msgp.AppendUint16(o, z.QueuedLate)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.QueuedByLevel)))
+	for za0001 := range z.QueuedByLevel {
+		o = msgp.AppendUint16(o, z.QueuedByLevel[za0001])
+	}
+	o = msgp.AppendUint16(o, z.LongestGapMS)
 	return
 }
 
@@ -859,8 +1020,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Roster, bts, err = msgp.ReadUint64Bytes(bts)
@@ -883,13 +1044,40 @@
 		err = msgp.WrapError(err, "QueuedLate")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "QueuedByLevel")
+		return
+	}
+	if zb0002 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.QueuedByLevel) >= int(zb0002) {
+		z.QueuedByLevel = (z.QueuedByLevel)[:zb0002]
+	} else {
+		z.QueuedByLevel = make([]uint16, zb0002)
+	}
+	for za0001 := range z.QueuedByLevel {
+		z.QueuedByLevel[za0001], bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "QueuedByLevel", za0001)
+			return
+		}
+	}
+	z.LongestGapMS, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LongestGapMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadsQuery) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint16Size + msgp.Uint16Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint16Size + msgp.Uint16Size + msgp.ArrayHeaderSize + (len(z.QueuedByLevel) * (msgp.Uint16Size)) + msgp.Uint16Size
 	return
 }
 
@@ -1614,8 +1802,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 28
-	o = append(o, 0xdc, 0x0, 0x1c)
+	// array header, size 30
+	o = append(o, 0xdc, 0x0, 0x1e)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendBool(o, z.Unreachable)
 	o = msgp.AppendBool(o, z.Fenced)
@@ -1653,11 +1841,16 @@
 	o = msgp.AppendUint32(o, z.QueuedOnTime)
 	o = msgp.AppendUint32(o, z.QueuedLate)
 	o = msgp.AppendBool(o, z.EnginesUnknown)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.QueuedByLevel)))
+	for za0003 := range z.QueuedByLevel {
+		o = msgp.AppendUint16(o, z.QueuedByLevel[za0003])
+	}
+	o = msgp.AppendUint16(o, z.LongestGapMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Subtree)))
-	for za0003 := range z.Subtree {
-		o, err = z.Subtree[za0003].MarshalMsg(o)
+	for za0004 := range z.Subtree {
+		o, err = z.Subtree[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Subtree", za0003)
+			err = msgp.WrapError(err, "Subtree", za0004)
 			return
 		}
 	}
@@ -1672,8 +1865,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 28 {
-		err = msgp.ArrayError{Wanted: 28, Got: zb0001}
+	if zb0001 != 30 {
+		err = msgp.ArrayError{Wanted: 30, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -1884,22 +2077,49 @@
 	var zb0006 uint32
 	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Subtree")
+		err = msgp.WrapError(err, "QueuedByLevel")
 		return
 	}
 	if zb0006 > zb417a25dlimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Subtree) >= int(zb0006) {
-		z.Subtree = (z.Subtree)[:zb0006]
+	if cap(z.QueuedByLevel) >= int(zb0006) {
+		z.QueuedByLevel = (z.QueuedByLevel)[:zb0006]
 	} else {
-		z.Subtree = make([]RankState, zb0006)
+		z.QueuedByLevel = make([]uint16, zb0006)
 	}
-	for za0003 := range z.Subtree {
-		bts, err = z.Subtree[za0003].UnmarshalMsg(bts)
+	for za0003 := range z.QueuedByLevel {
+		z.QueuedByLevel[za0003], bts, err = msgp.ReadUint16Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Subtree", za0003)
+			err = msgp.WrapError(err, "QueuedByLevel", za0003)
+			return
+		}
+	}
+	z.LongestGapMS, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LongestGapMS")
+		return
+	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Subtree")
+		return
+	}
+	if zb0007 > zb417a25dlimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Subtree) >= int(zb0007) {
+		z.Subtree = (z.Subtree)[:zb0007]
+	} else {
+		z.Subtree = make([]RankState, zb0007)
+	}
+	for za0004 := range z.Subtree {
+		bts, err = z.Subtree[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Subtree", za0004)
 			return
 		}
 	}
@@ -1913,9 +2133,9 @@
 	for za0001 := range z.Lists {
 		s += msgp.ArrayHeaderSize + (len(z.Lists[za0001]) * (msgp.Uint16Size))
 	}
-	s += msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.ArrayHeaderSize
-	for za0003 := range z.Subtree {
-		s += z.Subtree[za0003].Msgsize()
+	s += msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.QueuedByLevel) * (msgp.Uint16Size)) + msgp.Uint16Size + msgp.ArrayHeaderSize
+	for za0004 := range z.Subtree {
+		s += z.Subtree[za0004].Msgsize()
 	}
 	return
 }
--- a/placing/admissionqueue.go
+++ b/placing/admissionqueue.go
@@ -182,6 +182,7 @@
 	for _, w := range q.waiting {
 		if w.request.isOnTime(now) {
 			counts.OnTime++
+			counts.ByLevel[w.request.UrgencyLevel(now)]++
 		} else {
 			counts.Late++
 		}
--- a/placing/groups.go
+++ b/placing/groups.go
@@ -31,6 +31,7 @@
 	// assumedOthers estimates the requests of other entries at each target while there are no
 	// reports.
 	assumedOthers float64
+	longestGap    time.Duration // longest gap between events since it was last reported; 0: none
 }
 
 // groupTTL is how long the state of a group is kept after its latest load report and the latest
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -19,6 +19,15 @@
 type QueueCounts struct {
 	OnTime int // requests that can still have their first event on time
 	Late   int // requests that can no longer have their first event on time
+
+	ByLevel LevelCounts // on-time requests by urgency level
+}
+
+// Add adds the counts of o.
+func (c *QueueCounts) Add(o *QueueCounts) {
+	c.OnTime += o.OnTime
+	c.Late += o.Late
+	c.ByLevel.Add(&o.ByLevel)
 }
 
 // GroupState is the reported state of a group.
@@ -32,6 +41,9 @@
 	TotalRequests int         // requests at all targets of the group
 	Queued        QueueCounts // requests in the queues of all entries
 	ReportedAt    time.Time
+
+	StreamTime time.Duration // measured time that each stream per target adds to the longest pass around a shift of demand; 0: unknown
+	ShiftAt    time.Time     // when the next shift of demand is expected; zero: unknown
 }
 
 // reportedLoad is the load that a target's agent reports.
