A group without load reports keeps its work while its engines respond; local groups come first

What callers saw: when the leader agent of one group stalled for four seconds, the group stood nearly empty (7 streams on 240 slots) while requests queued for the other groups. Cause: a group without current reports was excluded as long as another group reported. Change: it stays while its targets respond and its breaker is closed, on the limit of an outdated map.

--- a/placing/groups.go
+++ b/placing/groups.go
@@ -32,6 +32,7 @@
 	// reports.
 	assumedOthers float64
 	longestGap    time.Duration // longest gap between events since it was last reported; 0: none
+	respondedAt   time.Time     // when a target last began a successful response to this entry
 }
 
 // groupTTL is how long the state of a group is kept after its latest load report and the latest
@@ -141,23 +142,53 @@
 	return accepting
 }
 
+// isRunning reports whether a group runs requests as far as this entry knows.
+//
+// A group whose load reports have stopped counts as running while its targets respond. The leader
+// agent, which sends the reports, may stall for seconds without affecting the engines, and the
+// other groups cannot take over the streams of a whole group.
+func (g *groupTracker) isRunning(now time.Time) bool {
+	if !g.Complete {
+		return false
+	}
+	hasReports := now.Sub(g.ReportedAt) < ReportTTL
+	responds := !g.breaker.open && now.Sub(g.respondedAt) < ReportTTL && !ablate.Off(ablate.UnreportedGroup)
+	return hasReports || responds
+}
+
 // withoutIncomplete leaves out targets without a reported group and groups that are reported as
 // incomplete, while another group runs requests. A service may have spare engines that are too few
 // to form a group: they refuse every request, and each refusal uses up retry budget. The load
 // reports of the engines show whether they have formed a group. The lock must be held.
 func (tr *Tracker) withoutIncomplete(pools []groupPool, now time.Time) []groupPool {
-	isRunning := func(p groupPool) bool {
-		g := tr.group(p.key)
-		return p.key.name != "" && now.Sub(g.ReportedAt) < ReportTTL && g.Complete
-	}
+	isRunning := func(p groupPool) bool { return p.key.name != "" && tr.group(p.key).isRunning(now) }
 	if !slices.ContainsFunc(pools, func(p groupPool) bool { return isRunning(p) && !tr.group(p.key).breaker.open }) {
 		return pools
 	}
 	return slices.DeleteFunc(pools, func(p groupPool) bool { return !isRunning(p) })
 }
 
-// sortByUtilisation sorts the pools by the used share of their capacity, lowest first. The lock
-// must be held.
+// remoteGroupPenalty is added to the utilisation of a group whose targets are all in other data
+// centres. Links between data centres are slower and billed, while a difference in utilisation of
+// a tenth hardly changes the duration of passes.
+const remoteGroupPenalty = 0.1
+
+// remotePenalty returns remoteGroupPenalty times the share of the targets in other data centres.
+func (tr *Tracker) remotePenalty(targets []*serving.Target) float64 {
+	if len(targets) == 0 || ablate.Off(ablate.LocalGroup) {
+		return 0
+	}
+	remote := 0
+	for _, t := range targets {
+		if t.DataCentre != tr.dataCentre {
+			remote++
+		}
+	}
+	return remoteGroupPenalty * float64(remote) / float64(len(targets))
+}
+
+// sortByUtilisation sorts the pools by the used share of their capacity, lowest first. Groups in
+// other data centres count as fuller by remotePenalty. The lock must be held.
 func (tr *Tracker) sortByUtilisation(pools []groupPool, now time.Time) {
 	if len(pools) < 2 {
 		return
@@ -168,7 +199,7 @@
 		for _, t := range p.Targets {
 			requests += tr.load(t, now)
 		}
-		utilisation[p.key] = float64(requests) / math.Max(tr.capacity(&p, now), 1)
+		utilisation[p.key] = float64(requests)/math.Max(tr.capacity(&p, now), 1) + tr.remotePenalty(p.Targets)
 	}
 	slices.SortStableFunc(pools, func(x, y groupPool) int { return cmp.Compare(utilisation[x.key], utilisation[y.key]) })
 }
@@ -210,7 +241,8 @@
 func (tr *Tracker) RecordGroupResponse(t *serving.Target, now time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.group(tr.groupKeyOf(t, now)).breaker.open = false
+	g := tr.group(tr.groupKeyOf(t, now))
+	g.breaker.open, g.respondedAt = false, now
 }
 
 // IsServiceDown reports whether no group of a service runs requests. shortage is how long all of
--- a/placing/groups_test.go
+++ b/placing/groups_test.go
@@ -132,3 +132,72 @@
 	sent = admitAndCount(tr, pool, 4, now)
 	g.Expect(sent["c"]+sent["d"]).To(BeZero(), "these engines have just refused")
 }
+
+// The leader agent of one of two groups stalls while its engines run on. Without its load reports
+// the group must keep its work: the other group cannot take over the streams of both.
+func TestGroupWithoutReportsKeepsItsWorkWhileItResponds(t *testing.T) {
+	const perSlot = 2
+	g := NewWithT(t)
+	now := time.Now()
+	slots := testModel().Slots
+	tr, pool := twoGroups(0, 0, now)
+	pool.EventGapObjective = 120 * time.Millisecond
+	other := tr.group(groupKey{service: "p", name: "h"}).GroupState
+	now = now.Add(ReportTTL + time.Second)
+	other.ReportedAt = now
+	tr.ApplyLoadReport("p", nil, nil, other)
+	tr.RecordGroupResponse(pool.Targets[0], now.Add(-ReportTTL/2))
+	sent := admitAndCount(tr, pool, perSlot*4*slots, now)
+	g.Expect(sent["c"] + sent["d"]).To(BeNumerically(">", 0))
+	silent := sent["a"] + sent["b"]
+	g.Expect(silent).To(BeNumerically(">", 0))
+	pools := tr.groupPools(pool, now)
+	for _, p := range pools {
+		if p.key.name == "g" {
+			g.Expect(silent).To(BeNumerically("<=", 2*(int(p.maxStreams)+1)), "the map is not rebalanced meanwhile")
+		}
+	}
+	tr.RecordGroupRefusal(pool.Targets[0], now)
+	sent = admitAndCount(tr, pool, 4, now.Add(probeInterval))
+	g.Expect(sent["a"]+sent["b"]).To(BeZero(), "its engines refuse and nobody reports")
+}
+
+// A group stalls with its leader: no target responds and no report comes. Requests sent there would
+// wait until their callers disconnect.
+func TestGroupWithoutReportsAndResponsesGetsNoWork(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	tr, pool := twoGroups(0, 0, now)
+	tr.RecordGroupResponse(pool.Targets[0], now)
+	other := tr.group(groupKey{service: "p", name: "h"}).GroupState
+	now = now.Add(ReportTTL + time.Second)
+	other.ReportedAt = now
+	tr.ApplyLoadReport("p", nil, nil, other)
+	sent := admitAndCount(tr, pool, 8, now)
+	g.Expect(sent["a"] + sent["b"]).To(BeZero())
+	g.Expect(sent["c"] + sent["d"]).To(BeNumerically(">", 0))
+}
+
+// Groups of two data centres have headroom. Requests that cross data centres without need take
+// bandwidth on billed links, but a full local group must not keep requests from a remote one.
+func TestGroupInOwnDataCentreIsPreferredUntilItIsFuller(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	slots := testModel().Slots
+	place := func(local, remote int) map[string]int {
+		tr, pool := twoGroups(remote, local, now)
+		for i, target := range pool.Targets {
+			target.DataCentre = "far"
+			if i >= 2 {
+				target.DataCentre = tr.dataCentre
+			}
+		}
+		return admitAndCount(tr, pool, 1, now)
+	}
+	sent := place(1, 1)
+	g.Expect(sent["c"]+sent["d"]).To(Equal(1), "equally full")
+	sent = place(3, 1)
+	g.Expect(sent["a"]+sent["b"]).To(Equal(1), "the local group is fuller by more than a tenth")
+	sent = place(slots, 1)
+	g.Expect(sent["a"]+sent["b"]).To(Equal(1), "the local group is full")
+}
