Prompts of new streams do not lengthen a pass beyond the objective

A group with headroom and a full queue, as after a stall of its leader, got all queued requests within one report. Their prompts made the streams that ran already late.

No bound applies without reports or where the limit leaves all slots to streams.

--- a/bench/group/group_test.go
+++ b/bench/group/group_test.go
@@ -167,3 +167,32 @@
 	g.Expect(fittedLate).To(BeNumerically("<", 0.6*statedLate))
 	g.Expect(fittedOnTime).To(BeNumerically(">", statedOnTime+0.05))
 }
+
+// Requests wait while a group has headroom, and are sent to it just after a shift. If all started at
+// once, their prompts would lengthen passes beyond the event-gap objective, and the few streams that run
+// already would be late.
+func TestPromptsOfQueuedRequestsDoNotLengthenPassesBeyondTheObjective(t *testing.T) {
+	g := NewWithT(t)
+	shape, pattern := quotesShape, quotesPattern
+	shape.LatencyObjective, shape.Model.MeanPromptTokens = time.Second, 2000
+	pattern.Load, pattern.Outage = 0.95, Span{7700 * time.Millisecond, 9050 * time.Millisecond}
+	longPasses, onTime := 0, 0.0
+	const seeds = 6
+	for seed := range uint64(seeds) {
+		sim := runSimulation(&shape, &pattern, PolicyHeatherrail, seed+1)
+		onTime += sim.figures().MetObjectives / seeds
+		var times []int64
+		for _, p := range sim.group.passes {
+			if p.startedAt < pattern.Outage.To || p.startedAt > pattern.Outage.To+600*time.Millisecond {
+				continue
+			}
+			times = append(times, p.time.Milliseconds())
+			if p.time > shape.EventGapObjective {
+				longPasses++
+			}
+		}
+		t.Log("passes after the wait, in ms:", times)
+	}
+	t.Logf("passes over the objective %d, on time %.3f", longPasses, onTime)
+	g.Expect(longPasses).To(BeZero())
+}
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -38,7 +38,7 @@
 	}
 	s := &state.headroom
 	if !s.known {
-		headroom := tr.capacity(p, now) - float64(state.TotalRequests)
+		headroom := min(tr.capacity(p, now)-float64(state.TotalRequests), tr.maxNewStreams(p, now))
 		arriving := d.admittedPerSecond * float64(p.EntryCount) * reportInterval.Seconds()
 		wanted := float64(max(state.Queued.OnTime, d.queued.OnTime)) + arriving
 		*s = headroomShare{
--- a/placing/pauselimit_test.go
+++ b/placing/pauselimit_test.go
@@ -58,3 +58,37 @@
 	_, known = pauseStreamLimit(pool.Service.Engine, 0, 10*time.Millisecond, 1, 1)
 	g.Expect(known).To(BeFalse(), "no objective")
 }
+
+// A group with headroom gets new streams only as far as their prompts fit into a pass beside the running
+// streams. A bound that remained without reports, or where the objective can't be met, would leave the
+// group idle.
+func TestNewStreamsAreBoundedByTheirPrompts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	pool := pauseTestPool()
+	for range 24 {
+		pool.Targets = append(pool.Targets, &serving.Target{Service: "s"})
+	}
+	bound := func(change func(s *GroupState, p *groupPool), at time.Time) float64 {
+		p := &groupPool{TargetPool: pool, key: groupKey{service: "s"}, maxStreams: 8}
+		state := pauseTestState(0, now)
+		state.TotalRequests = 24 * 4
+		if change != nil {
+			change(&state, p)
+		}
+		tr := testTracker()
+		tr.ApplyLoadReport("s", nil, nil, state)
+		return tr.maxNewStreams(p, at)
+	}
+	factor := 1.15 * (0.15 + 0.85*1.15)
+	pass, prompt := 1.15*6*5.85+4*6*0.426*factor, 800/61.4*factor
+	g.Expect(bound(nil, now)).To(BeNumerically("~", 24*(0.97*120-pass)/prompt, 0.01))
+	afterShift := bound(func(s *GroupState, _ *groupPool) { s.Imbalance = 2.8 }, now)
+	g.Expect(afterShift).To(And(BeNumerically(">", 0), BeNumerically("<", 0.4*bound(nil, now))))
+	g.Expect(bound(func(s *GroupState, _ *groupPool) { s.Imbalance, s.StreamTime = 2.8, 12*time.Millisecond }, now)).To(BeNumerically("<", afterShift), "measured excess")
+	g.Expect(bound(func(s *GroupState, _ *groupPool) { s.Imbalance, s.TotalRequests, s.MaxSlowdown = 2.8, 24*9, 1.5 }, now)).To(BeZero(), "no time left")
+	unbounded := BeNumerically(">", 1e6)
+	g.Expect(bound(nil, now.Add(ReportTTL))).To(unbounded, "no reports")
+	g.Expect(bound(func(_ *GroupState, p *groupPool) { p.EventGapObjective = 0 }, now)).To(unbounded, "no objective")
+	g.Expect(bound(func(_ *GroupState, p *groupPool) { p.maxStreams = 10 }, now)).To(unbounded, "objective can't be met")
+}
