lockstep: plan from selections made after a shift only

A shift is found by comparing a sample of selections with the steady estimate, which then restarts from that sample alone. A sample of several passes may be a mixture of two demands; plans wait for the next one. Follow-up plans within one interval of demand need a gain in imbalance of 0.08.

--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -20,6 +20,7 @@
 	demand            *demand
 	pending           *pendingMap
 	armed             *armedMap
+	mapFollows        bool // the group has switched to a map that was planned for the demand since the latest shift
 	mapFixed          bool // the map cannot be changed, because the ranks have too few places for all experts
 	refusals          refusalBackoff
 	highestVersion    uint64       // highest map version seen or assigned
@@ -156,13 +157,18 @@
 		l.highestVersion = max(l.highestVersion, s.Map, s.Prepared, s.Armed, s.HighestMapReceived)
 		addSelections(sum, s)
 	}
+	l.demand.setSteps(stepRange(ranks))
+	l.demand.roundTime = max(l.roundTime, roundInterval)
 	l.demand.observe(now, sum)
 	if l.demand.detectShift(l.layouts, l.group.model) {
 		l.a.opts.Log.Info("demand moved", "epoch", l.epoch, "step", ranks[0].state.Step,
-			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)))
+			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)),
+			"selections", int(l.demand.selectionsPerExpert()), "settled", l.demand.isSettled(now))
+		l.a.opts.Metrics.Count("demand_shifts", 1)
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
+		l.mapFollows = false
 	}
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
@@ -256,10 +262,11 @@
 func (l *leader) plan(ranks []rank) {
 	m := l.group.model
 	startedAt := time.Now()
-	if l.mapFixed || !l.demand.hasEnoughData() || l.refusals.isActive(startedAt) {
+	if l.mapFixed || !l.demand.hasEnoughData() || !l.demand.isSettled(startedAt) || l.refusals.isActive(startedAt) {
 		return
 	}
 	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts, meanStreams: meanStreams(ranks)}
+	pl.minGain = l.minPlanGain()
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
@@ -276,6 +283,26 @@
 	l.prepare(ranks)
 }
 
+// minPlanGain returns the smallest decrease of the imbalance for which the map is changed.
+func (l *leader) minPlanGain() float64 {
+	if !l.mapFollows || l.demand.mixed {
+		return 0
+	}
+	if l.urgency() >= criticalUrgency {
+		return criticalFollowUpGain
+	}
+	return followUpGain
+}
+
+// stepRange returns the lowest and the highest step of the ranks.
+func stepRange(ranks []rank) (lowest, highest uint64) {
+	lowest = ranks[0].state.Step
+	for i := range ranks {
+		lowest, highest = min(lowest, ranks[i].state.Step), max(highest, ranks[i].state.Step)
+	}
+	return lowest, highest
+}
+
 // meanStreams returns the mean number of running streams per rank.
 func meanStreams(ranks []rank) float64 {
 	running := 0
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -10,110 +10,6 @@
 	"github.com/heatherrail/heatherrail/serving"
 )
 
-// demand estimates how often each expert is selected.
-//
-// Demand stays the same for some seconds and then shifts at once. The selections of the latest
-// passes show a shift soonest, but they also vary by chance, and maps that follow chance cost
-// copies for nothing. So there are two means: recent over a short time and steady over a long one.
-// Plans use steady. When the map fits recent so much worse than steady that demand must have
-// shifted, steady restarts from recent.
-type demand struct {
-	recent, steady decayingMean
-	observedAt     time.Time
-}
-
-// decayingMean holds selections per expert, weighted by age with a half-life.
-type decayingMean struct {
-	halfLife time.Duration
-	loads    []float64
-	total    float64 // sum of loads
-}
-
-// Parameters of the demand estimate.
-const (
-	recentHalfLife = 80 * time.Millisecond // the time of one or two passes
-	steadyHalfLife = 700 * time.Millisecond
-	// Demand has shifted if the imbalance of the recent mean is at least shiftRatio times that of
-	// the steady mean plus minShift. Chance raises the recent imbalance by about a tenth, a shift
-	// about doubles it.
-	shiftRatio = 1.2
-	minShift   = 0.05
-	// minSelectionsPerExpert is the number of selections per expert that tells demand from chance
-	// within a few percent.
-	minSelectionsPerExpert = 200
-)
-
-func newDemand(experts int) *demand {
-	return &demand{
-		recent: decayingMean{halfLife: recentHalfLife, loads: make([]float64, experts)},
-		steady: decayingMean{halfLife: steadyHalfLife, loads: make([]float64, experts)},
-	}
-}
-
-// observe adds the selections since the previous observation.
-func (d *demand) observe(now time.Time, counts []float64) {
-	sum := 0.0
-	for _, n := range counts {
-		sum += n
-	}
-	if sum == 0 {
-		return
-	}
-	elapsed := time.Duration(0)
-	if !d.observedAt.IsZero() {
-		elapsed = now.Sub(d.observedAt)
-	}
-	d.observedAt = now
-	d.recent.add(counts, sum, elapsed)
-	d.steady.add(counts, sum, elapsed)
-}
-
-// add decays the mean by the elapsed time and adds counts.
-func (m *decayingMean) add(counts []float64, sum float64, elapsed time.Duration) {
-	decay := decayFactor(elapsed, m.halfLife)
-	m.total = m.total*decay + sum
-	for e := range m.loads {
-		m.loads[e] = m.loads[e]*decay + counts[e]
-	}
-}
-
-// detectShift reports whether demand has shifted, and if so restarts the steady mean. It compares how
-// well the map in use fits both means.
-func (d *demand) detectShift(layouts []expert.Layout, m *serving.EngineModel) bool {
-	if !d.hasEnoughData() {
-		return false
-	}
-	recent, steady := imbalance(layouts, d.recent.loads, nil, m), imbalance(layouts, d.steady.loads, nil, m)
-	if recent < steady*shiftRatio+minShift || ablate.Off(ablate.TwoMeans) {
-		return false
-	}
-	copy(d.steady.loads, d.recent.loads)
-	d.steady.total = d.recent.total
-	return true
-}
-
-// hasEnoughData reports whether enough selections are known to tell demand from chance.
-func (d *demand) hasEnoughData() bool {
-	return d.recent.total > minSelectionsPerExpert*float64(len(d.recent.loads))
-}
-
-// loads returns the demand to plan for, by set and expert.
-func (d *demand) loads() []float64 { return d.steady.loads }
-
-// decayFactor returns the factor by which a weight decays in time t: 1/2 for each half-life, with
-// linear interpolation within a half-life.
-func decayFactor(t, halfLife time.Duration) float64 {
-	factor := 1.0
-	for t >= halfLife && factor > 0.01 {
-		factor /= 2
-		t -= halfLife
-	}
-	if t < halfLife {
-		factor *= 1 - 0.5*float64(t)/float64(halfLife)
-	}
-	return factor
-}
-
 // plan is a change of the maps of all layer sets.
 type plan struct {
 	layouts                         []expert.Layout
@@ -145,6 +41,7 @@
 	urgency     float64   // mean pass time divided by the event-gap objective
 	switchCosts switchCosts
 	meanStreams float64 // mean number of running streams per rank
+	minGain     float64 // smallest decrease of the imbalance for which the map is changed
 }
 
 // switchCosts are decaying means of the times that switches take. These times differ with the size
@@ -196,6 +93,13 @@
 	// balancedImbalance is the imbalance below which the possible gain is less than the cost of a
 	// switch. The leader, which has a fraction of a core, then skips planning.
 	balancedImbalance = 1.08
+	// followUpGain is the smallest decrease of the imbalance for which a map that was planned for the
+	// current demand is changed again. Plans that gained 0.03 stalled the group for 15 to 44 ms each,
+	// and much of their gain was chance. For a group with an urgency of at least criticalUrgency, whose
+	// usual passes are near the objective, criticalFollowUpGain applies.
+	followUpGain         = 0.08
+	criticalFollowUpGain = 0.04
+	criticalUrgency      = 0.85
 )
 
 // Limits of the compared plans: how many experts a rank may copy in all sets together. Each plan
@@ -244,7 +148,7 @@
 	next := layouts
 	for _, limit := range limits {
 		p := pl.planWithLimit(layouts, next, loads, limit)
-		if p.copies > 0 && p.cost < best.cost {
+		if p.copies > 0 && p.cost < best.cost && current-p.imbalanceAfter >= pl.minGain {
 			best = p
 		}
 		next = p.layouts
--- a/lockstep/prepare.go
+++ b/lockstep/prepare.go
@@ -106,6 +106,7 @@
 			l.switchCosts.observe(time.Since(p.plannedAt)-p.copyTime, stall)
 			l.armed = &armedMap{version: p.version, layouts: p.layouts, step: step}
 			l.refusals = refusalBackoff{}
+			l.mapFollows = true
 		}
 		l.pending = nil
 	case l.isRefusedBy(missing):
