lockstep: expect regular shifts of demand

If at least four consecutive intervals between shifts are alike, plans count their gain only until the next expected shift, and load reports carry the time until then.

--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -37,7 +37,7 @@
 	Leaving          Mechanism = "leaving"          // targets that say that they leave get work until the store says so too
 	PauseLimit       Mechanism = "pause-limit"      // the stream limit follows the stated cost model only
 	QueueUrgency     Mechanism = "queue-urgency"    // headroom is divided by the number of queued requests, whatever their urgency
-	ShiftSample      Mechanism = "shift-sample"     // plans right after a shift use selections from before it
+	ShiftSample      Mechanism = "shift-sample"     // plans right after a shift use selections from before it; no time of the next shift bounds their gain
 	DemandExchange   Mechanism = "demand-exchange"  // leaders do not send demand samples to other groups
 	UnreportedGroup  Mechanism = "unreported-group" // a group without current load reports gets no work while another group reports
 	LocalGroup       Mechanism = "local-group"      // groups of all data centres are used alike
--- a/lockstep/demand_test.go
+++ b/lockstep/demand_test.go
@@ -24,7 +24,7 @@
 	truth     []float64 // demand, with a mean of 1
 	layouts   []expert.Layout
 	demand    *demand
-	minGain   float64
+	clock     shiftClock
 	now       time.Duration // virtual time
 	passes    []simPassEnd
 	passEnds  time.Duration
@@ -177,14 +177,18 @@
 	s.demand.roundTime = roundInterval
 	s.demand.observe(now, sum)
 	if s.demand.detectShift(s.layouts, s.model) {
+		s.clock.observe(now)
 		s.mapFollows = false
 	}
 	if !s.demand.hasEnoughData() || !s.demand.isSettled(now) {
 		return
 	}
 	pl := planner{model: s.model, urgency: 0.6, switchCosts: newSwitchCosts(), meanStreams: busyStreams}
-	if s.mapFollows {
-		pl.minGain = s.minGain
+	if !s.demand.mixed {
+		pl.untilShift, pl.shiftExpected = s.clock.untilNext(now)
+		if s.mapFollows {
+			pl.minGain = followUpGain
+		}
 	}
 	if p := pl.best(s.layouts, s.demand.loads()); p.copies > 0 {
 		s.pending, s.switchAt = &p, s.now+60*time.Millisecond+pl.planCopyTime(&p)
@@ -219,10 +223,7 @@
 	shifts := 0
 	for seed := range seeds {
 		s := newShiftSim(name, uint64(seed))
-		s.demand.mixed, s.minGain = mixed, followUpGain
-		if mixed {
-			s.minGain = 0
-		}
+		s.demand.mixed = mixed
 		interval := simModels[name].interval
 		s.run(interval)
 		s.plans, s.copies, s.fitAfter, s.excess = 0, 0, nil, 0
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -18,6 +18,7 @@
 	version           uint64          // map version of layouts
 	layouts           []expert.Layout // map in use as last known to this leader, by layer set
 	demand            *demand
+	shiftClock        shiftClock
 	pending           *pendingMap
 	armed             *armedMap
 	mapFollows        bool // the group has switched to a map that was planned for the demand since the latest shift
@@ -161,10 +162,12 @@
 	l.demand.roundTime = max(l.roundTime, roundInterval)
 	l.demand.observe(now, sum)
 	if l.demand.detectShift(l.layouts, l.group.model) {
+		if l.shiftClock.observe(now) {
+			l.a.opts.Metrics.Count("demand_shifts", 1)
+		}
 		l.a.opts.Log.Info("demand moved", "epoch", l.epoch, "step", ranks[0].state.Step,
 			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)),
-			"selections", int(l.demand.selectionsPerExpert()), "settled", l.demand.isSettled(now))
-		l.a.opts.Metrics.Count("demand_shifts", 1)
+			"selections", int(l.demand.selectionsPerExpert()), "settled", l.demand.isSettled(now), "interval_ms", l.shiftClock.regularInterval().Milliseconds())
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
@@ -267,6 +270,9 @@
 	}
 	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts, meanStreams: meanStreams(ranks)}
 	pl.minGain = l.minPlanGain()
+	if !l.demand.mixed {
+		pl.untilShift, pl.shiftExpected = l.shiftClock.untilNext(startedAt)
+	}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -104,6 +104,9 @@
 		Ranks:         peers.ClampUint16(own.Ranks),
 		ShiftInMS:     peers.Never,
 	}
+	if left, known := l.shiftClock.untilNext(time.Now()); known {
+		loads.ShiftInMS = uint32(left.Milliseconds())
+	}
 	queued, longestGap := l.a.takeEntryReports()
 	rosterHash := fnv.New64a()
 	for i := range ranks {
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -42,6 +42,9 @@
 	switchCosts switchCosts
 	meanStreams float64 // mean number of running streams per rank
 	minGain     float64 // smallest decrease of the imbalance for which the map is changed
+
+	shiftExpected bool          // the time until the next shift of demand is known
+	untilShift    time.Duration // time until the next shift of demand is expected
 }
 
 // switchCosts are decaying means of the times that switches take. These times differ with the size
@@ -67,8 +70,8 @@
 // Parameters of the planner.
 const (
 	maxBalanceSteps = 60
-	// horizonSec is the time over which the gain of a plan counts. Demand lasts for some seconds,
-	// and how long it has lasted already is unknown.
+	// horizonSec is the time over which the gain of a plan counts, unless the next shift is expected
+	// sooner. Demand lasts for some seconds.
 	horizonSec = 2.0
 	// initialSwitchOverhead and initialStall are the switch costs that are assumed before the first
 	// switch.
@@ -134,10 +137,18 @@
 	return longest / mean
 }
 
+// horizon returns the seconds over which the gain of a plan counts.
+func (pl *planner) horizon() float64 {
+	if !pl.shiftExpected {
+		return horizonSec
+	}
+	return min(horizonSec, pl.untilShift.Seconds())
+}
+
 // best returns the plan of least cost, which may be to keep the map.
 func (pl *planner) best(layouts []expert.Layout, loads []float64) plan {
 	current := imbalance(layouts, loads, pl.slowdown, pl.model)
-	best := plan{layouts: layouts, imbalanceBefore: current, imbalanceAfter: current, cost: current * horizonSec}
+	best := plan{layouts: layouts, imbalanceBefore: current, imbalanceAfter: current, cost: current * pl.horizon()}
 	if current < balancedImbalance {
 		return best
 	}
@@ -221,7 +232,8 @@
 // costOf returns the cost of a plan; see planner.
 func (pl *planner) costOf(p *plan) float64 {
 	copySec := pl.planCopyTime(p).Seconds()
-	delaySec := min(pl.switchCosts.overhead.Seconds()+copySec, horizonSec)
+	horizon := pl.horizon()
+	delaySec := min(pl.switchCosts.overhead.Seconds()+copySec, horizon)
 	calmness := min(max(1-pl.urgency/highUrgency, 0), 1)
 	if ablate.Off(ablate.Urgency) {
 		calmness = 0
@@ -234,7 +246,7 @@
 	// The stall of a switch counts as a cost. Otherwise a plan with too small a gain would pause
 	// every stream.
 	stallSec := pl.switchCosts.stall.Seconds() * p.imbalanceBefore
-	return delaySec*p.imbalanceBefore + copySlowdown*copySec + stallSec + (horizonSec-delaySec)*p.imbalanceAfter + costPerGigabyte*gigabytes
+	return delaySec*p.imbalanceBefore + copySlowdown*copySec + stallSec + (horizon-delaySec)*p.imbalanceAfter + costPerGigabyte*gigabytes
 }
 
 // newExpertsPerRank returns how many experts each rank holds after a change and not before.
