lockstep: leaders of a service's groups exchange demand samples

After a shift each leader sends its selections to the leaders of the other groups. A sample counts only if it fits the receiver's own selections; a shift that the receiver has not seen yet needs its own next sample. Sending runs beside the rounds, with a queue of one sample per receiver and a backoff.

The test fleet can hold two groups of one service.

--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -108,6 +108,7 @@
 	// remoteEngines are clients of leaders' engines that this agent arms as the proxy, by address.
 	remoteEngines map[string]Engine
 	agentClients  agentClients
+	exchange      demandExchange
 }
 
 // Start starts an agent that serves peers on ln.
@@ -132,6 +133,7 @@
 		peers.KindCollect: a.handleCollect,
 		peers.KindOrder:   a.handleOrder,
 		peers.KindLoads:   a.handleLoads,
+		peers.KindDemand:  a.handleDemand,
 	}
 }
 
@@ -142,6 +144,7 @@
 	a.cancel()
 	a.server.Close()
 	a.agentClients.close()
+	a.exchange.close()
 	a.tasks.Wait()
 	a.opts.Log.Info("stopped")
 	return nil
--- a/lockstep/agentclient.go
+++ b/lockstep/agentclient.go
@@ -49,10 +49,15 @@
 		c.recordFailure()
 		return err
 	}
+	c.recordSuccess()
+	return nil
+}
+
+// recordSuccess ends the backoff.
+func (c *agentClient) recordSuccess() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.backoff = 0
-	return nil
 }
 
 // recordFailure starts or doubles the backoff.
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -28,6 +28,11 @@
 	roundTime     time.Duration // time from one round to the next, as far as known
 	suspected     bool          // the latest sample differed by more than chance, but too little for a shift
 	shiftPending  bool          // a shift has been found and not been reported by detectShift
+	shiftAt       time.Time     // when the latest shift was detected, by this group or by another one that announced it
+	shiftSeenBy   string        // the group that announced the latest shift; "": this group saw it first
+	borrowed      bool          // the estimate restarted from selections of another group
+	samples       int           // number of samples added since the latest shift
+	others        otherGroups
 }
 
 // passSpan tracks the passes that a sample covers.
@@ -129,35 +134,51 @@
 // next sample.
 func (d *demand) addSample(now time.Time) {
 	change := compareLoads(d.sample, d.steady.loads)
+	d.dropOldSamples(now)
 	switch {
 	case d.steady.total == 0:
 		d.steady.add(d.sample, d.sampleTotal, 0)
 	case d.restarted && change.exceedsChance():
 		// The sample from which the mean restarted was a mixture of two demands.
 		d.steady.restart(d.sample, d.sampleTotal)
+		d.others.samples, d.borrowed = nil, false
 		d.restarted, d.unsettledTill = false, time.Time{}
+	case !d.restarted && d.followAnnouncement(now):
 	case !d.restarted && change.isShift():
-		d.steady.restart(d.sample, d.sampleTotal)
-		d.restarted, d.shiftPending = true, true
-		d.unsettledTill = time.Time{}
+		if announced := d.others.announced.group; announced != "" {
+			d.distrust(announced) // demand has shifted, but not as announced
+		}
+		d.restart(d.sample, d.sampleTotal, now)
 		if !d.passes.isSinglePass() {
 			d.awaitSample(now)
 		}
 	default:
 		d.steady.add(d.sample, d.sampleTotal, now.Sub(d.addedAt))
-		d.restarted, d.unsettledTill = false, time.Time{}
+		d.restarted = false
+		if d.others.announced.group == "" {
+			d.unsettledTill = time.Time{}
+		}
 		suspected := change.isSuspect()
 		if suspected && !d.suspected {
 			d.awaitSample(now) // perhaps a mixture with little of a new demand
 		}
 		d.suspected = suspected
 	}
+	d.samples++
 	d.addedAt = now
 	clear(d.sample)
 	d.sampleTotal = 0
 	d.passes.before = d.passes.lowest
 }
 
+// restart restarts the steady mean after a shift.
+func (d *demand) restart(loads []float64, total float64, shiftAt time.Time) {
+	d.steady.restart(loads, total)
+	d.restarted, d.suspected, d.borrowed, d.shiftPending, d.samples = true, false, false, true, 0
+	d.unsettledTill, d.shiftAt, d.shiftSeenBy = time.Time{}, shiftAt, ""
+	d.others.samples, d.others.announced = nil, groupSample{}
+}
+
 // awaitSample makes plans wait for the next sample, unless it takes longer than the pass that may be gained.
 func (d *demand) awaitSample(now time.Time) {
 	passes := max(int64(d.passes.highest)-int64(d.passes.before), 1) // steps may start over
@@ -251,10 +272,13 @@
 func (d *demand) isSettled(now time.Time) bool { return !now.Before(d.unsettledTill) }
 
 // selectionsPerExpert returns the mean number of selections per expert that the estimate holds.
-func (d *demand) selectionsPerExpert() float64 { return d.steady.total / float64(len(d.steady.loads)) }
-
-// loads returns the demand to plan for, by set and expert.
-func (d *demand) loads() []float64 { return d.steady.loads }
+func (d *demand) selectionsPerExpert() float64 {
+	sum := 0.0
+	for _, n := range d.loads() {
+		sum += n
+	}
+	return sum / float64(len(d.steady.loads))
+}
 
 // decayFactor returns the factor by which a weight decays in time t: 1/2 for each half-life, with
 // linear interpolation within a half-life.
--- a/lockstep/demand_test.go
+++ b/lockstep/demand_test.go
@@ -25,6 +25,10 @@
 	layouts   []expert.Layout
 	demand    *demand
 	clock     shiftClock
+	name      string
+	other     *shiftSim     // another group, to which samples are sent; nil: none
+	received  []groupSample // samples that the other group has sent since the latest round
+	sent      int           // samples sent since the latest shift
 	now       time.Duration // virtual time
 	passes    []simPassEnd
 	passEnds  time.Duration
@@ -173,13 +177,22 @@
 		expert.AddLoads(sum, unit, bands)
 	}
 	now := time.Unix(1000, 0).Add(s.now)
+	for _, sample := range s.received {
+		sample.receivedAt = now
+		s.demand.hear(sample, now)
+	}
+	s.received = nil
 	s.demand.setSteps(lowest, highest)
 	s.demand.roundTime = roundInterval
 	s.demand.observe(now, sum)
 	if s.demand.detectShift(s.layouts, s.model) {
-		s.clock.observe(now)
-		s.mapFollows = false
+		if s.demand.mixed {
+			s.demand.shiftAt = now
+		}
+		s.clock.observe(s.demand.shiftAt)
+		s.mapFollows, s.sent = false, 0
 	}
+	s.sendSample(now)
 	if !s.demand.hasEnoughData() || !s.demand.isSettled(now) {
 		return
 	}
@@ -197,6 +210,18 @@
 	}
 }
 
+// sendSample sends the sample of a shift to the other group, as leader.sendSample does.
+func (s *shiftSim) sendSample(now time.Time) {
+	d := s.demand
+	if s.other == nil || d.shiftAt.IsZero() || d.borrowed || d.samples == s.sent || d.samples > samplesPerShift || !d.isSettled(now) {
+		return
+	}
+	s.sent = d.samples
+	if sample, ok := decodeSample(encodeSample(s.name, d.steady.loads, d.shiftAt, now, d.samples == 1), now); ok {
+		s.other.received = append(s.other.received, sample)
+	}
+}
+
 func encoded(counts []float64) (float64, []byte) {
 	if slices.Max(counts) == 0 {
 		return 0, make([]byte, len(counts))
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -19,6 +19,7 @@
 	layouts           []expert.Layout // map in use as last known to this leader, by layer set
 	demand            *demand
 	shiftClock        shiftClock
+	sentSamples       int // number of samples since the latest shift that the other leaders have been sent
 	pending           *pendingMap
 	armed             *armedMap
 	mapFollows        bool // the group has switched to a map that was planned for the demand since the latest shift
@@ -158,21 +159,18 @@
 		l.highestVersion = max(l.highestVersion, s.Map, s.Prepared, s.Armed, s.HighestMapReceived)
 		addSelections(sum, s)
 	}
+	l.hearSamples(now)
 	l.demand.setSteps(stepRange(ranks))
 	l.demand.roundTime = max(l.roundTime, roundInterval)
 	l.demand.observe(now, sum)
 	if l.demand.detectShift(l.layouts, l.group.model) {
-		if l.shiftClock.observe(now) {
-			l.a.opts.Metrics.Count("demand_shifts", 1)
-		}
-		l.a.opts.Log.Info("demand moved", "epoch", l.epoch, "step", ranks[0].state.Step,
-			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)),
-			"selections", int(l.demand.selectionsPerExpert()), "settled", l.demand.isSettled(now), "interval_ms", l.shiftClock.regularInterval().Milliseconds())
+		l.logShift(ranks[0].state.Group, ranks[0].state.Step, now)
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
 		l.mapFollows = false
 	}
+	l.sendSample(ranks[0].state.Group, now)
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -14,6 +14,7 @@
 // ranks when their pass begins, and records each pass that begins while two ranks use different maps.
 type simGroup struct {
 	mu              sync.Mutex
+	name            string
 	rng             *rand.Rand
 	epoch           uint64
 	step            uint64
@@ -119,7 +120,7 @@
 )
 
 func newSimGroup(ranks, sets, experts int, seed uint64) *simGroup {
-	g := &simGroup{rng: rand.New(rand.NewPCG(seed, 7)), epoch: 1, sets: sets, experts: experts}
+	g := &simGroup{name: "g", rng: rand.New(rand.NewPCG(seed, 7)), epoch: 1, sets: sets, experts: experts}
 	for r := range ranks {
 		rank := &simRank{group: g, index: r, counts: make([]uint64, sets*experts), vm: new(simVM)}
 		rank.lists = initialLists(r, ranks, sets, experts)
@@ -201,7 +202,7 @@
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	return peers.RankState{
-		Known: true, StartedAtMS: r.startedAtMS, Group: "g", Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Complete: true,
+		Known: true, StartedAtMS: r.startedAtMS, Group: r.group.name, Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Complete: true,
 		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: 4, Slowdown: 1,
 	}, nil
 }
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -125,6 +125,8 @@
 	storeSlow        atomic.Bool
 	lateRegistration atomic.Bool // only the first engine is registered
 	smallVMs         bool        // VMs have a fraction of a core and a slow link
+	firstRank        int         // number of the VM of rank 0; other groups of the service have lower ones
+	fleets           []*simFleet // all groups of the service; nil: only this one
 	agents           []*Agent
 	cancel           context.CancelFunc
 	tasks            sync.WaitGroup
@@ -150,6 +152,35 @@
 	return f
 }
 
+// newFleetPair returns two groups of one service with agents that are not running yet.
+func newFleetPair(first, second *simGroup) (a, b *simFleet) {
+	a, b = &simFleet{group: first}, &simFleet{group: second, firstRank: len(first.ranks)}
+	a.fleets = []*simFleet{a, b}
+	b.fleets = a.fleets
+	a.addAgents()
+	b.addAgents()
+	return a, b
+}
+
+// allFleets returns all groups of the service.
+func (f *simFleet) allFleets() []*simFleet {
+	if f.fleets == nil {
+		return []*simFleet{f}
+	}
+	return f.fleets
+}
+
+// find returns the group and the rank of an engine or agent by its address.
+func (f *simFleet) find(address string) (fleet *simFleet, rank int) {
+	vm := rankOf(address)
+	for _, other := range f.allFleets() {
+		if vm >= other.firstRank && vm < other.firstRank+len(other.group.ranks) {
+			return other, vm - other.firstRank
+		}
+	}
+	panic("no VM has the address " + address)
+}
+
 func (f *simFleet) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -162,20 +193,28 @@
 // addAgents creates an agent for each rank without running it.
 func (f *simFleet) addAgents() {
 	g := f.group
+	registered := 0
+	for _, other := range f.allFleets() {
+		registered += len(other.group.ranks)
+	}
 	for r, rank := range g.ranks {
 		vm := rank.vm
 		a := newAgent(Options{
 			VM:         fmt.Sprintf("vm-%d", r),
 			Engine:     &simEngine{simRank: rank, from: vm},
-			EngineAddr: engineAddress(r),
+			EngineAddr: engineAddress(f.firstRank + r),
 			Service:    "s",
-			PeerAddr:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", r+1), simPort),
+			PeerAddr:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", f.firstRank+r+1), simPort),
 			PeerPort:   simPort,
-			Store:      simStore{ranks: len(g.ranks), down: &f.storeDown, slow: &f.storeSlow, lateRegistration: &f.lateRegistration},
+			Store:      simStore{ranks: registered, down: &f.storeDown, slow: &f.storeSlow, lateRegistration: &f.lateRegistration},
 			NewRemoteEngine: func(address string) Engine {
-				return &simEngine{simRank: g.ranks[rankOf(address)], from: vm}
+				fleet, at := f.find(address)
+				return &simEngine{simRank: fleet.group.ranks[at], from: vm}
+			},
+			Dial: func(address string) PeerClient {
+				fleet, at := f.find(address)
+				return &simClient{f: fleet, rank: at, from: vm}
 			},
-			Dial: func(address string) PeerClient { return &simClient{f: f, rank: rankOf(address), from: vm} },
 			DecodeTarget: func(id string, value []byte) (serving.Target, error) {
 				return serving.Target{ID: id, Service: "s", Address: string(value)}, nil
 			},
