lockstep: groups with few selections follow shifts too

Samples need 50 selections per expert, and plans 200 since the shift in place of 200 recent ones. A group with few streams on a map that does not fit has long passes, so it did not reach that limit and kept the map.

--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -67,6 +67,13 @@
 	// minSelectionsPerExpert is the number of selections per expert that tells demand from chance
 	// within a few percent.
 	minSelectionsPerExpert = 200
+	// minSampleSelections is the number of selections per expert in a sample. A shift changes demand far
+	// more than chance does in such a sample.
+	minSampleSelections = 50
+	// minRecentSelections is the number of recent selections per expert below which the map is kept. It
+	// is less than what tells demand from chance: passes are long on a map that does not fit, so a
+	// group with a higher limit could keep such a map because its passes are few.
+	minRecentSelections = 100
 	// changedShare is the squared difference between a sample and the steady mean, as a share of
 	// their variation between experts, from which demand has shifted. It is about 0.01 between two
 	// groups with the same demand, and 0.3 to 1 for a shift.
@@ -125,7 +132,7 @@
 		d.sample[e] += n
 	}
 	d.sampleTotal += sum
-	if d.sampleTotal >= minSelectionsPerExpert*float64(len(counts)) {
+	if d.sampleTotal >= minSampleSelections*float64(len(counts)) {
 		d.addSample(now)
 	}
 }
@@ -263,8 +270,13 @@
 	return true
 }
 
-// hasEnoughData reports whether enough selections are known to tell demand from chance.
+// hasEnoughData reports whether enough selections are known to tell demand from chance, and the group is
+// not nearly idle.
 func (d *demand) hasEnoughData() bool {
+	if !d.mixed {
+		n := float64(len(d.steady.loads))
+		return d.selectionsPerExpert() >= minSelectionsPerExpert && d.recent.total > minRecentSelections*n
+	}
 	return d.recent.total > minSelectionsPerExpert*float64(len(d.recent.loads))
 }
 
@@ -273,11 +285,11 @@
 
 // selectionsPerExpert returns the mean number of selections per expert that the estimate holds.
 func (d *demand) selectionsPerExpert() float64 {
-	sum := 0.0
-	for _, n := range d.loads() {
-		sum += n
+	total := d.steady.total
+	for _, s := range d.others.samples {
+		total += min(s.total, d.steady.total)
 	}
-	return sum / float64(len(d.steady.loads))
+	return total / float64(len(d.steady.loads))
 }
 
 // decayFactor returns the factor by which a weight decays in time t: 1/2 for each half-life, with
--- a/lockstep/demand_test.go
+++ b/lockstep/demand_test.go
@@ -22,6 +22,7 @@
 	model     *serving.EngineModel
 	ranks     int
 	truth     []float64 // demand, with a mean of 1
+	perPass   float64   // mean selections per expert and pass
 	layouts   []expert.Layout
 	demand    *demand
 	clock     shiftClock
@@ -55,7 +56,7 @@
 
 const (
 	simReaders    = 4
-	simSelections = 540.0 // mean selections per expert and pass
+	simSelections = 540.0 // mean selections per expert and pass at the usual load
 	simFits       = 1.25  // imbalance at which the map fits the demand
 	simPassMS     = 62.0  // pass time at an imbalance of 1
 )
@@ -72,7 +73,7 @@
 
 func newShiftSim(name string, seed uint64) *shiftSim {
 	c := simModels[name]
-	s := &shiftSim{rng: rand.New(rand.NewPCG(seed, 3)), model: &c.model, ranks: c.ranks, demand: newDemand(c.model.LayerSets * c.model.Experts)}
+	s := &shiftSim{rng: rand.New(rand.NewPCG(seed, 3)), model: &c.model, ranks: c.ranks, perPass: simSelections, demand: newDemand(c.model.LayerSets * c.model.Experts)}
 	for range c.model.LayerSets {
 		s.layouts = append(s.layouts, expert.InitialLayout(c.ranks, c.model.Experts))
 	}
@@ -127,7 +128,7 @@
 	for i := range p.counts {
 		p.counts[i] = make([]float64, len(s.truth))
 		for e, load := range s.passTruth {
-			mean := load * simSelections / simReaders
+			mean := load * s.perPass / simReaders
 			p.counts[i][e] = max(math.Round(mean+math.Sqrt(mean)*s.rng.NormFloat64()), 0)
 		}
 	}
@@ -239,39 +240,28 @@
 }
 
 // shiftResult sums up a simulation per shift.
-type shiftResult struct{ plans, copies, fitMS, p90FitMS, excessMS float64 }
+type shiftResult struct{ plans, copies, fitMS, longestFitMS, excessMS float64 }
 
 // runShifts simulates shifts at random points between rounds.
-func runShifts(name string, seeds int, mixed bool) shiftResult {
-	var r shiftResult
-	var fits []time.Duration
-	shifts := 0
-	for seed := range seeds {
-		s := newShiftSim(name, uint64(seed))
-		s.demand.mixed = mixed
-		interval := simModels[name].interval
-		s.run(interval)
-		s.plans, s.copies, s.fitAfter, s.excess = 0, 0, nil, 0
-		for range 8 {
-			s.shift()
-			s.run(s.now + interval + time.Duration(s.rng.Int64N(int64(100*time.Millisecond))))
-			if !s.fits {
-				s.fitAfter = append(s.fitAfter, interval)
-			}
-			shifts++
+func runShifts(name string, perPass float64, shifts int, mixed bool) shiftResult {
+	s := newShiftSim(name, 0)
+	s.demand.mixed, s.perPass = mixed, perPass
+	interval := simModels[name].interval
+	s.run(interval)
+	s.plans, s.copies, s.fitAfter, s.excess = 0, 0, nil, 0
+	for range shifts {
+		s.shift()
+		s.run(s.now + interval + time.Duration(s.rng.Int64N(int64(100*time.Millisecond))))
+		if !s.fits {
+			s.fitAfter = append(s.fitAfter, interval)
 		}
-		r.plans += float64(s.plans)
-		r.copies += float64(s.copies)
-		r.excessMS += s.excess * 1e3
-		fits = append(fits, s.fitAfter...)
-	}
-	slices.Sort(fits)
-	for _, f := range fits {
-		r.fitMS += float64(f.Milliseconds())
 	}
 	n := float64(shifts)
-	r.plans, r.copies, r.fitMS, r.excessMS = r.plans/n, r.copies/n, r.fitMS/n, r.excessMS/n
-	r.p90FitMS = float64(fits[len(fits)*9/10].Milliseconds())
+	r := shiftResult{plans: float64(s.plans) / n, copies: float64(s.copies) / n, excessMS: s.excess * 1e3 / n}
+	for _, f := range s.fitAfter {
+		r.fitMS += float64(f.Milliseconds()) / n
+		r.longestFitMS = max(r.longestFitMS, float64(f.Milliseconds()))
+	}
 	return r
 }
 
@@ -283,7 +273,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			before, after := runShifts(name, 1, true), runShifts(name, 1, false)
+			before, after := runShifts(name, simSelections, 8, true), runShifts(name, simSelections, 8, false)
 			t.Logf("before %+v", before)
 			t.Logf("after  %+v", after)
 			g.Expect(before.plans).To(BeNumerically(">", 2), "the simulation shows the fault")
@@ -295,6 +285,16 @@
 	}
 }
 
+// A group with few streams has too few selections in a pass to plan from. It must still get a map after
+// each shift: on a map that does not fit, passes are long, and so selections stay few.
+func TestGroupWithFewSelectionsFollowsShifts(t *testing.T) {
+	g := NewWithT(t)
+	r := runShifts("32 ranks", 100, 4, false)
+	t.Logf("%+v", r)
+	g.Expect(r.plans).To(BeNumerically("<=", 1.5))
+	g.Expect(r.longestFitMS).To(BeNumerically("<", 1000))
+}
+
 // observeSamples feeds a demand estimate one sample per 100 ms, each with the given passes and the
 // selections of one pass per load vector.
 type observeSamples struct {
--- a/lockstep/demandmerge_test.go
+++ b/lockstep/demandmerge_test.go
@@ -163,7 +163,7 @@
 		r.excessMS += s.excess * 1e3 / (2 * shifts)
 		for _, f := range s.fitAfter {
 			r.fitMS += float64(f.Milliseconds()) / float64(2*len(s.fitAfter))
-			r.p90FitMS = max(r.p90FitMS, float64(f.Milliseconds()))
+			r.longestFitMS = max(r.longestFitMS, float64(f.Milliseconds()))
 		}
 	}
 	return r
--- a/lockstep/exchange.go
+++ b/lockstep/exchange.go
@@ -217,7 +217,8 @@
 func (l *leader) sendSample(group string, now time.Time) {
 	d := l.demand
 	if d.mixed || ablate.Off(ablate.DemandExchange) || d.shiftAt.IsZero() || d.samples == l.sentSamples ||
-		d.samples > samplesPerShift || d.borrowed || !d.isSettled(now) {
+		d.samples > samplesPerShift || d.borrowed || !d.isSettled(now) ||
+		d.steady.total < minSelectionsPerExpert*float64(len(d.steady.loads)) {
 		return
 	}
 	l.sentSamples = d.samples
