--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -18,8 +18,11 @@
 	version           uint64          // map version of layouts
 	layouts           []expert.Layout // map in use as last known to this leader, by layer set
 	demand            *demand
+	shiftClock        shiftClock
+	sentSamples       int // number of samples since the latest shift that the other leaders have been sent
 	pending           *pendingMap
 	armed             *armedMap
+	mapFollows        bool // the group has switched to a map that was planned for the demand since the latest shift
 	mapFixed          bool // the map cannot be changed, because the ranks have too few places for all experts
 	refusals          refusalBackoff
 	highestVersion    uint64       // highest map version seen or assigned
@@ -163,15 +166,19 @@
 		l.highestVersion = max(l.highestVersion, s.Map, s.Prepared, s.Armed, s.HighestMapReceived)
 		addSelections(sum, s)
 	}
+	l.hearSamples(now)
+	l.demand.setSteps(stepRange(ranks))
+	l.demand.roundTime = max(l.roundTime, roundInterval)
 	l.demand.observe(now, sum)
 	shifted = l.demand.detectShift(l.layouts, l.group.model)
 	if shifted {
-		l.a.opts.Log.Info("demand moved", "epoch", l.epoch, "step", ranks[0].state.Step,
-			"imbalance", logging.Round2(imbalance(l.layouts, l.demand.loads(), nil, l.group.model)))
+		l.logShift(ranks[0].state.Group, ranks[0].state.Step, now)
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
+		l.mapFollows = false
 	}
+	l.sendSample(ranks[0].state.Group, now)
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
@@ -265,10 +272,14 @@
 func (l *leader) plan(ranks []rank) {
 	m := l.group.model
 	startedAt := time.Now()
-	if l.mapFixed || !l.demand.hasEnoughData() || l.refusals.isActive(startedAt) {
+	if l.mapFixed || !l.demand.hasEnoughData() || !l.demand.isSettled(startedAt) || l.refusals.isActive(startedAt) {
 		return
 	}
 	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts, meanStreams: meanStreams(ranks)}
+	pl.minGain = l.minPlanGain()
+	if !l.demand.mixed {
+		pl.untilShift, pl.shiftExpected = l.shiftClock.untilNext(startedAt)
+	}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
@@ -285,6 +296,26 @@
 	l.prepare(ranks)
 }
 
+// minPlanGain returns the smallest decrease of the imbalance for which the map is changed.
+func (l *leader) minPlanGain() float64 {
+	if !l.mapFollows || l.demand.mixed {
+		return 0
+	}
+	if l.urgency() >= criticalUrgency {
+		return criticalFollowUpGain
+	}
+	return followUpGain
+}
+
+// stepRange returns the lowest and the highest step of the ranks.
+func stepRange(ranks []rank) (lowest, highest uint64) {
+	lowest = ranks[0].state.Step
+	for i := range ranks {
+		lowest, highest = min(lowest, ranks[i].state.Step), max(highest, ranks[i].state.Step)
+	}
+	return lowest, highest
+}
+
 // meanStreams returns the mean number of running streams per rank.
 func meanStreams(ranks []rank) float64 {
 	running := 0
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -105,6 +105,9 @@
 		ShiftInMS:     peers.Never,
 		StreamTimeMS:  float32(l.pauseFit.StreamTime(time.Now()).Seconds() * 1e3),
 	}
+	if left, known := l.shiftClock.untilNext(time.Now()); known {
+		loads.ShiftInMS = uint32(left.Milliseconds())
+	}
 	queued, ownGap := l.a.takeEntryReports()
 	var gaps gapMerge
 	gaps.add(ownGap)
