lockstep: a slow switch does not end planning

The leader prices plans by the mean times of its switches. Seconds of overload did the same more slowly. A sample is now bounded by the horizon of a plan, and the means return to their initial values without switches.

--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -258,7 +258,7 @@
 	if l.mapFixed || !l.demand.hasEnoughData() || l.refusals.isActive(startedAt) {
 		return
 	}
-	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts, meanStreams: meanStreams(ranks)}
+	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts.at(startedAt), meanStreams: meanStreams(ranks)}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
 		return
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -149,22 +149,56 @@
 
 // switchCosts are decaying means of the times that switches take. These times differ with the size
 // of the group, its VMs and their links.
+//
+// High means make every plan too costly, and without a switch nothing corrects them. So a single
+// sample is bounded, and without new samples the means return to their initial values. Otherwise
+// one pause of the leader's VM, or a time of overload, would end all planning of this leader.
 type switchCosts struct {
-	overhead time.Duration // time from plan to switch, without the time for copies
-	stall    time.Duration // time for which the group is held
+	overhead   time.Duration // time from plan to switch, without the time for copies
+	stall      time.Duration // time for which the group is held
+	observedAt time.Time     // time of the latest sample; zero: none
 }
 
-// switchCostSmoothing is the reciprocal of the weight of the latest switch in the means.
-const switchCostSmoothing = 4
+const (
+	// switchCostSmoothing is the reciprocal of the weight of the latest switch in the means.
+	switchCostSmoothing = 4
+	// maxSwitchCostSample bounds a sample. A switch that takes the whole horizon of a plan already
+	// gains nothing.
+	maxSwitchCostSample = time.Duration(horizonSec * float64(time.Second))
+	// switchCostHalfLife is the time without a switch in which the excess of the means over their
+	// initial values halves. It is longer than the demand usually stays the same, so a group whose
+	// switches are slow tries few of them.
+	switchCostHalfLife = 5 * time.Second
+)
 
 func newSwitchCosts() switchCosts {
 	return switchCosts{overhead: initialSwitchOverhead, stall: initialStall}
 }
 
 // observe adds one switch to the means.
-func (m *switchCosts) observe(overhead, stall time.Duration) {
-	m.overhead += (max(overhead, 0) - m.overhead) / switchCostSmoothing
-	m.stall += (stall - m.stall) / switchCostSmoothing
+func (m *switchCosts) observe(overhead, stall time.Duration, now time.Time) {
+	*m = m.at(now)
+	m.overhead += (min(max(overhead, 0), maxSwitchCostSample) - m.overhead) / switchCostSmoothing
+	m.stall += (min(stall, maxSwitchCostSample) - m.stall) / switchCostSmoothing
+	m.observedAt = now
+}
+
+// at returns the means at a time after the latest sample.
+func (m switchCosts) at(now time.Time) switchCosts {
+	if m.observedAt.IsZero() {
+		return m
+	}
+	decay := decayFactor(now.Sub(m.observedAt), switchCostHalfLife)
+	m.overhead = decayExcess(m.overhead, initialSwitchOverhead, decay)
+	m.stall = decayExcess(m.stall, initialStall, decay)
+	m.observedAt = now
+	return m
+}
+
+// decayExcess multiplies the excess of a mean over its initial value by decay. It does not change a
+// lower mean.
+func decayExcess(mean, initial time.Duration, decay float64) time.Duration {
+	return mean - time.Duration(float64(max(mean-initial, 0))*(1-decay))
 }
 
 // Parameters of the planner.
--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -76,6 +76,27 @@
 	g.Expect(l.roundDelay()).To(Equal(pendingInterval))
 }
 
+// While a machine is overloaded, switches take seconds and no plan is worth its delay. As no switch
+// follows that could correct the estimate, it must decay by itself, or the group would keep its map
+// after the machine has recovered.
+func TestPlansAreMadeAgainAfterSlowSwitches(t *testing.T) {
+	g := NewWithT(t)
+	m := planModel()
+	loads, layouts := randomLoads(m, rand.New(rand.NewPCG(8, 1)))
+	now := time.Now()
+	costs := newSwitchCosts()
+	for range 20 {
+		now = now.Add(prepareTimeout)
+		costs.observe(prepareTimeout, time.Second, now)
+	}
+	copies := func(at time.Time) int {
+		pl := planner{model: m, urgency: 1, switchCosts: costs.at(at), meanStreams: busyStreams}
+		return pl.best(layouts, loads).copies
+	}
+	g.Expect(copies(now)).To(BeZero(), "each switch has taken longer than a plan is useful")
+	g.Expect(copies(now.Add(4 * switchCostHalfLife))).To(BeNumerically(">", 0))
+}
+
 // With rounds every 60 ms and passes of 48 ms, one or two passes begin per round. Measured over single
 // rounds, passes would seem to take 60 and 30 ms in turn, and plans would alternate with them.
 func TestPassTimeIsSmoothedOverRounds(t *testing.T) {
--- a/lockstep/prepare.go
+++ b/lockstep/prepare.go
@@ -103,7 +103,7 @@
 	switch {
 	case len(missing) == 0:
 		if step, stall, ok := switchMap(l.a, holder, ranks, p.version); ok {
-			l.switchCosts.observe(time.Since(p.plannedAt)-p.copyTime, stall)
+			l.switchCosts.observe(time.Since(p.plannedAt)-p.copyTime, stall, time.Now())
 			l.armed = &armedMap{version: p.version, layouts: p.layouts, step: step}
 			l.refusals = refusalBackoff{}
 		}
--- a/lockstep/switch_test.go
+++ b/lockstep/switch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,6 +129,34 @@
 	group.ranks[0].vm.unfreeze()
 }
 
+// The leader's VM is paused for 20 s while ranks copy a map, so the switch seems to take 20 s. A leader
+// that took this for the time of all switches would find no plan worth its delay, make no switch that
+// corrects the estimate, and keep its map until it restarts.
+func TestLeaderFollowsDemandAfterAPause(t *testing.T) {
+	g := NewWithT(t)
+	group := newSimGroup(12, 4, 72, 3)
+	var delays []time.Duration
+	runGroup(t, group, 30*time.Second, func(*simFleet) {
+		for prepared := false; !prepared; {
+			time.Sleep(time.Millisecond)
+			group.mu.Lock()
+			prepared = slices.ContainsFunc(group.ranks, func(r *simRank) bool { return r.prepared != 0 })
+			group.mu.Unlock()
+		}
+		group.ranks[0].vm.freeze()
+		time.Sleep(20 * time.Second)
+		group.ranks[0].vm.unfreeze()
+		for range 3 {
+			time.Sleep(time.Second)
+			group.shiftDemand()
+			delays = append(delays, timeToSwitch(group))
+		}
+	})
+	g.Expect(group.mixedSteps).To(BeEmpty())
+	g.Expect(delays).To(HaveLen(3))
+	g.Expect(delays).To(HaveEach(BeNumerically("<", time.Second)))
+}
+
 // The leader's VM freezes after the hold, so the state of the leader's rank is unreachable. As that rank
 // is armed last, the other agents must release the hold within about a second, before the VM is back.
 func TestFrozenLeaderDoesNotStopTheGroup(t *testing.T) {
