lockstep: report a map that does not follow demand

The leader logs "map does not follow demand" with the cause, and counts maps_behind_demand, when the map has not fitted for 2 s and the leader has not kept it by choice. Before, such a group showed only a high imbalance.

--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -29,6 +29,7 @@
 	switchCosts   switchCosts
 	peakImbalance imbalancePeak
 	hold          holdTracker
+	lag           mapLag
 	roundTime     time.Duration // duration of the latest round
 
 	sentRoster     uint64 // Loads.Roster (hash of the engine list) that the agents received last
@@ -77,7 +78,11 @@
 // round collects the state of the group and takes the next step of planning or switching.
 func (l *leader) round(own peers.RankState) {
 	startedAt := time.Now()
-	defer func() { l.roundTime = time.Since(startedAt) }()
+	l.lag.cause = lagIncomplete
+	defer func() {
+		l.roundTime = time.Since(startedAt)
+		l.logMapLag(own.Group, time.Now())
+	}()
 	if len(l.group.members) < own.Ranks || l.group.model == nil {
 		l.group.refresh()
 	}
@@ -103,6 +108,7 @@
 	l.logLoad(ranks)
 	for i := range ranks {
 		if ranks[i].state.Held != 0 {
+			l.lag.cause = lagHeld
 			recoverGroup(l.a, l.group, ranks[i].member, own.Group, l.hold.firstSeen(ranks[i].state.Held, time.Now()))
 			l.pending, l.armed = nil, nil
 			return
@@ -110,8 +116,10 @@
 	}
 	holder := ranks[holderRank(len(ranks))].member
 	if !l.syncMap(ranks) {
+		l.lag.cause = lagUnknownMap
 		return
 	}
+	l.lag.cause = lagSwitching
 	if l.pending != nil {
 		l.advancePending(holder, ranks)
 		return
@@ -128,7 +136,7 @@
 func (l *leader) reset(ranks []rank) {
 	l.epoch, l.engineStartedAtMS = ranks[0].state.Epoch, ranks[0].state.StartedAtMS
 	l.pending, l.armed = nil, nil
-	l.layouts, l.recentMaps = nil, nil
+	l.layouts, l.recentMaps, l.lag = nil, nil, mapLag{}
 	m := l.group.model
 	for range m.LayerSets {
 		l.layouts = append(l.layouts, expert.InitialLayout(len(ranks), m.Experts))
@@ -163,6 +171,9 @@
 		// at any time before ranks are armed.
 		l.pending = nil
 	}
+	if l.demand.hasEnoughData() {
+		l.lag.observe(imbalance(l.layouts, l.demand.loads(), slowdowns(ranks), l.group.model), now)
+	}
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
@@ -255,12 +266,18 @@
 func (l *leader) plan(ranks []rank) {
 	m := l.group.model
 	startedAt := time.Now()
-	if l.mapFixed || !l.demand.hasEnoughData() || l.refusals.isActive(startedAt) {
+	if l.mapFixed || !l.demand.hasEnoughData() {
+		l.lag.cause = lagNone
+		return
+	}
+	if l.refusals.isActive(startedAt) {
+		l.lag.cause = lagRefused
 		return
 	}
 	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts.at(startedAt), meanStreams: meanStreams(ranks)}
 	p := pl.best(l.layouts, l.demand.loads())
 	if p.copies == 0 {
+		l.lag.cause = pl.causeToKeepMap(&p)
 		return
 	}
 	l.highestVersion = nextVersion(l.highestVersion)
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -121,6 +121,7 @@
 	copies                          int     // number of experts that all ranks together must copy
 	maxCopiesPerRank                int
 	cost                            float64 // cost of the plan, as described at the type planner
+	rejected                        bool    // set if the map is kept although a plan with a better map was compared
 }
 
 // fitsAllExperts reports whether the ranks have a place for each expert.
@@ -281,6 +282,7 @@
 		if p.copies > 0 && p.cost < best.cost {
 			best = p
 		}
+		best.rejected = best.copies == 0 && (best.rejected || p.imbalanceAfter < current)
 		next = p.layouts
 	}
 	return best
