entry: a shorter plan-every takes effect at once

The owner of a group fixed the time of its next load collection by the interval of the configuration then in force. After a change from the default of 60 s to 1 s it waited up to 30 s more, from 1 h up to half an hour, without a log line.

TestScenarios/map_switch applies such a change and then waits 30 s for a switch. Alone, the change is in force before the owner has its lease. On a busy machine the owner has collected loads before it, and the next collection comes at about the end of that wait.

TestShorterPlanIntervalTakesEffectAtOnce failed before: the group kept its map for 30 s.

--- a/demo/ranks_test.go
+++ b/demo/ranks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/demo"
+	"github.com/heatherrail/heatherrail/entry"
 	"github.com/heatherrail/heatherrail/expert"
 	"github.com/heatherrail/heatherrail/internal/fake"
 )
@@ -48,10 +51,21 @@
 // rankFleet starts a fleet with three entries and one group in which the first expert of
 // each layer gets most of the load.
 func rankFleet(t *testing.T) (*demo.Fleet, *fake.LockStep) {
+	t.Helper()
+	return rankFleetWith(t, loadRankConfig(t, rankConfig))
+}
+
+func loadRankConfig(t *testing.T, text string) *config.Config {
+	t.Helper()
+	cfg, err := config.Load(map[string]string{"ranks.ini": text})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return cfg
+}
+
+// rankFleetWith is rankFleet with another configuration.
+func rankFleetWith(t *testing.T, cfg *config.Config) (*demo.Fleet, *fake.LockStep) {
 	t.Helper()
 	g := NewWithT(t)
-	cfg, err := config.Load(map[string]string{"ranks.ini": rankConfig})
-	g.Expect(err).NotTo(HaveOccurred())
 	f, err := demo.Start(demo.Options{Config: cfg, Entries: 3, StepTime: 2 * time.Millisecond, DirectoryTTL: time.Second, Logger: logr.Discard()})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(f.Close)
@@ -84,6 +98,31 @@
 	t.Logf("%d steps, %d idle", group.Steps(), group.Idle())
 }
 
+// An operator shortens plan-every after the owner of the group has collected its first loads. The owner
+// must not wait for the rest of the earlier interval, which may be half an hour, before it follows
+// demand.
+func TestShorterPlanIntervalTakesEffectAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f, group := rankFleetWith(t, loadRankConfig(t, strings.Replace(rankConfig, "plan-every = 1s", "plan-every = 4m", 1)))
+	initial := group.Map()
+	isOwned := func() bool {
+		return slices.ContainsFunc(f.Entries, func(e *entry.Entry) bool {
+			_, held := e.Leaser().Held(control.GroupResource("ovens"))
+			return held
+		})
+	}
+	g.Eventually(isOwned, "30s").Should(BeTrue())
+	time.Sleep(time.Second) // the owner collects loads four times a second until it has them
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	operator := control.Operator{Log: f.Log}
+	g.Expect(operator.Sync(ctx)).To(Succeed())
+	_, err := operator.Apply(ctx, control.NewChangeID(), operator.Current().Version, loadRankConfig(t, rankConfig))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(group.Map, "30s").ShouldNot(Equal(initial))
+	g.Expect(group.Mixed()).To(Succeed())
+}
+
 // allMaps returns the map status of all entries, as operators see it.
 func allMaps(f *demo.Fleet) string {
 	var b strings.Builder
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -31,13 +31,13 @@
 	entry *Entry
 	group string
 
-	planner        expert.Planner
-	estimate       expert.LoadEstimator
-	speeds         expert.SpeedEstimator
-	mapInUse       *expert.Map
-	nextCollection time.Time
-	reportCount    int
-	history        expert.PlanHistory
+	planner     expert.Planner
+	estimate    expert.LoadEstimator
+	speeds      expert.SpeedEstimator
+	mapInUse    *expert.Map
+	collectedAt time.Time // start of the latest load collection
+	reportCount int
+	history     expert.PlanHistory
 }
 
 // runGroupOwners starts a groupOwner for each declared group. Each has a goroutine of its
@@ -102,10 +102,12 @@
 		}
 		return
 	}
-	if !isHolder || now.Before(o.nextCollection) {
+	// The interval is that of the current configuration. A due time fixed at the latest collection would
+	// outlast a change of plan-every by up to half of the earlier value.
+	if !isHolder || now.Before(o.collectedAt.Add(g.PlanEvery/loadReportsPerPlan)) {
 		return
 	}
-	o.nextCollection = now.Add(g.PlanEvery / loadReportsPerPlan)
+	o.collectedAt = now
 	if !o.collectLoads(ctx, g, now) {
 		return
 	}
