entry: report a group whose loads are not collected

Without the loads of all ranks an owner plans nothing; only a counter of failed collections showed it. After three plan intervals the owner now logs "map does not follow demand" with the fault, and counts maps_behind_demand_total.

--- a/entry/owner.go
+++ b/entry/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	mapInUse    *expert.Map
 	collectedAt time.Time // start of the latest load collection
 	reportCount int
+	gapCount    int // consecutive load collections that failed
 	history     expert.PlanHistory
 }
 
@@ -108,7 +110,9 @@
 		return
 	}
 	o.collectedAt = now
-	if !o.collectLoads(ctx, g, now) {
+	err := o.collectLoads(ctx, g, now)
+	o.recordCollection(g, err)
+	if err != nil {
 		return
 	}
 	if o.reportCount++; o.reportCount%loadReportsPerPlan == 0 {
@@ -116,6 +120,25 @@
 	}
 }
 
+// maxLoadGaps is the number of consecutive failed load collections, three plan intervals, after which
+// the group's map counts as behind demand. A single rank that restarts causes fewer.
+const maxLoadGaps = 3 * loadReportsPerPlan
+
+// recordCollection counts failed load collections. It reports every maxLoadGaps in a row, since
+// without loads the owner makes no plan and the map does not follow demand.
+func (o *groupOwner) recordCollection(g *config.Group, err error) {
+	if err == nil {
+		o.gapCount = 0
+		return
+	}
+	o.entry.opts.Metrics.Count("map_load_gaps_total", 1)
+	o.gapCount++
+	if o.gapCount%maxLoadGaps == 0 {
+		o.entry.opts.Metrics.Count("maps_behind_demand_total", 1)
+		o.entry.log.Info("map does not follow demand", "group", g.Name, "load_gaps", o.gapCount, "detail", err.Error())
+	}
+}
+
 // recoverGroup resumes a group that is stalled because the decision of a ballot is missing. It runs
 // a new ballot, which keeps the map in use.
 func (o *groupOwner) recoverGroup(ctx context.Context, g *config.Group) {
@@ -136,21 +159,29 @@
 	return time.Duration(o.entry.opts.Incarnation%16) * ownerInterval
 }
 
-// collectLoads asks all ranks for their loads. It reports false, and uses no load, if a rank
+// Errors of a load collection.
+var (
+	errLoadsOfAnotherMap = errors.New("a rank reported loads of another map than the one in use")
+	errNoStep            = errors.New("no rank has entered a step")
+)
+
+// collectLoads asks all ranks for their loads. It returns an error, and uses no load, if a rank
 // does not answer or reports another map than the one in use: the experts of a missing rank
 // would seem idle.
-func (o *groupOwner) collectLoads(ctx context.Context, g *config.Group, now time.Time) bool {
+func (o *groupOwner) collectLoads(ctx context.Context, g *config.Group, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
 	replies, errs := o.entry.sendToRanks(ctx, g.Ranks, wire.RankOrder{Group: g.Name, Op: wire.RankLoads}, nil)
-	if firstError(errs) != nil {
-		o.entry.opts.Metrics.Count("map_load_gaps_total", 1)
-		return false
+	if err := firstError(errs); err != nil {
+		return err
 	}
 	if o.mapInUse == nil || uint64(o.mapInUse.ID()) != replies[0].Map || o.mapInUse.Shape != mapShape(g) {
 		m, err := o.entry.mapInUse(ctx, g, replies)
-		if err != nil || m == nil {
-			return false
+		if err != nil {
+			return err
+		}
+		if m == nil {
+			return errNoStep
 		}
 		o.mapInUse = m
 	}
@@ -160,8 +191,7 @@
 	seconds := make([]float64, s.Ranks)
 	for rank, r := range replies {
 		if r.Map != uint64(o.mapInUse.ID()) || len(r.Bands) != s.Layers*s.SlotsOfRank {
-			o.entry.opts.Metrics.Count("map_load_gaps_total", 1)
-			return false
+			return errLoadsOfAnotherMap
 		}
 		slots := expert.DecodeLoads(r.Unit, r.Bands)
 		o.mapInUse.AddRankLoads(rank, slots, loads)
@@ -173,7 +203,7 @@
 	o.estimate.HalfLifeSeconds = estimateHalfLifeReports * (g.PlanEvery / loadReportsPerPlan).Seconds()
 	o.estimate.Observe(float64(now.UnixMilli())/1000, loads)
 	o.speeds.Observe(tokens, seconds)
-	return true
+	return nil
 }
 
 const bytesPerMegabyte = 1e6
--- a/entry/ranks_test.go
+++ b/entry/ranks_test.go
@@ -1,10 +1,16 @@
 package entry
 
 import (
+	"bytes"
+	"errors"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/metrics"
 )
 
 // The owner of a group dies and its ranks stall. Agents report twice a second, the entry checks four
@@ -32,3 +38,32 @@
 	_, ok = s.stalledSince(ranks, begin.Add(time.Hour))
 	g.Expect(ok).To(BeFalse())
 }
+
+// One rank of a group does not answer, so its owner collects no loads and plans nothing. An operator
+// must see that the map is behind demand, not only a count of failed collections, but not for the
+// single failure that a restarted rank causes.
+func TestFailedLoadCollectionsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	lines := 0
+	e := &Entry{opts: Options{Metrics: metrics.New()}, log: funcr.New(func(_, args string) {
+		g.Expect(args).To(And(ContainSubstring("map does not follow demand"), ContainSubstring("oven-2 is gone")))
+		lines++
+	}, funcr.Options{})}
+	o := &groupOwner{entry: e, group: "ovens"}
+	group := &config.Group{Name: "ovens"}
+	gone := errors.New("oven-2 is gone")
+	for range maxLoadGaps - 1 {
+		o.recordCollection(group, gone)
+	}
+	g.Expect(lines).To(BeZero())
+	o.recordCollection(group, nil)
+	o.recordCollection(group, gone)
+	g.Expect(lines).To(BeZero(), "the group has reported loads in between")
+	for range 2*maxLoadGaps - 1 {
+		o.recordCollection(group, gone)
+	}
+	g.Expect(lines).To(Equal(2))
+	var text bytes.Buffer
+	g.Expect(e.opts.Metrics.Write(&text)).To(Succeed())
+	g.Expect(text.String()).To(And(ContainSubstring("maps_behind_demand_total 2"), ContainSubstring("map_load_gaps_total 17")))
+}
