--- a/lockstep/plan_test.go
+++ b/lockstep/plan_test.go
@@ -76,6 +76,27 @@
 	g.Expect(l.roundDelay()).To(Equal(pendingInterval))
 }
 
+// While a machine is overloaded, switches take seconds and no plan is worth its delay. As no switch
+// follows that could correct the estimate, it must decay by itself, or the group would keep its map
+// after the machine has recovered.
+func TestPlansAreMadeAgainAfterSlowSwitches(t *testing.T) {
+	g := NewWithT(t)
+	m := planModel()
+	loads, layouts := randomLoads(m, rand.New(rand.NewPCG(8, 1)))
+	now := time.Now()
+	costs := newSwitchCosts()
+	for range 20 {
+		now = now.Add(prepareTimeout)
+		costs.observe(prepareTimeout, time.Second, now)
+	}
+	copies := func(at time.Time) int {
+		pl := planner{model: m, urgency: 1, switchCosts: costs.at(at), meanStreams: busyStreams}
+		return pl.best(layouts, loads).copies
+	}
+	g.Expect(copies(now)).To(BeZero(), "each switch has taken longer than a plan is useful")
+	g.Expect(copies(now.Add(4 * switchCostHalfLife))).To(BeNumerically(">", 0))
+}
+
 // With rounds every 60 ms and passes of 48 ms, one or two passes begin per round. Measured over single
 // rounds, passes would seem to take 60 and 30 ms in turn, and plans would alternate with them.
 func TestPassTimeIsSmoothedOverRounds(t *testing.T) {
@@ -125,3 +146,42 @@
 	pl.meanStreams = 4
 	g.Expect(pl.best(layouts, loads).copies).To(BeNumerically(">", 0))
 }
+
+// zipfLoads returns loads of two sets of 24 experts that fall with the rank of the expert, beginning at
+// the expert first.
+func zipfLoads(first int) []float64 {
+	const sets, experts = 2, 24
+	loads := make([]float64, sets*experts)
+	for i := range loads {
+		loads[i] = 1 / float64(1+(i+experts-first)%experts)
+	}
+	return loads
+}
+
+// The first plans after a shift use means that still contain the earlier demand. Some of these plans
+// leave one rank with nothing but the most popular expert, which the next plans could not share:
+// half of it made any other rank the busiest. The group then kept an imbalance of up to 1.59 until
+// demand shifted again.
+func TestPlansForMixedDemandLeadToABalancedMap(t *testing.T) {
+	m := &serving.EngineModel{LayerSets: 2, Experts: 24, ExpertsPerRank: 6, SpareExperts: 6, ExpertBytes: 3e8, CopyRate: 2.25e10}
+	earlier, current := zipfLoads(0), zipfLoads(16)
+	pl := planner{model: m, urgency: 0.3, switchCosts: newSwitchCosts(), meanStreams: 1.33}
+	for firstShare := 0.4; firstShare < 0.45; firstShare += 0.001 {
+		g := NewWithT(t)
+		layouts := []expert.Layout{expert.InitialLayout(6, 24), expert.InitialLayout(6, 24)}
+		for range 3 {
+			layouts = pl.best(layouts, earlier).layouts
+		}
+		for share := firstShare; share < 0.99; share += 0.35 * (1 - share) {
+			mixed := make([]float64, len(current))
+			for e := range mixed {
+				mixed[e] = share*current[e] + (1-share)*earlier[e]
+			}
+			layouts = pl.best(layouts, mixed).layouts
+		}
+		for range 8 {
+			layouts = pl.best(layouts, current).layouts
+		}
+		g.Expect(imbalance(layouts, current, nil, m)).To(BeNumerically("<", 1.3), "share of the current demand in the first plan %.3f", firstShare)
+	}
+}
