losses: delays of streams with the longest pass of their group; rolling restarts are no loss of power

Late streams are counted by late first event, long pause and wait in the admission queue, each with the longest pass that was logged for the group. The log event "placed" states the group.

Starts of processes that were ordered to stop, and first starts, no longer count as a restart of the deployment, and the share refers to all processes in the logs instead of those that logged a start.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,9 +35,13 @@
 		d.queueTime = now.Sub(d.r.arrived)
 	}
 	state := d.g.tracker.Snapshot(target, now)
-	d.g.opts.Log.Info("placed", "request", d.r.id, "target", target.ID, "try", d.sendCount+1, "wait_ms", now.Sub(d.r.arrived).Milliseconds(),
+	fields := []any{"request", d.r.id, "target", target.ID}
+	if state.Group != "" {
+		fields = append(fields, "group", state.Group)
+	}
+	d.g.opts.Log.Info("placed", append(fields, "try", d.sendCount+1, "wait_ms", now.Sub(d.r.arrived).Milliseconds(),
 		"load", state.Requests, "report_ms", state.ReportAge.Milliseconds(), "imbalance", logging.Round2(state.Imbalance), "pace", logging.Round2(state.MaxSlowdown),
-		"rate_limit", state.RateLimit, "rest_ms", state.Rest.Milliseconds())
+		"rate_limit", state.RateLimit, "rest_ms", state.Rest.Milliseconds())...)
 }
 
 // logAttemptFailed logs a failed attempt and whether the request is retried.
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -54,7 +54,6 @@
 	imbalanceThreshold = 1.5 // load of the most loaded rank divided by the mean
 	staleReportAge     = 2 * time.Second
 	restartWindow      = 6 * time.Second // losses in this time after a restart are attributed to its backlog
-	restartShare       = 0.5             // minimum share of all processes that start within two seconds in a restart
 )
 
 // causeByReason maps the logged reason of a refusal or failure to its cause.
@@ -103,11 +102,9 @@
 	reportAge              time.Duration // age of the oldest load report used by a placement
 	groupHeld, groupBroken bool
 	restarted              bool
-	starts                 int
 }
 
-// merge takes the larger of each value and sets each flag that o has set. It leaves
-// starts unchanged.
+// merge takes the larger of each value and sets each flag that o has set.
 func (s *secondStats) merge(o *secondStats) {
 	s.slowdown, s.imbalance, s.reportAge = max(s.slowdown, o.slowdown), max(s.imbalance, o.imbalance), max(s.reportAge, o.reportAge)
 	s.groupHeld, s.groupBroken, s.restarted = s.groupHeld || o.groupHeld, s.groupBroken || o.groupBroken, s.restarted || o.restarted
@@ -127,26 +124,8 @@
 	case "try failed":
 		stats.groupBroken = stats.groupBroken || line.Get("reason") == "rank_lost"
 	case "started":
-		stats.starts++
-		a.processes[line.Source] = true
 		if dc := line.Get("data_centre"); dc != "" {
 			a.dataCentres[line.Source] = dc
 		}
 	}
 }
-
-// markRestarts sets restarted for the seconds within restartWindow after a restart. A
-// restart is at least restartShare of all processes starting within two seconds.
-func (a *analyser) markRestarts() {
-	first := a.firstSecond()
-	for second, stats := range a.statsBySecond {
-		if second <= first || float64(stats.starts+a.startsIn(second-1)) < restartShare*float64(len(a.processes)) {
-			continue // the initial start of the system is not a restart
-		}
-		for s := second; s < second+int64(restartWindow/time.Second); s++ {
-			if later := a.statsBySecond[s]; later != nil {
-				later.restarted = true
-			}
-		}
-	}
-}
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -21,6 +21,9 @@
 	DataCentre string // data centre of the entry; empty if unknown
 	Cause      Cause
 	Outcome    Outcome
+	Delay      Delay
+	DelayTime  time.Duration // length of the delay
+	Pass       *Pass         // longest pass of the stream's group while it was in progress; nil: not a stream, or not logged
 }
 
 // Outcome is the result of a lost request for its caller.
@@ -46,8 +49,11 @@
 	finished       []story.Line           // last log line of each request
 	failedRequests map[string]bool        // IDs of requests with a failed attempt
 	statsBySecond  map[int64]*secondStats // by Unix time in seconds
-	processes      map[string]bool        // by Line.Source; processes that logged a start
-	dataCentres    map[string]string      // data centre of each process, by Line.Source
+	processes      map[string]*processLog // by Line.Source
+	groupEvents    []groupEvent
+	requestGroups  map[string]string // group of engines at which each request was last placed, by request ID
+	sourceGroups   map[string]string // group of engines of each agent that logged it, by Line.Source
+	dataCentres    map[string]string // data centre of each process, by Line.Source
 	unparsed       int
 }
 
@@ -60,7 +66,9 @@
 	a := &analyser{
 		failedRequests: make(map[string]bool),
 		statsBySecond:  make(map[int64]*secondStats),
-		processes:      make(map[string]bool),
+		processes:      make(map[string]*processLog),
+		requestGroups:  make(map[string]string),
+		sourceGroups:   make(map[string]string),
 		dataCentres:    make(map[string]string),
 	}
 	sc := bufio.NewScanner(r)
@@ -83,6 +91,8 @@
 // one of a request, and records the request if the line reports a failed attempt.
 func (a *analyser) addLine(line story.Line) {
 	a.recordStats(&line)
+	a.recordProcess(&line)
+	a.recordGroup(&line)
 	switch line.Event {
 	case "answered", "refused", "broken off":
 		a.finished = append(a.finished, line)
@@ -124,17 +134,10 @@
 	return first
 }
 
-// startsIn returns how many processes started in a second, given as Unix time.
-func (a *analyser) startsIn(second int64) int {
-	if stats := a.statsBySecond[second]; stats != nil {
-		return stats.starts
-	}
-	return 0
-}
-
 // finish determines the cause of each loss and returns the analysis.
 func (a *analyser) finish() *Analysis {
 	a.markRestarts()
+	a.prepareGroupEvents()
 	first := a.firstSecond()
 	out := &Analysis{UnparsedLines: a.unparsed}
 	for i := range a.finished {
@@ -146,13 +149,19 @@
 			out.Answered++
 			continue
 		}
-		out.Losses = append(out.Losses, Loss{
+		loss := Loss{
 			Second:     second,
 			Kind:       line.Get("kind"),
 			DataCentre: a.dataCentres[line.Source],
 			Cause:      a.cause(line, a.failedRequests[line.Get("request")]),
 			Outcome:    outcome,
-		})
+		}
+		loss.Delay, loss.DelayTime = delayOf(line)
+		if loss.Delay != NoDelay {
+			duration := time.Duration(line.Int("ms")) * time.Millisecond
+			loss.Pass = a.longestPass(a.requestGroups[line.Get("request")], line.At.Add(-duration), line.At)
+		}
+		out.Losses = append(out.Losses, loss)
 	}
 	slices.SortStableFunc(out.Losses, func(a, b Loss) int { return cmp.Compare(a.Second, b.Second) })
 	return out
--- a/losses/report.go
+++ b/losses/report.go
@@ -21,6 +21,7 @@
 	Answered      int            `json:"answered_in_time"`
 	UnparsedLines int            `json:"lines_not_read"`
 	Causes        []Row          `json:"causes"`
+	Delays        []DelayRow     `json:"delays"`
 	Kinds         map[string]int `json:"by_kind"`
 	DataCentres   map[string]int `json:"by_data_centre"`
 	Seconds       []Second       `json:"by_second"` // seconds with losses, in order
@@ -34,7 +35,7 @@
 
 // Report counts the losses by cause, kind, data centre and second.
 func (a *Analysis) Report() *Report {
-	r := &Report{Answered: a.Answered, UnparsedLines: a.UnparsedLines, Kinds: make(map[string]int), DataCentres: make(map[string]int)}
+	r := &Report{Answered: a.Answered, UnparsedLines: a.UnparsedLines, Delays: a.delayRows(), Kinds: make(map[string]int), DataCentres: make(map[string]int)}
 	var rows [causeCount]Row
 	for _, loss := range a.Losses {
 		row := &rows[loss.Cause]
@@ -80,6 +81,7 @@
 	for _, row := range r.Causes {
 		fmt.Fprintf(b, "%-28s %6d %8d %7d %8d\n", row.Cause, row.Late, row.Refused, row.Failed, row.Savable)
 	}
+	writeDelays(b, r.Delays)
 	writeCounts(b, "kind", r.Kinds)
 	writeCounts(b, "data centre", r.DataCentres)
 	fmt.Fprintf(b, "\n%6s  losses by cause\n", "second")
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -110,6 +110,7 @@
 
 // TargetSnapshot is what the tracker knows of a target.
 type TargetSnapshot struct {
+	Group       string        // group of the target; "": none or unknown
 	Requests    int           // requests at the target
 	ReportAge   time.Duration // age of the latest load report of the target's group
 	Imbalance   float64       // imbalance of the target's group
@@ -122,8 +123,9 @@
 func (tr *Tracker) Snapshot(t *serving.Target, now time.Time) TargetSnapshot {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	state := tr.group(tr.groupKeyOf(t, now))
-	s := TargetSnapshot{Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.stated.rate(t.Run()), Rest: tr.stated.restOf(t.Run(), now)}
+	key := tr.groupKeyOf(t, now)
+	state := tr.group(key)
+	s := TargetSnapshot{Group: key.name, Requests: tr.load(t, now), Imbalance: state.Imbalance, MaxSlowdown: state.MaxSlowdown, RateLimit: tr.stated.rate(t.Run()), Rest: tr.stated.restOf(t.Run(), now)}
 	if !state.ReportedAt.IsZero() {
 		s.ReportAge = now.Sub(state.ReportedAt)
 	}
