Shutdown ends within the grace period and counts responses until they are written

A response left the count of requests in flight when its handler returned, before the HTTP server had written it, so the process could end within it. The daemons, the agent and the log now also end in time if a task, an engine or the reader of the log is stuck.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	listener        net.Listener
 	peerServer      *peers.Server
 	inFlight        atomic.Int64
+	unwritten       unwrittenResponses
 	stopping        atomic.Bool
 	refuseAfter     atomic.Pointer[time.Time] // time from which new requests are refused; nil: the gateway is not stopping
 	started         time.Time
@@ -139,6 +140,7 @@
 	g.callerServer = &fasthttp.Server{
 		Handler:               g.serveRequest,
 		ErrorHandler:          g.serveError,
+		ConnState:             g.unwritten.connStateChanged,
 		ReadBufferSize:        maxHeaderBytes,
 		WriteBufferSize:       writeBufferBytes,
 		MaxRequestBodySize:    maxBodyBytes,
@@ -201,6 +203,7 @@
 
 // serveRequest handles one request of a caller.
 func (g *Gateway) serveRequest(c *fasthttp.RequestCtx) {
+	g.unwritten.add(c.Conn())
 	snap := g.awaitSnapshot()
 	if snap == nil {
 		g.refuseAndLog(c, &request{id: string(c.Request.Header.Peek(g.opts.Headers.RequestID)), arrived: c.Time()},
@@ -288,11 +291,11 @@
 }
 
 // Shutdown stops the gateway. It notifies peers and callers, accepts requests until most callers
-// have a new directory answer, and waits for the requests in flight. It returns an error if
+// have a new directory answer, and waits until all responses are written. It returns an error if
 // requests are still in flight at the end of the shutdown grace.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	start := time.Now()
-	g.opts.Log.Info("stopping", "in_flight", g.inFlight.Load())
+	g.opts.Log.Info("stopping", "in_flight", g.unwritten.count())
 	g.stopping.Store(true)
 	refuseAfter := start.Add(fractionOf(g.opts.ShutdownGrace, acceptShare))
 	g.refuseAfter.Store(&refuseAfter)
@@ -300,12 +303,12 @@
 	earliestEnd := start.Add(3 * directoryTTL)
 	deadline := start.Add(fractionOf(g.opts.ShutdownGrace, 1-exitReserveShare))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if time.Now().After(earliestEnd) && g.inFlight.Load() == 0 {
+		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 {
 			break
 		}
 		sleep(ctx, shutdownPollInterval)
 	}
-	inFlight := g.inFlight.Load()
+	inFlight := g.unwritten.count()
 	g.cancel()
 	g.opts.Log.Info("stopped", "in_flight", inFlight, "ms", time.Since(start).Milliseconds())
 	if inFlight > 0 {
@@ -313,3 +316,36 @@
 	}
 	return nil
 }
+
+// unwrittenResponses holds the caller connections with a request whose response is not written
+// completely. The HTTP server writes a response after its handler has returned, so the requests in
+// the handler are not all that the end of the process would cut off.
+type unwrittenResponses struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func (u *unwrittenResponses) add(c net.Conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns == nil {
+		u.conns = make(map[net.Conn]struct{})
+	}
+	u.conns[c] = struct{}{}
+}
+
+// connStateChanged removes a connection when its response is written or the connection is closed.
+func (u *unwrittenResponses) connStateChanged(c net.Conn, state fasthttp.ConnState) {
+	if state != fasthttp.StateIdle && state != fasthttp.StateClosed {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.conns, c)
+}
+
+func (u *unwrittenResponses) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.conns)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,7 +56,8 @@
 }
 
 // Wait blocks until SIGTERM or SIGINT and then shuts the service down within grace. A
-// second signal ends the grace period at once. Wait returns the exit code.
+// second signal ends the grace period at once. Wait returns the exit code, even if Shutdown
+// does not return.
 func Wait(s Service, grace time.Duration) int {
 	return WaitAndReload(s, grace, nil)
 }
@@ -76,19 +77,52 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	return shutDown(s, grace, signals)
+}
+
+// Shares of the grace period, at the end of which the platform kills the process.
+const (
+	shutdownShare = 0.97 // for Shutdown until its context ends
+	abortShare    = 0.01 // for Shutdown to return after that; the rest is for the exit of the process
+)
+
+// shutDown shuts a service down and returns the exit code. A signal ends the context of the shutdown
+// at once. shutDown does not wait for a service that ignores the end of its context, as the process
+// would be killed and lose its last log lines.
+func shutDown(s Service, grace time.Duration, signals <-chan os.Signal) int {
+	share := func(of float64) time.Duration { return time.Duration(of * float64(grace)) }
+	ctx, cancel := context.WithTimeout(context.Background(), share(shutdownShare))
 	defer cancel()
-	go func() {
-		<-signals
+	result := make(chan error, 1)
+	go func() { result <- s.Shutdown(ctx) }()
+	var err error
+	select {
+	case err = <-result:
+	case <-signals:
 		cancel()
-	}()
-	if err := s.Shutdown(ctx); err != nil {
+		err = awaitAborted(result, share(abortShare))
+	case <-ctx.Done():
+		err = awaitAborted(result, share(abortShare))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFail
 	}
 	return ExitOK
 }
 
+var errShutdownStuck = errors.New("the shutdown continues after the end of its context")
+
+// awaitAborted waits for the result of a shutdown whose context has ended.
+func awaitAborted(result <-chan error, limit time.Duration) error {
+	select {
+	case err := <-result:
+		return err
+	case <-time.After(limit):
+		return errShutdownStuck
+	}
+}
+
 // Incarnation returns a number that differs at each start of a process. It uses the
 // clock in nanoseconds, because a process can't start twice within one nanosecond.
 func Incarnation() uint64 { return uint64(time.Now().UnixNano()) }
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -135,16 +136,26 @@
 	}
 }
 
-// Shutdown stops the agent and waits for its tasks. A map switch that this agent leads is
-// completed after its restart, or by another agent.
-func (a *Agent) Shutdown(context.Context) error {
+// Shutdown stops the agent and waits for its tasks until ctx ends. A map switch that this agent
+// leads is completed after its restart, or by another agent.
+func (a *Agent) Shutdown(ctx context.Context) error {
 	a.opts.Log.Info("stopping")
 	a.cancel()
 	a.server.Close()
-	a.agentClients.close()
-	a.tasks.Wait()
-	a.opts.Log.Info("stopped")
-	return nil
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		a.agentClients.close() // waits for the requests in progress
+		a.tasks.Wait()
+	}()
+	select {
+	case <-finished:
+		a.opts.Log.Info("stopped")
+		return nil
+	case <-ctx.Done():
+		a.opts.Log.Info("stopped with tasks in progress")
+		return fmt.Errorf("tasks of the agent did not end: %w", ctx.Err())
+	}
 }
 
 // Intervals of the agent's loop.
--- a/logging/async.go
+++ b/logging/async.go
@@ -91,10 +91,17 @@
 	return batch
 }
 
-// Close writes the queued lines and stops the goroutine that writes. Lines passed to Write
-// after Close are lost but cause no error, because other goroutines may still log while the
-// process exits.
+// closeTimeout limits how long Close waits for the log reader. A process that waited for a reader
+// that has stopped reading would be killed at the end of its grace period.
+const closeTimeout = 100 * time.Millisecond
+
+// Close writes the queued lines and stops the goroutine that writes. It does not wait longer than
+// closeTimeout. Lines passed to Write after Close are lost but cause no error, because other
+// goroutines may still log while the process exits.
 func (a *Async) Close() {
 	close(a.quit)
-	<-a.done
+	select {
+	case <-a.done:
+	case <-time.After(closeTimeout):
+	}
 }
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -60,3 +62,28 @@
 	g.Expect(text).To(ContainSubstring("log lines dropped"))
 	g.Expect(int64(strings.Count(text, "line\n"))).To(Equal(5000 - dropped))
 }
+
+// The log reader has stopped reading when the process exits. Close must return, as the process would
+// otherwise be killed at the end of its grace period.
+func TestCloseDoesNotWaitForBlockedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		defer close(w.release)
+		a := logging.NewAsync(w)
+		_, err := a.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+		start := time.Now()
+		closed := make(chan struct{})
+		go func() {
+			a.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("Close waits for the reader")
+		}
+		g.Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+}
