--- a/losses/delay_test.go
+++ b/losses/delay_test.go
@@ -146,3 +146,30 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(a.Losses[0].Cause).To(Equal(losses.AfterRestart))
 }
+
+// A process that logs no end after "stopping" was killed or crashed, or its VM lost power. The first
+// two are faults of the shutdown, the last is not, so they are counted apart.
+func TestUnfinishedStopsAreCountedByReason(t *testing.T) {
+	g := NewWithT(t)
+	const stops = `front-1 time=2026-04-20T08:45:00.000Z level=info event=started
+front-2 time=2026-04-20T08:45:00.000Z level=info event=started
+front-3 time=2026-04-20T08:45:00.000Z level=info event=started
+front-1 time=2026-04-20T08:45:10.000Z level=info event=stopping
+front-1 time=2026-04-20T08:45:16.000Z level=info event=stopped
+front-1 time=2026-04-20T08:45:18.000Z level=info event=started
+front-2 time=2026-04-20T08:45:20.000Z level=info event=stopping
+front-2 time=2026-04-20T08:45:28.000Z level=info event=started
+front-3 time=2026-04-20T08:45:40.000Z level=info event=stopping
+front-1 time=2026-04-20T08:45:44.000Z level=info event=started
+front-2 time=2026-04-20T08:45:44.000Z level=info event=started
+front-3 time=2026-04-20T08:45:44.000Z level=info event=started
+front-3 time=2026-04-20T08:45:50.000Z level=info event=stopping
+`
+	a, err := losses.Read(strings.NewReader(stops))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.UnfinishedStops).To(Equal(2))
+	g.Expect(a.StopsCutByRestart).To(Equal(1))
+	var text bytes.Buffer
+	g.Expect(a.Report().WriteText(&text)).To(Succeed())
+	g.Expect(text.String()).To(ContainSubstring("processes started again after \"stopping\" without \"stopped\": 2, of these 1 in a restart of all\n"))
+}
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -42,6 +42,9 @@
 	Answered      int // requests answered on time
 	Losses        []Loss
 	UnparsedLines int // lines that could not be parsed
+
+	UnfinishedStops   int // starts of processes that were ordered to stop before and logged no end of their shutdown
+	StopsCutByRestart int // those in a restart of the deployment, as after a loss of power
 }
 
 // analyser collects log lines and derives an Analysis from them.
@@ -140,6 +143,7 @@
 	a.prepareGroupEvents()
 	first := a.firstSecond()
 	out := &Analysis{UnparsedLines: a.unparsed}
+	a.countUnfinishedStops(out)
 	for i := range a.finished {
 		line := &a.finished[i]
 		second := int(line.At.Unix() - first)
--- a/losses/report.go
+++ b/losses/report.go
@@ -20,6 +20,7 @@
 type Report struct {
 	Answered      int            `json:"answered_in_time"`
 	UnparsedLines int            `json:"lines_not_read"`
+	Stops         StopCounts     `json:"unfinished_stops"`
 	Causes        []Row          `json:"causes"`
 	Delays        []DelayRow     `json:"delays"`
 	Kinds         map[string]int `json:"by_kind"`
@@ -27,6 +28,13 @@
 	Seconds       []Second       `json:"by_second"` // seconds with losses, in order
 }
 
+// StopCounts holds the number of processes that started again without an end of the shutdown that
+// they had been ordered before.
+type StopCounts struct {
+	All          int `json:"all"`
+	CutByRestart int `json:"in_restart_of_all"` // those that a restart of the deployment cut off, as after a loss of power
+}
+
 // Second holds the number of losses of one second, by cause.
 type Second struct {
 	Second int            `json:"second"`
@@ -36,6 +44,7 @@
 // Report counts the losses by cause, kind, data centre and second.
 func (a *Analysis) Report() *Report {
 	r := &Report{Answered: a.Answered, UnparsedLines: a.UnparsedLines, Delays: a.delayRows(), Kinds: make(map[string]int), DataCentres: make(map[string]int)}
+	r.Stops = StopCounts{All: a.UnfinishedStops, CutByRestart: a.StopsCutByRestart}
 	var rows [causeCount]Row
 	for _, loss := range a.Losses {
 		row := &rows[loss.Cause]
@@ -76,7 +85,11 @@
 // WriteText writes the report as text tables.
 func (r *Report) WriteText(w io.Writer) error {
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "answered in time: %d; lines not read: %d\n\n", r.Answered, r.UnparsedLines)
+	fmt.Fprintf(b, "answered in time: %d; lines not read: %d\n", r.Answered, r.UnparsedLines)
+	if r.Stops.All > 0 {
+		fmt.Fprintf(b, "processes started again after \"stopping\" without \"stopped\": %d, of these %d in a restart of all\n", r.Stops.All, r.Stops.CutByRestart)
+	}
+	b.WriteByte('\n')
 	fmt.Fprintf(b, "%-28s %6s %8s %7s %8s\n", "cause", "late", "refused", "failed", "savable")
 	for _, row := range r.Causes {
 		fmt.Fprintf(b, "%-28s %6d %8d %7d %8d\n", row.Cause, row.Late, row.Refused, row.Failed, row.Savable)
--- a/losses/restart.go
+++ b/losses/restart.go
@@ -20,6 +20,7 @@
 	first  time.Time // time of the earliest line
 	starts []time.Time
 	stops  []time.Time // orders to stop
+	ends   []time.Time // ends of shutdowns
 }
 
 // recordProcess records a log line of a process.
@@ -37,6 +38,8 @@
 		p.starts = append(p.starts, line.At)
 	case "stopping":
 		p.stops = append(p.stops, line.At)
+	case "stopped":
+		p.ends = append(p.ends, line.At)
 	}
 }
 
@@ -47,8 +50,7 @@
 	var restarts []time.Time
 	runningSince := p.first
 	for i, start := range p.starts {
-		ordered := slices.ContainsFunc(p.stops, func(stop time.Time) bool { return !stop.Before(runningSince) && !stop.After(start) })
-		if !ordered && (i > 0 || start.Sub(p.first) > startLogTime) {
+		if !containsBetween(p.stops, runningSince, start) && (i > 0 || start.Sub(p.first) > startLogTime) {
 			restarts = append(restarts, start)
 		}
 		runningSince = start
@@ -56,6 +58,39 @@
 	return restarts
 }
 
+// unfinishedStops returns the starts of a process that was ordered to stop before and did not log the
+// end of its shutdown.
+func (p *processLog) unfinishedStops() []time.Time {
+	slices.SortFunc(p.starts, time.Time.Compare)
+	var unfinished []time.Time
+	runningSince := p.first
+	for _, start := range p.starts {
+		if containsBetween(p.stops, runningSince, start) && !containsBetween(p.ends, runningSince, start) {
+			unfinished = append(unfinished, start)
+		}
+		runningSince = start
+	}
+	return unfinished
+}
+
+// containsBetween reports whether one of the times is neither before from nor after to.
+func containsBetween(times []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(t time.Time) bool { return !t.Before(from) && !t.After(to) })
+}
+
+// countUnfinishedStops sets the numbers of unfinished stops of an analysis. It needs the result of
+// markRestarts.
+func (a *analyser) countUnfinishedStops(out *Analysis) {
+	for _, p := range a.processes {
+		for _, start := range p.unfinishedStops() {
+			out.UnfinishedStops++
+			if a.statsAt(start).restarted {
+				out.StopsCutByRestart++
+			}
+		}
+	}
+}
+
 // markRestarts sets restarted for the seconds of each restart of the deployment and restartWindow
 // after it.
 func (a *analyser) markRestarts() {
