--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -26,6 +26,7 @@
 	recentMaps        []pendingMap // latest maps that this leader planned
 
 	passTime      passMeter
+	passPeak      passPeak
 	switchCosts   switchCosts
 	peakImbalance imbalancePeak
 	hold          holdTracker
@@ -102,6 +103,7 @@
 	}
 	l.observe(ranks)
 	l.logLoad(ranks)
+	l.observePassPeak(ranks, time.Now())
 	for i := range ranks {
 		if ranks[i].state.Held != 0 {
 			recoverGroup(l.a, l.group, ranks[i].member, own.Group, l.hold.firstSeen(ranks[i].state.Held, time.Now()))
@@ -163,6 +165,7 @@
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
+		l.logPassReport(ranks[0].state.Group, l.passPeak.shift(now))
 	}
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
--- a/lockstep/prepare.go
+++ b/lockstep/prepare.go
@@ -104,6 +104,7 @@
 	case len(missing) == 0:
 		if step, stall, ok := switchMap(l.a, holder, ranks, p.version); ok {
 			l.switchCosts.observe(time.Since(p.plannedAt)-p.copyTime, stall)
+			l.passPeak.addHold(stall)
 			l.armed = &armedMap{version: p.version, layouts: p.layouts, step: step}
 			l.refusals = refusalBackoff{}
 		}
--- a/losses/delay.go
+++ b/losses/delay.go
@@ -78,13 +78,14 @@
 	source string
 	group  string // "": not logged
 	kind   groupEventKind
-	pass   Pass // for passLogged
+	pass   Pass // for passLogged and peakPassLogged
 }
 
 type groupEventKind uint8
 
 const (
-	passLogged groupEventKind = iota
+	passLogged     groupEventKind = iota // mean pass time at the time of the line
+	peakPassLogged                       // longest pass after a demand shift, at the time of the pass
 	demandShifted
 	mapChanged
 	groupStopped
@@ -92,7 +93,7 @@
 
 // groupEventKinds maps log events to their kind.
 var groupEventKinds = map[string]groupEventKind{
-	"group load": passLogged, "demand moved": demandShifted, "map planned": mapChanged, "map switched": mapChanged,
+	"group load": passLogged, "longest pass": peakPassLogged, "demand moved": demandShifted, "map planned": mapChanged, "map switched": mapChanged,
 	"this rank is left held": groupStopped, "group stands still": groupStopped, "group held by nobody": groupStopped,
 	"group let go without its leader": groupStopped,
 }
@@ -117,9 +118,13 @@
 	if e.group != "" {
 		a.sourceGroups[e.source] = e.group
 	}
-	if kind == passLogged {
+	if kind == passLogged || kind == peakPassLogged {
 		e.pass = Pass{Group: e.group, MS: line.Float("pass_ms"), Running: line.Int("running"), Waiting: line.Int("waiting"), Imbalance: line.Float("imbalance")}
 	}
+	if kind == peakPassLogged {
+		e.at = e.at.Add(-time.Duration(line.Int("age_ms")) * time.Millisecond)
+		e.pass.Shifted, e.pass.Copying, e.pass.Held = true, line.Get("copying") == "true", line.Int("held_ms") > 0
+	}
 	a.groupEvents = append(a.groupEvents, e)
 }
 
@@ -146,7 +151,8 @@
 			during = during[:i]
 			break
 		}
-		if e.kind == passLogged && (group == "" || e.group == group) && (longest == nil || e.pass.MS > longest.MS) {
+		isPass := e.kind == passLogged || e.kind == peakPassLogged && !e.at.After(to)
+		if isPass && (group == "" || e.group == group) && (longest == nil || e.pass.MS > longest.MS) {
 			longest = &e.pass
 		}
 	}
--- a/losses/delay_test.go
+++ b/losses/delay_test.go
@@ -173,3 +173,19 @@
 	g.Expect(a.Report().WriteText(&text)).To(Succeed())
 	g.Expect(text.String()).To(ContainSubstring("processes started again after \"stopping\" without \"stopped\": 2, of these 1 in a restart of all\n"))
 }
+
+// The longest pass after a demand shift lies between two lines on the group's load, and its own line
+// is written up to a second later. It must be taken for the time of the pass.
+func TestLongestPassAfterShiftIsReadFromItsOwnLine(t *testing.T) {
+	g := NewWithT(t)
+	const peak = `side-1 time=2026-04-20T08:45:12.900Z level=info event="longest pass" group=g0 pass_ms=133 gap_ms=140 running=210 waiting=2 imbalance=1.9 copying=true held_ms=20 after_shift_ms=200 age_ms=2500
+side-1 time=2026-04-20T08:45:13.500Z level=info event="longest pass" group=g0 pass_ms=190 gap_ms=140 running=210 waiting=2 imbalance=1.9 copying=true held_ms=20 after_shift_ms=200 age_ms=300
+`
+	a, err := losses.Read(strings.NewReader(delayLogs + peak))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, loss := range a.Losses {
+		if loss.Delay == losses.LongPause {
+			g.Expect(loss.Pass).To(Equal(&losses.Pass{Group: "g0", MS: 133, Running: 210, Waiting: 2, Imbalance: 1.9, Shifted: true, Copying: true, Held: true}))
+		}
+	}
+}
--- a/story/cause.go
+++ b/story/cause.go
@@ -86,7 +86,7 @@
 	for i := range s.Context {
 		l := &s.Context[i]
 		switch l.Event {
-		case "group load":
+		case "group load", "longest pass":
 			if longest == nil || l.Float("pass_ms") > longest.Float("pass_ms") {
 				longest = l
 			}
--- a/story/story.go
+++ b/story/story.go
@@ -132,7 +132,7 @@
 	"store lost", "store regained", "targets known again after an outage", "configuration in force", "target gone",
 	"entry lost", "stopping", "stopped", "started", "reload", "demand moved", "map switched", "group led",
 	"group stands still", "this rank is left held", "group let go without its leader", "agent lost", "engine lost",
-	"group load", "loads not read", "log lines dropped",
+	"group load", "longest pass", "loads not read", "log lines dropped",
 }
 
 // Story holds the log lines that concern one request.
