--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -29,6 +29,7 @@
 	recentMaps        []pendingMap // latest maps that this leader planned
 
 	passTime      passMeter
+	passPeak      passPeak
 	switchCosts   switchCosts
 	peakImbalance imbalancePeak
 	hold          holdTracker
@@ -116,6 +117,7 @@
 	shifted := l.observe(ranks)
 	l.observePauses(ranks, slices.ContainsFunc(ranks, func(r rank) bool { return r.state.Held != 0 }), shifted)
 	l.logLoad(ranks)
+	l.observePassPeak(ranks, time.Now())
 	for i := range ranks {
 		if ranks[i].state.Held != 0 {
 			l.lag.cause = lagHeld
@@ -184,6 +186,7 @@
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
 		l.pending = nil
+		l.logPassReport(ranks[0].state.Group, l.passPeak.shift(now))
 		l.mapFollows = false
 	}
 	l.sendSample(ranks[0].state.Group, now)
