--- a/lockstep/pausefit.go
+++ b/lockstep/pausefit.go
@@ -1,7 +1,6 @@
 package lockstep
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -56,9 +55,6 @@
 	shiftWindowTime = time.Second
 	maxFitShifts    = 8
 	fitShiftTTL     = time.Minute
-	// minFitShifts is the number of shifts that a fit needs. With one shift the deviation is
-	// unknown.
-	minFitShifts = 2
 	// minFitStreams is the least number of streams per rank with which a shift counts. With fewer,
 	// the parts of a pass that do not depend on its streams would count as a cost of streams.
 	minFitStreams = 3
@@ -121,24 +117,29 @@
 	f.shifts = slices.DeleteFunc(f.shifts, func(s measuredShift) bool { return now.Sub(s.at) > fitShiftTTL })
 }
 
+// fitQuantile is the quantile of the latest shifts that the fit takes. A shift above it makes most
+// streams of the group late, which costs more than a limit that is a little lower at the others. The
+// maximum would follow single outliers.
+const fitQuantile = 0.85
+
 // StreamTime returns the time that each stream per rank adds to the longest pass around a shift: the
-// mean over the latest shifts plus one standard deviation. It returns 0 while too few shifts are
-// known.
+// fitQuantile of the latest shifts. It returns 0 while no shift is known.
 func (f *PauseFit) StreamTime(now time.Time) time.Duration {
 	f.prune(now)
-	n := float64(len(f.shifts))
-	if len(f.shifts) < minFitShifts {
+	if len(f.shifts) == 0 {
 		return 0
 	}
-	mean, variance := 0.0, 0.0
+	times := make([]time.Duration, 0, len(f.shifts))
 	for _, s := range f.shifts {
-		mean += float64(s.streamTime) / n
+		times = append(times, s.streamTime)
 	}
-	for _, s := range f.shifts {
-		d := float64(s.streamTime) - mean
-		variance += d * d / (n - 1)
+	slices.Sort(times)
+	at := fitQuantile * float64(len(times)-1)
+	below := int(at)
+	if below == len(times)-1 {
+		return times[below]
 	}
-	return time.Duration(mean + math.Sqrt(variance))
+	return times[below] + time.Duration((at-float64(below))*float64(times[below+1]-times[below]))
 }
 
 // observePauses updates the fit from the states and reported gaps of one round. disturbed is true if
--- a/lockstep/pausefit_test.go
+++ b/lockstep/pausefit_test.go
@@ -41,15 +41,22 @@
 	}
 }
 
-// With shifts that cost 10 and 12 ms for each stream, the fit is their mean plus the deviation. A limit
-// from the mean alone would be exceeded at half of the shifts.
-func TestFitIsTheMeanOverShiftsPlusTheDeviation(t *testing.T) {
+// The limit must hold from the second shift on, so one shift is enough for a fit. With several the fit
+// is above their mean, as the limit would else be exceeded at half of the shifts, but a single outlier
+// must not lower the limit.
+func TestFitIsAHighQuantileOfShifts(t *testing.T) {
 	g := NewWithT(t)
 	r := newFitRun()
+	g.Expect(r.fit.StreamTime(r.now)).To(BeZero(), "no shift")
 	r.shift(120*time.Millisecond, 8, nil)
-	g.Expect(r.fit.StreamTime(r.now)).To(BeZero(), "one shift")
+	g.Expect(r.fit.StreamTime(r.now)).To(Equal(10*time.Millisecond), "one shift")
 	r.shift(136*time.Millisecond, 8, nil)
-	g.Expect(r.fit.StreamTime(r.now)).To(BeNumerically("~", 12414*time.Microsecond, 10*time.Microsecond))
+	g.Expect(r.fit.StreamTime(r.now)).To(Equal(11700 * time.Microsecond))
+	for range 3 {
+		r.shift(120*time.Millisecond, 8, nil)
+	}
+	r.shift(280*time.Millisecond, 8, nil)
+	g.Expect(r.fit.StreamTime(r.now)).To(BeNumerically("<", 20*time.Millisecond), "an outlier of 30 ms for each stream")
 }
 
 // The fit must follow a change of the group: only the latest eight shifts of the last minute count.
