lockstep: chance alone no longer restarts the demand estimate at low load

Selections of one stream resemble each other. With few streams their chance exceeded the limit for a shift (TestFewDependentSelectionsAreNoShift).

--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -74,8 +74,8 @@
 	// is less than what tells demand from chance: passes are long on a map that does not fit, so a
 	// group with a higher limit could keep such a map because its passes are few.
 	minRecentSelections = 100
-	// changedShare is the squared difference between a sample and the steady mean, as a share of
-	// their variation between experts, from which demand has shifted. It is about 0.01 between two
+	// changedShare is the squared difference between a sample and the steady mean, less chance, as a
+	// share of their variation between experts, from which demand has shifted. It is about 0.01 between two
 	// groups with the same demand, and 0.3 to 1 for a shift.
 	changedShare = 0.1
 	// suspectShare is the same share from which a sample may be a mixture with a part of a new demand.
@@ -86,6 +86,9 @@
 	// chanceFactor is the multiple of the difference expected of independent selections that still
 	// counts as chance. Selections of one stream are not independent, and reports are rounded.
 	chanceFactor = 3
+	// shiftChanceFactor is the same multiple for a shift. A false shift is worse than a missed part of
+	// one: it discards the estimate.
+	shiftChanceFactor = 5
 	// maxRoundPasses is the time between rounds in passes above which plans do not wait for another
 	// sample: the passes until then would all be long.
 	maxRoundPasses = 2
@@ -228,12 +231,12 @@
 
 // isShift reports whether the difference is a shift of demand.
 func (c loadChange) isShift() bool {
-	return c.exceedsChance() && c.difference > max(minChange, changedShare*c.variation)
+	return c.difference > max(minChange, changedShare*c.variation+shiftChanceFactor*c.chance)
 }
 
 // isSuspect reports whether the difference may be the beginning of a shift.
 func (c loadChange) isSuspect() bool {
-	return c.exceedsChance() && c.difference > max(minChange, suspectShare*c.variation)
+	return c.difference > max(minChange, suspectShare*c.variation+shiftChanceFactor*c.chance)
 }
 
 // add decays the mean by the elapsed time and adds counts.
