--- a/placing/admissionqueue.go
+++ b/placing/admissionqueue.go
@@ -22,8 +22,10 @@
 	mu          sync.Mutex
 	waiting     []*Waiter
 	rate        admissionRate
-	enqueued    int  // requests added so far
-	serviceDown bool // no group of the service runs requests
+	enqueued    int                // requests added so far
+	byLevel     LevelCounts        // requests added so far, by level on arrival
+	mix         [NumLevels]float64 // share of each level among the latest requests added
+	serviceDown bool               // no group of the service runs requests
 	gaps        gapMean
 }
 
@@ -46,7 +48,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.serviceDown {
-		return q.insert(r), 0, true
+		return q.insert(r, now), 0, true
 	}
 	ahead, onTime := 0, 0
 	for _, other := range q.waiting {
@@ -59,20 +61,20 @@
 		}
 	}
 	if onTime == 0 || q.rate.expectedWait(onTime+1, now) <= r.MaxOnTimeWait() {
-		return q.insert(r), 0, true
+		return q.insert(r, now), 0, true
 	}
 	expected := q.rate.expectedWait(ahead+1, now)
 	if expected > r.MaxWait && !ablate.Off(ablate.RefuseEarly) {
 		return nil, expected, false
 	}
-	return q.insert(r), 0, true
+	return q.insert(r, now), 0, true
 }
 
-func (q *AdmissionQueue) insert(r *Request) *Waiter {
+func (q *AdmissionQueue) insert(r *Request, now time.Time) *Waiter {
 	w := &Waiter{request: r, granted: make(chan *serving.Target, 1)}
 	q.waiting = append(q.waiting, w)
 	if !r.Requeued {
-		q.enqueued++
+		q.countEnqueued(r.UrgencyLevel(now))
 	}
 	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int {
 		return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), a.request.Arrived.Compare(b.request.Arrived))
@@ -80,6 +82,23 @@
 	return w
 }
 
+// mixDecay is the weight of the earlier mix of levels at each request. The mix follows a burst of one
+// kind of request within some thirty requests.
+const mixDecay = 0.97
+
+// countEnqueued counts a request that was added to the queue.
+func (q *AdmissionQueue) countEnqueued(level int) {
+	if q.enqueued == 0 {
+		q.mix[level] = 1
+	}
+	q.enqueued++
+	q.byLevel[level]++
+	for l := range q.mix {
+		q.mix[l] *= mixDecay
+	}
+	q.mix[level] += 1 - mixDecay
+}
+
 // SetServiceDown records whether the service is down: none of its groups runs requests. While the
 // service is down, no request is refused for its expected wait, because the admission rate is
 // unknown.
@@ -168,14 +187,16 @@
 // demand describes the requests that one entry has to send.
 type demand struct {
 	queued            QueueCounts
-	enqueued          int // total number of requests added to the queue
+	enqueued          int                // total number of requests added to the queue
+	enqueuedByLevel   LevelCounts        // the same by level on arrival
+	mix               [NumLevels]float64 // share of each level among the latest requests added
 	admittedPerSecond float64
 }
 
 func (q *AdmissionQueue) demand(now time.Time) demand {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return demand{queued: q.countWaiting(now), enqueued: q.enqueued, admittedPerSecond: q.rate.perSecond(now)}
+	return demand{queued: q.countWaiting(now), enqueued: q.enqueued, enqueuedByLevel: q.byLevel, mix: q.mix, admittedPerSecond: q.rate.perSecond(now)}
 }
 
 func (q *AdmissionQueue) countWaiting(now time.Time) (counts QueueCounts) {
