--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -174,10 +174,6 @@
 	queued := placing.QueueCounts{OnTime: int(loads.QueuedOnTime), Late: int(loads.QueuedLate)}
 	peers.AddLevels(queued.ByLevel[:], loads.QueuedByLevel)
 	state := placing.NewGroupState(byAddress, float64(loads.Imbalance), float64(loads.PeakImbalance), queued, reportedAt)
-	state.StreamTime = time.Duration(float64(loads.StreamTimeMS) * float64(time.Millisecond))
-	if loads.ShiftInMS != peers.Never {
-		state.ShiftAt = reportedAt.Add(time.Duration(loads.ShiftInMS) * time.Millisecond)
-	}
 	state.Name, state.Complete = r.group, loads.Complete
 	r.g.tracker.ApplyLoadReport(r.service, r.g.state.snapshot().targets[r.service], byAddress, state)
 	r.g.admitIfQueued(r.service)
--- a/internal/ablate/ablate.go
+++ b/internal/ablate/ablate.go
@@ -35,7 +35,6 @@
 	StoreEra         Mechanism = "store-era"        // positions of the store do not tell the eras of the store apart
 	KeptRecords      Mechanism = "kept-records"     // records that the store has lost are not kept until they are written again
 	Leaving          Mechanism = "leaving"          // targets that say that they leave get work until the store says so too
-	PauseLimit       Mechanism = "pause-limit"      // the stream limit follows the stated cost model only
 	QueueUrgency     Mechanism = "queue-urgency"    // headroom is divided by the number of queued requests, whatever their urgency
 	ShiftSample      Mechanism = "shift-sample"     // plans right after a shift use selections from before it; no time of the next shift bounds their gain
 	DemandExchange   Mechanism = "demand-exchange"  // leaders do not send demand samples to other groups
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -36,10 +36,7 @@
 	lag           mapLag
 	roundTime     time.Duration // duration of the latest round
 	longestGap    time.Duration // longest gap between events that entries have reported in the latest round; 0: none
-	pauseFit      PauseFit
-	longPassStep  uint64 // step at which a pass over the event-gap objective was counted last
-
-	loggedStreamTime time.Duration // result of pauseFit in the latest log line
+	longPassStep  uint64        // step at which a pass over the event-gap objective was counted last
 
 	sentRoster     uint64 // Loads.Roster (hash of the engine list) that the agents received last
 	enginesUnknown bool   // some agent has loads but not the list of engines that they belong to
@@ -108,14 +105,13 @@
 		l.group.refresh()
 	}
 	if !complete || l.group.model == nil || l.group.model.LayerSets == 0 {
-		l.observePauses(ranks, !own.Complete, false)
 		return
 	}
 	if ranks[0].state.Epoch != l.epoch || ranks[0].state.StartedAtMS != l.engineStartedAtMS || l.layouts == nil {
 		l.reset(ranks)
 	}
-	shifted := l.observe(ranks)
-	l.observePauses(ranks, slices.ContainsFunc(ranks, func(r rank) bool { return r.state.Held != 0 }), shifted)
+	l.observe(ranks)
+	l.countLongPass(ranks[0].state.Step)
 	l.logLoad(ranks)
 	l.observePassPeak(ranks, time.Now())
 	for i := range ranks {
@@ -166,9 +162,8 @@
 	l.a.opts.Log.Info("group led", "group", ranks[0].state.Group, "epoch", l.epoch, "ranks", len(ranks), "map", ranks[0].state.Map)
 }
 
-// observe updates the highest map version and the demand from the ranks' states. It reports whether
-// demand has shifted.
-func (l *leader) observe(ranks []rank) (shifted bool) {
+// observe updates the highest map version and the demand from the ranks' states.
+func (l *leader) observe(ranks []rank) {
 	now := time.Now()
 	sum := make([]float64, l.group.model.LayerSets*l.group.model.Experts)
 	for i := range ranks {
@@ -180,8 +175,7 @@
 	l.demand.setSteps(stepRange(ranks))
 	l.demand.roundTime = max(l.roundTime, roundInterval)
 	l.demand.observe(now, sum)
-	shifted = l.demand.detectShift(l.layouts, l.group.model)
-	if shifted {
+	if l.demand.detectShift(l.layouts, l.group.model) {
 		l.logShift(ranks[0].state.Group, ranks[0].state.Step, now)
 		// The pending map was planned for the earlier demand. It can be replaced by another
 		// at any time before ranks are armed.
@@ -196,7 +190,16 @@
 	if l.demand.hasEnoughData() && (l.version != 0 || l.mapFixed) {
 		l.peakImbalance.observe(imbalance(l.layouts, l.demand.loads(), nil, l.group.model), now)
 	}
-	return shifted
+}
+
+// countLongPass counts passes that were longer for callers than the event-gap objective. Entries
+// report the same pass in several rounds, mostly before the next pass begins.
+func (l *leader) countLongPass(step uint64) {
+	objective := l.group.eventGapObjective
+	if objective > 0 && l.longestGap > objective && l.longPassStep != step {
+		l.longPassStep = step
+		l.a.opts.Metrics.Count("passes_over_objective", 1)
+	}
 }
 
 // logLoad logs the group's load once per loadLogInterval.
--- a/lockstep/loads.go
+++ b/lockstep/loads.go
@@ -102,11 +102,6 @@
 		PeakImbalance: float32(l.peakImbalance.peak),
 		Group:         own.Group,
 		Ranks:         peers.ClampUint16(own.Ranks),
-		ShiftInMS:     peers.Never,
-		StreamTimeMS:  float32(l.pauseFit.StreamTime(time.Now()).Seconds() * 1e3),
-	}
-	if left, known := l.shiftClock.untilNext(time.Now()); known {
-		loads.ShiftInMS = uint32(left.Milliseconds())
 	}
 	queued, ownGap := l.a.takeEntryReports()
 	var gaps gapMerge
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -314,8 +314,6 @@
 	Ranks         uint16 // number of ranks in the group, including those without an engine; set even if Known is false
 
 	QueuedByLevel []uint16 // requests of QueuedOnTime by urgency level, without trailing zeros
-	StreamTimeMS  float32  // measured time that each stream per rank adds to the longest pass around a shift of demand; 0: unknown
-	ShiftInMS     uint32   // time until the next shift of demand is expected; Never: unknown
 }
 
 // DemandSample holds the expert selections of one group of a service since its latest shift of
--- a/peers/schema_gen.go
+++ b/peers/schema_gen.go
@@ -734,8 +734,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Loads) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 20
-	o = append(o, 0xdc, 0x0, 0x14)
+	// array header, size 18
+	o = append(o, 0xdc, 0x0, 0x12)
 	o = msgp.AppendBool(o, z.Known)
 	o = msgp.AppendString(o, z.Leader)
 	o = msgp.AppendBool(o, z.AskOthers)
@@ -766,8 +766,6 @@
 	for za0003 := range z.QueuedByLevel {
 		o = msgp.AppendUint16(o, z.QueuedByLevel[za0003])
 	}
-	o = msgp.AppendFloat32(o, z.StreamTimeMS)
-	o = msgp.AppendUint32(o, z.ShiftInMS)
 	return
 }
 
@@ -779,8 +777,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 18 {
+		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
 		return
 	}
 	z.Known, bts, err = msgp.ReadBoolBytes(bts)
@@ -971,16 +969,6 @@
 			return
 		}
 	}
-	z.StreamTimeMS, bts, err = msgp.ReadFloat32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "StreamTimeMS")
-		return
-	}
-	z.ShiftInMS, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ShiftInMS")
-		return
-	}
 	o = bts
 	return
 }
@@ -991,7 +979,7 @@
 	for za0001 := range z.Engines {
 		s += msgp.StringPrefixSize + len(z.Engines[za0001])
 	}
-	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (15 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size + msgp.ArrayHeaderSize + (len(z.QueuedByLevel) * (msgp.Uint16Size)) + msgp.Float32Size + msgp.Uint32Size
+	s += msgp.Uint16Size + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Running) + msgp.BytesPrefixSize + len(z.Waiting) + msgp.ArrayHeaderSize + (len(z.Slow) * (15 + msgp.Uint16Size + msgp.Float32Size)) + msgp.StringPrefixSize + len(z.Group) + msgp.Uint16Size + msgp.ArrayHeaderSize + (len(z.QueuedByLevel) * (msgp.Uint16Size))
 	return
 }
 
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -42,7 +42,7 @@
 	}
 	s := &state.headroom
 	if !s.known {
-		headroom := min(tr.capacity(p, now)-float64(state.TotalRequests), tr.maxNewStreams(p, now))
+		headroom := tr.capacity(p, now) - float64(state.TotalRequests)
 		*s = tr.divideHeadroom(headroom, &state.Queued, &d, p.EntryCount)
 		s.maxBorrow = maxBorrowedSlots(tr.capacity(p, now)/float64(max(p.EntryCount, 1)), tr.lateShareOf(p.Service.Name).meanDuration)
 		return
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -77,37 +77,18 @@
 }
 
 // groupStreamLimit returns how many streams a target of a group may run now, in the mean, if a
-// share of the targets accept requests: the smaller of the limits by the stated cost model and by
-// measured pauses. If measured pauses show that the objective can't be met, it returns the number of
-// slots. The lock must be held.
+// share of the targets accept requests. The lock must be held.
 func (tr *Tracker) groupStreamLimit(key groupKey, pool TargetPool, accepting float64, now time.Time) float64 {
 	state := tr.group(key)
-	stated := state.statedStreamLimit(pool, accepting, now)
 	if now.Sub(state.ReportedAt) > ReportTTL {
-		return stated
-	}
-	measured, known := pauseStreamLimit(pool.Service.Engine, pool.EventGapObjective, state.StreamTime, state.MaxSlowdown, accepting)
-	switch {
-	case !known:
-		return stated
-	case measured < minStreams:
-		return float64(pool.Service.Engine.Slots)
-	}
-	return min(stated, measured)
-}
-
-// statedStreamLimit returns the stream limit of the group by the stated cost model.
-func (g *groupTracker) statedStreamLimit(pool TargetPool, accepting float64, now time.Time) float64 {
-	imbalance, slowdown := max(g.Imbalance, min(g.PeakImbalance, maxPlannedImbalance)), g.MaxSlowdown
-	switch {
-	case now.Sub(g.ReportedAt) > ReportTTL:
 		// Without reports the expert map is not rebalanced either, so the recent peak imbalance is
 		// expected.
-		imbalance, slowdown = max(defaultImbalance, min(g.PeakImbalance, maxPlannedImbalance)), max(g.MaxSlowdown, 1)
-	case g.Imbalance == 0:
+		return streamLimitAmong(pool.Service.Engine, pool.EventGapObjective, max(defaultImbalance, min(state.PeakImbalance, maxPlannedImbalance)), max(state.MaxSlowdown, 1), accepting)
+	}
+	if state.Imbalance == 0 {
 		// The group has just formed: it uses the initial expert map, and all queued requests arrive
 		// at once.
-		imbalance = initialImbalance
+		return streamLimitAmong(pool.Service.Engine, pool.EventGapObjective, initialImbalance, state.MaxSlowdown, accepting)
 	}
-	return streamLimitAmong(pool.Service.Engine, pool.EventGapObjective, imbalance, slowdown, accepting)
+	return streamLimitAmong(pool.Service.Engine, pool.EventGapObjective, max(state.Imbalance, min(state.PeakImbalance, maxPlannedImbalance)), state.MaxSlowdown, accepting)
 }
--- a/placing/reports.go
+++ b/placing/reports.go
@@ -41,9 +41,6 @@
 	TotalRequests int         // requests at all targets of the group
 	Queued        QueueCounts // requests in the queues of all entries
 	ReportedAt    time.Time
-
-	StreamTime time.Duration // measured time that each stream per target adds to the longest pass around a shift of demand; 0: unknown
-	ShiftAt    time.Time     // when the next shift of demand is expected; zero: unknown
 }
 
 // reportedLoad is the load that a target's agent reports.
