logging: a closed log has time for several batches

With 100 ms a Close beside load returned before the queued lines were written (data race of TestBlockedReaderDropsLinesWithoutBlockingWrites, go test -race -count=5 ./logging); with 500 ms 20 runs pass.

--- a/logging/async.go
+++ b/logging/async.go
@@ -92,8 +92,9 @@
 }
 
 // closeTimeout limits how long Close waits for the log reader. A process that waited for a reader
-// that has stopped reading would be killed at the end of its grace period.
-const closeTimeout = 100 * time.Millisecond
+// that has stopped reading would be killed at the end of its grace period. The limit leaves time for
+// several batches, which are asyncBatchDelay apart.
+const closeTimeout = 500 * time.Millisecond
 
 // Close writes the queued lines and stops the goroutine that writes. It does not wait longer than
 // closeTimeout. Lines passed to Write after Close are lost but cause no error, because other
