--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -20,9 +20,7 @@
 	known     bool
 	ratio     [NumLevels]float64 // probability that an on-time request of a level is admitted; 1: there is headroom for all of them
 	left      [NumLevels]int     // on-time requests of a level that may still be admitted
-	freed     int                // slots of requests that have ended, less those that requests without a share have used; negative: borrowed
-	canBorrow [NumLevels]bool    // requests of the level may borrow slots
-	maxBorrow int                // slots that may be borrowed
+	freed     int                // slots of requests that have ended, less those that requests without a share have used
 	covered   bool               // there is headroom for all on-time requests of all levels
 	enqueued  LevelCounts        // requests added to the queue when left was last computed
 	lateRatio float64            // probability that a late request is admitted
@@ -44,7 +42,6 @@
 	if !s.known {
 		headroom := tr.capacity(p, now) - float64(state.TotalRequests)
 		*s = tr.divideHeadroom(headroom, &state.Queued, &d, p.EntryCount)
-		s.maxBorrow = maxBorrowedSlots(tr.capacity(p, now)/float64(max(p.EntryCount, 1)), tr.lateShareOf(p.Service.Name).meanDuration)
 		return
 	}
 	for level, n := range d.enqueuedByLevel {
@@ -70,41 +67,11 @@
 			headroom -= wanted
 		}
 	}
-	s.canBorrow = levelsThatBorrow(d.mix)
 	s.lateRatio = coveredShare(headroom, float64(max(reported.Late, d.queued.Late)))
 	s.lateLeft = tr.roundRandomly(s.lateRatio * float64(d.queued.Late))
 	return s
 }
 
-// minYieldingMix is the least share of less urgent requests among all requests with which more urgent
-// ones may borrow slots: the less urgent requests must be able to pay them back.
-const minYieldingMix = 0.1
-
-// levelsThatBorrow returns the levels whose requests may borrow slots: those that can't wait for another
-// report, if enough requests of lower priority can.
-//
-// An entry of a large fleet has a stream that ends every hundred milliseconds. With a full group, one urgent
-// request in six would wait longer than it may for such a slot, while requests of lower priority, which
-// may wait longer, start at all entries. So an urgent request starts at once, and the entry's other
-// requests wait until its ended streams have made up for it.
-func levelsThatBorrow(mix [NumLevels]float64) (levels [NumLevels]bool) {
-	lower := 0.0
-	for level := NumLevels - 2; level >= 0; level -= 2 {
-		levels[level] = lower >= minYieldingMix && !ablate.Off(ablate.QueueUrgency)
-		lower += mix[level] + mix[level+1]
-	}
-	return levels
-}
-
-// maxBorrowedSlots returns how many slots of a group an entry may borrow: as many as its streams free
-// until the next report. slots is the entry's share of the group's stream limit.
-func maxBorrowedSlots(slots float64, meanDuration time.Duration) int {
-	if meanDuration <= 0 {
-		return 0
-	}
-	return max(1, int(slots*reportInterval.Seconds()/max(meanDuration, reportInterval).Seconds()))
-}
-
 // coveredShare returns the share of a demand that the headroom covers.
 func coveredShare(headroom, demand float64) float64 { return min(max(headroom/max(demand, 1), 0), 1) }
 
@@ -123,7 +90,7 @@
 	case late:
 		return s.covered && (s.lateRatio >= 1 || s.lateLeft > 0)
 	}
-	return s.ratio[level] >= 1 || s.left[level]+s.freed > 0 || s.canBorrow[level] && s.freed > -s.maxBorrow
+	return s.ratio[level] >= 1 || s.left[level]+s.freed > 0
 }
 
 // takeSlot deducts one admitted request from the share.
