--- a/cmd/heatherrail/apply.go
+++ b/cmd/heatherrail/apply.go
@@ -44,13 +44,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
 	defer cancel()
 	var out config.Outcome
+	id := c.Resume
 	if c.Resume != "" {
 		if _, err := ulid.ParseStrict(c.Resume); err != nil {
 			return &exitError{exitUsage, fmt.Errorf("--resume %s: not a valid change id: %w", c.Resume, err)}
 		}
 		out, err = op.Resume(ctx, c.Resume)
 	} else {
-		out, err = c.apply(ctx, op)
+		id = control.NewChangeID()
+		out, err = c.apply(ctx, op, id)
 	}
 	if err != nil {
 		return outcomeError(err)
@@ -59,7 +61,7 @@
 		return nil // no change was sent, because the files equal the version in force
 	}
 	fmt.Printf("accepted: version %d\n", out.Version)
-	return c.waitInForce(ctx, client, out.Version)
+	return c.waitInForce(ctx, client, id, out.Version)
 }
 
 // outcomeError wraps err with an exit code, so that scripts can distinguish a refused change, a change
@@ -75,10 +77,10 @@
 	}
 }
 
-// apply sends the configuration in c.Args.Dir as a change to the base version. Without --base,
+// apply sends the configuration in c.Args.Dir as change id to the base version. Without --base,
 // apply sends nothing if the configuration equals the version in force. The outcome then has
 // version 0.
-func (c *applyCommand) apply(ctx context.Context, op *control.Operator) (config.Outcome, error) {
+func (c *applyCommand) apply(ctx context.Context, op *control.Operator, id string) (config.Outcome, error) {
 	cfg, err := config.LoadDir(c.Args.Dir)
 	if err != nil {
 		return config.Outcome{}, err
@@ -101,15 +103,14 @@
 		fmt.Printf("no difference to version %d, nothing was sent\n", base)
 		return config.Outcome{}, nil
 	}
-	id := control.NewChangeID()
 	fmt.Printf("change %s on version %d\n", id, base)
 	return op.Apply(ctx, id, base, cfg)
 }
 
-// waitInForce waits until the configuration version is in force at all entries. If ctx ends first, it
-// prints the entries that have not reported the version, and returns an error with exitNotInForce.
-func (c *applyCommand) waitInForce(ctx context.Context, client *control.Client, version uint64) error {
-	behind, err := client.WaitInForce(ctx, version)
+// waitInForce waits until a change is in force at all entries. If ctx ends first, it prints the
+// entries at which it is not, and returns an error with exitNotInForce.
+func (c *applyCommand) waitInForce(ctx context.Context, client *control.Client, change string, version uint64) error {
+	behind, err := client.WaitInForce(ctx, change, version)
 	if err != nil {
 		return &exitError{exitNotInForce, fmt.Errorf("accepted; entries could not be queried: %w", err)}
 	}
@@ -120,7 +121,7 @@
 	for _, a := range behind {
 		fmt.Printf("behind: %s\n", processState(a))
 	}
-	return &exitError{exitNotInForce, fmt.Errorf("accepted, but %d entries have not reported version %d", len(behind), version)}
+	return &exitError{exitNotInForce, fmt.Errorf("accepted, but %d entries do not have version %d of change %s in force", len(behind), version, change)}
 }
 
 // processState returns the name of a process with its configuration version, or with the error of the
--- a/config/fold.go
+++ b/config/fold.go
@@ -10,6 +10,22 @@
 // record before it is missing.
 var ErrGap = errors.New("log record out of order")
 
+// Position is a place between two records of the log. An offset alone does not identify it: a
+// log that loses records gives their offsets out again.
+type Position struct {
+	Next uint64 // offset of the record after the position
+	Mark uint64 // RecordMark of the record before it; 0 if there is none or it is unknown
+}
+
+// After returns the position after the record that stands at p.
+func (p Position) After(mark uint64) Position { return Position{Next: p.Next + 1, Mark: mark} }
+
+// Contradicts reports whether both positions have the same offset but are in different
+// histories of the log.
+func (p Position) Contradicts(q Position) bool {
+	return p.Next == q.Next && p.Mark != q.Mark && p.Mark != 0 && q.Mark != 0
+}
+
 // Extension folds log records of a kind that Fold itself does not handle, for example
 // leases, into a state of its own. That state is saved with the configuration. All
 // processes must use the same extensions.
@@ -22,6 +38,8 @@
 	// encodings. Restore replaces the state by a saved one.
 	Save() ([]byte, error)
 	Restore(saved []byte) error
+	// Clone returns a copy that later folds do not change.
+	Clone() Extension
 }
 
 // maxOutcomes bounds the change outcomes kept by id. A day at the planned size has
@@ -35,8 +53,13 @@
 // from a snapshot on the log or from the saved state of a peer.
 type Fold struct {
 	next             uint64
-	awaitingSnapshot bool   // records before firstKept are lost, so a snapshot is needed
-	firstKept        uint64 // offset of the oldest record that the log still holds
+	mark             uint64      // RecordMark of the record before next, 0 if it is unknown
+	passed           passedMarks // marks of the latest records, by offset
+	recoveries       uint64      // recoveries folded; see foldRecovery
+	recovered        bool        // current comes from a recovery and not from a change on the log
+	displaced        *Fold       // state that a RecoveryReset replaced
+	awaitingSnapshot bool        // records before firstKept are lost, so a snapshot is needed
+	firstKept        uint64      // offset of the oldest record that the log still holds
 	current          *Snapshot
 	outcomes         []SavedOutcome
 	pendingParts     partBuffer
@@ -57,6 +80,9 @@
 // Next returns the offset of the next record to apply.
 func (f *Fold) Next() uint64 { return f.next }
 
+// Position returns the position of the next record to apply.
+func (f *Fold) Position() Position { return Position{Next: f.next, Mark: f.mark} }
+
 // SnapshotOffset returns the offset of the first record that the latest snapshot on
 // the log does not include.
 func (f *Fold) SnapshotOffset() uint64 { return f.snapshotOffset }
@@ -80,8 +106,18 @@
 	if first <= f.next && !f.awaitingSnapshot {
 		return
 	}
+	f.awaitSnapshot(first)
+}
+
+// Interrupt records that the log has trimmed all records before first, the one before Next among
+// them, so that it can't be told whether the next records follow those that were folded.
+func (f *Fold) Interrupt(first uint64) { f.awaitSnapshot(max(first, f.next)) }
+
+func (f *Fold) awaitSnapshot(first uint64) {
 	f.awaitingSnapshot, f.firstKept = true, first
-	f.next = max(f.next, first)
+	if first > f.next || f.mark != 0 {
+		f.next, f.mark = max(f.next, first), 0
+	}
 	f.snapshotParts = partBuffer{}
 }
 
@@ -98,7 +134,8 @@
 	case offset > f.next:
 		return ErrGap
 	}
-	f.next = offset + 1
+	f.next, f.mark = offset+1, RecordMark(raw)
+	f.passed.add(offset, f.mark)
 	if err := f.apply(offset, raw); err != nil {
 		f.stopErr = fmt.Errorf("configuration fold stopped at offset %d: %w", offset, err)
 		return f.stopErr
@@ -107,15 +144,17 @@
 }
 
 // Skip advances over the record at offset without folding it. A peer has already
-// folded it and found that it changes nothing.
-func (f *Fold) Skip(offset uint64) error {
+// folded it and found that it changes nothing. mark is the RecordMark of the record, 0 if the
+// peer did not send it.
+func (f *Fold) Skip(offset, mark uint64) error {
 	switch {
 	case f.stopErr != nil:
 		return f.stopErr
 	case offset > f.next:
 		return ErrGap
 	case offset == f.next:
-		f.next++
+		f.next, f.mark = offset+1, mark
+		f.passed.add(offset, mark)
 	}
 	return nil
 }
@@ -226,10 +265,19 @@
 	if digest != ch.Digest {
 		return f.rejection("digest of the result differs")
 	}
-	f.current = f.current.successor(version+1, ch.ID, digest, c)
+	f.current, f.recovered = f.current.successor(version+1, ch.ID, digest, c), false
 	return Outcome{Accepted: true, Version: f.current.Version}
 }
 
+// Extension returns the extension that folds the records of a kind, or nil.
+func (f *Fold) Extension(kind string) Extension {
+	i := slices.IndexFunc(f.extensions, func(x Extension) bool { return x.Kind() == kind })
+	if i < 0 {
+		return nil
+	}
+	return f.extensions[i]
+}
+
 // StopError returns the error that stopped the fold, or nil while it runs.
 func (f *Fold) StopError() error { return f.stopErr }
 
--- a/config/fold_test.go
+++ b/config/fold_test.go
@@ -34,6 +34,7 @@
 func (c *counter) Fold(uint64, []byte) error  { c.n++; return nil }
 func (c *counter) Save() ([]byte, error)      { return []byte{c.n}, nil }
 func (c *counter) Restore(saved []byte) error { c.n = saved[0]; return nil }
+func (c *counter) Clone() Extension           { return &counter{n: c.n} }
 
 func mustRecords(ch *Change) [][]byte {
 	records, err := ChangeRecords(ch)
--- a/config/parts.go
+++ b/config/parts.go
@@ -45,6 +45,14 @@
 	return slices.IndexFunc(p.sets, func(s SavedParts) bool { return s.ID == id })
 }
 
+func (p *partBuffer) clone() partBuffer {
+	sets := slices.Clone(p.sets)
+	for i := range sets {
+		sets[i].Parts = slices.Clone(sets[i].Parts)
+	}
+	return partBuffer{sets: sets}
+}
+
 // take removes a set and returns its joined bytes. It returns nil unless all n parts
 // are present and match the digest.
 func (p *partBuffer) take(id string, n int, digest uint64) []byte {
--- a/config/presence.go
+++ b/config/presence.go
@@ -42,18 +42,7 @@
 )
 
 // Encode returns the log record of a presence.
-func (p *Presence) Encode() ([]byte, error) {
-	body, err := p.MarshalMsg(nil)
-	if err != nil {
-		return nil, fmt.Errorf("encode presence: %w", err)
-	}
-	rec := Record{Schema: RecordSchema, Kind: RecordPresence, Body: body}
-	raw, err := rec.MarshalMsg(nil)
-	if err != nil {
-		return nil, fmt.Errorf("encode record: %w", err)
-	}
-	return raw, nil
-}
+func (p *Presence) Encode() ([]byte, error) { return NewRecord(RecordPresence, p) }
 
 // At returns the time at which the presence was written, by the clock of its writer.
 func (p *Presence) At() time.Time { return time.UnixMilli(p.AtMs) }
--- a/config/record.go
+++ b/config/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,8 +45,13 @@
 	Schema uint32 `msg:"s"`
 	Kind   string `msg:"k"`
 	Body   []byte `msg:"b"`
+	Nonce  uint64 `msg:"n"` // random: no two appends have equal records, so equal records are the same append
 }
 
+// RecordMark returns the hash of a record on the log. Since records differ by their Nonce, a
+// record with the same mark at the same offset shows that the records before it are the same too.
+func RecordMark(raw []byte) uint64 { return max(xxhash.Sum64(raw), 1) }
+
 // Change turns a base version into the next version.
 type Change struct {
 	ID     string `msg:"id"`
@@ -70,6 +76,11 @@
 	Data  []byte `msg:"d"`
 }
 
+// PartID is the id alone of an encoded Part.
+type PartID struct {
+	ID string `msg:"id"`
+}
+
 // Commit makes a change in parts take effect, at the offset of the commit.
 type Commit struct {
 	ID     string `msg:"id"`
@@ -83,6 +94,8 @@
 	Parts  int    `msg:"n"`
 	Digest uint64 `msg:"d"`
 	Upto   uint64 `msg:"u"` // offset of the first record not included in the state
+	Mark   uint64 `msg:"m"` // RecordMark of the record before Upto; 0: unknown
+	Mode   string `msg:"r"` // RecoveryMerge or RecoveryReset; empty: a snapshot
 }
 
 // State is the whole state of a fold that has applied all log records before offset Next.
@@ -95,6 +108,9 @@
 	Outcomes   []SavedOutcome `msg:"o"` // outcomes of the latest changes, oldest first
 	Pending    []SavedParts   `msg:"p"` // parts of changes without their commit record, oldest first
 	Extensions []SavedBytes   `msg:"x"` // states of the extensions, in the order given to NewFold
+	Mark       uint64         `msg:"m"` // RecordMark of the record before Next; 0: unknown
+	Recoveries uint64         `msg:"e"` // recoveries folded so far
+	Recovered  bool           `msg:"y"` // the configuration comes from a recovery
 }
 
 // SavedOutcome is the outcome of one change, with its id.
@@ -135,7 +151,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", kind, err)
 	}
-	rec := Record{Schema: RecordSchema, Kind: kind, Body: body}
+	return encodeRecord(&Record{Schema: RecordSchema, Kind: kind, Body: body})
+}
+
+func encodeRecord(rec *Record) ([]byte, error) {
+	rec.Nonce = rand.Uint64()
 	raw, err := rec.MarshalMsg(nil)
 	if err != nil {
 		return nil, fmt.Errorf("encode record: %w", err)
@@ -143,6 +163,15 @@
 	return raw, nil
 }
 
+// Renew returns a record with the same content and another Nonce, for a further append.
+func Renew(raw []byte) ([]byte, error) {
+	var rec Record
+	if _, err := rec.UnmarshalMsg(raw); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	return encodeRecord(&rec)
+}
+
 // NewChange encodes a change that replaces the whole configuration as one record.
 // Use ChangeRecords for a change larger than MaxRecordBytes.
 func NewChange(id string, base uint64, c *Config) ([]byte, error) {
@@ -171,12 +200,21 @@
 // SnapshotRecords encodes a saved state as parts and a commit. upto is the offset of
 // the first record not included in the state.
 func SnapshotRecords(id string, saved []byte, upto uint64) ([][]byte, error) {
-	records, n, err := split(RecordSnapshotPart, id, saved)
+	return snapshotRecords(saved, SnapshotCommit{ID: id, Upto: upto})
+}
+
+// SnapshotAt encodes a saved state as SnapshotRecords does. at is the position of the state.
+func SnapshotAt(id string, saved []byte, at Position) ([][]byte, error) {
+	return snapshotRecords(saved, SnapshotCommit{ID: id, Upto: at.Next, Mark: at.Mark})
+}
+
+func snapshotRecords(saved []byte, c SnapshotCommit) ([][]byte, error) {
+	records, n, err := split(RecordSnapshotPart, c.ID, saved)
 	if err != nil {
 		return nil, err
 	}
-	commit, err := NewRecord(RecordSnapshotCommit,
-		&SnapshotCommit{ID: id, Parts: n, Digest: xxhash.Sum64(saved), Upto: upto})
+	c.Parts, c.Digest = n, xxhash.Sum64(saved)
+	commit, err := NewRecord(RecordSnapshotCommit, &c)
 	return append(records, commit), err
 }
 
--- a/config/record_gen.go
+++ b/config/record_gen.go
@@ -447,12 +447,68 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z PartID) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "id"
+	o = append(o, 0x81, 0xa2, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartID) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z89264a71limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PartID) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	o = append(o, 0x84, 0xa1, 0x73)
 	o = msgp.AppendUint32(o, z.Schema)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -460,6 +516,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Nonce)
 	return
 }
 
@@ -519,6 +578,12 @@
 			}
 			copy(z.Body, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "n":
+			z.Nonce, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -533,7 +598,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint64Size
 	return
 }
 
@@ -851,9 +916,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *SnapshotCommit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "id"
-	o = append(o, 0x84, 0xa2, 0x69, 0x64)
+	o = append(o, 0x86, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -864,6 +929,12 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendUint64(o, z.Upto)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendUint64(o, z.Mark)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Mode)
 	return
 }
 
@@ -913,6 +984,18 @@
 				err = msgp.WrapError(err, "Upto")
 				return
 			}
+		case "m":
+			z.Mark, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Mark")
+				return
+			}
+		case "r":
+			z.Mode, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Mode")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -927,16 +1010,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SnapshotCommit) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Mode)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 11
 	// string "n"
-	o = append(o, 0x88, 0xa1, 0x6e)
+	o = append(o, 0x8b, 0xa1, 0x6e)
 	o = msgp.AppendUint64(o, z.Next)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
@@ -992,6 +1075,15 @@
 		o = append(o, 0xa1, 0x64)
 		o = msgp.AppendBytes(o, z.Extensions[za0003].Data)
 	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendUint64(o, z.Mark)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Recoveries)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendBool(o, z.Recovered)
 	return
 }
 
@@ -1198,6 +1290,24 @@
 					}
 				}
 			}
+		case "m":
+			z.Mark, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Mark")
+				return
+			}
+		case "e":
+			z.Recoveries, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recoveries")
+				return
+			}
+		case "y":
+			z.Recovered, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recovered")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1224,5 +1334,6 @@
 	for za0003 := range z.Extensions {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Extensions[za0003].Kind) + 2 + msgp.BytesPrefixSize + len(z.Extensions[za0003].Data)
 	}
+	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -51,6 +51,13 @@
 	return next
 }
 
+// withVersion returns the same configuration under another version.
+func (s *Snapshot) withVersion(version uint64) *Snapshot {
+	next := *s
+	next.Version = version
+	return &next
+}
+
 // sharesTeams reports whether a and b are the same slice.
 func sharesTeams(a, b []Team) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/config/state.go
+++ b/config/state.go
@@ -12,25 +12,20 @@
 
 // foldSnapshotRecord handles a part or the commit of a snapshot. A reader that lost
 // records restores the snapshot and continues from its Upto. Other readers ignore
-// the snapshot.
+// the snapshot, unless it is a recovery.
 func (f *Fold) foldSnapshotRecord(offset uint64, rec *Record) error {
 	if rec.Kind == RecordSnapshotPart {
-		if !f.awaitingSnapshot {
-			return nil
-		}
-		var part Part
-		if _, err := part.UnmarshalMsg(rec.Body); err != nil {
-			return fmt.Errorf("snapshot part: %w", err)
-		}
-		f.snapshotParts.add(offset, part)
-		return nil
+		return f.foldSnapshotPart(offset, rec.Body)
 	}
 	var c SnapshotCommit
 	if _, err := c.UnmarshalMsg(rec.Body); err != nil {
 		return fmt.Errorf("snapshot commit: %w", err)
 	}
-	if c.Upto > offset {
-		return fmt.Errorf("snapshot claims records up to %d, it stands at %d", c.Upto, offset)
+	if c.Mode != "" {
+		return f.foldRecovery(&c)
+	}
+	if c.Upto > offset || f.passed.contradicts(Position{Next: c.Upto, Mark: c.Mark}) {
+		return nil // the snapshot belongs to records that the log has lost since
 	}
 	f.snapshotOffset = max(f.snapshotOffset, c.Upto)
 	if !f.awaitingSnapshot {
@@ -43,17 +38,50 @@
 	return f.restore(saved)
 }
 
+func (f *Fold) foldSnapshotPart(offset uint64, body []byte) error {
+	var id PartID
+	if _, err := id.UnmarshalMsg(body); err != nil {
+		return fmt.Errorf("snapshot part: %w", err)
+	}
+	if !f.awaitingSnapshot && !IsRecovery(id.ID) {
+		return nil
+	}
+	var part Part
+	if _, err := part.UnmarshalMsg(body); err != nil {
+		return fmt.Errorf("snapshot part: %w", err)
+	}
+	if f.awaitingSnapshot {
+		f.snapshotParts.add(offset, part)
+		return nil
+	}
+	f.pendingParts.expire(offset)
+	f.pendingParts.add(offset, part)
+	return nil
+}
+
 // Save returns the encoded and compressed state; equal states give equal bytes.
 // Compression halves the size of the hex hashes of team keys. Save fails while the fold
 // needs a snapshot and after it has stopped.
 func (f *Fold) Save() ([]byte, error) {
+	st, err := f.state()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := st.MarshalMsg(nil)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return compress(raw)
+}
+
+func (f *Fold) state() (*State, error) {
 	if f.awaitingSnapshot {
 		return nil, fmt.Errorf("no state to save: log records are missing, waiting for a snapshot")
 	}
 	if f.stopErr != nil {
 		return nil, f.stopErr
 	}
-	st := State{Next: f.next, Outcomes: f.outcomes, Pending: f.pendingParts.sets}
+	st := &State{Next: f.next, Mark: f.mark, Recoveries: f.recoveries, Recovered: f.recovered, Outcomes: f.outcomes, Pending: f.pendingParts.sets}
 	if s := f.current; s != nil {
 		st.Version, st.ID, st.Digest, st.Config = s.Version, s.ID, s.Digest, *s.Config
 	}
@@ -64,11 +92,7 @@
 		}
 		st.Extensions = append(st.Extensions, SavedBytes{Kind: x.Kind(), Data: data})
 	}
-	raw, err := st.MarshalMsg(nil)
-	if err != nil {
-		return nil, fmt.Errorf("encode state: %w", err)
-	}
-	return compress(raw)
+	return st, nil
 }
 
 // Restore adopts the saved state of a peer if that state is ahead of this fold. The
@@ -81,17 +105,34 @@
 }
 
 func (f *Fold) restore(saved []byte) error {
-	raw, err := decompress(saved)
+	st, err := decodeState(saved)
 	if err != nil {
 		return err
 	}
-	var st State
-	if _, err := st.UnmarshalMsg(raw); err != nil {
-		return fmt.Errorf("state: %w", err)
-	}
-	if !f.isAhead(&st) {
+	if !f.isAhead(st) {
 		return nil
 	}
+	if err := f.restoreExtensions(st); err != nil {
+		return err
+	}
+	f.adopt(st)
+	f.next, f.mark = st.Next, st.Mark
+	return nil
+}
+
+func decodeState(saved []byte) (*State, error) {
+	raw, err := decompress(saved)
+	if err != nil {
+		return nil, err
+	}
+	st := new(State)
+	if _, err := st.UnmarshalMsg(raw); err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	return st, nil
+}
+
+func (f *Fold) restoreExtensions(st *State) error {
 	if len(st.Extensions) != len(f.extensions) {
 		return fmt.Errorf("state has %d extensions, this build %d", len(st.Extensions), len(f.extensions))
 	}
@@ -103,14 +144,22 @@
 			return fmt.Errorf("restore %s: %w", x.Kind(), err)
 		}
 	}
+	return nil
+}
+
+// adopt replaces everything but the position and the extensions by a saved state.
+func (f *Fold) adopt(st *State) {
 	if st.Version > 0 && (f.current == nil || f.current.Version < st.Version) {
-		shareServiceLists(&st.Config)
-		f.current = NewSnapshot(st.Version, st.ID, st.Digest, &st.Config)
+		f.current = st.snapshot()
 	}
-	f.next, f.outcomes = st.Next, st.Outcomes
+	f.outcomes, f.recoveries, f.recovered = st.Outcomes, st.Recoveries, st.Recovered
 	f.pendingParts = partBuffer{sets: st.Pending}
 	f.awaitingSnapshot, f.snapshotParts = false, partBuffer{}
-	return nil
+}
+
+func (st *State) snapshot() *Snapshot {
+	shareServiceLists(&st.Config)
+	return NewSnapshot(st.Version, st.ID, st.Digest, &st.Config)
 }
 
 // isAhead reports whether a saved state is newer than this fold. While the fold
--- a/control/apply.go
+++ b/control/apply.go
@@ -28,24 +28,35 @@
 	operatorRetryInterval = 200 * time.Millisecond
 )
 
-// Sync folds the log up to its current end.
+// Sync folds the log up to its current end. If the log has lost records that were read before, it
+// begins anew.
 func (o *Operator) Sync(ctx context.Context) error {
 	if o.fold == nil {
 		o.fold, _ = NewFold()
 	}
 	for {
-		page, err := o.Log.Read(ctx, o.fold.Next(), operatorPageRecords, 0)
-		if errors.Is(err, outside.ErrTrimmed) && page.First > o.fold.Next() {
-			o.fold.SkipTo(page.First)
+		at := o.fold.Position()
+		page, err := ReadAfter(ctx, o.Log, at, operatorPageRecords)
+		if errors.Is(err, outside.ErrTrimmed) && page.First == at.Next && !o.fold.NeedsSnapshot() {
+			page, err = ReadAfter(ctx, o.Log, config.Position{Next: at.Next}, operatorPageRecords)
+		}
+		if errors.Is(err, ErrLogChanged) {
+			if err := o.restart(ctx); err != nil {
+				return err
+			}
+			continue
+		}
+		if errors.Is(err, outside.ErrTrimmed) && page.First > 0 && page.First >= at.Next {
+			o.fold, _ = NewFold()
+			o.fold.Interrupt(page.First)
 			_ = o.restoreFromPeer(ctx) // if no peer has a state, a snapshot on the log may be enough
 			continue
 		}
 		if err != nil {
 			return fmt.Errorf("read log: %w", err)
 		}
-		first := page.Next - uint64(len(page.Records))
 		for i, raw := range page.Records {
-			err := o.fold.Apply(first+uint64(i), raw)
+			err := o.fold.Apply(at.Next+uint64(i), raw)
 			if errors.Is(err, config.ErrGap) {
 				break
 			}
@@ -66,6 +77,18 @@
 	return nil
 }
 
+// restart drops the folded state, so that the next read begins at the start of the log. It pauses,
+// since the state of an entry may come from records that the log has lost.
+func (o *Operator) restart(ctx context.Context) error {
+	o.fold, _ = NewFold()
+	select {
+	case <-time.After(operatorRetryInterval):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrLogChanged, context.Cause(ctx))
+	}
+}
+
 func (o *Operator) restoreFromPeer(ctx context.Context) error {
 	if o.State == nil {
 		return errors.New("no entries are known")
@@ -113,6 +136,9 @@
 	if oldest, full := o.fold.OldestOutcome(); full && id < oldest {
 		return config.Outcome{}, result.New(result.ChangeUnknown, "change %s is too old: outcomes before %s are no longer kept", id, oldest)
 	}
+	if _, known := o.fold.Outcome(id); !known && o.isAcceptedAtPeer(ctx, id) {
+		return o.awaitRecovery(ctx, id)
+	}
 	records, err := config.ChangeRecords(&config.Change{ID: id, Base: config.VoidBase})
 	if err != nil {
 		return config.Outcome{}, err
@@ -120,6 +146,39 @@
 	return o.appendUntilDecided(ctx, id, records)
 }
 
+// isAcceptedAtPeer reports whether an entry knows a change as accepted. If the log does not hold
+// the change, the log has lost it and the entries write it back.
+func (o *Operator) isAcceptedAtPeer(ctx context.Context, id string) bool {
+	if o.State == nil {
+		return false
+	}
+	saved, err := o.State(ctx)
+	if err != nil {
+		return false
+	}
+	peer, _ := NewFold()
+	if peer.Restore(saved) != nil {
+		return false
+	}
+	out, known := peer.Outcome(id)
+	return known && out.Accepted
+}
+
+// awaitRecovery waits until the log holds the outcome of a change again.
+func (o *Operator) awaitRecovery(ctx context.Context, id string) (config.Outcome, error) {
+	for {
+		err := o.Sync(ctx)
+		if out, known := o.fold.Outcome(id); known {
+			return out, outcomeError(out)
+		}
+		select {
+		case <-time.After(operatorRetryInterval):
+		case <-ctx.Done():
+			return config.Outcome{}, result.New(result.ChangeUnknown, "change %s: accepted according to an entry, lost by the log: %w", id, errors.Join(err, context.Cause(ctx)))
+		}
+	}
+}
+
 // appendUntilDecided appends records until their outcome can be read back. Appending them
 // again is harmless: each part is stored once, and a repeated id keeps its first outcome.
 func (o *Operator) appendUntilDecided(ctx context.Context, id string, records [][]byte) (config.Outcome, error) {
@@ -129,7 +188,11 @@
 			return out, outcomeError(out)
 		}
 		for sent < len(records) && ctx.Err() == nil {
-			if _, err := o.Log.Append(ctx, records[sent:sent+1]); err != nil {
+			raw, err := config.Renew(records[sent]) // equal records would hide that the log lost one of them
+			if err != nil {
+				return config.Outcome{}, err
+			}
+			if _, err := o.Log.Append(ctx, [][]byte{raw}); err != nil {
 				break
 			}
 			sent++
--- a/control/client.go
+++ b/control/client.go
@@ -170,18 +170,19 @@
 // they have in force.
 const inForcePollInterval = 250 * time.Millisecond
 
-// WaitInForce waits until every listed entry reports the given version or a newer one, and
-// then returns nil. If ctx ends first, it returns the answers of the entries that report an
-// older version or could not be queried.
-func (c *Client) WaitInForce(ctx context.Context, version uint64) ([]Answer, error) {
+// WaitInForce waits until every listed entry has a change, or a later one, in force, and then returns
+// nil. If ctx ends first, it returns the answers of the entries that have not, or that could not be
+// queried. For an entry of an earlier build, which knows versions only, version decides.
+func (c *Client) WaitInForce(ctx context.Context, change string, version uint64) ([]Answer, error) {
 	for {
-		answers, err := c.Status(context.WithoutCancel(ctx), outside.RoleEntry, false)
+		answers, err := c.query(context.WithoutCancel(ctx), wire.MethodStatus, &wire.StatusRequest{Change: change},
+			func(vm *outside.VM) bool { return vm.Role == outside.RoleEntry })
 		if err != nil {
 			return nil, err
 		}
 		var behind []Answer
 		for _, a := range answers {
-			if a.Err != nil || a.Status.Version < version {
+			if a.Err != nil || a.Status.Effect == wire.EffectPending || (a.Status.Effect == wire.EffectUnknown && a.Status.Version < version) {
 				behind = append(behind, a)
 			}
 		}
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -34,6 +34,8 @@
 	downLinks   map[[2]string]bool // (from, to) pairs whose bytes are lost
 	incarnation uint64
 	downgraded  []string // processes that installed an older version after a newer one
+
+	onInstall func(name string, s *config.Snapshot) // called with each installed configuration
 }
 
 func newCluster(t *testing.T, centres map[string]int) *cluster {
@@ -74,6 +76,9 @@
 				c.mu.Unlock()
 			}
 			installed = s.Version
+			if c.onInstall != nil {
+				c.onInstall(name, s)
+			}
 		},
 	})
 	c.mu.Lock()
--- a/control/follow.go
+++ b/control/follow.go
@@ -41,6 +41,9 @@
 			continue
 		}
 		failures = 0
+		if n.isBehind() {
+			continue
+		}
 		n.sleep(limiter.delay(time.Now()))
 	}
 }
@@ -65,8 +68,12 @@
 			n.recordSourceFailure(sources[at], err)
 			if at++; at == len(sources) {
 				rounds++ // all sources have failed: increase the backoff
+				n.setHeardPeer()
 			}
 			chosenAt = time.Now()
+			if !n.hasHeardPeer() {
+				continue
+			}
 			n.sleep(n.backoff(rounds))
 			continue
 		}
@@ -109,13 +116,36 @@
 func (n *Node) needsLogRead() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.topology.ReadsLog() || n.logAge() > n.opts.Timing.Fresh
+	return n.topology.ReadsLog() || n.history.ownRead || n.logAge() > n.opts.Timing.Fresh
+}
+
+// hasFreshLog reports whether this process, or its source, has read the log recently.
+func (n *Node) hasFreshLog() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.logAge() <= n.opts.Timing.Fresh
+}
+
+func (n *Node) hasHeardPeer() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heardPeer
+}
+
+// isBehind reports whether the log held more records than the latest read returned.
+func (n *Node) isBehind() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.behind
 }
 
 func (n *Node) needsPeerRead() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.topology.ReadsLog() || n.logAge() > n.opts.Timing.Fresh || n.fold.NeedsSnapshot()
+	if n.history.ownRead {
+		return false
+	}
+	return !n.heardPeer || !n.topology.ReadsLog() || n.logAge() > n.opts.Timing.Fresh || n.fold.NeedsSnapshot()
 }
 
 // pullSources returns the peers to pull from, best first.
@@ -127,84 +157,141 @@
 	return peers[:min(relays+fallbackPeers, len(peers))]
 }
 
+// pullLog reads the log to its end, or waits there for a record.
 func (n *Node) pullLog() error {
-	n.mu.Lock()
-	from := n.fold.Next()
-	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pollRoundTrip)
 	defer cancel()
-	page, err := n.opts.Log.Read(ctx, from, pageRecords, n.opts.Timing.LogWait)
-	if errors.Is(err, outside.ErrTrimmed) && page.First > from {
-		n.opts.Metrics.Count("control_trimmed_total", 1)
-		n.log.Info("log trimmed past the read position", "next", from, "first", page.First)
-		n.mu.Lock()
-		n.fold.SkipTo(page.First)
-		n.mu.Unlock()
-		return nil // the fold now needs a snapshot from the log or a peer's state
+	n.mu.Lock()
+	at := n.fold.Position()
+	n.mu.Unlock()
+	isEmpty, err := n.readLog(ctx, at)
+	if err != nil || !isEmpty {
+		return err
 	}
+	appended, err := awaitRecord(ctx, n.opts.Log, at, n.opts.Timing.LogWait)
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
-	n.reportLogEnd(from, page.Next)
+	if appended {
+		_, err = n.readLog(ctx, at)
+	}
+	return err
+}
+
+// readLog reads and folds the records after a position. isEmpty reports that there are none.
+func (n *Node) readLog(ctx context.Context, at config.Position) (isEmpty bool, err error) {
+	n.mu.Lock()
+	replaced := n.history.replaced
+	n.mu.Unlock()
+	page, err := ReadAfter(ctx, n.opts.Log, at, pageRecords)
+	if errors.Is(err, outside.ErrTrimmed) && page.First == at.Next && n.hasFreshLog() {
+		// Only the record before the position was trimmed. A log keeps its records for much longer than
+		// the time since the latest read, so it has not given out their offsets again since.
+		page, err = ReadAfter(ctx, n.opts.Log, config.Position{Next: at.Next}, pageRecords)
+	}
+	switch {
+	case errors.Is(err, ErrLogChanged):
+		return false, n.rewind(ctx, at)
+	case errors.Is(err, outside.ErrTrimmed) && page.First > 0 && page.First >= at.Next:
+		n.skipTrimmed(at, page.First)
+		return false, nil // the fold now needs a snapshot from the log or a peer's state
+	case err != nil:
+		n.endOwnRead()
+		return false, fmt.Errorf("read log: %w", err)
+	}
+	atEnd := len(page.Records) < pageRecords
 	n.mu.Lock()
 	n.snapshots.oldestOffset = page.First
+	n.behind = !atEnd
 	n.mu.Unlock()
-	return n.foldRecords(page.Next-uint64(len(page.Records)), page.Records, time.Now())
+	err = n.foldRecords(recordPage{at: at, records: page.Records, readAt: time.Now(), atEnd: atEnd, replaced: replaced})
+	if err == nil && atEnd {
+		n.endOwnRead()
+	}
+	return len(page.Records) == 0, err
 }
 
-// reportLogEnd reports a log that ends before a position that it has given out: it has lost
-// acknowledged records.
-func (n *Node) reportLogEnd(from, end uint64) {
-	if end >= from {
-		return
-	}
-	n.opts.Metrics.Count("control_log_ends_early_total", 1)
-	n.log.Info("log ends before the read position", "next", from, "end", end)
+// recordPage is a page of records that follow a position.
+type recordPage struct {
+	at       config.Position
+	records  [][]byte  // an empty record stands for one that does not change the state
+	marks    []uint64  // marks of the empty records, in order
+	readAt   time.Time // when this process, or the peer that sent the page, last read the log to its end
+	atEnd    bool      // no more records follow
+	replaced int       // history.replaced when the page was requested
 }
 
-// FoldRecords folds consecutive log records, beginning at offset first, that this process has
-// read for another purpose. It may stop early at a gap; followLog and followPeers then read the
-// records from the gap on.
-func (n *Node) FoldRecords(first uint64, records [][]byte) error {
-	return n.foldRecords(first, records, time.Now())
+// FoldRecords folds consecutive log records after a position, which this process has read for
+// another purpose. It may stop early at a gap; followLog and followPeers then read the records
+// from the gap on.
+func (n *Node) FoldRecords(at config.Position, records [][]byte) error {
+	n.mu.Lock()
+	replaced := n.history.replaced
+	n.mu.Unlock()
+	return n.foldRecords(recordPage{at: at, records: records, readAt: time.Now(), replaced: replaced})
 }
 
-// foldRecords folds consecutive records. The first one has offset first. readAt is when this
-// process, or the peer that sent the records, last read the log.
-func (n *Node) foldRecords(first uint64, records [][]byte, readAt time.Time) error {
+// foldRecords folds a page, unless the fold was replaced since the page was requested: the page may
+// come from a history that the log has left.
+func (n *Node) foldRecords(p recordPage) error {
 	n.mu.Lock()
-	for i, raw := range records {
-		offset := first + uint64(i)
-		before := n.fold.Next()
-		err := n.foldRecord(offset, raw)
-		if errors.Is(err, config.ErrGap) {
-			break // a snapshot moved the read position back: read on from there
-		}
-		if err != nil {
-			n.mu.Unlock()
-			n.opts.Metrics.Gauge("control_fold_stopped", 1)
-			n.log.Error(err, "configuration fold stopped")
-			return err
-		}
-		if before == offset {
-			n.cache.add(offset, raw)
-		}
+	if n.history.replaced != p.replaced {
+		n.mu.Unlock()
+		return nil
 	}
-	if readAt.After(n.logReadAt) {
-		n.logReadAt = readAt
+	at, err := n.applyPage(&p)
+	if err != nil {
+		n.mu.Unlock()
+		n.opts.Metrics.Gauge("control_fold_stopped", 1)
+		n.log.Error(err, "configuration fold stopped")
+		return err
+	}
+	if p.atEnd && n.fold.Position() == at {
+		n.history.caughtUp = true
+		if p.readAt.After(n.logReadAt) {
+			n.logReadAt = p.readAt
+		}
 	}
+	n.dropKept()
+	n.history.addCheckpoint(n.fold, time.Now())
 	n.mu.Unlock()
 	n.notifyFolded()
 	return nil
 }
 
-// foldRecord folds one record. Peers send an empty record in place of a record that does not
-// change the state.
-func (n *Node) foldRecord(offset uint64, raw []byte) error {
-	if len(raw) == 0 {
-		return n.fold.Skip(offset)
+// applyPage applies the records of a page and returns the position after the last one that
+// follows on what was folded. n.mu is held.
+func (n *Node) applyPage(p *recordPage) (config.Position, error) {
+	at, marks := p.at, p.marks
+	for _, raw := range p.records {
+		if n.fold.Position().Contradicts(at) {
+			break // the records follow others than the ones that were folded
+		}
+		mark, err := uint64(0), error(nil)
+		before := n.fold.Next()
+		if len(raw) > 0 {
+			mark, err = config.RecordMark(raw), n.fold.Apply(at.Next, raw)
+		} else {
+			if len(marks) > 0 {
+				mark, marks = marks[0], marks[1:]
+			}
+			err = n.fold.Skip(at.Next, mark)
+		}
+		if errors.Is(err, config.ErrGap) {
+			break // a snapshot moved the read position back: read on from there
+		}
+		if err != nil {
+			return at, err
+		}
+		if before == at.Next {
+			n.cache.add(at, raw, mark)
+		}
+		at = at.After(mark)
+		if d := n.fold.TakeDisplaced(); d != nil {
+			n.keep(d)
+		}
 	}
-	return n.fold.Apply(offset, raw)
+	return at, nil
 }
 
 // notifyFolded passes the folded state to the callbacks and wakes the long polls of peers
@@ -215,7 +302,7 @@
 	defer n.notifyMu.Unlock()
 	n.mu.Lock()
 	now := time.Now()
-	current, next := n.fold.Current(), n.fold.Next()
+	current, next := n.putInForce(now), n.fold.Next()
 	if n.fold.NeedsSnapshot() {
 		next = 0 // records before the offset may be missing
 	}
@@ -244,33 +331,68 @@
 		return err
 	}
 	n.mu.Lock()
-	cold := n.fold.NeedsSnapshot() || (n.fold.Next() == 0 && n.fold.Current() == nil)
-	req := wire.TailRequest{From: n.fold.Next(), Cold: cold, WaitMs: n.opts.Timing.LogWait.Milliseconds()}
+	at, own, replaced := n.fold.Position(), n.fold.Recoveries(), n.history.replaced
+	cold := n.fold.NeedsSnapshot() || (at.Next == 0 && n.fold.Current() == nil) || n.history.wantState
+	n.history.wantState = false
+	req := wire.TailRequest{From: at.Next, Mark: at.Mark, Cold: cold}
+	if n.heardPeer {
+		req.WaitMs = n.opts.Timing.LogWait.Milliseconds()
+	}
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pollRoundTrip)
 	defer cancel()
 	reply, state, err := Tail(ctx, conn, &req)
 	if err != nil {
+		if result.From(err).Code == result.NoConfig {
+			n.setHeardPeer()
+		}
 		return err
 	}
 	age := time.Duration(reply.AgeMs) * time.Millisecond
 	if reply.State {
-		n.mu.Lock()
-		err = n.fold.Restore(state)
-		n.mu.Unlock()
-		if err != nil {
+		if replaced, err = n.considerState(ctx, state, replaced); err != nil {
+			n.setHeardPeer()
 			return fmt.Errorf("state of %s: %w", name, err)
 		}
 	}
-	if err := n.foldRecords(reply.First, reply.Records, time.Now().Add(-age)); err != nil {
+	if reply.Next < at.Next || reply.Diverged {
+		return n.resolveDivergence(ctx, at, reply.Recoveries > own)
+	}
+	from := config.Position{Next: reply.First, Mark: reply.FirstMark}
+	atEnd := reply.First+uint64(len(reply.Records)) == reply.Next
+	page := recordPage{at: from, records: reply.Records, marks: reply.Marks, readAt: time.Now().Add(-age), atEnd: atEnd, replaced: replaced}
+	if err := n.foldRecords(page); err != nil {
 		return err
 	}
+	n.mu.Lock()
+	n.history.wantState = reply.Kept && !n.heardPeer
+	wantState := n.history.wantState
+	n.mu.Unlock()
+	if !wantState && atEnd {
+		n.setHeardPeer()
+	}
 	if age > n.opts.Timing.Fresh {
 		return errSourceStale
 	}
 	return nil
 }
 
+// resolveDivergence finds out whether this process or its source is in a history that the log has
+// left. Without the log, the history with more recoveries is the later one.
+func (n *Node) resolveDivergence(ctx context.Context, at config.Position, sourceIsLater bool) error {
+	err := n.checkOwnPosition(ctx, at)
+	if err == nil {
+		return errSourceStale
+	}
+	if !sourceIsLater {
+		return err
+	}
+	n.mu.Lock()
+	n.history.wantState = true
+	n.mu.Unlock()
+	return nil
+}
+
 // Tail requests records, or the saved state, from the peer of a connection.
 func Tail(ctx context.Context, conn *wire.Conn, req *wire.TailRequest) (*wire.TailReply, []byte, error) {
 	s, err := conn.Open(wire.MethodTail, req)
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -88,7 +88,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := &wire.Heartbeat{Leaving: n.leaving.Load()}
-	if s := n.fold.Current(); s != nil {
+	if s := n.inForce; s != nil {
 		b.Version = s.Version
 	}
 	return b
@@ -154,7 +154,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	sum := &wire.Summary{DataCentre: n.opts.Self.DataCentre, Region: n.opts.Self.Region, Entries: len(n.topology.Ranked)}
-	if s := n.fold.Current(); s != nil {
+	if s := n.inForce; s != nil {
 		sum.Oldest, sum.Newest = s.Version, s.Version
 	}
 	for name, v := range n.members.Versions() {
--- a/control/leases.go
+++ b/control/leases.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/heatherrail/heatherrail/config"
 )
 
 // maxResources bounds the lease table: a claim on a further resource is refused.
@@ -77,6 +79,11 @@
 	return st.MarshalMsg(nil)
 }
 
+// Clone implements config.Extension.
+func (t *LeaseTable) Clone() config.Extension {
+	return &LeaseTable{highestFence: t.highestFence, rows: maps.Clone(t.rows)}
+}
+
 // Restore implements config.Extension.
 func (t *LeaseTable) Restore(saved []byte) error {
 	var st LeaseState
--- a/control/node.go
+++ b/control/node.go
@@ -89,12 +89,17 @@
 
 	mu             sync.Mutex
 	rng            *rand.Rand
+	startedAt      time.Time
+	heardPeer      bool // a peer has answered, or startGrace has passed
 	fold           *config.Fold
 	table          *LeaseTable
+	behind         bool             // the latest read of the log returned as many records as it may
+	inForce        *config.Snapshot // never older than before; see putInForce
+	history        history
 	cache          recordCache
 	saved          savedState
 	recordsFolded  chan struct{} // closed and replaced when records were folded
-	logReadAt      time.Time     // when this process or its source last read the log
+	logReadAt      time.Time     // when this process or its source last read the log to its end
 	notifiedFence  uint64        // highest fencing number in the lease table when Options.Leases was last called
 	claimer        *Claimer
 	members        *Members
@@ -109,7 +114,7 @@
 
 // savedState is the saved state of the fold, kept for all peers that request it.
 type savedState struct {
-	next uint64
+	at   config.Position
 	data []byte
 }
 
@@ -119,6 +124,8 @@
 	return config.NewFold(t), t
 }
 
+func leaseTableOf(f *config.Fold) *LeaseTable { return f.Extension(RecordLease).(*LeaseTable) }
+
 // New returns a node without state; Start makes it read the log and follow peers.
 func New(o Options) *Node {
 	if o.Timing == (Timing{}) {
@@ -142,6 +149,8 @@
 		incoming:      make(map[*wire.Conn]struct{}),
 		summaries:     make(map[string]wire.Summary),
 		snapshots:     snapshotSchedule{latestSeenAt: now},
+		startedAt:     now,
+		history:       history{keptAdded: make(chan struct{}, 1)},
 	}
 	n.fold, n.table = NewFold()
 	return n
@@ -154,6 +163,8 @@
 	n.tasks.Go(n.sendHeartbeats)
 	n.tasks.Go(n.publishSnapshots)
 	n.tasks.Go(n.maintainLeases)
+	n.tasks.Go(n.writeRecoveries)
+	n.tasks.Go(n.endStart)
 }
 
 // Close stops all tasks and closes all connections.
@@ -179,14 +190,18 @@
 // SetPeers sets the entries that the platform's VM list names.
 func (n *Node) SetPeers(entries []Peer) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.topology = NewTopology(n.opts.Self, entries)
+	isStarting := n.inForce == nil && !n.vmListSeen
 	n.vmListSeen = true
 	listed := make(map[string]bool, len(entries))
 	for _, p := range entries {
 		listed[p.Name] = true
 	}
 	n.members.Forget(listed, time.Now())
+	n.mu.Unlock()
+	if isStarting {
+		n.notifyFolded() // a node without peers waits for no answer of theirs
+	}
 }
 
 // SetLeaving sets whether heartbeats announce that this process is leaving.
@@ -204,6 +219,11 @@
 func (n *Node) Outcome(id string) (config.Outcome, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if kept := n.history.kept; kept != nil {
+		if out, ok := kept.Outcome(id); ok && out.Accepted {
+			return out, true
+		}
+	}
 	return n.fold.Outcome(id)
 }
 
--- a/control/publish.go
+++ b/control/publish.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, false
 	}
-	records, err := config.SnapshotRecords(ulid.Make().String(), saved, n.fold.Next())
+	records, err := config.SnapshotAt(ulid.Make().String(), saved, n.fold.Position())
 	if err != nil {
 		n.log.Error(err, "snapshot not published")
 		return nil, false
--- a/control/serve.go
+++ b/control/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -52,7 +53,9 @@
 		return result.New(result.WireMalformed, "tail request: %w", err)
 	}
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, n.opts.Timing.LogWait)
-	n.waitForRecord(ctx, req.From, wait)
+	if !req.Cold {
+		n.waitForRecord(ctx, config.Position{Next: req.From, Mark: req.Mark}, wait)
+	}
 	reply, state, err := n.tailReply(&req)
 	if err != nil {
 		return err
@@ -66,13 +69,17 @@
 	return s.Finish()
 }
 
-// waitForRecord returns when the record at offset from has been folded, or after wait.
-func (n *Node) waitForRecord(ctx context.Context, from uint64, wait time.Duration) {
+// waitForRecord returns when there is something to tell a peer at a position, or after wait.
+func (n *Node) waitForRecord(ctx context.Context, at config.Position, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	n.mu.Lock()
+	replaced := n.history.replaced
+	n.mu.Unlock()
 	for {
 		n.mu.Lock()
-		ready, wake := n.fold.Next() > from, n.recordsFolded
+		own := n.fold.Position()
+		ready, wake := own.Next != at.Next || own.Contradicts(at) || n.history.replaced != replaced, n.recordsFolded
 		n.mu.Unlock()
 		if ready {
 			return
@@ -92,32 +99,54 @@
 func (n *Node) tailReply(req *wire.TailRequest) (*wire.TailReply, []byte, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	next := n.fold.Next()
-	reply := &wire.TailReply{First: req.From, Next: next, AgeMs: n.logAge().Milliseconds()}
-	if req.From >= next && !req.Cold {
-		return reply, nil, nil
-	}
-	if !req.Cold && n.cache.next() == next && n.cache.canContinueFrom(req.From) {
-		reply.Records = n.cache.page(req.From)
-		return reply, nil, nil
-	}
-	if n.fold.NeedsSnapshot() || next == 0 {
-		return nil, nil, result.New(result.NoConfig, "entry %s has no state yet", n.opts.Self.Name)
-	}
-	if n.saved.data == nil || n.saved.next < n.cache.first || n.saved.next <= req.From {
-		data, err := n.fold.Save()
-		if err != nil {
-			return nil, nil, result.New(result.NoConfig, "save state: %w", err)
+	own, at := n.fold.Position(), config.Position{Next: req.From, Mark: req.Mark}
+	reply := &wire.TailReply{First: at.Next, FirstMark: at.Mark, Next: own.Next, AgeMs: n.servedAge().Milliseconds(),
+		Recoveries: n.fold.Recoveries(), Kept: n.history.kept != nil}
+	if !req.Cold {
+		if at.Next >= own.Next {
+			reply.Diverged = own.Contradicts(at)
+			return reply, nil, nil
 		}
-		n.saved = savedState{next: next, data: data}
+		if n.cache.next() == own.Next && n.cache.canContinueFrom(at.Next) {
+			if reply.Diverged = n.cache.position(at.Next).Contradicts(at); !reply.Diverged {
+				reply.Records, reply.Marks = n.cache.page(at.Next)
+			}
+			return reply, nil, nil
+		}
+	}
+	if err := n.saveState(at.Next); err != nil {
+		return nil, nil, err
 	}
 	n.opts.Metrics.Count("control_states_served_total", 1)
-	reply.State, reply.First = true, n.saved.next
+	reply.State, reply.First, reply.FirstMark = true, n.saved.at.Next, n.saved.at.Mark
+	reply.Next = max(reply.Next, reply.First)
 	return reply, n.saved.data, nil
 }
 
+// saveState saves the state for a peer that has folded the records before from. A state that the
+// log has lost goes first: the peer may have no other way to learn of it. n.mu is held.
+func (n *Node) saveState(from uint64) error {
+	f := n.fold
+	if n.history.kept != nil {
+		f = n.history.kept
+	}
+	if f.NeedsSnapshot() || f.Next() == 0 {
+		return result.New(result.NoConfig, "entry %s has no state yet", n.opts.Self.Name)
+	}
+	isCurrent := n.saved.at.Next >= n.cache.first && n.saved.at.Next > from && f == n.fold
+	if n.saved.data != nil && (isCurrent || n.saved.at == f.Position()) {
+		return nil
+	}
+	data, err := f.Save()
+	if err != nil {
+		return result.New(result.NoConfig, "save state: %w", err)
+	}
+	n.saved = savedState{at: f.Position(), data: data}
+	return nil
+}
+
 // logAge returns the time since this process, or the peer that it pulls records from, read
-// the log.
+// the log to its end.
 func (n *Node) logAge() time.Duration {
 	if n.logReadAt.IsZero() {
 		return time.Hour
@@ -125,18 +154,44 @@
 	return time.Since(n.logReadAt)
 }
 
+// servedAge returns the age of the records that this process serves.
+func (n *Node) servedAge() time.Duration {
+	if !n.history.caughtUp {
+		return time.Hour
+	}
+	return n.logAge()
+}
+
 func (n *Node) serveStatus(s *wire.Stream, payload []byte) error {
 	var req wire.StatusRequest
 	if _, err := req.UnmarshalMsg(payload); err != nil {
 		return result.New(result.WireMalformed, "status request: %w", err)
 	}
 	reply := n.Status(req.Full)
+	if req.Change != "" {
+		reply.Effect = n.effect(req.Change)
+	}
 	if err := s.SendMessage(wire.MessageStatus, reply); err != nil {
 		return err
 	}
 	return s.Finish()
 }
 
+// effect returns the effect of a change at this process. Versions alone do not tell: after a loss
+// of records the same number may have been given to another change.
+func (n *Node) effect(change string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out, known := n.fold.Outcome(change)
+	switch {
+	case n.inForce == nil:
+		return wire.EffectPending
+	case n.inForce.ID == change, known && out.Accepted && n.inForce == n.fold.Current():
+		return wire.EffectInForce
+	}
+	return wire.EffectPending
+}
+
 func (n *Node) serveDrain(s *wire.Stream, payload []byte) error {
 	var req wire.DrainRequest
 	if _, err := req.UnmarshalMsg(payload); err != nil {
@@ -169,7 +224,7 @@
 	if err := n.fold.StopError(); err != nil {
 		r.Stopped = err.Error()
 	}
-	if s := n.fold.Current(); s != nil {
+	if s := n.inForce; s != nil {
 		r.Version, r.Change, r.Digest = s.Version, s.ID, s.Digest
 	}
 	for name := range n.topology.Peers {
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/outside"
 )
 
@@ -58,12 +59,12 @@
 // with an old VM list could let two agents of one target serve the same keys. Reading the records
 // is enough, because the entry connects to no incarnation older than one it has read.
 func (e *Entry) readAgentPresences(until uint64) error {
-	for next := uint64(0); next <= until; {
+	for at := (config.Position{}); at.Next <= until; {
 		ctx, cancel := context.WithTimeout(e.ctx, presenceTimeout)
-		page, err := e.opts.Log.Read(ctx, next, presencePageRecords, 0)
+		page, err := control.ReadAfter(ctx, e.opts.Log, at, presencePageRecords)
 		cancel()
-		if errors.Is(err, outside.ErrTrimmed) && page.First > next {
-			next = page.First
+		if errors.Is(err, outside.ErrTrimmed) && page.First > at.Next {
+			at = config.Position{Next: page.First}
 			continue
 		}
 		if err != nil {
@@ -72,13 +73,13 @@
 		if len(page.Records) == 0 {
 			return nil
 		}
-		next = page.Next
 		// Registered returns false until the configuration versions among these
 		// records are folded. An entry that follows peers would get them later.
-		if err := e.node.FoldRecords(next-uint64(len(page.Records)), page.Records); err != nil {
+		if err := e.node.FoldRecords(at, page.Records); err != nil {
 			return err
 		}
 		for _, raw := range page.Records {
+			at = at.After(config.RecordMark(raw))
 			if p, err := config.ReadPresence(raw); err == nil && p != nil && p.Role == config.PresenceAgent {
 				e.outcomes.acceptAgent(p.Name, p.Incarnation, p.At())
 			}
--- a/wire/schema_control.go
+++ b/wire/schema_control.go
@@ -30,6 +30,7 @@
 // TailRequest asks a peer for log records from an offset on.
 type TailRequest struct {
 	From   uint64 `msg:"f"`
+	Mark   uint64 `msg:"m"` // hash of the record before From, 0 if there is none or it is unknown
 	Cold   bool   `msg:"c"` // the sender needs a whole state before it can fold records
 	WaitMs int64  `msg:"w"` // longest wait for the first record, in milliseconds
 }
@@ -39,8 +40,14 @@
 	First   uint64   `msg:"f"` // offset of the first record
 	Next    uint64   `msg:"n"` // offset of the next record that the sender will fold
 	Records [][]byte `msg:"r"`
+	Marks   []uint64 `msg:"k"` // hashes of the records that are sent empty, in order
 	State   bool     `msg:"s"` // a saved state follows in chunks
-	AgeMs   int64    `msg:"a"` // milliseconds since the sender, or the peer from which it gets its records, read the log
+	AgeMs   int64    `msg:"a"` // milliseconds since the sender, or the peer from which it gets its records, read the log to its end
+
+	FirstMark  uint64 `msg:"m"` // hash of the record before First
+	Diverged   bool   `msg:"d"` // the sender folded other records before From than the receiver
+	Recoveries uint64 `msg:"e"` // recoveries that the sender has folded
+	Kept       bool   `msg:"p"` // the sender holds a state that the log has lost, and sends it if Cold is set
 }
 
 // AgentConfig is the part of the configuration that an agent needs. It has no teams.
@@ -104,9 +111,17 @@
 
 // StatusRequest asks a process for its status. Full includes leases and targets.
 type StatusRequest struct {
-	Full bool `msg:"f"`
+	Full   bool   `msg:"f"`
+	Change string `msg:"c"` // id of a change whose effect is asked for; empty: none
 }
 
+// Effects of a change at an entry.
+const (
+	EffectUnknown = 0 // not asked for, or the process can't tell
+	EffectPending = 1 // not in force
+	EffectInForce = 2 // in force, or replaced by a later change that is
+)
+
 // StatusReply is the status of a process and its view of other processes.
 type StatusReply struct {
 	Name        string      `msg:"n"`
@@ -125,6 +140,7 @@
 	Targets     []Load      `msg:"t"`
 	Summaries   []Summary   `msg:"s"`
 	Maps        string      `msg:"p"` // map status of the groups that this process owns, as printable text
+	Effect      int         `msg:"k"` // effect of the change asked for
 }
 
 // LeaseInfo is one row of the lease table.
--- a/wire/schema_control_gen.go
+++ b/wire/schema_control_gen.go
@@ -896,9 +896,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 17
 	// string "n"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6e)
+	o = append(o, 0xde, 0x0, 0x11, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -969,6 +969,9 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendString(o, z.Maps)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendInt(o, z.Effect)
 	return
 }
 
@@ -1158,6 +1161,12 @@
 				err = msgp.WrapError(err, "Maps")
 				return
 			}
+		case "k":
+			z.Effect, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Effect")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1188,17 +1197,20 @@
 	for za0004 := range z.Summaries {
 		s += z.Summaries[za0004].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Maps)
+	s += 2 + msgp.StringPrefixSize + len(z.Maps) + 2 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z StatusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "f"
-	o = append(o, 0x81, 0xa1, 0x66)
+	o = append(o, 0x82, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Full)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Change)
 	return
 }
 
@@ -1230,6 +1242,12 @@
 				err = msgp.WrapError(err, "Full")
 				return
 			}
+		case "c":
+			z.Change, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1244,7 +1262,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z StatusRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Change)
 	return
 }
 
@@ -1352,9 +1370,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TailReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 10
 	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
+	o = append(o, 0x8a, 0xa1, 0x66)
 	o = msgp.AppendUint64(o, z.First)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -1365,12 +1383,30 @@
 	for za0001 := range z.Records {
 		o = msgp.AppendBytes(o, z.Records[za0001])
 	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
+	for za0002 := range z.Marks {
+		o = msgp.AppendUint64(o, z.Marks[za0002])
+	}
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendBool(o, z.State)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.AgeMs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendUint64(o, z.FirstMark)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Diverged)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Recoveries)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.Kept)
 	return
 }
 
@@ -1447,6 +1483,29 @@
 				copy(z.Records[za0001], bts[:zb0003])
 				bts = bts[zb0003:]
 			}
+		case "k":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Marks")
+				return
+			}
+			if zb0004 > zf0a5c0f9limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Marks) >= int(zb0004) {
+				z.Marks = (z.Marks)[:zb0004]
+			} else {
+				z.Marks = make([]uint64, zb0004)
+			}
+			for za0002 := range z.Marks {
+				z.Marks[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
 		case "s":
 			z.State, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1459,6 +1518,30 @@
 				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
+		case "m":
+			z.FirstMark, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMark")
+				return
+			}
+		case "d":
+			z.Diverged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Diverged")
+				return
+			}
+		case "e":
+			z.Recoveries, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recoveries")
+				return
+			}
+		case "p":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1477,17 +1560,20 @@
 	for za0001 := range z.Records {
 		s += msgp.BytesPrefixSize + len(z.Records[za0001])
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.Int64Size
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TailRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TailRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "f"
-	o = append(o, 0x83, 0xa1, 0x66)
+	o = append(o, 0x84, 0xa1, 0x66)
 	o = msgp.AppendUint64(o, z.From)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendUint64(o, z.Mark)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Cold)
@@ -1525,6 +1611,12 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "m":
+			z.Mark, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Mark")
+				return
+			}
 		case "c":
 			z.Cold, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1550,7 +1642,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TailRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size
+func (z *TailRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size
 	return
 }
