entry, agent: presence records survive a log that loses records

What callers saw: after the log lost the presence record of an entry, an agent that started next did not wait for that entry's dispatch report; after it lost the newest record of an agent, an entry that started next could take an older agent of the target for the newest. Either way a request that must not run twice could run again.

Cause: the entry remembered the offset of its first presence record and the agent the offset that it had read to, both without the history of the log in which they count. Both were written once and taken for lasting.

Change: each loss that a node finds is followed by a recovery, whose number entries send to agents. An entry is registered for the losses known when it wrote its record: after a further one it is not registered until it has written it again, has read the records since its checkpoint and has written those of agents that they lack, also of agents that have ended. Agents read by position, write their presence again after a loss, and keep the entries that they had found. If entries report different targets for one version, its number was given out twice: no home of a key is certain until the recovery, whose version is above both.

Not covered: an agent or entry that starts between the loss and the moment when it is found (one long poll of the log, 5 s) reads the short log.

--- a/agent/control.go
+++ b/agent/control.go
@@ -114,6 +114,7 @@
 		a.setPolicies(&msg)
 	}
 	a.recordVersion(msg.Version, time.Now())
+	a.dispatches.recordRecoveries(msg.Recoveries)
 }
 
 func (a *Agent) setPolicies(msg *wire.AgentConfig) {
--- a/agent/dispatchcheck.go
+++ b/agent/dispatchcheck.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
@@ -13,9 +14,8 @@
 )
 
 const (
-	entryListPage     = 1024
-	entryListPollWait = time.Millisecond
-	entryListTimeout  = 500 * time.Millisecond // limit for reading the log to its end
+	entryListPage    = 1024
+	entryListTimeout = 500 * time.Millisecond // limit for reading the log to its end
 )
 
 // confirmNotRun returns nil if it is certain that no other target and no earlier incarnation
@@ -66,6 +66,9 @@
 	if !isHome {
 		return nil, result.New(result.StaleVersion, "home of the key has moved")
 	}
+	if from > 0 && from <= c.ambiguousTo {
+		return nil, result.New(result.KeyUncertain, "two configurations have version %d", from)
+	}
 	if from > 0 && now.Sub(since) > window {
 		return nil, nil
 	}
@@ -138,34 +141,62 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, entryListTimeout)
 	defer cancel()
+	recoveries := c.startReading()
 	if err := c.announceAgent(ctx); err != nil {
 		return err
 	}
+	if err := c.readPresences(ctx); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entriesRead, c.entriesVersion, c.readRecoveries = true, max(version, c.entriesVersion), recoveries
+	return nil
+}
+
+// startReading returns the losses of the log that are known. After a new one, the presence of this
+// agent must be written again. readToken is held.
+func (c *dispatchChecker) startReading() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.recoveries > c.readRecoveries {
+		c.announced = false
+	}
+	return c.recoveries
+}
+
+// readPresences reads the log to its end. If the log has lost records that were read, it begins
+// anew; entries that were found before stay known. readToken is held.
+func (c *dispatchChecker) readPresences(ctx context.Context) error {
 	for {
-		page, err := c.log.Read(ctx, c.nextOffset, entryListPage, entryListPollWait)
-		if errors.Is(err, outside.ErrTrimmed) && page.First > c.nextOffset {
-			c.nextOffset = page.First
+		page, err := control.ReadAfter(ctx, c.log, c.readTo, entryListPage)
+		switch {
+		case errors.Is(err, control.ErrLogChanged):
+			c.readTo, c.announced = config.Position{}, false
+			if err := c.announceAgent(ctx); err != nil {
+				return err
+			}
 			continue
-		}
-		if err != nil {
+		case errors.Is(err, outside.ErrTrimmed) && page.First >= c.readTo.Next && page.First > 0:
+			c.readTo = config.Position{Next: page.First}
+			continue
+		case err != nil:
 			return err
 		}
 		c.applyPresences(page.Records)
-		c.nextOffset = page.Next
+		for _, raw := range page.Records {
+			c.readTo = c.readTo.After(config.RecordMark(raw))
+		}
 		if len(page.Records) == 0 {
-			break
+			return nil
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.entriesRead, c.entriesVersion = true, version
-	return nil
 }
 
 func (c *dispatchChecker) isEntryListCurrent(version uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.entriesRead && c.entriesVersion >= version
+	return c.entriesRead && c.entriesVersion >= version && c.readRecoveries == c.recoveries
 }
 
 func (c *dispatchChecker) applyPresences(records [][]byte) {
--- a/agent/dispatchreports.go
+++ b/agent/dispatchreports.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -47,6 +48,7 @@
 	uncertainKeys   map[uint64]time.Time // key hash -> time of the latest report of a dispatch elsewhere
 	nextSweep       time.Time
 	homeHistory     []homeTargets // declared targets by range of configuration versions; contiguous ranges, oldest first
+	ambiguousTo     uint64        // versions up to this one may stand for two configurations; see recordHomes
 	skipCheck       bool          // run requests with unknown keys at once; for tests that must detect the missing safeguard
 
 	entries        map[uint64]time.Time // entry incarnation -> time of the last presence, without entries that have gone
@@ -54,9 +56,12 @@
 	entriesRead    bool                 // the entry list has been read
 	announced      bool                 // this agent's presence is on the log
 
-	readToken  chan struct{} // holds a token while the log is read
-	newVersion chan struct{} // signalled when a version newer than the entry list is received
-	nextOffset uint64        // log offset to read from
+	recoveries     uint64 // losses of the log that entries have reported; see wire.AgentConfig
+	readRecoveries uint64 // recoveries when the entry list was last read
+
+	readToken  chan struct{}   // holds a token while the log is read
+	newVersion chan struct{}   // signalled when the entry list is out of date
+	readTo     config.Position // position in the log to read from
 }
 
 // homeTargets holds the declared targets of the fleet over a range of configuration versions.
@@ -101,6 +106,21 @@
 	c.recordHomes(report, now)
 }
 
+// recordRecoveries records that the log has lost records, perhaps the presence of this agent or of
+// entries among them.
+func (c *dispatchChecker) recordRecoveries(recoveries uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if recoveries <= c.recoveries {
+		return
+	}
+	c.recoveries = recoveries
+	select {
+	case c.newVersion <- struct{}{}:
+	default:
+	}
+}
+
 const (
 	// maxDedupWindow is the longest dedup-window that a policy may have.
 	maxDedupWindow = 24 * time.Hour
@@ -134,10 +154,18 @@
 }
 
 // recordHomes extends the history of target lists. A missed version clears the history,
-// because the home may have been elsewhere meanwhile.
+// because the home may have been elsewhere meanwhile. If entries report different lists for one
+// version, the log has lost a version and given its number to another: no home is certain until
+// a later version holds both.
 func (c *dispatchChecker) recordHomes(report *wire.DispatchReport, now time.Time) {
 	next := homeTargets{from: report.Version, to: report.Version, names: report.Targets, since: now}
 	last := len(c.homeHistory) - 1
+	if i := slices.IndexFunc(c.homeHistory, func(h homeTargets) bool { return h.from <= report.Version && report.Version <= h.to }); i >= 0 {
+		if !slices.Equal(c.homeHistory[i].names, report.Targets) {
+			c.ambiguousTo = max(c.ambiguousTo, c.homeHistory[last].to)
+		}
+		return
+	}
 	switch {
 	case last < 0 || report.Version > c.homeHistory[last].to+1:
 		c.homeHistory = []homeTargets{next}
--- a/config/recovery.go
+++ b/config/recovery.go
@@ -81,11 +81,11 @@
 func (f *Fold) merge(st *State) {
 	included, known := f.includes(st), includesChange(f.outcomes, st.ID)
 	f.mergeOutcomes(st.Outcomes)
-	if included {
+	if included && f.recoveries > st.Recoveries {
 		return
 	}
 	f.recoveries = max(f.recoveries, st.Recoveries) + 1
-	if st.Version == 0 {
+	if included || st.Version == 0 {
 		return
 	}
 	if f.current == nil {
@@ -129,8 +129,9 @@
 	}
 }
 
-// Recoveries returns the number of recoveries folded. Of two states that do not follow from the
-// same log, the one with more recoveries is from the later history.
+// Recoveries returns the number of recoveries folded. It grows with each loss of records that a
+// reader finds. Of two states that do not follow from the same log, the one with more recoveries is
+// from the later history.
 func (f *Fold) Recoveries() uint64 { return f.recoveries }
 
 // includesChange reports whether a change was accepted according to outcomes, oldest first. A
--- a/control/follow.go
+++ b/control/follow.go
@@ -253,6 +253,7 @@
 		}
 	}
 	n.dropKept()
+	n.history.observeRecoveries(n.fold.Recoveries(), time.Now())
 	n.history.addCheckpoint(n.fold, time.Now())
 	n.mu.Unlock()
 	n.notifyFolded()
@@ -308,6 +309,7 @@
 	}
 	n.claimer.Observe(n.table, now)
 	n.snapshots.observe(n.fold.SnapshotOffset(), now)
+	losses := n.history.losses
 	changed := n.table.highestFence != n.notifiedFence
 	n.notifiedFence = n.table.highestFence
 	close(n.recordsFolded)
@@ -317,7 +319,7 @@
 		n.opts.Install(current)
 	}
 	if n.opts.Folded != nil {
-		n.opts.Folded(next)
+		n.opts.Folded(next, losses)
 	}
 	if changed && n.opts.Leases != nil {
 		n.opts.Leases()
--- a/control/history.go
+++ b/control/history.go
@@ -36,6 +36,10 @@
 // history holds what a node needs when its log loses records. Node.mu guards it.
 type history struct {
 	kept        *config.Fold // state that the log does not hold; nil: none
+	isLoss      bool         // kept was lost by the log: a recovery must follow, so that all readers learn of the loss
+	losses      LogLosses
+	lossAt      time.Time    // when this node last found a loss itself
+	recoveries  uint64       // recoveries that were folded when losses was last updated
 	merged      bool         // kept combines two states, under a version that no log has given out
 	keptAt      time.Time    // when kept was set, or when it may next be written
 	caughtUp    bool         // the fold has reached the end of the log since it was replaced
@@ -46,6 +50,31 @@
 	keptAdded   chan struct{}
 }
 
+// LogLosses tells what a process that has written records must do after a loss: write those again
+// that the log may lack.
+type LogLosses struct {
+	Count      int             // grows with each loss that the node finds or learns of
+	From       config.Position // the log holds all records before it that were read
+	Since      time.Time       // when the records after From were read at the earliest; zero: unknown
+	Recoveries uint64          // see config.Fold.Recoveries
+}
+
+// lossRecoveryTime is how long after a loss that a node found itself recoveries are taken for those of
+// the same loss.
+const lossRecoveryTime = 30 * time.Second
+
+// observeRecoveries counts a loss that other nodes have found.
+func (h *history) observeRecoveries(recoveries uint64, now time.Time) {
+	if recoveries <= h.recoveries {
+		return
+	}
+	h.recoveries, h.losses.Recoveries = recoveries, recoveries
+	if now.Sub(h.lossAt) > lossRecoveryTime {
+		h.losses.Count++
+		h.losses.From, h.losses.Since = config.Position{}, time.Time{}
+	}
+}
+
 // checkpoint is a copy of the fold at an earlier position.
 type checkpoint struct {
 	fold  *config.Fold
@@ -97,8 +126,12 @@
 
 // dropKept drops the kept state once the log holds it. n.mu is held.
 func (n *Node) dropKept() {
-	if n.history.kept != nil && !n.fold.NeedsSnapshot() && n.fold.Includes(n.history.kept) {
-		n.history.kept, n.history.merged, n.saved = nil, false, savedState{}
+	h := &n.history
+	if h.kept == nil || n.fold.NeedsSnapshot() || (h.isLoss && n.fold.Recoveries() <= h.kept.Recoveries()) {
+		return
+	}
+	if n.fold.Includes(h.kept) {
+		h.kept, h.merged, h.isLoss, n.saved = nil, false, false, savedState{}
 		n.log.Info("log holds the recovered state", "next", n.fold.Next())
 	}
 }
@@ -124,11 +157,12 @@
 	checkpoints := slices.Clone(n.history.checkpoints)
 	n.mu.Unlock()
 	next, _ := NewFold()
+	var since time.Time
 	for len(checkpoints) > 0 {
-		last := checkpoints[len(checkpoints)-1].fold
+		last, taken := checkpoints[len(checkpoints)-1].fold, checkpoints[len(checkpoints)-1].taken
 		err := checkPosition(ctx, n.opts.Log, last.Position())
 		if err == nil {
-			next = last.Clone()
+			next, since = last.Clone(), taken
 			break
 		}
 		if !errors.Is(err, ErrLogChanged) && !errors.Is(err, outside.ErrTrimmed) {
@@ -141,9 +175,12 @@
 		n.mu.Unlock()
 		return nil
 	}
-	n.history.checkpoints = checkpoints
+	h := &n.history
+	h.checkpoints = checkpoints
 	n.replaceFold(next)
-	n.history.ownRead = true
+	h.isLoss, h.ownRead, h.lossAt = h.kept != nil, true, time.Now()
+	h.losses.Count++
+	h.losses.From, h.losses.Since = next.Position(), since
 	n.mu.Unlock()
 	n.opts.Metrics.Count("control_log_losses_total", 1)
 	n.log.Info("log has lost records that were read", "next", at.Next, "continues", next.Next())
@@ -213,6 +250,7 @@
 		n.replaceFold(st) // the state may be incomplete: the peer has the records that follow it
 	case errors.Is(err, ErrLogChanged):
 		n.keep(st)
+		n.history.isLoss = n.history.kept != nil
 		return replaced, errSourceStale
 	case isBlank, isAhead && err == nil, isAhead && st.Includes(own), st.Recoveries() > own.Recoveries() && err != nil:
 		n.replaceFold(st)
--- a/control/node.go
+++ b/control/node.go
@@ -63,8 +63,9 @@
 	// with an older version than before.
 	Install func(*config.Snapshot)
 	// Folded is called after Install with the offset of the next record to fold, 0 while a
-	// snapshot is needed.
-	Folded func(next uint64)
+	// snapshot is needed, and with the losses of the log so far: the offset counts in the history
+	// of the log after the latest one.
+	Folded func(next uint64, losses LogLosses)
 	// Leases is called after a lease has got a new holder.
 	Leases func()
 	// Status fills in the fields of a status reply that are known only outside of the node.
--- a/entry/control.go
+++ b/entry/control.go
@@ -40,7 +40,7 @@
 		Metrics:     e.opts.Metrics,
 		Timing:      timing,
 		Install:     e.installConfig,
-		Folded:      e.outcomes.appliedOffset.Store,
+		Folded:      e.recordFolded,
 		Leases:      e.requestNotify,
 		Status:      e.fillStatus,
 		Drain:       e.setDraining,
@@ -145,7 +145,7 @@
 	}
 	a := &agentConfigs{
 		snap:      s,
-		common:    wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries()},
+		common:    wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries(), Recoveries: e.outcomes.folded.Load().losses.Recoveries},
 		policies:  make(map[string][]wire.ServicePolicy),
 		resources: make(map[string][]string),
 		floors:    make(map[string]uint64),
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heatherrail/heatherrail/config"
+	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/route"
@@ -16,9 +17,10 @@
 // requestOutcomes holds the results of earlier requests that affect later ones: the dispatch
 // log, retry budgets, ejection, quarantine and the newest agent incarnations.
 type requestOutcomes struct {
-	dispatchLog    *dispatchLog
-	presenceOffset atomic.Uint64 // log offset after the first presence record; zero before it is written
-	appliedOffset  atomic.Uint64 // log offset up to which this entry knows the configuration versions
+	dispatchLog *dispatchLog
+	registered  atomic.Pointer[registration] // nil before the first presence record is written
+	folded      atomic.Pointer[foldedLog]
+	logLost     chan struct{} // signalled when the log may have lost the presence record
 
 	mu           sync.Mutex
 	newestAgents map[string]seenAgent          // newest agent seen for each target, by target
@@ -29,14 +31,17 @@
 }
 
 func newRequestOutcomes(o *Options) *requestOutcomes {
-	return &requestOutcomes{
+	outcomes := &requestOutcomes{
 		dispatchLog:  newDispatchLog(o.Off),
+		logLost:      make(chan struct{}, 1),
 		newestAgents: make(map[string]seenAgent),
 		retryBudgets: make(map[string]*route.RetryBudget),
 		ejector:      route.NewEjector[string](),
 		quarantine:   route.NewQuarantine(route.QuarantinePolicy{AloneAfter: 1, AloneFor: suspectAloneTime}),
 		off:          o.Off,
 	}
+	outcomes.folded.Store(new(foldedLog))
+	return outcomes
 }
 
 // suspectAloneTime is how long after its latest crash a suspect runs alone on its target.
@@ -45,9 +50,22 @@
 // seenAgent is the newest agent of a target that the entry knows of.
 type seenAgent struct {
 	incarnation uint64
+	firstSeenAt time.Time
 	seenAt      time.Time
 }
 
+// registration is the place of an entry's presence record on the log.
+type registration struct {
+	offset uint64 // offset after the record
+	losses int    // losses of the log that were known when the record was written
+}
+
+// foldedLog is the part of the log of which this entry knows the configuration versions.
+type foldedLog struct {
+	next   uint64 // offset after it
+	losses control.LogLosses
+}
+
 // supersededAgentTTL is how long an older agent of a target is rejected. It exceeds the rest of
 // any deduplication window that such an agent could still serve.
 const supersededAgentTTL = 24 * time.Hour
@@ -64,10 +82,27 @@
 	if incarnation < seen.incarnation && time.Since(seen.seenAt) < supersededAgentTTL {
 		return false
 	}
-	o.newestAgents[target] = seenAgent{incarnation: incarnation, seenAt: seenAt}
+	first := seenAt
+	if incarnation == seen.incarnation {
+		first = seen.firstSeenAt
+	}
+	o.newestAgents[target] = seenAgent{incarnation: incarnation, firstSeenAt: first, seenAt: seenAt}
 	return true
 }
 
+// agentsSince returns the newest agents that this entry has known since a time or later, by target.
+func (o *requestOutcomes) agentsSince(since time.Time) map[string]seenAgent {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	agents := make(map[string]seenAgent)
+	for target, seen := range o.newestAgents {
+		if !seen.firstSeenAt.Before(since) {
+			agents[target] = seen
+		}
+	}
+	return agents
+}
+
 // retryBudget returns the retry budget of a service. The caller holds mu.
 func (o *requestOutcomes) retryBudget(service string) *route.RetryBudget {
 	b := o.retryBudgets[service]
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -24,17 +24,38 @@
 // harm, because the log is not trimmed during an outage either.
 func (e *Entry) announcePresence() {
 	for e.ctx.Err() == nil {
+		losses := e.outcomes.folded.Load().losses
 		offset, err := e.appendPresence(&config.Presence{})
-		if err == nil && e.outcomes.presenceOffset.Load() == 0 {
-			err = e.readAgentPresences(offset)
+		if reg := e.outcomes.registered.Load(); err == nil && (reg == nil || reg.losses != losses.Count) {
+			if err = e.readAgentPresences(offset, losses); err == nil {
+				e.outcomes.registered.Store(&registration{offset: offset + 1, losses: losses.Count})
+			}
 		}
 		if err != nil {
 			e.opts.Metrics.Count("presence_errors_total", 1)
 			e.sleep(presenceBackoff)
 			continue
 		}
-		e.outcomes.presenceOffset.CompareAndSwap(0, offset+1)
-		e.sleep(presenceInterval)
+		select {
+		case <-time.After(presenceInterval):
+		case <-e.outcomes.logLost:
+		case <-e.ctx.Done():
+		}
+	}
+}
+
+// recordFolded records up to which record the log was folded. After a loss of records this entry is
+// not registered until its presence is on the log again.
+func (e *Entry) recordFolded(next uint64, losses control.LogLosses) {
+	old := e.outcomes.folded.Swap(&foldedLog{next: next, losses: losses})
+	if losses.Count != old.losses.Count {
+		select {
+		case e.outcomes.logLost <- struct{}{}:
+		default: // already signalled
+		}
+	}
+	if losses.Recoveries != old.losses.Recoveries {
+		e.requestNotify()
 	}
 }
 
@@ -53,13 +74,18 @@
 }
 
 // readAgentPresences reads the agents that were on the log before this entry's presence record.
-// An agent that registers later finds this entry's record and waits for its dispatch report.
+// An agent that registers later finds this entry's record and waits for its dispatch report. After
+// a loss, it reads the records that may be new, and writes those of agents that the log has lost.
 //
 // Without this reading, while a VM is replaced and the old one still runs, an entry that starts
 // with an old VM list could let two agents of one target serve the same keys. Reading the records
 // is enough, because the entry connects to no incarnation older than one it has read.
-func (e *Entry) readAgentPresences(until uint64) error {
-	for at := (config.Position{}); at.Next <= until; {
+func (e *Entry) readAgentPresences(until uint64, losses control.LogLosses) error {
+	var lost map[string]seenAgent
+	if losses.Count > 0 {
+		lost = e.outcomes.agentsSince(losses.Since)
+	}
+	for at := losses.From; at.Next <= until; {
 		ctx, cancel := context.WithTimeout(e.ctx, presenceTimeout)
 		page, err := control.ReadAfter(ctx, e.opts.Log, at, presencePageRecords)
 		cancel()
@@ -71,7 +97,7 @@
 			return fmt.Errorf("read presence records: %w", err)
 		}
 		if len(page.Records) == 0 {
-			return nil
+			break
 		}
 		// Registered returns false until the configuration versions among these
 		// records are folded. An entry that follows peers would get them later.
@@ -82,10 +108,35 @@
 			at = at.After(config.RecordMark(raw))
 			if p, err := config.ReadPresence(raw); err == nil && p != nil && p.Role == config.PresenceAgent {
 				e.outcomes.acceptAgent(p.Name, p.Incarnation, p.At())
+				if p.Incarnation >= lost[p.Name].incarnation {
+					delete(lost, p.Name)
+				}
 			}
 		}
 	}
-	return nil
+	return e.appendAgentPresences(lost)
+}
+
+// appendAgentPresences writes the presence records of agents that the log has lost. An agent that
+// has ended can't write its own again, and an older one of the target may still run.
+func (e *Entry) appendAgentPresences(lost map[string]seenAgent) error {
+	var records [][]byte
+	for target, seen := range lost {
+		p := config.Presence{Role: config.PresenceAgent, Name: target, Incarnation: seen.incarnation, AtMs: seen.seenAt.UnixMilli()}
+		raw, err := p.Encode()
+		if err != nil {
+			return err
+		}
+		records = append(records, raw)
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, presenceTimeout)
+	defer cancel()
+	e.opts.Metrics.Count("log_appends_presence_total", 1)
+	_, err := e.opts.Log.Append(ctx, records)
+	return err
 }
 
 // Registered reports whether agents can find this entry on the log and the entry knows every
@@ -93,8 +144,8 @@
 // entry that starts late could dispatch under a superseded version after the agents of the next
 // version have read from the log which entries may dispatch.
 func (e *Entry) Registered() bool {
-	offset := e.outcomes.presenceOffset.Load()
-	return offset > 0 && e.outcomes.appliedOffset.Load() >= offset
+	reg, folded := e.outcomes.registered.Load(), e.outcomes.folded.Load()
+	return reg != nil && reg.losses == folded.losses.Count && folded.next >= reg.offset
 }
 
 const (
@@ -119,7 +170,7 @@
 // that start later then do not wait for a dispatch report, which the stopped entry cannot send.
 func (e *Entry) writeShutdownRecords() {
 	remaining := e.outcomes.dispatchLog.close()
-	if e.outcomes.presenceOffset.Load() == 0 {
+	if e.outcomes.registered.Load() == nil {
 		return
 	}
 	for {
--- a/wire/schema_control.go
+++ b/wire/schema_control.go
@@ -57,6 +57,8 @@
 	Entries  int             `msg:"e"` // number of entries in the VM list; each of them can send the fencing floors in Floors
 	Policies []ServicePolicy `msg:"p"` // policies of the services that the target's fleet serves
 	Floors   []FenceFloor    `msg:"f"` // fencing floors (lowest fencing numbers still valid) of the resources that concern the target
+
+	Recoveries uint64 `msg:"r"` // grows with each loss of records of the log
 }
 
 // ServicePolicy is the policy of one service.
--- a/wire/schema_control_gen.go
+++ b/wire/schema_control_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AgentConfig) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -46,6 +46,9 @@
 		o = msgp.AppendString(o, z.Floors[za0002].Resource)
 		o = msgp.AppendUint64(o, z.Floors[za0002].Fence)
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Recoveries)
 	return
 }
 
@@ -199,6 +202,12 @@
 					return
 				}
 			}
+		case "r":
+			z.Recoveries, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recoveries")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -221,6 +230,7 @@
 	for za0002 := range z.Floors {
 		s += 1 + msgp.StringPrefixSize + len(z.Floors[za0002].Resource) + msgp.Uint64Size
 	}
+	s += 2 + msgp.Uint64Size
 	return
 }
 
