control: leases and fencing numbers survive a log that loses records

What callers saw: after the log lost lease records, two entries could hold the lease of a rank group at once, both under the same fencing number, and an agent accepted orders of an earlier holder after those of a later one.

Cause: a fencing number is the next one after the highest in the folded table, and a claim names the number and term that its sender saw. Neither says in which history of the log it counts. The short log gives the same number out again, and a claimant that reads a released row there can't know the holder that is lost.

Change: - A batch of claims names the highest fencing number that its sender knows, also of lost records; the next number lies above it. - A recovery merges lease tables: the higher number wins; if one was given to two holders, both lose the lease. - A process never counts a row as its own that is earlier than one that it has observed, nor a lease that it has released, whoever reads that first. The renewal of a lapsed lease is a claim. - A node that has just started, was cut off from the log, or finds or learns of a loss is unsettled: it claims nothing, and its floors do not count towards those that a restarted agent needs.

Old builds ignore the new fields: beside them a number can be given twice after a loss, as before.

--- a/agent/control.go
+++ b/agent/control.go
@@ -109,7 +109,11 @@
 	for i, f := range msg.Floors {
 		floors[i] = control.Floor{Resource: f.Resource, Fence: f.Fence}
 	}
-	a.config.fence.RecordFloors(c.Peer().Name, msg.Entries, floors)
+	if msg.Unsettled {
+		a.config.fence.RecordUnsettledFloors(msg.Entries, floors)
+	} else {
+		a.config.fence.RecordFloors(c.Peer().Name, msg.Entries, floors)
+	}
 	if msg.Version >= a.config.newestVersion() {
 		a.setPolicies(&msg)
 	}
--- a/config/fold.go
+++ b/config/fold.go
@@ -40,6 +40,10 @@
 	Restore(saved []byte) error
 	// Clone returns a copy that later folds do not change.
 	Clone() Extension
+	// Merge combines the saved state of a lost history of the log with this one, and Includes
+	// reports whether this state holds all that such a state holds, or something newer.
+	Merge(saved []byte) error
+	Includes(saved []byte) (bool, error)
 }
 
 // maxOutcomes bounds the change outcomes kept by id. A day at the planned size has
--- a/config/fold_test.go
+++ b/config/fold_test.go
@@ -35,6 +35,10 @@
 func (c *counter) Save() ([]byte, error)      { return []byte{c.n}, nil }
 func (c *counter) Restore(saved []byte) error { c.n = saved[0]; return nil }
 func (c *counter) Clone() Extension           { return &counter{n: c.n} }
+func (c *counter) Merge(saved []byte) error   { c.n = max(c.n, saved[0]); return nil }
+func (c *counter) Includes(saved []byte) (bool, error) {
+	return c.n >= saved[0], nil
+}
 
 func mustRecords(ch *Change) [][]byte {
 	records, err := ChangeRecords(ch)
--- a/config/recovery.go
+++ b/config/recovery.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -48,8 +49,7 @@
 		return err
 	}
 	if c.Mode != RecoveryReset {
-		f.merge(st)
-		return nil
+		return f.merge(st)
 	}
 	if !f.awaitingSnapshot {
 		f.displaced = f.Clone()
@@ -78,14 +78,29 @@
 // force: a change that the log holds and that the other state does not know was accepted after
 // the loss, so it is newer than all that was lost. Two configurations that were both lost have
 // no order on the log; the ids of their changes, which sort by creation time, decide.
-func (f *Fold) merge(st *State) {
-	included, known := f.includes(st), includesChange(f.outcomes, st.ID)
-	f.mergeOutcomes(st.Outcomes)
+func (f *Fold) merge(st *State) error {
+	included, err := f.includes(st)
+	if err != nil {
+		return err
+	}
 	if included && f.recoveries > st.Recoveries {
-		return
+		f.mergeOutcomes(st.Outcomes)
+		return nil
 	}
 	f.recoveries = max(f.recoveries, st.Recoveries) + 1
-	if included || st.Version == 0 {
+	for i, x := range f.extensions {
+		if err := x.Merge(st.Extensions[i].Data); err != nil {
+			return fmt.Errorf("merge %s: %w", x.Kind(), err)
+		}
+	}
+	f.mergeConfig(st)
+	return nil
+}
+
+func (f *Fold) mergeConfig(st *State) {
+	included, known := f.includesConfig(st), includesChange(f.outcomes, st.ID)
+	f.mergeOutcomes(st.Outcomes)
+	if included {
 		return
 	}
 	if f.current == nil {
@@ -108,24 +123,37 @@
 }
 
 // includes reports whether this state holds all that a saved state holds, or something newer.
-func (f *Fold) includes(st *State) bool {
-	if st.Recoveries > f.recoveries {
-		return false
+func (f *Fold) includes(st *State) (bool, error) {
+	if err := f.checkExtensions(st); err != nil {
+		return false, err
 	}
+	for i, x := range f.extensions {
+		if ok, err := x.Includes(st.Extensions[i].Data); !ok || err != nil {
+			return false, err
+		}
+	}
+	return st.Recoveries <= f.recoveries && f.includesConfig(st), nil
+}
+
+func (f *Fold) includesConfig(st *State) bool {
 	return st.Version == 0 || (f.current != nil && f.current.Version >= st.Version && includesChange(f.outcomes, st.ID))
 }
 
 // Includes reports whether this state holds all that another one holds, or something newer.
 func (f *Fold) Includes(other *Fold) bool {
 	st, err := other.state()
-	return err != nil || f.includes(st)
+	if err != nil {
+		return true // a fold without a state
+	}
+	ok, err := f.includes(st)
+	return ok || err != nil
 }
 
 // Merge combines the state of a lost history with this one, as a recovery does. The position
 // stays.
 func (f *Fold) Merge(other *Fold) {
 	if st, err := other.state(); err == nil {
-		f.merge(st)
+		_ = f.merge(st) // both states are of this build
 	}
 }
 
--- a/config/state.go
+++ b/config/state.go
@@ -133,6 +133,19 @@
 }
 
 func (f *Fold) restoreExtensions(st *State) error {
+	if err := f.checkExtensions(st); err != nil {
+		return err
+	}
+	for i, x := range f.extensions {
+		if err := x.Restore(st.Extensions[i].Data); err != nil {
+			return fmt.Errorf("restore %s: %w", x.Kind(), err)
+		}
+	}
+	return nil
+}
+
+// checkExtensions returns an error if a state has other extensions than this build.
+func (f *Fold) checkExtensions(st *State) error {
 	if len(st.Extensions) != len(f.extensions) {
 		return fmt.Errorf("state has %d extensions, this build %d", len(st.Extensions), len(f.extensions))
 	}
@@ -140,9 +153,6 @@
 		if st.Extensions[i].Kind != x.Kind() {
 			return fmt.Errorf("state holds %q where this build has %q", st.Extensions[i].Kind, x.Kind())
 		}
-		if err := x.Restore(st.Extensions[i].Data); err != nil {
-			return fmt.Errorf("restore %s: %w", x.Kind(), err)
-		}
 	}
 	return nil
 }
--- a/control/claimer.go
+++ b/control/claimer.go
@@ -34,9 +34,12 @@
 	incarnation uint64
 	timing      LeaseTiming
 	nonce       uint64
+	highest     uint64         // highest fencing number observed, also of records that the log has lost
+	suspended   bool           // no new claims, see Suspend
 	wanted      map[string]int // resource -> rank of this process among the claimants of the resource
 	releasing   map[string]bool
 	observed    map[string]observedRow
+	newest      map[string]LeaseRow  // resource -> latest row observed; the log may have lost it since
 	batchSentAt map[uint64]time.Time // nonce -> time just before sending, for each batch that may still be accepted
 	lastBatchAt map[string]time.Time // resource -> time of the latest batch with a claim, renewal or release of the resource
 }
@@ -57,6 +60,7 @@
 		wanted:      make(map[string]int),
 		releasing:   make(map[string]bool),
 		observed:    make(map[string]observedRow),
+		newest:      make(map[string]LeaseRow),
 		batchSentAt: make(map[uint64]time.Time),
 		lastBatchAt: make(map[string]time.Time),
 	}
@@ -75,11 +79,16 @@
 	c.releasing[resource] = true
 }
 
+// Suspend stops claims of resources that this process does not hold, or allows them again. While
+// it may not know the latest holder, it can't tell from the lease table when that one has stopped.
+func (c *Claimer) Suspend(suspended bool) { c.suspended = suspended }
+
 // Idle reports whether there is no resource to claim, renew or release.
 func (c *Claimer) Idle() bool { return len(c.wanted)+len(c.releasing) == 0 }
 
 // Observe records the folded lease table as read at now.
 func (c *Claimer) Observe(t *LeaseTable, now time.Time) {
+	c.highest = max(c.highest, t.highestFence)
 	for resource := range c.wanted {
 		c.observe(t.Row(resource), resource, now)
 	}
@@ -93,6 +102,14 @@
 	if old, ok := c.observed[resource]; !ok || old.row != row {
 		c.observed[resource] = observedRow{row: row, firstReadAt: now}
 	}
+	if !isEarlier(row, c.newest[resource]) {
+		c.newest[resource] = row
+	}
+}
+
+// isEarlier reports whether a row of a resource is earlier than another one.
+func isEarlier(row, than LeaseRow) bool {
+	return row.Fence < than.Fence || (row.Fence == than.Fence && row.Term < than.Term)
 }
 
 // Held returns the lease of a resource if this process may act under it at now.
@@ -106,15 +123,17 @@
 	return l, l.Valid(now)
 }
 
+// isHolder reports whether this process holds the lease of a row. A row that is earlier than one
+// observed before tells nothing: the log has lost the later one, which may have another holder.
 func (c *Claimer) isHolder(row LeaseRow) bool {
-	return row.Holder == c.name && row.Incarnation == c.incarnation
+	return row.Holder == c.name && row.Incarnation == c.incarnation && !isEarlier(row, c.newest[row.Resource])
 }
 
 // Next returns the batch to append at now, or nil if nothing is due. All claims and
 // renewals of the process go into one record: once one of them is due, renewals that are
 // not due yet are included.
 func (c *Claimer) Next(now time.Time) *LeaseBatch {
-	b := &LeaseBatch{Holder: c.name, Incarnation: c.incarnation, TTLMs: c.timing.TTL.Milliseconds()}
+	b := &LeaseBatch{Holder: c.name, Incarnation: c.incarnation, TTLMs: c.timing.TTL.Milliseconds(), Highest: c.highest}
 	var notDue []LeaseClaim
 	for _, resource := range slices.Sorted(maps.Keys(c.wanted)) {
 		s, read := c.observed[resource]
@@ -125,7 +144,7 @@
 		switch {
 		case !c.isHolder(s.row) && c.canClaim(s, c.wanted[resource], now), c.isRenewalDue(s, now):
 			b.Claims = append(b.Claims, claim)
-		case c.isHolder(s.row):
+		case c.isHolder(s.row) && !c.isLapsed(s.row, now):
 			notDue = append(notDue, claim)
 		}
 	}
@@ -144,11 +163,19 @@
 }
 
 // isRenewalDue reports whether a lease of this process has used up 1/renewalsPerTTL of its
-// TTL. A lease whose batch is no longer remembered has lapsed; its renewal succeeds if no
-// other process has claimed the resource.
+// TTL. A lease whose batch is no longer remembered has lapsed; its renewal, which is a new claim,
+// succeeds if no other process has claimed the resource.
 func (c *Claimer) isRenewalDue(s observedRow, now time.Time) bool {
-	at, known := c.batchSentAt[s.row.Nonce]
-	return c.isHolder(s.row) && (!known || now.Sub(at) >= c.timing.TTL/renewalsPerTTL)
+	if c.isLapsed(s.row, now) {
+		return c.isHolder(s.row) && !c.suspended
+	}
+	return c.isHolder(s.row) && now.Sub(c.batchSentAt[s.row.Nonce]) >= c.timing.TTL/renewalsPerTTL
+}
+
+// isLapsed reports whether the TTL of a lease of this process has passed.
+func (c *Claimer) isLapsed(row LeaseRow, now time.Time) bool {
+	at, known := c.batchSentAt[row.Nonce]
+	return !known || now.Sub(at) >= c.timing.TTL
 }
 
 func (c *Claimer) releaseClaims() []LeaseClaim {
@@ -157,6 +184,7 @@
 		s := c.observed[resource]
 		if c.isHolder(s.row) {
 			claims = append(claims, LeaseClaim{Resource: resource, Fence: s.row.Fence, Term: s.row.Term, Release: true})
+			c.newest[resource] = LeaseRow{Resource: resource, Fence: s.row.Fence, Term: s.row.Term + 1} // this process has stopped, whoever reads that first
 		}
 		delete(c.releasing, resource) // if the release is lost, the lease lapses after its TTL
 	}
@@ -167,6 +195,9 @@
 // stopped acting by its own clock, and the claimants that rank before this process must have
 // had time to claim.
 func (c *Claimer) canClaim(s observedRow, rank int, now time.Time) bool {
+	if c.suspended {
+		return false
+	}
 	wait := time.Duration(rank) * c.timing.RankDelay
 	if s.row.Holder != "" {
 		wait += time.Duration(s.row.TTLMs)*time.Millisecond + c.timing.Margin
--- a/control/fence.go
+++ b/control/fence.go
@@ -43,6 +43,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources[source] = true
+	f.raise(entries, floors)
+}
+
+// RecordUnsettledFloors records the floors of an entry that may not know the latest holders. The
+// entry does not count as a source.
+func (f *Fence) RecordUnsettledFloors(entries int, floors []Floor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raise(entries, floors)
+}
+
+// raise records floors; f.mu is held.
+func (f *Fence) raise(entries int, floors []Floor) {
 	f.entries = max(f.entries, entries)
 	for _, fl := range floors {
 		f.highest[fl.Resource] = max(f.highest[fl.Resource], fl.Fence)
--- a/control/follow.go
+++ b/control/follow.go
@@ -253,7 +253,7 @@
 		}
 	}
 	n.dropKept()
-	n.history.observeRecoveries(n.fold.Recoveries(), time.Now())
+	n.observeRecoveries(n.fold.Recoveries(), time.Now())
 	n.history.addCheckpoint(n.fold, time.Now())
 	n.mu.Unlock()
 	n.notifyFolded()
--- a/control/history.go
+++ b/control/history.go
@@ -63,11 +63,13 @@
 // the same loss.
 const lossRecoveryTime = 30 * time.Second
 
-// observeRecoveries counts a loss that other nodes have found.
-func (h *history) observeRecoveries(recoveries uint64, now time.Time) {
+// observeRecoveries counts a loss that other nodes have found. n.mu is held.
+func (n *Node) observeRecoveries(recoveries uint64, now time.Time) {
+	h := &n.history
 	if recoveries <= h.recoveries {
 		return
 	}
+	n.unsettle(now)
 	h.recoveries, h.losses.Recoveries = recoveries, recoveries
 	if now.Sub(h.lossAt) > lossRecoveryTime {
 		h.losses.Count++
@@ -181,6 +183,7 @@
 	h.isLoss, h.ownRead, h.lossAt = h.kept != nil, true, time.Now()
 	h.losses.Count++
 	h.losses.From, h.losses.Since = next.Position(), since
+	n.unsettle(h.lossAt)
 	n.mu.Unlock()
 	n.opts.Metrics.Count("control_log_losses_total", 1)
 	n.log.Info("log has lost records that were read", "next", at.Next, "continues", next.Next())
--- a/control/leases.go
+++ b/control/leases.go
@@ -54,11 +54,11 @@
 		return
 	case c.Release:
 		row.Term++
-		row.Holder = ""
+		row.Holder = "" // the incarnation stays: it tells whose lease it was
 	case held:
 		row.Term++
 	default:
-		t.highestFence++
+		t.highestFence = max(t.highestFence, b.Highest) + 1
 		row = LeaseRow{Resource: c.Resource, Holder: b.Holder, Incarnation: b.Incarnation, Fence: t.highestFence}
 	}
 	row.TTLMs, row.Nonce = b.TTLMs, b.Nonce
@@ -79,6 +79,56 @@
 	return st.MarshalMsg(nil)
 }
 
+// Merge implements config.Extension. The row with the higher fencing number is the later one, since
+// claims name the highest number that their sender knew. If a number was given to two holders, both
+// lose the lease, and the next claim gets a number above it.
+func (t *LeaseTable) Merge(saved []byte) error {
+	lost, err := decodeLeases(saved)
+	if err != nil {
+		return err
+	}
+	t.highestFence = max(t.highestFence, lost.Highest)
+	for _, theirs := range lost.Rows {
+		ours, known := t.rows[theirs.Resource]
+		switch {
+		case !known, theirs.Fence > ours.Fence, isSameLease(ours, theirs) && theirs.Term > ours.Term:
+			t.rows[theirs.Resource] = theirs
+		case theirs.Fence == ours.Fence && !isSameLease(ours, theirs):
+			t.highestFence++
+			t.rows[theirs.Resource] = LeaseRow{Resource: theirs.Resource, Fence: t.highestFence}
+		}
+	}
+	return nil
+}
+
+// isSameLease reports whether two rows with the same fencing number are of the same lease.
+func isSameLease(a, b LeaseRow) bool {
+	return a.Fence == b.Fence && a.Incarnation == b.Incarnation
+}
+
+// Includes implements config.Extension.
+func (t *LeaseTable) Includes(saved []byte) (bool, error) {
+	lost, err := decodeLeases(saved)
+	if err != nil {
+		return false, err
+	}
+	for _, theirs := range lost.Rows {
+		ours := t.rows[theirs.Resource]
+		if theirs.Fence > ours.Fence || (theirs.Fence == ours.Fence && (!isSameLease(ours, theirs) || theirs.Term > ours.Term)) {
+			return false, nil
+		}
+	}
+	return lost.Highest <= t.highestFence, nil
+}
+
+func decodeLeases(saved []byte) (*LeaseState, error) {
+	st := new(LeaseState)
+	if _, err := st.UnmarshalMsg(saved); err != nil {
+		return nil, fmt.Errorf("lease table: %w", err)
+	}
+	return st, nil
+}
+
 // Clone implements config.Extension.
 func (t *LeaseTable) Clone() config.Extension {
 	return &LeaseTable{highestFence: t.highestFence, rows: maps.Clone(t.rows)}
@@ -86,9 +136,9 @@
 
 // Restore implements config.Extension.
 func (t *LeaseTable) Restore(saved []byte) error {
-	var st LeaseState
-	if _, err := st.UnmarshalMsg(saved); err != nil {
-		return fmt.Errorf("lease table: %w", err)
+	st, err := decodeLeases(saved)
+	if err != nil {
+		return err
 	}
 	t.highestFence = st.Highest
 	t.rows = make(map[string]LeaseRow, len(st.Rows))
--- a/control/node.go
+++ b/control/node.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +99,7 @@
 	behind         bool             // the latest read of the log returned as many records as it may
 	inForce        *config.Snapshot // never older than before; see putInForce
 	history        history
+	settling       settling
 	cache          recordCache
 	saved          savedState
 	recordsFolded  chan struct{} // closed and replaced when records were folded
@@ -154,6 +157,7 @@
 		history:       history{keptAdded: make(chan struct{}, 1)},
 	}
 	n.fold, n.table = NewFold()
+	n.unsettle(now)
 	return n
 }
 
@@ -166,6 +170,7 @@
 	n.tasks.Go(n.maintainLeases)
 	n.tasks.Go(n.writeRecoveries)
 	n.tasks.Go(n.endStart)
+	n.tasks.Go(n.keepSettled)
 }
 
 // Close stops all tasks and closes all connections.
@@ -232,18 +237,39 @@
 func (n *Node) Floors(resources []string) []Floor {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	fences := make(map[string]uint64)
+	for _, row := range n.leaseRows() {
+		fences[row.Resource] = row.Fence
+	}
 	floors := make([]Floor, len(resources))
 	for i, r := range resources {
-		floors[i] = Floor{Resource: r, Fence: n.table.Row(r).Fence}
+		floors[i] = Floor{Resource: r, Fence: fences[r]}
 	}
 	return floors
 }
 
-// Leases returns the folded lease table, sorted by resource.
+// Leases returns the latest lease of each resource that this node knows, sorted by resource.
 func (n *Node) Leases() []LeaseRow {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table.Rows()
+	return n.leaseRows()
+}
+
+// leaseRows returns the folded lease table, with the later leases that the log has lost. n.mu is held.
+func (n *Node) leaseRows() []LeaseRow {
+	rows := n.table.Rows()
+	if n.history.kept == nil {
+		return rows
+	}
+	for _, kept := range leaseTableOf(n.history.kept).Rows() {
+		i, known := slices.BinarySearchFunc(rows, kept.Resource, func(r LeaseRow, resource string) int { return cmp.Compare(r.Resource, resource) })
+		if !known {
+			rows = slices.Insert(rows, i, kept)
+		} else if kept.Fence > rows[i].Fence {
+			rows[i] = kept
+		}
+	}
+	return rows
 }
 
 // Entries returns the number of entries in the VM list, this one included.
--- a/control/schema.go
+++ b/control/schema.go
@@ -13,6 +13,7 @@
 	Incarnation uint64       `msg:"i"`
 	TTLMs       int64        `msg:"s"` // validity of each accepted claim, in ms
 	Nonce       uint64       `msg:"n"` // identifies the accepted batch to its sender
+	Highest     uint64       `msg:"f"` // highest fencing number that the sender knows, also of records that the log has lost
 	Claims      []LeaseClaim `msg:"c"`
 }
 
--- a/control/schema_gen.go
+++ b/control/schema_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "h"
-	o = append(o, 0x85, 0xa1, 0x68)
+	o = append(o, 0x86, 0xa1, 0x68)
 	o = msgp.AppendString(o, z.Holder)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -28,6 +28,9 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendUint64(o, z.Nonce)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint64(o, z.Highest)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
@@ -87,6 +90,12 @@
 				err = msgp.WrapError(err, "Nonce")
 				return
 			}
+		case "f":
+			z.Highest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Highest")
+				return
+			}
 		case "c":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -124,7 +133,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeaseBatch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Claims {
 		s += z.Claims[za0001].Msgsize()
 	}
--- a/control/serve.go
+++ b/control/serve.go
@@ -100,7 +100,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	own, at := n.fold.Position(), config.Position{Next: req.From, Mark: req.Mark}
-	reply := &wire.TailReply{First: at.Next, FirstMark: at.Mark, Next: own.Next, AgeMs: n.servedAge().Milliseconds(),
+	reply := &wire.TailReply{First: at.Next, FirstMark: at.Mark, Next: own.Next, NextMark: own.Mark, AgeMs: n.servedAge().Milliseconds(),
 		Recoveries: n.fold.Recoveries(), Kept: n.history.kept != nil}
 	if !req.Cold {
 		if at.Next >= own.Next {
@@ -233,7 +233,7 @@
 		}
 	}
 	if full {
-		for _, row := range n.table.Rows() {
+		for _, row := range n.leaseRows() {
 			r.Leases = append(r.Leases, wire.LeaseInfo{Resource: row.Resource, Holder: row.Holder, Fence: row.Fence, Term: row.Term})
 		}
 		for _, sum := range n.summaries {
--- a/entry/control.go
+++ b/entry/control.go
@@ -144,8 +144,9 @@
 		return nil
 	}
 	a := &agentConfigs{
-		snap:      s,
-		common:    wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries(), Recoveries: e.outcomes.folded.Load().losses.Recoveries},
+		snap: s,
+		common: wire.AgentConfig{Version: s.Version, Digest: s.Digest, Entries: e.node.Entries(), Recoveries: e.outcomes.folded.Load().losses.Recoveries,
+			Unsettled: !e.node.Settled()},
 		policies:  make(map[string][]wire.ServicePolicy),
 		resources: make(map[string][]string),
 		floors:    make(map[string]uint64),
--- a/wire/schema_control.go
+++ b/wire/schema_control.go
@@ -45,6 +45,7 @@
 	AgeMs   int64    `msg:"a"` // milliseconds since the sender, or the peer from which it gets its records, read the log to its end
 
 	FirstMark  uint64 `msg:"m"` // hash of the record before First
+	NextMark   uint64 `msg:"o"` // hash of the record before Next
 	Diverged   bool   `msg:"d"` // the sender folded other records before From than the receiver
 	Recoveries uint64 `msg:"e"` // recoveries that the sender has folded
 	Kept       bool   `msg:"p"` // the sender holds a state that the log has lost, and sends it if Cold is set
@@ -59,6 +60,7 @@
 	Floors   []FenceFloor    `msg:"f"` // fencing floors (lowest fencing numbers still valid) of the resources that concern the target
 
 	Recoveries uint64 `msg:"r"` // grows with each loss of records of the log
+	Unsettled  bool   `msg:"u"` // the sender may not know the latest holders of leases: its floors may be too low
 }
 
 // ServicePolicy is the policy of one service.
--- a/wire/schema_control_gen.go
+++ b/wire/schema_control_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AgentConfig) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "v"
-	o = append(o, 0x86, 0xa1, 0x76)
+	o = append(o, 0x87, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -49,6 +49,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendUint64(o, z.Recoveries)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unsettled)
 	return
 }
 
@@ -208,6 +211,12 @@
 				err = msgp.WrapError(err, "Recoveries")
 				return
 			}
+		case "u":
+			z.Unsettled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unsettled")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -230,7 +239,7 @@
 	for za0002 := range z.Floors {
 		s += 1 + msgp.StringPrefixSize + len(z.Floors[za0002].Resource) + msgp.Uint64Size
 	}
-	s += 2 + msgp.Uint64Size
+	s += 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -1380,9 +1389,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TailReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "f"
-	o = append(o, 0x8a, 0xa1, 0x66)
+	o = append(o, 0x8b, 0xa1, 0x66)
 	o = msgp.AppendUint64(o, z.First)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -1408,6 +1417,9 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendUint64(o, z.FirstMark)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.NextMark)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Diverged)
@@ -1534,6 +1546,12 @@
 				err = msgp.WrapError(err, "FirstMark")
 				return
 			}
+		case "o":
+			z.NextMark, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextMark")
+				return
+			}
 		case "d":
 			z.Diverged, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1570,7 +1588,7 @@
 	for za0001 := range z.Records {
 		s += msgp.BytesPrefixSize + len(z.Records[za0001])
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
