control: the recovery of lost records costs little while none are lost

Two causes: each record cost three reads of the log (is it at its end, wait, read), and the connections that confirm a starting entry's position stayed open, so that reports of silent entries went over all of them.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	downgraded  []string // processes that installed an older version after a newer one
 
 	onInstall func(name string, s *config.Snapshot) // called with each installed configuration
+
+	bytesSent, logCalls atomic.Int64
 }
 
 func newCluster(t *testing.T, centres map[string]int) *cluster {
@@ -173,6 +176,7 @@
 	if l.c.isLinkDown(l.from, l.to) {
 		return len(p), nil
 	}
+	l.c.bytesSent.Add(int64(len(p)))
 	return l.Conn.Write(p)
 }
 
@@ -195,6 +199,7 @@
 		<-ctx.Done()
 		return outside.Page{}, ctx.Err()
 	}
+	l.c.logCalls.Add(1)
 	page, err := l.c.log.Read(ctx, from, max, wait)
 	if l.c.isLinkDown(l.name, logEndpoint) { // the answer is lost
 		<-ctx.Done()
--- a/control/follow.go
+++ b/control/follow.go
@@ -157,29 +157,23 @@
 	return peers[:min(relays+fallbackPeers, len(peers))]
 }
 
-// pullLog reads the log to its end, or waits there for a record.
+// pullLog waits for a record at the end of the log, and reads the log to its end.
 func (n *Node) pullLog() error {
 	ctx, cancel := context.WithTimeout(n.ctx, n.opts.Timing.LogWait+pollRoundTrip)
 	defer cancel()
 	n.mu.Lock()
-	at := n.fold.Position()
+	at, atEnd := n.fold.Position(), n.history.caughtUp && !n.behind && !n.fold.NeedsSnapshot()
 	n.mu.Unlock()
-	isEmpty, err := n.readLog(ctx, at)
-	if err != nil || !isEmpty {
-		return err
-	}
-	appended, err := awaitRecord(ctx, n.opts.Log, at, n.opts.Timing.LogWait)
-	if err != nil {
-		return fmt.Errorf("read log: %w", err)
-	}
-	if appended {
-		_, err = n.readLog(ctx, at)
+	if atEnd {
+		if err := awaitRecord(ctx, n.opts.Log, at, n.opts.Timing.LogWait); err != nil {
+			return fmt.Errorf("read log: %w", err)
+		}
 	}
-	return err
+	return n.readLog(ctx, at)
 }
 
-// readLog reads and folds the records after a position. isEmpty reports that there are none.
-func (n *Node) readLog(ctx context.Context, at config.Position) (isEmpty bool, err error) {
+// readLog reads and folds the records after a position.
+func (n *Node) readLog(ctx context.Context, at config.Position) error {
 	n.mu.Lock()
 	replaced := n.history.replaced
 	n.mu.Unlock()
@@ -191,13 +185,13 @@
 	}
 	switch {
 	case errors.Is(err, ErrLogChanged):
-		return false, n.rewind(ctx, at)
+		return n.rewind(ctx, at)
 	case errors.Is(err, outside.ErrTrimmed) && page.First > 0 && page.First >= at.Next:
 		n.skipTrimmed(at, page.First)
-		return false, nil // the fold now needs a snapshot from the log or a peer's state
+		return nil // the fold now needs a snapshot from the log or a peer's state
 	case err != nil:
 		n.endOwnRead()
-		return false, fmt.Errorf("read log: %w", err)
+		return fmt.Errorf("read log: %w", err)
 	}
 	atEnd := len(page.Records) < pageRecords
 	n.mu.Lock()
@@ -208,7 +202,7 @@
 	if err == nil && atEnd {
 		n.endOwnRead()
 	}
-	return len(page.Records) == 0, err
+	return err
 }
 
 // recordPage is a page of records that follow a position.
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -32,6 +32,16 @@
 			return have.conn, nil
 		}
 	}
+	conn, err := n.dial(peer)
+	if err != nil {
+		return nil, err
+	}
+	return n.storeConn(name, &peerConn{conn: conn, address: peer.Address})
+}
+
+// dial opens a connection to a peer.
+func (n *Node) dial(peer Peer) (*wire.Conn, error) {
+	name := peer.Name
 	ctx, cancel := context.WithTimeout(n.ctx, peerDialTimeout)
 	defer cancel()
 	nc, err := n.opts.Dial(ctx, peer.Address)
@@ -46,7 +56,7 @@
 		conn.Close()
 		return nil, result.New(result.Unreachable, "peer %s answered at the address listed for %s", conn.Peer().Name, name)
 	}
-	return n.storeConn(name, &peerConn{conn: conn, address: peer.Address})
+	return conn, nil
 }
 
 // storeConn stores a new connection to a peer. Two tasks may have opened one at the same
--- a/control/logread.go
+++ b/control/logread.go
@@ -38,14 +38,13 @@
 	return page, nil
 }
 
-// awaitRecord waits until the log may have changed at or before a position. It returns false if it
-// has not within wait.
-func awaitRecord(ctx context.Context, log outside.Log, at config.Position, wait time.Duration) (bool, error) {
-	page, err := log.Read(ctx, at.Next, 1, wait)
+// awaitRecord waits up to wait until the log may have changed at or before a position.
+func awaitRecord(ctx context.Context, log outside.Log, at config.Position, wait time.Duration) error {
+	_, err := log.Read(ctx, at.Next, 1, wait)
 	if errors.Is(err, outside.ErrTrimmed) {
-		return true, nil
+		return nil
 	}
-	return len(page.Records) > 0 || page.Next != at.Next, err
+	return err
 }
 
 // checkTimeout bounds the check of a position: a log that does not answer is taken for down.
--- a/control/settle.go
+++ b/control/settle.go
@@ -114,10 +114,14 @@
 }
 
 func (n *Node) isConfirmedBy(ctx context.Context, name string) bool {
-	conn, err := n.connect(name)
+	n.mu.Lock()
+	peer := n.topology.Peers[name]
+	n.mu.Unlock()
+	conn, err := n.dial(peer) // a lasting connection would cost heartbeats for an answer that is needed once
 	if err != nil {
 		return false
 	}
+	defer conn.Close()
 	reply, _, err := Tail(ctx, conn, &wire.TailRequest{From: math.MaxUint64})
 	if err != nil || reply.Kept {
 		return false
