control: peers confirm the log before an entry claims a lease

What callers would see: two entries hold the lease of a group at once, for the time until a loss is found.

Cause: an entry that lags a moment behind has not read the claim that the log has lost, so the short log follows on for it; it takes a resource that was released before for free.

Without an answer of each, claims wait for the TTL and the margin.

--- a/control/claimer.go
+++ b/control/claimer.go
@@ -129,6 +129,24 @@
 	return row.Holder == c.name && row.Incarnation == c.incarnation && !isEarlier(row, c.newest[row.Resource])
 }
 
+// DueClaims returns the rows of the resources that this process would claim at now, without those
+// that it holds.
+func (c *Claimer) DueClaims(now time.Time) []LeaseRow {
+	var due []LeaseRow
+	for _, resource := range slices.Sorted(maps.Keys(c.wanted)) {
+		if s, read := c.observed[resource]; read && !c.isWaiting(resource, now) && !c.isHolder(s.row) && c.canClaim(s, c.wanted[resource], now) {
+			due = append(due, s.row)
+		}
+	}
+	return due
+}
+
+// isWaiting reports whether the latest batch with a resource is so recent that its outcome may not be
+// known yet.
+func (c *Claimer) isWaiting(resource string, now time.Time) bool {
+	return now.Sub(c.lastBatchAt[resource]) < c.timing.TTL/(2*renewalsPerTTL)
+}
+
 // Next returns the batch to append at now, or nil if nothing is due. All claims and
 // renewals of the process go into one record: once one of them is due, renewals that are
 // not due yet are included.
@@ -137,12 +155,12 @@
 	var notDue []LeaseClaim
 	for _, resource := range slices.Sorted(maps.Keys(c.wanted)) {
 		s, read := c.observed[resource]
-		if !read || now.Sub(c.lastBatchAt[resource]) < c.timing.TTL/(2*renewalsPerTTL) {
+		if !read || c.isWaiting(resource, now) {
 			continue
 		}
 		claim := LeaseClaim{Resource: resource, Fence: s.row.Fence, Term: s.row.Term}
 		switch {
-		case !c.isHolder(s.row) && c.canClaim(s, c.wanted[resource], now), c.isRenewalDue(s, now):
+		case !c.isHolder(s.row) && !c.suspended && c.canClaim(s, c.wanted[resource], now), c.isRenewalDue(s, now):
 			b.Claims = append(b.Claims, claim)
 		case c.isHolder(s.row) && !c.isLapsed(s.row, now):
 			notDue = append(notDue, claim)
@@ -195,9 +213,6 @@
 // stopped acting by its own clock, and the claimants that rank before this process must have
 // had time to claim.
 func (c *Claimer) canClaim(s observedRow, rank int, now time.Time) bool {
-	if c.suspended {
-		return false
-	}
 	wait := time.Duration(rank) * c.timing.RankDelay
 	if s.row.Holder != "" {
 		wait += time.Duration(s.row.TTLMs)*time.Millisecond + c.timing.Margin
--- a/control/leaseloss_test.go
+++ b/control/leaseloss_test.go
@@ -221,3 +221,32 @@
 		})
 	}
 }
+
+// The log loses the claim of a holder before another entry has read it, and that entry claims the
+// resource, which was released before. Guards against two holders at once for as long as the
+// loss is not found.
+func TestClaimOfLaggingEntryAfterALossHasOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeaseWatch(t, 1)
+		defer w.close()
+		first := w.waitForHolder(w.resource, 10*time.Second, "")
+		for _, name := range w.names() {
+			w.node(name).Drop(w.resource)
+		}
+		time.Sleep(DefaultLeaseTiming.TTL)
+		kept := w.end()
+		readers := slices.DeleteFunc(w.names(), func(name string) bool { return name == first || !w.node(name).topology.ReadsLog() })
+		lagging := slices.Min(readers)
+		w.setLinkDown(lagging, logEndpoint, true) // it reads from peers only when its log is stale
+		w.node(first).Want(w.resource)
+		w.waitForHolder(w.resource, 10*time.Second, "")
+		w.log.Lose(kept)
+		w.setLinkDown(lagging, logEndpoint, false)
+		w.node(lagging).Want(w.resource)
+		for begin := time.Now(); time.Since(begin) < DefaultLeaseTiming.TTL; time.Sleep(watchInterval) {
+			if holders := w.holders(w.resource); len(holders) > 1 {
+				t.Fatalf("nodes %v hold the lease at once, %s after the loss", holders, time.Since(begin))
+			}
+		}
+	})
+}
--- a/control/leaser.go
+++ b/control/leaser.go
@@ -54,9 +54,11 @@
 }
 
 func (n *Node) appendLeaseBatch() {
+	mayClaim := n.mayClaim(time.Now())
 	n.mu.Lock()
 	var batch *LeaseBatch
 	if n.fold.Next() > 0 || n.vmListSeen { // before the first read of the log, rows of held resources are empty too
+		n.claimer.Suspend(!mayClaim || !n.settling.isSettled)
 		batch = n.claimer.Next(time.Now())
 	}
 	n.mu.Unlock()
--- a/control/settle.go
+++ b/control/settle.go
@@ -26,8 +26,9 @@
 
 // settling is the state of one node. Node.mu guards it.
 type settling struct {
-	since     time.Time // when the node last may have missed a record
-	isSettled bool
+	since        time.Time // when the node last may have missed a record
+	isSettled    bool
+	blockedSince time.Time // since when claims wait for peers; zero: none do
 }
 
 // unsettle records that the node may not know the latest holders. n.mu is held.
@@ -93,6 +94,43 @@
 	}
 }
 
+// mayClaim reports whether claims that are due may be sent. An entry that lags behind the others does
+// not know of a loss in that time, so peers confirm the log first. Without an answer of each, claims wait
+// until every holder has stopped that they may know.
+func (n *Node) mayClaim(now time.Time) bool {
+	n.mu.Lock()
+	due, lease := n.claimer.DueClaims(now), n.opts.Timing.Lease
+	names := n.activePeers(due, now)
+	n.mu.Unlock()
+	confirmed := len(due) == 0 || n.confirmedBy(names[:min(maxConfirmations, len(names))])
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if confirmed {
+		n.settling.blockedSince = time.Time{}
+		return true
+	}
+	if n.settling.blockedSince.IsZero() {
+		n.settling.blockedSince = now
+	}
+	return now.Sub(n.settling.blockedSince) >= lease.TTL+lease.Margin
+}
+
+// activePeers returns the peers that may hold a lease or know its holder, except those that are known
+// to hold the due rows: these have lapsed. n.mu is held.
+func (n *Node) activePeers(due []LeaseRow, now time.Time) []string {
+	lapsed := make(map[string]bool, len(due))
+	for _, row := range due {
+		lapsed[row.Holder] = true
+	}
+	var names []string
+	for name, peer := range n.topology.Peers {
+		if !peer.Leaving && !lapsed[name] && !n.members.IsDown(name, now) {
+			names = append(names, name)
+		}
+	}
+	return Rank(n.opts.Self.Name, names)
+}
+
 // confirmedBy reports whether all the named peers have read no record that the log does not hold.
 func (n *Node) confirmedBy(names []string) bool {
 	ctx, cancel := context.WithTimeout(n.ctx, peerDialTimeout)
--- a/outcomes/loss_test.go
+++ b/outcomes/loss_test.go
@@ -96,3 +96,21 @@
 		})
 	}
 }
+
+// The log loses the presence record of an entry, and an agent starts before that is found. Guards
+// against a key that the entry has dispatched and that the agent runs again.
+func TestAgentThatStartsRightAfterALossRunsNoKeyAgain(t *testing.T) {
+	runInWorld(t, safeguard.Off{}, func(g *WithT, w *World) {
+		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+		defer cancel()
+		g.Expect(w.entry(0).Shutdown(ctx)).To(Succeed())
+		lose := loseAfter(w)
+		g.Expect(w.startEntry(0)).To(Succeed())
+		g.Expect(w.waitUntilReady()).To(Succeed())
+		g.Expect(w.send("team-0", 0, plainJob("k"), 0).Code).To(Equal(result.OK))
+		lose()
+		w.replaceAgent(homeTarget(w, "k", false), 100*time.Millisecond, false)
+		time.Sleep(time.Second)
+		g.Expect(w.send("team-0", 1, plainJob("k"), 1).Code).To(Equal(result.KeyUncertain))
+	})
+}
