control: a node that is only behind the trimmed log resets no state

What would be seen: a node that reached the log but no peer, and was behind its trimmed end, wrote its old state as a reset after 2 s. Others wrote theirs back in turn, but leases lapsed for a moment.

Cause: a reset was due whenever a node kept a state and could not derive one.

--- a/control/history.go
+++ b/control/history.go
@@ -343,10 +343,11 @@
 	}
 	mode := config.RecoveryMerge
 	wait := time.Duration(min(n.rankAmongEntries("recovery"), maxRecoveryRank)) * recoveryRankDelay
-	if n.fold.NeedsSnapshot() {
+	switch {
+	case n.fold.IsUnderivable() && h.isLoss:
 		mode = config.RecoveryReset
 		wait += resetDelay
-	} else if !h.caughtUp {
+	case n.fold.NeedsSnapshot() || !h.caughtUp:
 		return nil, false
 	}
 	if now.Sub(h.keptAt) < wait {
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -277,3 +277,22 @@
 		})
 	}
 }
+
+// The log is trimmed past a node that reaches the log and no peer. Guards against a recovery of its
+// old state, which nothing has been lost of.
+func TestNodeBehindTrimmedLogWritesNoRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLossCluster(t)
+		defer c.close()
+		c.isolate("a-1", true)
+		c.change()
+		c.otherRecords(5)
+		time.Sleep(applyDeadline)
+		c.log.Trim(c.end() - 2)
+		c.setLinkDown("a-1", logEndpoint, false)
+		time.Sleep(applyDeadline)
+		c.g.Expect(c.node("a-0").fold.Recoveries()).To(BeZero())
+		c.isolate("a-1", false)
+		c.settle()
+	})
+}
