control: the tool asks all entries before it voids a change that the log may have lost

Cause: the tool asked one entry for its saved state, which may be older than what the entry knows, since saved states are kept for all peers that ask.

Change: it asks all entries for the effect of the change, as it does after apply.

--- a/cmd/heatherrail/platform.go
+++ b/cmd/heatherrail/platform.go
@@ -27,6 +27,6 @@
 		VMs:  &outside.HTTPVMList{Addr: file.Platform.VMs},
 		Dial: file.Network.Dial,
 	}
-	op := &control.Operator{Log: &outside.HTTPLog{Addr: file.Platform.Log}, State: client.State}
+	op := &control.Operator{Log: &outside.HTTPLog{Addr: file.Platform.Log}, State: client.State, Accepted: client.Accepted}
 	return op, client, nil
 }
--- a/control/apply.go
+++ b/control/apply.go
@@ -19,6 +19,9 @@
 	Log outside.Log
 	// State returns the saved state of a peer, for use when the log was trimmed. It may be nil.
 	State func(context.Context) ([]byte, error)
+	// Accepted reports whether an entry knows a change as accepted, although the log may have lost
+	// it. It may be nil.
+	Accepted func(ctx context.Context, change string) bool
 
 	fold *config.Fold
 }
@@ -136,8 +139,8 @@
 	if oldest, full := o.fold.OldestOutcome(); full && id < oldest {
 		return config.Outcome{}, result.New(result.ChangeUnknown, "change %s is too old: outcomes before %s are no longer kept", id, oldest)
 	}
-	if _, known := o.fold.Outcome(id); !known && o.isAcceptedAtPeer(ctx, id) {
-		return o.awaitRecovery(ctx, id)
+	if _, known := o.fold.Outcome(id); !known && o.Accepted != nil && o.Accepted(ctx, id) {
+		return o.awaitRecovery(ctx, id) // the log has lost the change, and the entries write it back
 	}
 	records, err := config.ChangeRecords(&config.Change{ID: id, Base: config.VoidBase})
 	if err != nil {
@@ -146,24 +149,6 @@
 	return o.appendUntilDecided(ctx, id, records)
 }
 
-// isAcceptedAtPeer reports whether an entry knows a change as accepted. If the log does not hold
-// the change, the log has lost it and the entries write it back.
-func (o *Operator) isAcceptedAtPeer(ctx context.Context, id string) bool {
-	if o.State == nil {
-		return false
-	}
-	saved, err := o.State(ctx)
-	if err != nil {
-		return false
-	}
-	peer, _ := NewFold()
-	if peer.Restore(saved) != nil {
-		return false
-	}
-	out, known := peer.Outcome(id)
-	return known && out.Accepted
-}
-
 // awaitRecovery waits until the log holds the outcome of a change again.
 func (o *Operator) awaitRecovery(ctx context.Context, id string) (config.Outcome, error) {
 	for {
--- a/control/client.go
+++ b/control/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,6 +167,17 @@
 	return r, nil
 }
 
+// Accepted reports whether a listed entry has a change in force, or has had.
+func (c *Client) Accepted(ctx context.Context, change string) bool {
+	answers, err := c.queryChange(ctx, change)
+	return err == nil && slices.ContainsFunc(answers, func(a Answer) bool { return a.Err == nil && a.Status.Effect == wire.EffectInForce })
+}
+
+// queryChange queries all listed entries for the effect of a change.
+func (c *Client) queryChange(ctx context.Context, change string) ([]Answer, error) {
+	return c.query(ctx, wire.MethodStatus, &wire.StatusRequest{Change: change}, func(vm *outside.VM) bool { return vm.Role == outside.RoleEntry })
+}
+
 // inForcePollInterval is the pause between two queries of all entries for the version that
 // they have in force.
 const inForcePollInterval = 250 * time.Millisecond
@@ -175,8 +187,7 @@
 // queried. For an entry of an earlier build, which knows versions only, version decides.
 func (c *Client) WaitInForce(ctx context.Context, change string, version uint64) ([]Answer, error) {
 	for {
-		answers, err := c.query(context.WithoutCancel(ctx), wire.MethodStatus, &wire.StatusRequest{Change: change},
-			func(vm *outside.VM) bool { return vm.Role == outside.RoleEntry })
+		answers, err := c.queryChange(context.WithoutCancel(ctx), change)
 		if err != nil {
 			return nil, err
 		}
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -190,7 +190,7 @@
 	{"a change of unknown outcome is lost and resumed", func(c *lossCluster) {
 		kept := c.end()
 		c.teams++
-		op := &Operator{Log: c.log, State: c.peerState}
+		op := &Operator{Log: c.log, State: c.peerState, Accepted: c.accepted}
 		c.g.Expect(op.Sync(c.t.Context())).To(Succeed())
 		base := op.Current()
 		id, next := NewChangeID(), teams(c.teams)
--- a/control/losscluster_test.go
+++ b/control/losscluster_test.go
@@ -64,6 +64,11 @@
 	}
 }
 
+// accepted reports what the operators' tool hears of a change from the entries.
+func (c *lossCluster) accepted(_ context.Context, change string) bool {
+	return slices.ContainsFunc(c.reachable(), func(name string) bool { return c.node(name).effect(change) == wire.EffectInForce })
+}
+
 // peerState returns the state of an entry as the operators' tool gets it.
 func (c *lossCluster) peerState(ctx context.Context) ([]byte, error) {
 	err := errNoRoute
--- a/control/node.go
+++ b/control/node.go
@@ -225,10 +225,8 @@
 func (n *Node) Outcome(id string) (config.Outcome, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if kept := n.history.kept; kept != nil {
-		if out, ok := kept.Outcome(id); ok && out.Accepted {
-			return out, true
-		}
+	if n.isKept(id) {
+		return n.history.kept.Outcome(id)
 	}
 	return n.fold.Outcome(id)
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -182,16 +182,26 @@
 func (n *Node) effect(change string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out, known := n.fold.Outcome(change)
-	switch {
-	case n.inForce == nil:
+	if n.inForce == nil {
 		return wire.EffectPending
-	case n.inForce.ID == change, known && out.Accepted && n.inForce == n.fold.Current():
+	}
+	out, known := n.fold.Outcome(change)
+	isFolded := known && out.Accepted && n.inForce == n.fold.Current()
+	if isFolded || n.inForce.ID == change || n.isKept(change) {
 		return wire.EffectInForce
 	}
 	return wire.EffectPending
 }
 
+// isKept reports whether a change was accepted in a history that the log has lost. n.mu is held.
+func (n *Node) isKept(change string) bool {
+	if n.history.kept == nil {
+		return false
+	}
+	out, known := n.history.kept.Outcome(change)
+	return known && out.Accepted
+}
+
 func (n *Node) serveDrain(s *wire.Stream, payload []byte) error {
 	var req wire.DrainRequest
 	if _, err := req.UnmarshalMsg(payload); err != nil {
