control: after a read of the log that failed, look at its content before waiting

Change: a reset needs a loss that the node found itself, nothing else; after a failed wait the log is read first.

--- a/config/fold.go
+++ b/config/fold.go
@@ -62,7 +62,6 @@
 	recoveries       uint64      // recoveries folded; see foldRecovery
 	recovered        bool        // current comes from a recovery and not from a change on the log
 	displaced        *Fold       // state that a RecoveryReset replaced
-	mergeSeen        bool        // a RecoveryMerge was passed while a snapshot was needed
 	awaitingSnapshot bool        // records before firstKept are lost, so a snapshot is needed
 	firstKept        uint64      // offset of the oldest record that the log still holds
 	current          *Snapshot
@@ -119,7 +118,7 @@
 func (f *Fold) Interrupt(first uint64) { f.awaitSnapshot(max(first, f.next)) }
 
 func (f *Fold) awaitSnapshot(first uint64) {
-	f.awaitingSnapshot, f.firstKept, f.mergeSeen = true, first, false
+	f.awaitingSnapshot, f.firstKept = true, first
 	if first > f.next || f.mark != 0 {
 		f.next, f.mark = max(f.next, first), 0
 	}
--- a/config/recovery.go
+++ b/config/recovery.go
@@ -41,11 +41,7 @@
 		parts = &f.snapshotParts
 	}
 	saved := parts.take(c.ID, c.Parts, c.Digest)
-	if f.awaitingSnapshot && c.Mode != RecoveryReset {
-		f.mergeSeen = true
-		return nil
-	}
-	if saved == nil {
+	if saved == nil || (f.awaitingSnapshot && c.Mode != RecoveryReset) {
 		return nil
 	}
 	st, err := decodeState(saved)
@@ -71,10 +67,6 @@
 	return nil
 }
 
-// IsUnderivable reports whether this fold needs a snapshot, and no other reader is known to have
-// derived a state from the log.
-func (f *Fold) IsUnderivable() bool { return f.awaitingSnapshot && !f.mergeSeen }
-
 // TakeDisplaced returns the state that a RecoveryReset has replaced since the last call, or nil.
 func (f *Fold) TakeDisplaced() *Fold {
 	d := f.displaced
--- a/control/follow.go
+++ b/control/follow.go
@@ -163,6 +163,9 @@
 	n.mu.Unlock()
 	if atEnd {
 		if err := awaitRecord(ctx, n.opts.Log, at, n.opts.Timing.LogWait); err != nil {
+			n.mu.Lock()
+			n.behind = true // the log may have changed while it did not answer: read before waiting again
+			n.mu.Unlock()
 			return fmt.Errorf("read log: %w", err)
 		}
 	}
@@ -237,6 +240,9 @@
 		n.log.Error(err, "configuration fold stopped")
 		return err
 	}
+	if n.fold.Next() < at.Next {
+		n.history.caughtUp = false // a snapshot moved the read position back
+	}
 	if p.atEnd && n.fold.Position() == at {
 		n.history.caughtUp = true
 		if p.readAt.After(n.logReadAt) {
--- a/control/history.go
+++ b/control/history.go
@@ -344,7 +344,7 @@
 	mode := config.RecoveryMerge
 	wait := time.Duration(min(n.rankAmongEntries("recovery"), maxRecoveryRank)) * recoveryRankDelay
 	switch {
-	case n.fold.IsUnderivable() && h.isLoss:
+	case n.fold.NeedsSnapshot() && h.isLoss:
 		mode = config.RecoveryReset
 		wait += resetDelay
 	case n.fold.NeedsSnapshot() || !h.caughtUp:
--- a/control/node.go
+++ b/control/node.go
@@ -96,7 +96,7 @@
 	heardPeer      bool // a peer has answered, or startGrace has passed
 	fold           *config.Fold
 	table          *LeaseTable
-	behind         bool             // the latest read of the log returned as many records as it may
+	behind         bool             // the log may hold more records than the latest read returned
 	inForce        *config.Snapshot // never older than before; see putInForce
 	history        history
 	settling       settling
