--- a/config/recovery_test.go
+++ b/config/recovery_test.go
@@ -56,9 +56,7 @@
 	b.append(t, records)
 }
 
-// A log loses records again and again, and readers that had read them write recoveries between
-// new changes. The newest accepted change stays in force, the version never decreases for any
-// reader, and all readers of the log reach the same state from wherever they start.
+// Guards against recoveries that undo a newer change, or that readers of one log fold differently.
 func TestRecoveriesKeepTheNewestChange(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		log := &branch{fold: NewFold(new(counter))}
--- a/control/leaseloss_test.go
+++ b/control/leaseloss_test.go
@@ -201,9 +201,8 @@
 	}
 }
 
-// The log loses records of leases while holders pause, are cut off and restart, and the agent
-// restarts. Guards against two holders at once, a fencing number given twice, an order of an
-// earlier holder that is accepted, and a true holder that is refused for good.
+// Guards against two holders at once, a fencing number given twice, an earlier holder's order that is
+// accepted and a true holder that is refused for good, after the log has lost lease records.
 func TestLeasesSurviveLostRecords(t *testing.T) {
 	for seed := range uint64(lossSeeds()) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -222,9 +221,7 @@
 	}
 }
 
-// The log loses the claim of a holder before another entry has read it, and that entry claims the
-// resource, which was released before. Guards against two holders at once for as long as the
-// loss is not found.
+// Guards against a second holder that had not read the first one's claim before the log lost it.
 func TestClaimOfLaggingEntryAfterALossHasOneHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newLeaseWatch(t, 1)
--- a/control/losscost_test.go
+++ b/control/losscost_test.go
@@ -26,10 +26,9 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// A fleet of each size follows a log with a steady flow of records that change nothing, and then the
-// log loses changes. Guards against a cost of an entry that grows with the fleet, and a recovery that
-// takes longer than a change.
-func TestCostOfLossDoesNotGrowWithFleet(t *testing.T) {
+// Reports the cost of an entry without a loss, and guards against a recovery that takes longer than a
+// change may.
+func TestFleetAgreesAfterLossInTime(t *testing.T) {
 	for _, size := range lossFleetSizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
