review: wait for the targets before the shutdown case counts

In one run the case counted before the targets had noticed that the process had ended, and called 20 excused streams lost. Result: the case waits now, and a target that has not noticed counts as at work.

--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -30,6 +30,7 @@
 	steadyTime       = 2 * time.Second       // traffic before the signal
 	trafficTime      = 8 * time.Second       // traffic in all
 	stopWait         = 10 * time.Second
+	targetsNotice    = time.Second           // time in which targets notice that their connections have ended
 	clockTolerance   = 20 * time.Millisecond // between the signal and its time in the record
 	callersBehindTTL = "callers use a cached answer of the directory for up to 6 s"
 )
@@ -46,6 +47,11 @@
 	stoppedAt time.Time // when the target ended or lost it
 }
 
+// wasAtWork reports whether the target was at work on the stream at a time or later.
+func (s *streamRecord) wasAtWork(at time.Time) bool {
+	return s.stoppedAt.IsZero() || !s.stoppedAt.Before(at)
+}
+
 type streamLog struct {
 	mu   sync.Mutex
 	byID map[string]*streamRecord
@@ -142,6 +148,7 @@
 			return false, fmt.Errorf("the gateway did not end")
 		}
 	}
+	time.Sleep(targetsNotice)
 	return countLost(rec, log, termAt, trouble), nil
 }
 
@@ -205,7 +212,7 @@
 			verdict = "not passed on"
 		case s.endedAt.Sub(s.sentAt) >= streamTimeoutMS*time.Millisecond:
 			verdict = "time budget reached"
-		case trouble && sent <= excusedSend+clockTolerance && s.stoppedAt.Sub(termAt) >= lastSixth-clockTolerance:
+		case trouble && sent <= excusedSend+clockTolerance && s.wasAtWork(termAt.Add(lastSixth-clockTolerance)):
 			verdict = "cut in the last sixth of the grace, sent no later than 3 s after SIGTERM: excused"
 			excused++
 		default:
