--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -197,3 +197,15 @@
 	}
 	return ports, nil
 }
+
+func listenAt(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// serveOnLoopback serves a handler until the process exits, and returns its address.
+func serveOnLoopback(handler http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = (&http.Server{Handler: handler}).Serve(ln) }() // runs until the process exits
+	return ln.Addr().String(), nil
+}
