--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin runs the cases of the review against the gateway program.
+// Command standin runs the cases of the review against the programs of the deploy file.
 package main
 
 import (
