gateway, entry: requests and responses are relayed as they arrived

What callers saw: nothing. Order and types of the parts were lost.

Cause: the HTTP server parses such bodies while it reads them, and Body() encodes the parsed form anew, from maps. The class is a library that changes what it relays. Compared as bytes at raw connections, the same was true of cookies, equal fields, content types that were added to responses, reason phrases, lengths of responses to HEAD and fields named by a response's Connection; in the entry of our own form also of compressed bodies (replaced by the text of an error if they could not be decompressed), slashes at the end of paths and empty queries.

Change: form parsing is off in both servers. The gateway forwards the fields of the raw header; response fields are added, not set; no default content type in either direction. The entry forwards raw bodies with Content-Encoding, and the path and query as they arrived.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -34,6 +34,7 @@
 func (e *Entry) streamAnswer(c fiber.Ctx, b *answerBody) {
 	resp := c.Response()
 	resp.SetStatusCode(b.exchange.Answer.Status)
+	resp.Header.SetNoDefaultContentType(true)
 	for _, h := range b.exchange.Answer.Headers {
 		if !hopByHopHeaders[strings.ToLower(h.Name)] {
 			resp.Header.Add(h.Name, h.Value)
--- a/entry/http.go
+++ b/entry/http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -9,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/oklog/ulid/v2"
+	"github.com/valyala/fasthttp"
 
 	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/config"
@@ -42,6 +44,8 @@
 		IdleTimeout:    callerIdleTimeout,
 		ReadBufferSize: callerReadBufferBytes,
 		ErrorHandler:   e.httpError,
+		// Without this the body of a form is parsed, and encoded anew from maps.
+		DisablePreParseMultipartForm: true,
 	})
 	app.Use(func(c fiber.Ctx) error {
 		requestID(c)
@@ -201,11 +205,24 @@
 }
 
 func (e *Entry) servePlainService(c fiber.Ctx) error {
-	path := "/" + c.Params("*")
-	if q := c.RequestCtx().URI().QueryString(); len(q) > 0 {
-		path += "?" + string(q)
+	return e.serveRequest(c, strings.Clone(c.Params("service")), pathAtService(c.RequestCtx()))
+}
+
+// servicePathSlashes is the number of slashes in /v1/services/SERVICE.
+const servicePathSlashes = 3
+
+// pathAtService returns the path and query behind /v1/services/SERVICE as the caller sent them. The
+// router's parameter lacks a slash at the end of the path.
+func pathAtService(c *fasthttp.RequestCtx) string {
+	path := string(c.URI().PathOriginal())
+	for range servicePathSlashes + 1 {
+		_, path, _ = strings.Cut(path, "/")
+	}
+	path = "/" + path
+	if bytes.ContainsRune(c.Request.Header.RequestURI(), '?') {
+		path += "?" + string(c.URI().QueryString())
 	}
-	return e.serveRequest(c, strings.Clone(c.Params("service")), strings.Clone(path))
+	return path
 }
 
 // serveRequest runs a request and streams its answer to the caller.
--- a/entry/request.go
+++ b/entry/request.go
@@ -33,7 +33,7 @@
 		Method:     strings.Clone(c.Method()),
 		Path:       path,
 		Headers:    forwardHeaders(c),
-		Body:       append([]byte(nil), c.Body()...),
+		Body:       append([]byte(nil), c.BodyRaw()...), // not Body, which decompresses,
 		Key:        strings.Clone(c.Get(HeaderKey)),
 		Repeatable: true,
 	}
@@ -44,6 +44,7 @@
 // caller's API key does not.
 var forwardedHeaders = []string{
 	fiber.HeaderContentType,
+	fiber.HeaderContentEncoding,
 	fiber.HeaderAccept,
 	fiber.HeaderIfNoneMatch,
 	fiber.HeaderIfModifiedSince,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,7 @@
 	connPools       *connPools
 	crashes         *crashWatch
 	slackShare      *placing.SlackShare // share of the retry slack of all services
-	reservedHeaders map[string]bool     // headers that only the gateway may set
+	reservedHeaders map[string]bool     // lower-case names of headers that only the gateway may set
 	callerServer    *fasthttp.Server
 	listener        net.Listener
 	peerServer      *peers.Server
@@ -68,7 +69,7 @@
 	}
 	p := &o.Headers
 	for _, name := range []string{p.Deadline, p.Key, p.Team, p.Instance, p.Priority} {
-		g.reservedHeaders[name] = true
+		g.reservedHeaders[strings.ToLower(name)] = true
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.started = time.Now()
@@ -167,6 +168,8 @@
 		NoDefaultContentType:  true,
 		ReduceMemoryUsage:     true,
 		Logger:                discardLogger{},
+		// Without this the body of a form is parsed, and encoded anew from maps.
+		DisablePreParseMultipartForm: true,
 	}
 	go func() {
 		if err := g.callerServer.Serve(ln); err != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -70,19 +70,3 @@
 		}
 	}
 }
-
-// copyHeader copies the status and headers of a target's response.
-func (g *Gateway) copyHeader(c *fasthttp.RequestCtx, a *attempt) {
-	c.Response.SetStatusCode(a.resp.Status)
-	connHeaders := connectionHeaders(string(a.resp.Header.Peek(fasthttp.HeaderConnection)))
-	for k, v := range a.resp.Header.All() {
-		name := string(k)
-		if hopByHopHeaders[name] || connHeaders[name] {
-			continue
-		}
-		c.Response.Header.SetBytesV(name, v)
-	}
-	if g.stopping.Load() {
-		c.SetConnectionClose()
-	}
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,12 +34,6 @@
 	parts           []uint64 // fingerprints of the parts of the prompt that other requests may share
 }
 
-// hopByHopHeaders concern a single connection and are not forwarded.
-var hopByHopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
-	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
-}
-
 // newRequest validates a caller's request against the configuration.
 func (g *Gateway) newRequest(ctx *fasthttp.RequestCtx, snap *snapshot) (*request, *result.Error) {
 	header := &ctx.Request.Header
@@ -179,17 +173,10 @@
 		Host:              string(header.Host()),
 		Body:              bytes.Clone(ctx.Request.Body()), // copied because fasthttp reuses the buffer of the body
 		SendContentLength: len(header.Peek(fasthttp.HeaderContentLength)) > 0 || len(header.Peek(fasthttp.HeaderTransferEncoding)) > 0,
+		Fields:            forwardedFields(header, g.reservedHeaders),
 		EchoHeader:        names.RequestID,
 		EchoValue:         r.id,
 	}
-	connHeaders := connectionHeaders(string(header.Peek(fasthttp.HeaderConnection)))
-	for k, v := range header.All() {
-		name := string(k)
-		if hopByHopHeaders[name] || connHeaders[strings.ToLower(name)] || g.reservedHeaders[name] {
-			continue
-		}
-		req.Fields = append(req.Fields, upstream.Field{Name: name, Value: string(v)})
-	}
 	if r.team != nil {
 		req.Fields = append(req.Fields, upstream.Field{Name: names.Team, Value: r.team.Name})
 	}
@@ -200,19 +187,6 @@
 // lowestPriority is the largest priority value that targets support.
 const lowestPriority = 9
 
-// connectionHeaders returns the lower-case names of the headers that a Connection header declares
-// as hop-by-hop.
-func connectionHeaders(value string) map[string]bool {
-	if value == "" {
-		return nil
-	}
-	headers := make(map[string]bool)
-	for name := range strings.SplitSeq(value, ",") {
-		headers[strings.ToLower(strings.TrimSpace(name))] = true
-	}
-	return headers
-}
-
 // requestForAttempt returns the request to send to a target, with the headers that differ per
 // attempt.
 func (r *request) requestForAttempt(names *HeaderNames, target *serving.Target, now time.Time, resumeAfter string) *upstream.Request {
--- a/outside/backend.go
+++ b/outside/backend.go
@@ -96,6 +96,7 @@
 func (b *HTTPBackend) roundTrip(bc *backendConn, call *Call, stop func() bool) (*Reply, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(call.Method)
 	req.SetRequestURI(call.Path)
 	req.Header.SetHost(b.addr)
@@ -108,6 +109,7 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
+	resp.Header.SetNoDefaultContentType(true)
 	resp.SkipBody = call.Method == fasthttp.MethodHead
 	if err := resp.Read(bc.br); err != nil {
 		fasthttp.ReleaseResponse(resp)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -203,6 +203,7 @@
 
 func (c *conn) readResponseHead(req *Request) (*Response, error) {
 	r := &Response{}
+	r.Header.SetNoDefaultContentType(true)
 	for {
 		if err := r.Header.Read(c.br); err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
