lockstep: a map switch that was taken back can't be completed by what comes late

Cause: a group that was let go without its leader relied on the held pass to begin before any order of the switch came in again. A group without requests begins none. The leader that was back went on, as it looked at the pass only; its orders, and those that the cut had held up, reached engines, which know no fence. The class is a bet that an idle group soon begins a pass, or that a fenced leader has nothing under way. Also: a release after "no rank is armed" while arm orders were unanswered; holds and releases of an earlier switch at the pass of the next one; rank 0 armed by the leader itself while the proxy's agent was in backoff, which nobody else could know.

Change: a switch is taken back by voiding its map at the engines. Each rank prepares the map in use under a higher version that is never armed, rank 0 first; an armed rank refuses that, and then the switch is completed. While rank 0 is unreachable the proxy decides for it, once. No two switches use one pass. Recovery without the leader no longer has a time limit.

Why it works: engines refuse to arm a map that is not the last one prepared and to prepare while armed.

--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -105,6 +105,7 @@
 
 	armToken   chan struct{} // semaphore, held while an arm order or a fence is processed: the two never overlap
 	fence      fence         // passes for which this agent must not arm a rank; guarded by armToken
+	abandoned  fence         // passes for which this agent must not arm rank 0 as the proxy, in a recovery either; guarded by armToken
 	mapHistory mapHistory
 	// remoteEngines are clients of leaders' engines that this agent arms as the proxy, by address.
 	remoteEngines map[string]Engine
--- a/lockstep/collect.go
+++ b/lockstep/collect.go
@@ -19,9 +19,7 @@
 		return peers.RankState{}
 	}
 	a.recordEngineRun(state.StartedAtMS)
-	a.mu.Lock()
-	state.ProxyArm = a.proxyArm
-	a.mu.Unlock()
+	state.ProxyArm = a.recordedArm()
 	state.HighestMapReceived = a.mapHistory.highestVersion(state.Epoch)
 	if q.Lists {
 		a.addRankExperts(&state)
@@ -139,6 +137,9 @@
 		a.bindFence(startedAtMS)
 	default:
 		a.mapHistory.clear()
+		a.mu.Lock()
+		a.proxyArm = peers.ProxyArm{}
+		a.mu.Unlock()
 	}
 	a.opts.Log.Info("engine runs", "engine", a.opts.EngineAddr, "born", startedAtMS, "before", previous)
 }
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -22,8 +22,9 @@
 	sentSamples       int // number of samples since the latest shift that the other leaders have been sent
 	pending           *pendingMap
 	armed             *armedMap
-	mapFollows        bool // the group has switched to a map that was planned for the demand since the latest shift
-	mapFixed          bool // the map cannot be changed, because the ranks have too few places for all experts
+	switchStep        uint64 // highest pass that the group may have been held at; no switch begins before this pass has
+	mapFollows        bool   // the group has switched to a map that was planned for the demand since the latest shift
+	mapFixed          bool   // the map cannot be changed, because the ranks have too few places for all experts
 	refusals          refusalBackoff
 	highestVersion    uint64       // highest map version seen or assigned
 	recentMaps        []pendingMap // latest maps that this leader planned
@@ -144,6 +145,9 @@
 func (l *leader) reset(ranks []rank) {
 	l.epoch, l.engineStartedAtMS = ranks[0].state.Epoch, ranks[0].state.StartedAtMS
 	l.pending, l.armed = nil, nil
+	// An agent that led the group before may have held it at the next pass.
+	_, highest := stepRange(ranks)
+	l.switchStep = highest + holdStepsAhead
 	l.layouts, l.recentMaps, l.lag = nil, nil, mapLag{}
 	m := l.group.model
 	for range m.LayerSets {
@@ -300,6 +304,10 @@
 		l.lag.cause = lagRefused
 		return
 	}
+	if !proxyAnswers(ranks) || ranks[0].state.Step < l.switchStep {
+		l.lag.cause = lagNoSwitch
+		return
+	}
 	pl := planner{model: m, urgency: l.urgency(), slowdown: slowdowns(ranks), switchCosts: l.switchCosts.at(startedAt), meanStreams: meanStreams(ranks)}
 	pl.minGain = l.minPlanGain()
 	if !l.demand.mixed {
@@ -315,11 +323,16 @@
 	l.a.opts.Log.Info("map planned", "epoch", l.epoch, "version", l.highestVersion, "from", l.version,
 		"before", logging.Round2(p.imbalanceBefore), "after", logging.Round2(p.imbalanceAfter), "copies", p.copies, "copies_of_rank", p.maxCopiesPerRank,
 		"urgency", logging.Round2(pl.urgency))
-	l.recentMaps = append(l.recentMaps, *l.pending)
+	l.recordMap(*l.pending)
+	l.prepare(ranks)
+}
+
+// recordMap remembers a map that is about to be prepared.
+func (l *leader) recordMap(p pendingMap) {
+	l.recentMaps = append(l.recentMaps, p)
 	if len(l.recentMaps) > maxRecentMaps {
 		l.recentMaps = slices.Delete(l.recentMaps, 0, 1)
 	}
-	l.prepare(ranks)
 }
 
 // minPlanGain returns the smallest decrease of the imbalance for which the map is changed.
--- a/lockstep/leader_test.go
+++ b/lockstep/leader_test.go
@@ -38,7 +38,7 @@
 		g := NewWithT(t)
 		group := newSimGroup(treeTestRanks, 1, treeTestRanks, 4)
 		f := newFleet(group)
-		f.agents[7].mapHistory.put(1, 5*versionStride, nil)
+		f.agents[7].mapHistory.put(1, mapEntry{version: 5 * versionStride})
 		l := newLeader(f.agents[0])
 		l.group.refresh()
 		l.group.addMember(engineAddress(0))
--- a/lockstep/maplag.go
+++ b/lockstep/maplag.go
@@ -23,6 +23,7 @@
 	lagIncomplete   = "not all ranks answer"
 	lagHeld         = "the group is held"
 	lagUnknownMap   = "the map in use is unknown or differs between ranks"
+	lagNoSwitch     = "no switch can begin before the next pass, or without the agent of the proxy"
 	lagSwitching    = "the next map is not in use yet"
 	lagRefused      = "ranks have refused maps"
 	lagSlowSwitches = "switches take too long to pay"
--- a/lockstep/maps.go
+++ b/lockstep/maps.go
@@ -20,6 +20,9 @@
 type mapEntry struct {
 	version uint64
 	sets    [][][]uint16 // experts by layer set and rank
+	// witnessed means that this agent received the map before its engine had prepared it, and so
+	// before any rank was armed for it.
+	witnessed bool
 }
 
 // maxRecentMaps is the number of maps that an agent remembers: the map in use, the map that
@@ -27,13 +30,17 @@
 const maxRecentMaps = 4
 
 // put adds a map and drops the maps of other epochs.
-func (h *mapHistory) put(epoch, version uint64, sets [][][]uint16) {
+func (h *mapHistory) put(epoch uint64, entry mapEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if epoch != h.epoch {
 		h.epoch, h.maps = epoch, nil
 	}
-	h.maps = append(h.maps, mapEntry{version: version, sets: sets})
+	if at := slices.IndexFunc(h.maps, func(m mapEntry) bool { return m.version == entry.version }); at >= 0 {
+		entry.witnessed = entry.witnessed || h.maps[at].witnessed
+		h.maps = slices.Delete(h.maps, at, at+1)
+	}
+	h.maps = append(h.maps, entry)
 	if len(h.maps) > maxRecentMaps {
 		h.maps = slices.Delete(h.maps, 0, 1)
 	}
@@ -53,6 +60,13 @@
 	return version
 }
 
+// hasWitnessed reports whether this agent has been running since before any rank was armed for a version.
+func (h *mapHistory) hasWitnessed(epoch, version uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return epoch == h.epoch && slices.ContainsFunc(h.maps, func(m mapEntry) bool { return m.version == version && m.witnessed })
+}
+
 // clear removes the maps of an earlier run of the engine.
 func (h *mapHistory) clear() {
 	h.mu.Lock()
@@ -108,7 +122,9 @@
 		}
 		full.Map, full.Changes = sets, nil
 	}
-	a.mapHistory.put(o.Epoch, o.Version, full.Map)
+	state, err := a.opts.Engine.State(a.ctx)
+	witnessed := err == nil && state.Epoch == o.Epoch && isVoided(&state, o.Version)
+	a.mapHistory.put(o.Epoch, mapEntry{version: o.Version, sets: full.Map, witnessed: witnessed})
 	return a.orderLocalEngine(&full)
 }
 
--- a/lockstep/member.go
+++ b/lockstep/member.go
@@ -147,11 +147,8 @@
 		}
 		return result
 	}
-	if m.canAskAgent() {
-		var result peers.OrderResult
-		if err := m.agent.ask(a.ctx, peers.KindOrder, o, &result, askTimeout); err == nil {
-			return result
-		}
+	if result, answered := m.orderAgent(a, o); answered {
+		return result
 	}
 	if len(o.Changes) > 0 {
 		return peers.OrderResult{UnknownBase: true} // engines accept full maps only
@@ -163,6 +160,21 @@
 	return result
 }
 
+// orderAgent sends an order to the member's agent. answered is false if the agent did not answer; it may
+// still carry the order out.
+func (m *member) orderAgent(a *Agent, o *peers.RankOrder) (result peers.OrderResult, answered bool) {
+	if m.localAgent != nil {
+		return m.order(a, o), true
+	}
+	if !m.canAskAgent() {
+		return result, false
+	}
+	if err := m.agent.ask(a.ctx, peers.KindOrder, o, &result, askTimeout); err != nil {
+		return peers.OrderResult{}, false
+	}
+	return result, true
+}
+
 // orderEach sends an order to all ranks in parallel.
 func orderEach(a *Agent, ranks []rank, o *peers.RankOrder) []peers.OrderResult {
 	results := make([]peers.OrderResult, len(ranks))
--- a/lockstep/orders.go
+++ b/lockstep/orders.go
@@ -19,12 +19,17 @@
 	a.armToken <- struct{}{}
 	defer func() { <-a.armToken }()
 	f.startedAtMS = a.engineStartTime()
-	if f.startedAtMS != a.fence.startedAtMS || f.epoch != a.fence.epoch || f.step > a.fence.step {
-		a.fence = f
-	}
+	a.fence.raise(f)
 	return true
 }
 
+// raise replaces the fence by one of another run or epoch, or of a later pass.
+func (f *fence) raise(other fence) {
+	if other.startedAtMS != f.startedAtMS || other.epoch != f.epoch || other.step > f.step {
+		*f = other
+	}
+}
+
 // engineStartTime returns the start of the engine's run in Unix milliseconds; 0: not yet reported.
 func (a *Agent) engineStartTime() int64 {
 	a.mu.Lock()
@@ -37,8 +42,10 @@
 func (a *Agent) bindFence(startedAtMS int64) {
 	a.armToken <- struct{}{}
 	defer func() { <-a.armToken }()
-	if a.fence.startedAtMS == 0 {
-		a.fence.startedAtMS = startedAtMS
+	for _, f := range []*fence{&a.fence, &a.abandoned} {
+		if f.startedAtMS == 0 {
+			f.startedAtMS = startedAtMS
+		}
 	}
 }
 
@@ -52,8 +59,42 @@
 // blocks reports whether the fence forbids an arm order. Recovery orders are allowed: their sender
 // has set the fence itself.
 func (f fence) blocks(o *peers.RankOrder, startedAtMS int64) bool {
+	return !o.Recovery && f.covers(o, startedAtMS)
+}
+
+// covers reports whether the fence applies to the pass of an order.
+func (f fence) covers(o *peers.RankOrder, startedAtMS int64) bool {
 	sameRun := f.startedAtMS == 0 || f.startedAtMS == startedAtMS
-	return !o.Recovery && sameRun && o.Epoch == f.epoch && o.Step <= f.step
+	return sameRun && o.Epoch == f.epoch && o.Step <= f.step
+}
+
+// abandon records that the switch of an order is taken back while rank 0 is unreachable: this agent
+// will not arm rank 0 any more. It refuses after this agent has recorded that rank 0 may be armed, and
+// if it has restarted since the map was prepared.
+func (a *Agent) abandon(o *peers.RankOrder) peers.OrderResult {
+	a.armToken <- struct{}{}
+	defer func() { <-a.armToken }()
+	if recorded := a.recordedArm(); recorded.Epoch == o.Epoch && recorded.Step >= o.Step || !a.mapHistory.hasWitnessed(o.Epoch, o.Version) {
+		return peers.OrderResult{Refused: true}
+	}
+	a.abandoned.raise(fence{startedAtMS: a.engineStartTime(), epoch: o.Epoch, step: o.Step})
+	return peers.OrderResult{Accepted: true}
+}
+
+// mayArmLeader reports whether this agent may record that rank 0 may be armed, as the proxy: neither this
+// switch nor a later one has been abandoned, and no later one has been recorded. The caller holds
+// armToken.
+func (a *Agent) mayArmLeader(o *peers.RankOrder) bool {
+	recorded := a.recordedArm()
+	isLate := recorded.Epoch == o.Epoch && recorded.Step > o.Step
+	return !isLate && !a.abandoned.covers(o, a.engineStartTime()) && a.mapHistory.hasWitnessed(o.Epoch, o.Version)
+}
+
+// recordedArm returns the latest arm order that this agent recorded as the proxy.
+func (a *Agent) recordedArm() peers.ProxyArm {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.proxyArm
 }
 
 // order executes an order at this agent's engine, or at the engine that the order names.
@@ -61,6 +102,9 @@
 	if o.Kind == peers.OrderPrepare {
 		return a.prepareMap(o)
 	}
+	if o.Kind == peers.OrderAbandon {
+		return a.abandon(o), nil
+	}
 	if o.Kind != peers.OrderArm {
 		return a.orderLocalEngine(o)
 	}
@@ -72,6 +116,9 @@
 	if o.Engine == "" {
 		return a.orderLocalEngine(o)
 	}
+	if !a.mayArmLeader(o) {
+		return peers.OrderResult{Refused: true}, nil
+	}
 	a.setProxyArm(peers.ProxyArm{Epoch: o.Epoch, Step: o.Step})
 	result, err := a.remoteEngine(o.Engine).Order(a.ctx, o)
 	if err == nil && result.Accepted {
--- a/lockstep/prepare.go
+++ b/lockstep/prepare.go
@@ -101,8 +101,16 @@
 	}
 	now := time.Now()
 	switch {
+	case len(missing) == 0 && ranks[0].state.Step < l.switchStep:
+		// Orders of the previous switch may still take effect before its pass begins.
+		l.lag.cause = lagNoSwitch
+	case len(missing) == 0 && !canDecide(ranks, p.version):
+		l.a.opts.Log.Info("map given up, the proxy has not seen it", "version", p.version)
+		l.pending = nil
 	case len(missing) == 0:
-		if step, stall, ok := switchMap(l.a, holder, ranks, p.version); ok {
+		step, stall, ok := switchMap(l.a, holder, ranks, p.version)
+		l.switchStep = max(l.switchStep, step)
+		if ok {
 			l.switchCosts.observe(time.Since(p.plannedAt)-p.copyTime, stall, time.Now())
 			l.passPeak.addHold(stall)
 			l.armed = &armedMap{version: p.version, layouts: p.layouts, step: step}
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 	places          int // experts per rank and set; 0: two more than the initial map needs
 	passes          int
 	longestStall    time.Duration // longest time without a new pass
+
+	idle         bool                     // the group has no requests and begins no passes
+	holdReplaces bool                     // a hold replaces the one in force, else it is refused
+	onOrder      func(o *peers.RankOrder) // called without mu before an order is carried out
 }
 
 // simRank is the simulated engine of one rank.
@@ -54,6 +59,11 @@
 	frozen bool
 	thawed chan struct{}
 
+	// While a VM is cut off, it and other VMs reach no agent and, unless engineReachable is set, no
+	// engine of each other. What is sent meanwhile arrives when the cut ends, or never.
+	cutOff          chan struct{} // closed at the end of the cut; nil: the VM is not cut off
+	engineReachable bool
+
 	core, in, out serialResource
 }
 
@@ -112,11 +122,41 @@
 	}
 }
 
+// cut cuts the VM off from the others for d.
+func (v *simVM) cut(d time.Duration, engineReachable bool) {
+	healed := make(chan struct{})
+	v.mu.Lock()
+	v.cutOff, v.engineReachable = healed, engineReachable
+	v.mu.Unlock()
+	time.Sleep(d)
+	v.mu.Lock()
+	v.cutOff = nil
+	v.mu.Unlock()
+	close(healed)
+}
+
+// cutBetween returns a channel that is closed when the cut between two VMs ends; nil: there is none.
+func cutBetween(from, to *simVM, toEngine bool) chan struct{} {
+	if from == to {
+		return nil
+	}
+	for _, v := range []*simVM{from, to} {
+		v.mu.Lock()
+		cut, spared := v.cutOff, toEngine && v.engineReachable
+		v.mu.Unlock()
+		if cut != nil && !spared {
+			return cut
+		}
+	}
+	return nil
+}
+
 const (
 	simPass    = 40 * time.Millisecond
 	simCopy    = 80 * time.Millisecond
 	simLatency = time.Millisecond
 	simPort    = "7000"
+	simSpare   = 3 // experts in a set that a map may add to a rank
 )
 
 func newSimGroup(ranks, sets, experts int, seed uint64) *simGroup {
@@ -158,6 +198,11 @@
 	for ctx.Err() == nil {
 		time.Sleep(simPass)
 		g.mu.Lock()
+		if g.idle {
+			stalled = 0
+			g.mu.Unlock()
+			continue
+		}
 		if g.beginPass() {
 			stalled = 0
 		} else {
@@ -201,9 +246,13 @@
 	time.Sleep(simLatency / 2)
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
+	running := 4
+	if r.group.idle {
+		running = 0
+	}
 	return peers.RankState{
 		Known: true, StartedAtMS: r.startedAtMS, Group: r.group.name, Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Complete: true,
-		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: 4, Slowdown: 1,
+		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: running, Slowdown: 1,
 	}, nil
 }
 
@@ -249,6 +298,12 @@
 func (r *simRank) apply(o *peers.RankOrder) bool {
 	g := r.group
 	g.mu.Lock()
+	onOrder := g.onOrder
+	g.mu.Unlock()
+	if onOrder != nil {
+		onOrder(o)
+	}
+	g.mu.Lock()
 	defer g.mu.Unlock()
 	if o.Epoch != g.epoch {
 		return false
@@ -272,7 +327,7 @@
 			r.armed = 0
 		}
 	case peers.OrderHold:
-		if o.Step <= g.step {
+		if o.Step <= g.step || !g.holdReplaces && r.heldAt > g.step && r.heldAt != o.Step {
 			return false
 		}
 		r.heldAt = o.Step
@@ -285,16 +340,20 @@
 }
 
 func (r *simRank) prepare(o *peers.RankOrder) bool {
-	if o.Version <= r.highest || r.armed != 0 {
+	if o.Version <= r.highest || r.armed != 0 || !r.isValid(o.Map) {
 		return false
 	}
 	r.highest, r.prepared = o.Version, 0
 	var next [][]uint16
+	copyTime := time.Duration(0)
 	for s := range o.Map {
 		next = append(next, o.Map[s][r.index])
+		if r.newExperts(o.Map, s) > 0 {
+			copyTime = simCopy
+		}
 	}
 	version := o.Version
-	time.AfterFunc(simCopy, func() {
+	time.AfterFunc(copyTime, func() {
 		r.group.mu.Lock()
 		defer r.group.mu.Unlock()
 		if r.highest == version {
@@ -303,3 +362,34 @@
 	})
 	return true
 }
+
+// newExperts returns how many experts a map adds to the rank in a set.
+func (r *simRank) newExperts(sets [][][]uint16, set int) (added int) {
+	for _, e := range sets[set][r.index] {
+		if !slices.Contains(r.lists[set], e) {
+			added++
+		}
+	}
+	return added
+}
+
+// isValid reports whether engines accept a map: it gives each expert a rank, and adds at most the spare
+// experts to this rank.
+func (r *simRank) isValid(sets [][][]uint16) bool {
+	g := r.group
+	if len(sets) == 0 {
+		return true // some tests send no map
+	}
+	for set, ranks := range sets {
+		held := make(map[uint16]bool)
+		for _, list := range ranks {
+			for _, e := range list {
+				held[e] = true
+			}
+		}
+		if len(ranks) != len(g.ranks) || len(held) != g.experts || r.newExperts(sets, set) > simSpare {
+			return false
+		}
+	}
+	return true
+}
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -25,7 +25,7 @@
 // reach waits while the calling VM is frozen, and fails if the VM of the engine is frozen.
 func (e *simEngine) reach() error {
 	e.from.waitUntilThawed()
-	if e.vm != e.from && e.vm.isFrozen() {
+	if e.vm != e.from && e.vm.isFrozen() || cutBetween(e.from, e.vm, true) != nil {
 		time.Sleep(70 * time.Millisecond)
 		return errNoAnswer
 	}
@@ -42,6 +42,17 @@
 
 // Order implements Engine.
 func (e *simEngine) Order(ctx context.Context, o *peers.RankOrder) (peers.OrderResult, error) {
+	e.from.waitUntilThawed()
+	if ctx.Err() != nil {
+		return peers.OrderResult{}, ctx.Err() // the agent has ended
+	}
+	if healed := cutBetween(e.from, e.vm, true); healed != nil && e.group.randomly() {
+		held := *o
+		go func() {
+			<-healed
+			e.apply(&held)
+		}()
+	}
 	if err := e.reach(); err != nil {
 		return peers.OrderResult{}, err
 	}
@@ -58,8 +69,11 @@
 }
 
 // Ask implements PeerClient.
-func (s *simClient) Ask(_ context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
+func (s *simClient) Ask(ctx context.Context, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler, limit time.Duration) error {
 	s.from.waitUntilThawed()
+	if ctx.Err() != nil {
+		return ctx.Err() // the agent has ended
+	}
 	if kind == peers.KindOrder && s.from == s.f.group.ranks[0].vm {
 		s.f.leaderOrders.Add(1)
 	}
@@ -72,13 +86,22 @@
 	done := make(chan []byte, 1)
 	go func() {
 		vm := s.f.group.ranks[s.rank].vm
+		if healed := cutBetween(s.from, vm, false); healed != nil {
+			if !s.f.group.randomly() {
+				return // the sender has given the connection up before the end of the cut
+			}
+			<-healed
+		}
 		s.f.transmit(s.from, vm, payload)
 		vm.waitUntilThawed()
-		m, err := s.f.agents[s.rank].handlers()[kind](payload)
+		m, err := s.f.agent(s.rank).handlers()[kind](payload)
 		if err != nil {
 			return
 		}
 		vm.waitUntilThawed()
+		if cutBetween(s.from, vm, false) != nil {
+			return
+		}
 		if text, err := m.MarshalMsg(nil); err == nil {
 			s.f.transmit(vm, s.from, text)
 			done <- text
@@ -114,6 +137,13 @@
 	time.Sleep(simLatency)
 }
 
+// randomly returns true half of the time.
+func (g *simGroup) randomly() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.IntN(2) == 0
+}
+
 // Close implements PeerClient.
 func (s *simClient) Close() {}
 
@@ -127,6 +157,7 @@
 	smallVMs         bool        // VMs have a fraction of a core and a slow link
 	firstRank        int         // number of the VM of rank 0; other groups of the service have lower ones
 	fleets           []*simFleet // all groups of the service; nil: only this one
+	agentsMu         sync.Mutex
 	agents           []*Agent
 	cancel           context.CancelFunc
 	tasks            sync.WaitGroup
@@ -192,38 +223,59 @@
 
 // addAgents creates an agent for each rank without running it.
 func (f *simFleet) addAgents() {
-	g := f.group
+	for r := range f.group.ranks {
+		f.agents = append(f.agents, f.newAgent(r))
+	}
+}
+
+// newAgent returns an agent for a rank.
+func (f *simFleet) newAgent(r int) *Agent {
 	registered := 0
 	for _, other := range f.allFleets() {
 		registered += len(other.group.ranks)
 	}
-	for r, rank := range g.ranks {
-		vm := rank.vm
-		a := newAgent(Options{
-			VM:         fmt.Sprintf("vm-%d", r),
-			Engine:     &simEngine{simRank: rank, from: vm},
-			EngineAddr: engineAddress(f.firstRank + r),
-			Service:    "s",
-			PeerAddr:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", f.firstRank+r+1), simPort),
-			PeerPort:   simPort,
-			Store:      simStore{ranks: registered, down: &f.storeDown, slow: &f.storeSlow, lateRegistration: &f.lateRegistration},
-			NewRemoteEngine: func(address string) Engine {
-				fleet, at := f.find(address)
-				return &simEngine{simRank: fleet.group.ranks[at], from: vm}
-			},
-			Dial: func(address string) PeerClient {
-				fleet, at := f.find(address)
-				return &simClient{f: fleet, rank: at, from: vm}
-			},
-			DecodeTarget: func(id string, value []byte) (serving.Target, error) {
-				return serving.Target{ID: id, Service: "s", Address: string(value)}, nil
-			},
-			DecodeConfig: func(string, []byte) (serving.Config, bool, error) { return simConfig(g), true, nil },
-			Log:          logr.Discard(),
-			Metrics:      metrics.New(),
-		})
-		f.agents = append(f.agents, a)
-	}
+	g, rank := f.group, f.group.ranks[r]
+	vm := rank.vm
+	return newAgent(Options{
+		VM:         fmt.Sprintf("vm-%d", r),
+		Engine:     &simEngine{simRank: rank, from: vm},
+		EngineAddr: engineAddress(f.firstRank + r),
+		Service:    "s",
+		PeerAddr:   net.JoinHostPort(fmt.Sprintf("10.0.0.%d", f.firstRank+r+1), simPort),
+		PeerPort:   simPort,
+		Store:      simStore{ranks: registered, down: &f.storeDown, slow: &f.storeSlow, lateRegistration: &f.lateRegistration},
+		NewRemoteEngine: func(address string) Engine {
+			fleet, at := f.find(address)
+			return &simEngine{simRank: fleet.group.ranks[at], from: vm}
+		},
+		Dial: func(address string) PeerClient {
+			fleet, at := f.find(address)
+			return &simClient{f: fleet, rank: at, from: vm}
+		},
+		DecodeTarget: func(id string, value []byte) (serving.Target, error) {
+			return serving.Target{ID: id, Service: "s", Address: string(value)}, nil
+		},
+		DecodeConfig: func(string, []byte) (serving.Config, bool, error) { return simConfig(g), true, nil },
+		Log:          logr.Discard(),
+		Metrics:      metrics.New(),
+	})
+}
+
+// agent returns the running agent of a rank.
+func (f *simFleet) agent(r int) *Agent {
+	f.agentsMu.Lock()
+	defer f.agentsMu.Unlock()
+	return f.agents[r]
+}
+
+// restartAgent ends the agent of a rank and starts another, with an empty memory.
+func (f *simFleet) restartAgent(r int) {
+	a := f.newAgent(r)
+	f.agentsMu.Lock()
+	f.agents[r].cancel()
+	f.agents[r] = a
+	f.agentsMu.Unlock()
+	f.tasks.Go(a.run)
 }
 
 func (f *simFleet) stop() {
@@ -241,7 +293,7 @@
 		places = g.experts/len(g.ranks) + 2
 	}
 	return serving.Config{Version: 1, Services: []serving.Service{{Name: "s", Engine: &serving.EngineModel{
-		Slots: 12, StepsPerPass: 4, LayerSets: g.sets, Experts: g.experts, ExpertsPerRank: places, SpareExperts: 3,
+		Slots: 12, StepsPerPass: 4, LayerSets: g.sets, Experts: g.experts, ExpertsPerRank: places, SpareExperts: simSpare,
 		ExpertBytes: 1e9, CopyRate: 2e10, ExpertShare: 0.85,
 	}}}}
 }
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -1,9 +1,6 @@
 package lockstep
 
 import (
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/peers"
@@ -13,30 +10,39 @@
 // group before a pass: no rank can begin that pass until the hold is released. All ranks are armed
 // to switch when the pass begins, and the hold is released.
 //
-// A pass must never begin while two ranks use different maps. The hold ensures this: between hold
-// and release an arm order that is late, lost or refused is noticed in time.
+// A pass must never begin while two ranks use different maps. Engines know nothing of switches, and
+// each order may be carried out seconds after it was sent: by a network that was cut, by an agent
+// that was stopped, or by an engine that left it unanswered. A group without requests begins no
+// passes, so nothing voids such an order by itself. Two properties of engines do: an engine refuses
+// to arm a map that is not the last one that it has prepared, and to prepare a map while it is armed
+// or if the map's version is not its highest.
 //
-// An agent that dies or freezes during the switch leaves the group held. So the holder is not the
-// leader's rank, and the leader sends the hold to the holder's engine directly and not through its
-// agent. If either the leader or the holder's agent fails, the other can release the hold.
-//
-//   - Arm orders are sent only after all ranks have prepared the map and the hold is confirmed.
-//     From then on the switch only goes forward. An unanswered arm order may take effect seconds
-//     later, so nothing is rolled back: the order is repeated until each rank is seen to be
-//     armed. A late copy of it finds that the pass has begun and is refused.
-//   - An agent that finds the group held for longer than a switch takes recovers it. It first
-//     sends all agents a fence: an order not to arm for that pass any more. The ranks that are
-//     armed stay armed. If any rank is armed, the recovering agent arms the others and releases
-//     the hold; if none is, it releases the hold and the map in use stays. Two agents that recover
-//     the group at the same time see the same state and send the same orders. A leader that wakes
-//     up in the meantime is refused.
-//   - The leader's rank is armed last, by the agent of another rank, the proxy. So even if the
-//     leader's VM is unreachable, the proxy knows whether the leader's rank is armed. If it is, all
-//     ranks are, and the group goes on with the new map. If it is not, the map in use stays: all
-//     other agents are fenced, which stops the leader if it wakes up, the armed ranks are disarmed,
-//     and the hold is released.
+//   - Rank 0 decides. It is armed last, after all other ranks were seen armed. Once it is armed,
+//     the switch is complete: nobody disarms a rank any more, and the hold may be released by anyone,
+//     at any time and repeatedly. Until then the switch may be taken back.
+//   - A switch is taken back by voiding its map, first at rank 0: the rank prepares a void map,
+//     which is the map in use under a higher version and is never armed. If rank 0 has been armed
+//     before, it refuses, and the switch is completed instead. The other ranks are then disarmed and
+//     prepare the void map too. No order of the switch can take effect after that, so the hold is
+//     released and stays so.
+//   - While rank 0's VM is unreachable, the agent of another rank, the proxy, decides in its place.
+//     Rank 0 is armed only after the proxy has recorded that it may be, by the proxy itself first.
+//     An agent that takes a switch back without rank 0 asks the proxy to abandon it, which the
+//     proxy refuses after it has recorded the arming. An agent that has not seen the map being
+//     prepared has restarted since, and neither records nor abandons: the group then waits for rank 0.
+//   - A release is valid for its pass only, and no two switches use one pass: after a switch, no
+//     other begins before the group has begun the pass of the earlier one. So a late release or hold
+//     of the earlier switch has no effect.
+//   - An agent that finds the group held for longer than a switch takes recovers it: it completes
+//     the switch if some rank is armed and rank 0 can be, and otherwise takes it back. Agents that
+//     do so at the same time, the leader among them, get the same decision.
 //   - Each order carries the epoch. After a rank has restarted the group has another epoch, and
 //     orders in flight from before are refused.
+//
+// The holder is not the leader's rank, and the leader sends the hold to the holder's engine directly
+// and not through its agent: if either the leader or the holder's agent fails, the other can release
+// the hold. Agents also fence the pass when a group is recovered, so that a leader that wakes up stops
+// sending orders; the fence saves time, and safety does not rest on it.
 
 // Limits of a switch.
 const (
@@ -48,37 +54,39 @@
 	retryInterval = 10 * time.Millisecond
 )
 
-// switchMap switches to a version that all ranks have prepared. It returns the step of the first pass
-// with that version, and how long the group was held.
+// switchMap switches to a version that all ranks have prepared. It returns the step of the pass that
+// the group was held at, which is the first pass with that version if the switch succeeds, and how long
+// the group was held.
 func switchMap(a *Agent, holder *member, ranks []rank, version uint64) (step uint64, stall time.Duration, ok bool) {
 	epoch := ranks[0].state.Epoch
 	step, held := holdGroup(a, holder, epoch)
 	if !held {
-		return 0, 0, false
+		return step, 0, false
 	}
 	start := time.Now()
 	ok = completeSwitch(a, holder, ranks, version, step, false)
 	return step, time.Since(start), ok
 }
 
-// holdGroup holds the group before a coming pass and returns the pass's step.
+// holdGroup holds the group before a coming pass and returns the pass's step. Without a hold it returns
+// the highest step for which a hold order was sent, which may still take effect; 0: none.
 //
 // The step is read from this VM's own engine, since all ranks run each pass together. The holder's
 // agent may answer slowly, as after a restart of the whole fleet, and would delay the switch.
-func holdGroup(a *Agent, holder *member, epoch uint64) (uint64, bool) {
+func holdGroup(a *Agent, holder *member, epoch uint64) (step uint64, held bool) {
 	unanswered := uint64(0) // step of the latest hold order without an answer, which may have been accepted
 	for range holdAttempts {
 		state, err := a.opts.Engine.State(a.ctx)
 		if err != nil || !state.Known || state.Epoch != epoch || !state.Complete {
-			return 0, false
+			return step, false
 		}
 		if unanswered != 0 {
 			// A hold that another agent has placed may be released by a recovering agent at any moment.
-			if held := holder.collect(a, stateOnly); !held.Known || held.Held != 0 {
-				return held.Held, held.Known && held.Held == unanswered
+			if s := holder.collect(a, stateOnly); !s.Known || s.Held != 0 {
+				return step, s.Known && s.Held == unanswered
 			}
 		}
-		step := state.Step + holdStepsAhead
+		step = state.Step + holdStepsAhead
 		result, err := holder.engine.Order(a.ctx, &peers.RankOrder{Kind: peers.OrderHold, Epoch: epoch, Step: step})
 		if err == nil && result.Accepted {
 			return step, true
@@ -88,7 +96,7 @@
 		}
 		a.sleep(retryInterval)
 	}
-	return 0, false
+	return step, false
 }
 
 // completeSwitch arms all ranks for the held pass and releases the hold. recovery states that this
@@ -106,27 +114,53 @@
 	return ok
 }
 
-// proxyRank is the rank whose agent arms the leader's rank, so that another VM knows the outcome if
-// the leader's VM fails.
-const proxyRank = 2
+// proxyRank returns the rank whose agent decides for rank 0 while the leader's VM is unreachable. It
+// is not the holder, unless the group has only two ranks.
+func proxyRank(ranks int) int { return min(2, ranks-1) }
+
+// proxyAnswers reports whether the proxy's agent can be asked.
+func proxyAnswers(ranks []rank) bool {
+	proxy := &ranks[proxyRank(len(ranks))]
+	return proxy.localAgent != nil || proxy.canAskAgent()
+}
 
-// armLeader arms rank 0, the rank of the leader: it orders the engine of rank 0 to switch maps when
-// the held pass begins. The agent of proxyRank sends the order first. This agent sends the order
-// itself if the group has no rank proxyRank, if the agent of proxyRank is in backoff, or if rank 0
-// is not armed after the order of that agent.
+// canDecide reports whether the proxy can record that rank 0 may be armed with a version: its agent
+// answers and has received the map.
+func canDecide(ranks []rank, version uint64) bool {
+	return len(ranks) == 1 || proxyAnswers(ranks) && ranks[proxyRank(len(ranks))].state.HighestMapReceived >= version
+}
+
+// armLeader arms rank 0, the rank of the leader, which completes the switch: it orders the engine of
+// rank 0 to switch maps when the held pass begins. The agent of the proxy records and sends the order
+// first. This agent repeats it only once the proxy has recorded it.
 func armLeader(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
-	if len(ranks) <= proxyRank || !ranks[proxyRank].canAskAgent() {
-		return armAll(a, holder, ranks[:1], o)
+	if len(ranks) == 1 {
+		return armAll(a, holder, ranks, o)
 	}
 	byProxy := *o
 	byProxy.Engine = ranks[0].engineAddr
-	ranks[proxyRank].order(a, &byProxy)
-	// Whether or not the order was answered, the rank is checked, and armed again if needed.
-	return len(a.unarmedRanks(ranks[:1], make([]peers.OrderResult, 1), o.Version)) == 0 || armAll(a, holder, ranks[:1], o)
+	for range holdAttempts {
+		result, answered := ranks[proxyRank(len(ranks))].orderAgent(a, &byProxy)
+		switch {
+		case result.Accepted:
+			return true
+		case answered && !result.Refused: // recorded, but rank 0 left the order unanswered
+			return armAll(a, holder, ranks[:1], o)
+		}
+		state := ranks[0].collect(a, stateOnly)
+		if state.Known && state.Armed == o.Version {
+			return true
+		}
+		if answered {
+			return false // abandoned, or rank 0 has prepared another map
+		}
+		a.sleep(retryInterval)
+	}
+	return false
 }
 
 // armAll repeats the arm order until each rank is seen to be armed. It returns false if the switch
-// has ended elsewhere, or if this agent is fenced or stops.
+// has ended elsewhere or is being taken back, or if this agent is fenced or stops.
 func armAll(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
 	remaining := ranks
 	for len(remaining) > 0 {
@@ -134,10 +168,18 @@
 			return false
 		}
 		results := orderRanks(a, remaining, o)
-		remaining = a.unarmedRanks(remaining, results, o.Version)
-		if len(remaining) == 0 {
+		unarmed := a.unarmedRanks(remaining, results, o.Version)
+		if len(unarmed) == 0 {
 			return true
 		}
+		remaining = remaining[:0:0]
+		for _, r := range unarmed {
+			if isVoided(&r.state, o.Version) {
+				a.opts.Log.Info("switch is being taken back", "version", o.Version, "step", o.Step, "rank", r.state.Rank)
+				return false
+			}
+			remaining = append(remaining, r)
+		}
 		if ended, epochChanged := a.switchEnded(holder, o.Epoch, o.Step); ended {
 			a.opts.Log.Info("switch ended before all ranks were armed", "version", o.Version, "step", o.Step, "changed", epochChanged)
 			return false
@@ -147,8 +189,8 @@
 	return true
 }
 
-// unarmedRanks returns the ranks that neither accepted the arm order nor show it in their state. A
-// refusal alone proves nothing: another order may have armed the rank.
+// unarmedRanks returns the ranks that neither accepted the arm order nor show it in their state, with
+// their state where it is known. A refusal alone proves nothing: another order may have armed the rank.
 func (a *Agent) unarmedRanks(ranks []rank, results []peers.OrderResult, version uint64) []rank {
 	var unarmed []rank
 	for i, r := range ranks {
@@ -159,13 +201,16 @@
 		if state.Known && (state.Armed == version || state.Map == version) {
 			continue
 		}
+		if state.Known {
+			r.state = state
+		}
 		unarmed = append(unarmed, r)
 	}
 	return unarmed
 }
 
 // switchEnded reports whether the switch has ended elsewhere: the group has another epoch or is
-// incomplete (epochChanged), or the pass has begun.
+// incomplete (epochChanged), the pass has begun, or the group is not held at it any more.
 func (a *Agent) switchEnded(holder *member, epoch, step uint64) (ended, epochChanged bool) {
 	state := holder.collect(a, stateOnly)
 	if !state.Known {
@@ -174,7 +219,7 @@
 	if state.Epoch != epoch || !state.Complete {
 		return true, true
 	}
-	return state.Step >= step, false
+	return state.Step >= step || state.Held != step, false
 }
 
 // releaseGroup releases the hold and repeats the order until the holder's state shows the release: an
@@ -205,119 +250,3 @@
 	}
 	holder.order(a, o)
 }
-
-// recoverGroup recovers a held group whose switch no agent is completing. seenAt is when the hold was
-// first seen.
-func recoverGroup(a *Agent, g *group, holder *member, name string, seenAt time.Time) {
-	first := holder.collect(a, stateOnly)
-	if !first.Known || first.Held == 0 || !first.Complete {
-		return
-	}
-	q := &peers.Collect{Fence: first.Held, Epoch: first.Epoch}
-	ranks, complete := g.collectUsing(name, q, (*member).collectHedged)
-	if len(ranks) < first.Ranks-1 {
-		g.refresh()
-		ranks, complete = g.collectUsing(name, q, (*member).collectHedged)
-	}
-	if !complete || ranks[0].state.Epoch != first.Epoch {
-		recoverWithoutLeader(a, holder, name, ranks, first, seenAt)
-		return
-	}
-	version := armedVersion(ranks)
-	if version == 0 && !allFenced(ranks) && time.Since(seenAt) < fenceTimeout {
-		a.opts.Log.Info("group held, not all agents have fenced the pass", "group", name, "step", first.Held)
-		return
-	}
-	a.opts.Log.Info("group held by nobody", "group", name, "step", first.Held, "version", version)
-	if version == 0 {
-		releaseGroup(a, holder, first.Epoch, first.Held)
-		return
-	}
-	completeSwitch(a, holder, ranks, version, first.Held, true)
-}
-
-// fenceTimeout is how long recovery waits for every agent to confirm the fence. A slow agent that
-// has not confirmed may still arm its rank after that rank was seen unarmed, and the group would go
-// on with two maps. An agent that has ended arms nothing, so the wait is bounded.
-const fenceTimeout = 500 * time.Millisecond
-
-// allFenced reports whether all agents have confirmed the fence.
-func allFenced(ranks []rank) bool {
-	return !slices.ContainsFunc(ranks, func(r rank) bool { return !r.state.Fenced })
-}
-
-// armedVersion returns the version that some rank is armed for; 0: none.
-func armedVersion(ranks []rank) uint64 {
-	for i := range ranks {
-		if v := ranks[i].state.Armed; v != 0 {
-			return v
-		}
-	}
-	return 0
-}
-
-// lateArmDelay is the earliest delay after which an unanswered arm order may take effect, less a
-// margin. Source: the platform's statement of two to twelve seconds. If the hold is released sooner,
-// the pass has begun by the time the order takes effect, and the engine refuses the order.
-const lateArmDelay = 1500 * time.Millisecond
-
-// recoverWithoutLeader recovers a group whose leader's VM is unreachable.
-func recoverWithoutLeader(a *Agent, holder *member, name string, ranks []rank, first peers.RankState, seenAt time.Time) {
-	if !allFollowersFenced(ranks, first) || time.Since(seenAt) > lateArmDelay {
-		a.opts.Log.Info("group held, followers not fenced in time", "group", name, "step", first.Held, "ranks", len(ranks))
-		return
-	}
-	proxyArm := ranks[proxyRank-1].state.ProxyArm
-	proxyOrdered := proxyArm.Epoch == first.Epoch && proxyArm.Step == first.Held
-	switch {
-	case proxyOrdered && !proxyArm.Accepted:
-		a.opts.Log.Info("group held, leader's rank may be armed", "group", name, "step", first.Held)
-		return
-	case !proxyOrdered && !disarmAll(a, ranks):
-		a.opts.Log.Info("group held, armed ranks not disarmed", "group", name, "step", first.Held)
-		return
-	}
-	ok := releaseGroup(a, holder, first.Epoch, first.Held)
-	a.opts.Log.Info("group let go without its leader", "group", name, "step", first.Held, "switched", proxyOrdered, "released", ok)
-}
-
-// allFollowersFenced reports whether all ranks but the leader's have answered and confirmed the
-// fence.
-func allFollowersFenced(ranks []rank, first peers.RankState) bool {
-	if len(ranks) != first.Ranks-1 || len(ranks) < proxyRank {
-		return false
-	}
-	for i := range ranks {
-		s := &ranks[i].state
-		if s.Rank != i+1 || s.Epoch != first.Epoch || !s.Complete || !s.Fenced {
-			return false
-		}
-	}
-	return true
-}
-
-// disarmAll disarms the armed ranks, in parallel because the group is stalled meanwhile. It returns
-// false if some rank may still be armed.
-func disarmAll(a *Agent, ranks []rank) bool {
-	for range holdAttempts {
-		var wait sync.WaitGroup
-		var failed atomic.Int32
-		for _, r := range ranks {
-			if r.state.Armed == 0 {
-				continue
-			}
-			wait.Go(func() {
-				r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: r.state.Armed})
-				state := r.collect(a, stateOnly)
-				if !state.Known || state.Armed != 0 {
-					failed.Add(1)
-				}
-			})
-		}
-		wait.Wait()
-		if failed.Load() == 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -119,7 +119,7 @@
 		stats.slowdown = max(stats.slowdown, line.Float("pace"))
 		stats.imbalance = max(stats.imbalance, line.Float("imbalance"))
 		stats.reportAge = max(stats.reportAge, time.Duration(line.Int("report_ms"))*time.Millisecond)
-	case "this rank is left held", "group stands still", "group held by nobody", "group let go without its leader":
+	case "this rank is left held", "group stands still", "group held by nobody", "group let go without its leader", "switch taken back":
 		stats.groupHeld = true
 	case "try failed":
 		stats.groupBroken = stats.groupBroken || line.Get("reason") == "rank_lost"
--- a/losses/delay.go
+++ b/losses/delay.go
@@ -95,7 +95,7 @@
 var groupEventKinds = map[string]groupEventKind{
 	"group load": passLogged, "longest pass": peakPassLogged, "demand moved": demandShifted, "map planned": mapChanged, "map switched": mapChanged,
 	"this rank is left held": groupStopped, "group stands still": groupStopped, "group held by nobody": groupStopped,
-	"group let go without its leader": groupStopped,
+	"group let go without its leader": groupStopped, "switch taken back": groupStopped,
 }
 
 // passLogInterval is the interval at which leaders log the passes of their group. A line that is
--- a/peers/order.go
+++ b/peers/order.go
@@ -13,6 +13,8 @@
 		return "go"
 	case OrderDisarm:
 		return "disarm"
+	case OrderAbandon:
+		return "abandon"
 	}
 	return "unknown"
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -276,6 +276,7 @@
 	OrderHold    OrderKind = 3 // do not start a pass
 	OrderRelease OrderKind = 4 // release a held pass
 	OrderDisarm  OrderKind = 5 // cancel an accepted OrderArm
+	OrderAbandon OrderKind = 6 // to an agent: never arm rank 0 for a pass; see lockstep.proxyRank
 )
 
 // RankOrder is an order to one rank.
--- a/story/story.go
+++ b/story/story.go
@@ -131,7 +131,7 @@
 var contextEvents = []string{
 	"store lost", "store regained", "targets known again after an outage", "configuration in force", "target gone",
 	"entry lost", "stopping", "stopped", "started", "reload", "demand moved", "map switched", "group led",
-	"group stands still", "this rank is left held", "group let go without its leader", "agent lost", "engine lost",
+	"group stands still", "this rank is left held", "group let go without its leader", "switch taken back", "ranks use different maps", "agent lost", "engine lost",
 	"group load", "longest pass", "loads not read", "log lines dropped",
 }
 
