lockstep: a group whose ranks use two maps is repaired

Change: maps that differ for 0.2 s are a fault, logged and counted. Each rank keeps its experts as far as all experts then have a rank, and the group switches to that map like to any other; the next plan follows from there.

Evidence: TestGroupWithTwoMapsIsRepaired fails on the code before, busy and idle; with the change no pass later than 1.5 s after the fault has two maps, and all experts have a rank.

Why it works: the repair needs no memory of either map, only the lists that the ranks report, and few copies, so that the ranks' limit on new experts holds.

--- a/lockstep/idle_test.go
+++ b/lockstep/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,6 +155,59 @@
 	}
 }
 
+// A group that used two maps went on so for good, as its leader planned nothing while ranks differed.
+func TestGroupWithTwoMapsIsRepaired(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		g := NewWithT(t)
+		group := newSimGroup(12, 2, 48, 3)
+		var mixedAfter, passesAfter int
+		runGroup(t, group, 20*time.Second, func(*simFleet) {
+			time.Sleep(5 * time.Second)
+			group.mixRanks(3)
+			group.setIdle(idle)
+			time.Sleep(time.Second)
+			group.setIdle(false)
+			time.Sleep(500 * time.Millisecond)
+			group.mu.Lock()
+			mixedAfter, passesAfter = len(group.mixedSteps), group.passes
+			group.mu.Unlock()
+		})
+		g.Expect(group.mixedSteps).To(HaveLen(mixedAfter), "mixed passes later than 1.5 s")
+		g.Expect(group.passes).To(BeNumerically(">", passesAfter+200))
+		g.Expect(group.hasAllExperts()).To(BeTrue())
+	}
+}
+
+// mixRanks gives some ranks another map, in which two experts of each have changed places.
+func (g *simGroup) mixRanks(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := 1; r <= n; r++ {
+		a, b := g.ranks[r], g.ranks[r+n]
+		for set := range a.lists {
+			a.lists[set], b.lists[set] = slices.Clone(a.lists[set]), slices.Clone(b.lists[set])
+			a.lists[set][0] = b.lists[set][0]
+		}
+		a.version, a.highest, a.prepared, a.armed = a.highest+7, a.highest+7, 0, 0
+	}
+}
+
+// hasAllExperts reports whether all ranks use one map, in which each expert has a rank.
+func (g *simGroup) hasAllExperts() bool {
+	for set := range g.sets {
+		held := make(map[uint16]bool)
+		for _, r := range g.ranks {
+			for _, e := range r.lists[set] {
+				held[e] = true
+			}
+		}
+		if len(held) != g.experts {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(g.ranks, func(r *simRank) bool { return r.version != g.ranks[0].version })
+}
+
 // The leader's VM was cut off with its first arm order, the others took the switch back, and it went on with it when it was back.
 func TestLeaderThatWasCutOffDoesNotGoOnWithItsSwitch(t *testing.T) {
 	for seed := range uint64(8) {
--- a/lockstep/leader.go
+++ b/lockstep/leader.go
@@ -32,6 +32,7 @@
 	passTime      passMeter
 	passPeak      passPeak
 	switchCosts   switchCosts
+	mixedSince    time.Time // time since which ranks have used different maps; zero: they use one
 	peakImbalance imbalancePeak
 	hold          holdTracker
 	lag           mapLag
@@ -126,6 +127,7 @@
 	holder := ranks[holderRank(len(ranks))].member
 	if !l.syncMap(ranks) {
 		l.lag.cause = lagUnknownMap
+		l.repairMaps(holder, ranks)
 		return
 	}
 	l.lag.cause = lagSwitching
@@ -149,6 +151,7 @@
 	_, highest := stepRange(ranks)
 	l.switchStep = highest + holdStepsAhead
 	l.layouts, l.recentMaps, l.lag = nil, nil, mapLag{}
+	l.mixedSince = time.Time{}
 	m := l.group.model
 	for range m.LayerSets {
 		l.layouts = append(l.layouts, expert.InitialLayout(len(ranks), m.Experts))
@@ -241,6 +244,7 @@
 			l.layouts, l.version = next.layouts, next.version
 		}
 	}
+	l.mixedSince = time.Time{}
 	if inUse == l.version {
 		return true
 	}
