tcp: a peer that reads slowly is told from one that is unreachable

Cause: the user timeout of 2.5 s on callers' connections. The kernel also applies it to a peer that acknowledges each probe of its closed window. The class is a slow peer taken for a dead one: targets that pause while they read a long body lost their requests in the same way; a closing connection gave up unread data after 1 s; a stopping entry did not wait for unread data in the kernel.

Change: StallWatch checks a connection while written data is unacknowledged, and extends the user timeout while the peer acknowledges. It ends connections to peers that acknowledge nothing: 2.5 s with data in flight as before, 3.75 s with a closed window. It is on connections of callers and to targets. Callers that do not read share a bound on memory (an eighth of the process's); beyond it those that have waited longest are cut off. Peers and store stay: their calls end by their own timeouts before.

Why it works: acknowledgements and not progress tell whether a peer lives; the extension also keeps the kernel's probes at most 2.5 s apart, so that a peer that dies while it pauses is still noticed.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -3,11 +3,17 @@
 package callers
 
 import (
+	"cmp"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/heatherrail/heatherrail/internal/tcp"
 )
 
 // Listener accepts connections on which a disconnect of the caller can be detected during a
@@ -17,21 +23,28 @@
 // use up the connections of all others.
 type Listener struct {
 	net.Listener
-	maxPerAddress int
-	onReject      func(remote net.Addr)
+	maxPerAddress  int
+	maxUnreadBytes int
+	onReject       func(remote net.Addr)
 
 	mu          sync.Mutex
 	connections map[netip.Addr]int
+	open        map[*Conn]struct{}
+	slow        slowReaders
 }
 
 // NewListener returns a listener that accepts at most half of maxCallers connections from one
-// address; onReject is called for each rejected one.
-func NewListener(ln net.Listener, maxCallers int, onReject func(net.Addr)) *Listener {
+// address; onReject is called for each rejected one. Callers that do not read may leave
+// maxUnreadBytes unread in all; 0: DefaultUnreadBytes.
+func NewListener(ln net.Listener, maxCallers, maxUnreadBytes int, onReject func(net.Addr)) *Listener {
 	return &Listener{
-		Listener:      ln,
-		maxPerAddress: max(1, maxCallers/addressShareDivisor),
-		onReject:      onReject,
-		connections:   make(map[netip.Addr]int),
+		Listener:       ln,
+		maxPerAddress:  max(1, maxCallers/addressShareDivisor),
+		maxUnreadBytes: cmp.Or(maxUnreadBytes, DefaultUnreadBytes),
+		onReject:       onReject,
+		connections:    make(map[netip.Addr]int),
+		open:           make(map[*Conn]struct{}),
+		slow:           make(slowReaders),
 	}
 }
 
@@ -48,13 +61,23 @@
 		}
 		addr := remoteAddr(nc)
 		if l.addConn(addr) {
-			return &Conn{Conn: nc, onClose: func() { l.removeConn(addr) }}, nil
+			return l.newConn(nc, addr), nil
 		}
 		_ = nc.Close() // closed at once: a lingering close as in Conn.Close would need a goroutine
 		l.onReject(nc.RemoteAddr())
 	}
 }
 
+func (l *Listener) newConn(nc net.Conn, addr netip.Addr) *Conn {
+	c := &Conn{Conn: nc}
+	c.onClose = func() { l.removeConn(c, addr) }
+	c.stall = tcp.NewStallWatch(nc, func(s tcp.Stall) bool { return l.recordStall(c, s) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c
+}
+
 func remoteAddr(nc net.Conn) netip.Addr {
 	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		return tcp.AddrPort().Addr()
@@ -72,9 +95,10 @@
 	return true
 }
 
-func (l *Listener) removeConn(addr netip.Addr) {
+func (l *Listener) removeConn(c *Conn, addr netip.Addr) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.open, c)
 	if l.connections[addr]--; l.connections[addr] == 0 {
 		delete(l.connections, addr)
 	}
@@ -92,6 +116,9 @@
 	hasReadAhead bool
 	readErr      error
 
+	stall   *tcp.StallWatch
+	writing atomic.Int64 // bytes of the write that waits for the caller
+
 	// corked and pending are used only by the goroutine that writes the response.
 	corked  bool
 	pending *[]byte // data that is not yet written; nil if there is none
@@ -167,33 +194,47 @@
 	return len(p), nil
 }
 
-func (c *Conn) writeNow(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+func (c *Conn) writeNow(p []byte) (written int, err error) {
+	c.stall.Arm()
+	defer c.writing.Store(0)
+	for {
+		c.writing.Store(int64(len(p) - written))
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
 }
 
 // Limits of a lingering close.
 const (
-	lingerTime  = time.Second
-	lingerBytes = 64 << 20
+	lingerTime    = time.Second
+	lingerBytes   = 64 << 20
+	lingerRecheck = 200 * time.Millisecond
 )
 
 // Close implements net.Conn. A caller that is still sending when its request is rejected, for
 // example for a body that is too large, would have its connection reset and lose the
-// rejection. So Close reads and discards incoming data for up to lingerTime.
+// rejection. So Close reads and discards incoming data for up to lingerTime. A caller that has not
+// read its response yet keeps its connection until it has, or for writeTimeout without reading.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() {
-		tcp, ok := c.Conn.(*net.TCPConn)
-		if !ok || tcp.CloseWrite() != nil {
+		conn, ok := c.Conn.(*net.TCPConn)
+		if !ok || conn.CloseWrite() != nil {
 			c.closeNow()
 			return
 		}
 		go func() {
 			defer c.closeNow()
-			if tcp.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-				_, _ = io.CopyN(io.Discard, tcp, lingerBytes) // the result does not matter
+			if conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+				_, _ = io.CopyN(io.Discard, conn, lingerBytes) // the result does not matter
+			}
+			for c.stall.Undelivered() {
+				time.Sleep(lingerRecheck)
 			}
 		}()
 	})
@@ -201,6 +242,7 @@
 }
 
 func (c *Conn) closeNow() {
+	c.stall.Stop()
 	_ = c.Conn.Close() // an error at this point has no consequence
 	c.onClose()
 }
--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -16,7 +16,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = inner.Close() }()
 	rejected := make(chan net.Addr, 16)
-	ln := NewListener(inner, 8, func(a net.Addr) { rejected <- a })
+	ln := NewListener(inner, 8, 0, func(a net.Addr) { rejected <- a })
 	accepted := make(chan net.Conn, 16)
 	go func() {
 		for {
--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -34,6 +34,10 @@
 	return p.Wait(g)
 }
 
+// unreadMemoryDivisor is the memory of the process divided by the memory that callers which do not read
+// may take.
+const unreadMemoryDivisor = 8
+
 // options returns the gateway's options from the settings of the process.
 func options(p *hosted.Process) gateway.Options {
 	s := p.Settings
@@ -55,6 +59,7 @@
 		ShutdownGrace:           s.ShutdownGrace,
 		MaxDirectoryTTL:         s.MaxDirectoryTTL,
 		MaxDirectoryAddresses:   platform.MaxDirectoryAddresses,
+		MaxUnreadBytes:          int(s.MemoryBytes / unreadMemoryDivisor),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,7 +139,7 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	ln := callers.NewListener(e.callerListener, e.opts.Settings.MaxCallers, e.refuseConn)
+	ln := callers.NewListener(e.callerListener, e.opts.Settings.MaxCallers, 0, e.refuseConn)
 	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && e.ctx.Err() == nil {
 		e.log.Error(err, "caller listener stopped")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	slackShare      *placing.SlackShare // share of the retry slack of all services
 	reservedHeaders map[string]bool     // lower-case names of headers that only the gateway may set
 	callerServer    *fasthttp.Server
+	callerListener  *callers.Listener
 	listener        net.Listener
 	peerServer      *peers.Server
 	inFlight        atomic.Int64
@@ -150,7 +151,7 @@
 }
 
 func (g *Gateway) serveCallers() {
-	ln := callers.NewListener(g.listener, maxCallerConns, func(a net.Addr) {
+	g.callerListener = callers.NewListener(g.listener, maxCallerConns, g.opts.MaxUnreadBytes, func(a net.Addr) {
 		g.opts.Metrics.CountResult(result.ConnsFull)
 		g.opts.Log.Info("caller refused", "remote", a.String(), "reason", result.ConnsFull.Info().Name)
 	})
@@ -172,7 +173,7 @@
 		DisablePreParseMultipartForm: true,
 	}
 	go func() {
-		if err := g.callerServer.Serve(ln); err != nil {
+		if err := g.callerServer.Serve(g.callerListener); err != nil {
 			g.opts.Log.Error(err, "server for callers failed")
 		}
 	}()
@@ -299,7 +300,7 @@
 }
 
 // Shutdown stops the gateway. It notifies peers and callers, accepts requests until most callers
-// have a new directory answer, and waits until all responses are written. It returns an error if
+// have a new directory answer, and waits until all responses are written and read. It returns an error if
 // requests are still in flight at the end of the shutdown grace.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	start := time.Now()
@@ -312,14 +313,14 @@
 	earliestEnd := start.Add(3 * directoryTTL)
 	deadline := start.Add(fractionOf(g.opts.ShutdownGrace, 1-exitReserveShare))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 {
+		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 && g.callerListener.Unread() == 0 {
 			break
 		}
 		sleep(ctx, shutdownPollInterval)
 	}
 	inFlight := g.unwritten.count()
 	g.cancel()
-	g.opts.Log.Info("stopped", "in_flight", inFlight, "ms", time.Since(start).Milliseconds())
+	g.opts.Log.Info("stopped", "in_flight", inFlight, "unread", g.callerListener.Unread(), "ms", time.Since(start).Milliseconds())
 	if inFlight > 0 {
 		return fmt.Errorf("%d requests still in flight at the end of the shutdown", inFlight)
 	}
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -7,8 +7,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Limits for the detection of unreachable peers.
@@ -16,7 +14,8 @@
 // A VM without power or behind a partition acknowledges nothing, and by default the
 // kernel retransmits for many minutes. Reads from such a connection would hang. Keepalive
 // probes end an idle connection, and the user timeout ends a connection with
-// unacknowledged data. Both take about userTimeout.
+// unacknowledged data. Both take about userTimeout. The user timeout also ends a
+// connection to a peer that lives and does not read: see StallWatch.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
@@ -47,12 +46,5 @@
 // setUserTimeout sets TCP_USER_TIMEOUT, which bounds how long sent data may stay
 // unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
+	return setUserTimeoutOf(raw, userTimeout)
 }
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -42,7 +41,7 @@
 	case err != nil:
 		return ProcessUnknown
 	}
-	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
+	c := newConn(nc)
 	if err := nc.SetReadDeadline(time.Now().Add(checkHoldTime)); err != nil {
 		c.abort()
 		return ProcessUnknown
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -70,9 +70,14 @@
 type conn struct {
 	nc      net.Conn
 	br      *bufio.Reader
+	stall   *tcp.StallWatch // a target may read a long body slowly
 	expires time.Time
 }
 
+func newConn(nc net.Conn) *conn {
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), stall: tcp.NewStallWatch(nc, nil)}
+}
+
 // DialCount returns the number of connections that were opened or attempted.
 func (p *Pool) DialCount() int64 {
 	p.mu.Lock()
@@ -116,12 +121,7 @@
 // abort resets the connection. The reset discards data that is still on its way to the target.
 // After an ordinary close that data would arrive when a frozen or disconnected VM is back, and
 // the target would process a request whose caller has long left.
-func (c *conn) abort() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // if it fails, the connection is closed without a reset
-	}
-	_ = c.nc.Close()
-}
+func (c *conn) abort() { tcp.Abort(c.nc) }
 
 var headBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
@@ -136,6 +136,7 @@
 	if len(req.Body) <= separateBodyBytes {
 		head = append(head, req.Body...)
 	}
+	c.stall.Arm()
 	_, writeErr := c.nc.Write(head)
 	*buf = head[:0]
 	headBuffers.Put(buf)
@@ -236,7 +237,7 @@
 	if err != nil {
 		return nil, true, err
 	}
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, true, nil
+	return newConn(nc), true, nil
 }
 
 func (p *Pool) popIdle() *conn {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -241,3 +241,32 @@
 	g.Expect(keepAliveTime("max=3")).To(Equal(defaultIdleTime))
 	g.Expect(keepAliveTime("timeout=0")).To(BeZero())
 }
+
+// A target that paused for 2.5 s while it read a long body had its connection reset, and the request failed.
+func TestTargetMayReadALongBodySlowly(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	body := strings.Repeat("0123456789abcdef", 256<<10)
+	target := serve(t, func(nc net.Conn, _ *bufio.Reader, _ int) bool {
+		_ = nc.(*net.TCPConn).SetReadBuffer(64 << 10) // else the kernel takes the whole body
+		time.Sleep(4 * time.Second)
+		br := bufio.NewReader(nc)
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return false
+		}
+		read, err := io.Copy(io.Discard, r.Body)
+		if err != nil || read != int64(len(body)) {
+			return false
+		}
+		_, err = io.WriteString(nc, okResponse("1", "ok"))
+		return err == nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r, err := NewPool(target.addr).Send(ctx, &Request{Method: "POST", URI: "/", Host: "h", Body: []byte(body), EchoHeader: "Id", EchoValue: "1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	text, err := io.ReadAll(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(Equal("ok"))
+}
