gateway, platform: answers without end cost bounded memory and time

Played by stand-ins: twelve requests with such bodies took 370 to 560 MB of a gateway that has 284 MB; interim responses without end held a request until its deadline; a fault after a sound head never ejected the target (12 to 17 of 30 requests went to it); a length of 2^63-1 from the store or in an engine's report ended the process (makeslice: len out of range).

Cause: each place bounded its own buffer or left it to the library, nobody bounded all of them together, and a success was counted when the head was read.

Change: responses that are being read share a bound (an eighth of the memory); beyond it those above the mean size are broken off and answered as answer_broken, which says that they may have run. Eight interim responses at most. A success counts once the body, or the first event of a stream, has arrived.

Evidence: on the code before, 4 of 31 cases of TestAnswersWithoutEndAreBounded and 7 of 15 of TestTargetThatAnswersWithoutEndIsEjected fail, and TestCallsAnsweredWithoutEndFail panics. All pass with the change. Heads, trailers, chunk extensions, streams, answers to other requests and peers were bounded before; their tests pass on both.

Why it works: the bound is on what all responses hold, and what exceeds it is what grew most, so that sound answers beside endless ones are delivered.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -38,6 +38,10 @@
 // may take.
 const unreadMemoryDivisor = 8
 
+// bufferMemoryDivisor is the memory of the process divided by the memory that responses take while they
+// are read from targets.
+const bufferMemoryDivisor = 8
+
 // options returns the gateway's options from the settings of the process.
 func options(p *hosted.Process) gateway.Options {
 	s := p.Settings
@@ -60,6 +64,7 @@
 		MaxDirectoryTTL:         s.MaxDirectoryTTL,
 		MaxDirectoryAddresses:   platform.MaxDirectoryAddresses,
 		MaxUnreadBytes:          int(s.MemoryBytes / unreadMemoryDivisor),
+		MaxBufferedBytes:        int(s.MemoryBytes / bufferMemoryDivisor),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -386,7 +386,9 @@
 		d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		return result.New(result.EngineLost, "%s answered with status %d", a.target.ID, status)
 	}
-	d.g.tracker.RecordOutcome(a.target, status/100 != 5, time.Now())
+	if status/100 != 2 { // a success counts once the body, or the first event of a stream, has arrived
+		d.g.tracker.RecordOutcome(a.target, status/100 != 5, time.Now())
+	}
 	return nil
 }
 
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -14,6 +14,7 @@
 // target has no gaps, duplicates or partial events.
 type eventScanner struct {
 	pending []byte // start of the next event
+	scanned int    // bytes of pending in which no event ends
 	lastID  int64  // id of the last forwarded event; -1 before the first
 }
 
@@ -30,10 +31,11 @@
 	s.pending = append(s.pending, data...)
 	consumed := 0
 	for {
-		end := eventEnd(s.pending[consumed:])
+		end := eventEnd(s.pending[consumed:], s.scanned)
 		if end < 0 {
 			break
 		}
+		s.scanned = 0
 		event := s.pending[consumed : consumed+end]
 		consumed += end
 		forward, err := s.accept(event)
@@ -45,21 +47,29 @@
 		}
 	}
 	s.pending = append(s.pending[:0], s.pending[consumed:]...)
+	s.scanned = max(len(s.pending)-len(crlfEventEnd)+1, 0)
 	if len(s.pending) > maxEventBytes {
 		return out, errEventTooLarge
 	}
 	return out, nil
 }
 
-// eventEnd returns the length of the first complete event, -1 if there is none.
-func eventEnd(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+// Ends of an event.
+const (
+	lfEventEnd   = "\n\n"
+	crlfEventEnd = "\r\n\r\n"
+)
+
+// eventEnd returns the length of the first complete event, -1 if there is none. No event ends in the
+// first scanned bytes.
+func eventEnd(b []byte, scanned int) int {
+	lf := bytes.Index(b[scanned:], []byte(lfEventEnd))
+	crlf := bytes.Index(b[scanned:], []byte(crlfEventEnd))
 	switch {
 	case crlf >= 0 && (lf < 0 || crlf < lf):
-		return crlf + len("\r\n\r\n")
+		return scanned + crlf + len(crlfEventEnd)
 	case lf >= 0:
-		return lf + len("\n\n")
+		return scanned + lf + len(lfEventEnd)
 	}
 	return -1
 }
@@ -95,7 +105,7 @@
 }
 
 // discardPending drops the partial event of a broken stream.
-func (s *eventScanner) discardPending() { s.pending = s.pending[:0] }
+func (s *eventScanner) discardPending() { s.pending, s.scanned = s.pending[:0], 0 }
 
 // hasPartialEvent reports whether an event has started and not ended.
 func (s *eventScanner) hasPartialEvent() bool { return len(bytes.TrimSpace(s.pending)) > 0 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -39,6 +40,7 @@
 	peerServer      *peers.Server
 	inFlight        atomic.Int64
 	unwritten       unwrittenResponses
+	buffers         responseBuffers
 	stopping        atomic.Bool
 	refuseAfter     atomic.Pointer[time.Time] // time from which new requests are refused; nil: the gateway is not stopping
 	started         time.Time
@@ -68,6 +70,7 @@
 		listener:        callersLn,
 		reservedHeaders: make(map[string]bool),
 	}
+	g.buffers.limit = cmp.Or(o.MaxBufferedBytes, defaultBufferedBytes)
 	p := &o.Headers
 	for _, name := range []string{p.Deadline, p.Key, p.Team, p.Instance, p.Priority} {
 		g.reservedHeaders[strings.ToLower(name)] = true
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -58,6 +58,7 @@
 	MaxDirectoryTTL         time.Duration // upper limit of the TTL of directory answers
 	MaxDirectoryAddresses   int           // maximum number of addresses in a directory answer; 0: no limit
 	MaxUnreadBytes          int           // bytes that callers may leave unread in all before the slowest is cut off; 0: callers.DefaultUnreadBytes
+	MaxBufferedBytes        int           // bytes of responses that are being read, all together; 0: defaultBufferedBytes
 	RetryBudget             RetryBudget
 	AgentPort               string                                  // port of the lockstep agents
 	Dial                    func(address string) members.PeerClient // returns a client for another entry; nil: TCP
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,9 +9,6 @@
 	"github.com/heatherrail/heatherrail/result"
 )
 
-// maxBufferedBytes limits a response that is buffered completely before delivery.
-const maxBufferedBytes = 16 << 20
-
 // servePlain delivers the complete response of a target. The response is buffered first. If the
 // target's connection breaks in the middle, the request can thus be retried at another target, and
 // callers never get a partial response.
@@ -24,8 +18,11 @@
 		if e != nil {
 			return nil, e
 		}
-		body, err := readBody(a)
+		body, err := g.readBody(a)
 		if err == nil {
+			if a.resp.Status/100 == 2 {
+				g.tracker.RecordOutcome(a.target, true, time.Now())
+			}
 			g.crashes.recordCompleted(a)
 			g.copyHeader(c, a)
 			c.Response.SetBodyRaw(body)
@@ -45,28 +42,3 @@
 		g.opts.Metrics.CountRetry(d.lastErr.Code)
 	}
 }
-
-var errResponseTooLarge = errors.New("response exceeds the size limit")
-
-func readBody(a *attempt) ([]byte, error) {
-	size := max(a.resp.Header.ContentLength(), 0)
-	if size > maxBufferedBytes {
-		return nil, errResponseTooLarge
-	}
-	body := make([]byte, 0, size+1)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := a.resp.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, fmt.Errorf("response broken after %d bytes: %w", len(body), err)
-		case len(body) > maxBufferedBytes:
-			return nil, errResponseTooLarge
-		}
-	}
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,7 +63,7 @@
 
 // forwardFailure delivers a target's own error response.
 func (b *streamBody) forwardFailure(c *fasthttp.RequestCtx) *result.Error {
-	body, err := readBody(b.current)
+	body, err := b.g.readBody(b.current)
 	defer b.current.close()
 	if err != nil {
 		return result.New(result.AnswerBroken, "%s: %w", b.current.target.ID, err)
@@ -144,6 +144,9 @@
 			b.g.tracker.RecordEventGap(b.current.target, pause, now)
 		}
 	}
+	if b.provingAttempt != b.current {
+		b.g.tracker.RecordOutcome(b.current.target, true, now)
+	}
 	b.lastEventAt, b.resumed = now, false
 	b.proveParts(now)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -180,6 +180,11 @@
 // the response to the current one.
 const maxSkippedResponses = 2
 
+// maxInterimResponses limits the interim responses (status 1xx) before a response.
+const maxInterimResponses = 8
+
+var errInterimResponses = errors.New("too many interim responses")
+
 var errOtherRequest = errors.New("response belongs to another request")
 
 // readResponse reads the head of the response to this request. A faulty target may send a
@@ -205,17 +210,17 @@
 func (c *conn) readResponseHead(req *Request) (*Response, error) {
 	r := &Response{}
 	r.Header.SetNoDefaultContentType(true)
-	for {
+	for range maxInterimResponses + 1 {
 		if err := r.Header.Read(c.br); err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
 		r.Status = r.Header.StatusCode()
 		if r.Status >= 200 {
-			break
+			r.setBody(c, req.Method == fasthttp.MethodHead)
+			return r, nil
 		}
 	}
-	r.setBody(c, req.Method == fasthttp.MethodHead)
-	return r, nil
+	return nil, errInterimResponses
 }
 
 // acquire returns a usable connection and whether it was opened just now. An idle connection is
