--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -285,6 +285,7 @@
 	}
 	f.cancel()
 	f.tasks.Wait()
+	time.Sleep(time.Second) // messages in flight arrive before the bubble ends
 }
 
 func simConfig(g *simGroup) serving.Config {
