tcp: a write that crosses a check of its connection is watched

What callers would see: on a connection that is used again and again, a caller that pauses for 2.5 s could still lose its answer, if the check for an earlier write came just before the write: it saw nothing unacknowledged, ended the watch, and the write was left to the kernel's user timeout. Found by reading.

TestWriteThatCrossesACheckIsWatched fails without the change (connection reset). Why it works: a watch that was armed again since its latest check goes on for one check more.

--- a/internal/tcp/stall.go
+++ b/internal/tcp/stall.go
@@ -28,6 +28,7 @@
 	armedAt  time.Time // time since when data has not been acknowledged; zero: the watch is not armed
 	acked    uint64    // bytes acknowledged at the latest check
 	progress time.Time // time of the latest check that saw more bytes acknowledged
+	rearmed  bool      // data may have been written since the latest check
 	extended bool      // the connection has another user timeout than userTimeout
 	closed   bool
 }
@@ -68,9 +69,17 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed || !w.armedAt.IsZero() {
-		return
+	switch {
+	case w.closed:
+	case !w.armedAt.IsZero():
+		w.rearmed = true
+	default:
+		w.start()
 	}
+}
+
+// start begins the checks of data that is about to be written.
+func (w *StallWatch) start() {
 	w.armedAt = time.Now()
 	w.progress = w.armedAt
 	if w.timer == nil {
@@ -121,8 +130,13 @@
 	if w.closed {
 		return
 	}
+	rearmed := w.rearmed
+	w.rearmed = false
 	if err != nil || !isOutstanding(info) {
 		w.disarm()
+		if err == nil && rearmed { // the write may come after the look at the connection
+			w.start()
+		}
 		return
 	}
 	now := time.Now()
--- a/internal/tcp/stall_test.go
+++ b/internal/tcp/stall_test.go
@@ -149,3 +149,20 @@
 	w.Stop()
 	g.Expect(w.Undelivered()).To(BeFalse())
 }
+
+// A check between the start of the watch and the write ended the watch, and a pause of the reader the connection.
+func TestWriteThatCrossesACheckIsWatched(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	own, peer := connPair(t)
+	w := NewStallWatch(own, nil)
+	defer w.Stop()
+	w.Arm()
+	w.Arm()
+	w.check()
+	_, err := own.Write(make([]byte, responseBytes))
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(4 * time.Second)
+	_, err = io.ReadFull(peer, make([]byte, responseBytes))
+	g.Expect(err).NotTo(HaveOccurred())
+}
