soak/crowds: crowds of clients that do not behave, and what must hold, before anything changes

Callers that send unfinished, announced or endless bodies, or connections that say nothing, end a gateway or take its descriptors for good. Checked are the process's life, its memory with what the kernel holds for its sockets, its open files, and ordinary requests with the crowd there and after it; no times, no shares.

--- /dev/null
+++ b/soak/crowds/connections_test.go
@@ -0,0 +1,99 @@
+package crowds
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// addresses are those that crowds of connections come from.
+var addresses = []string{"127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14"}
+
+// Silent connections must not keep the descriptors that ordinary callers need, at any port.
+func TestSilentConnections(t *testing.T) {
+	for name, port := range ports {
+		t.Run(name, func(t *testing.T) {
+			d := startGateway(t, options{})
+			c := newCrowd(t, port(d), addresses...)
+			c.come(1500, nil)
+			d.expectSurvives(c)
+		})
+	}
+}
+
+// Parts of heads must not keep the descriptors or the memory that ordinary callers need, at any port.
+func TestHalfHeads(t *testing.T) {
+	for name, port := range ports {
+		t.Run(name, func(t *testing.T) {
+			d := startGateway(t, options{})
+			c := newCrowd(t, port(d), addresses...)
+			part := append([]byte("GET /heatherrail/ready HTTP/1.1\r\nHost: h\r\nX-Long: "), bytes.Repeat([]byte("x"), 3<<10)...)
+			c.come(1500, func(_ int, cl *client) { cl.send(part) })
+			d.expectSurvives(c)
+		})
+	}
+}
+
+// ports are those that a gateway listens on.
+var ports = map[string]func(d *deployment) string{
+	"callers":   func(d *deployment) string { return d.callers },
+	"readiness": func(d *deployment) string { return d.ready },
+	"directory": func(d *deployment) string { return d.directory },
+	"peers":     func(d *deployment) string { return d.peers },
+	"metrics":   func(d *deployment) string { return d.metrics },
+}
+
+// A gateway that has run out of descriptors accepts connections again once it has some, and its readiness check says so.
+func TestDescriptorsRunOut(t *testing.T) {
+	d := startGateway(t, options{})
+	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid))
+	d.limitFiles(len(files) + 20)
+	c := newCrowd(t, d.callers, addresses...)
+	c.come(100, nil)
+	others := make(map[string]*crowd)
+	for name, port := range ports {
+		others[name] = newCrowd(t, port(d), addresses...)
+		others[name].come(20, nil)
+	}
+	c.leave()
+	for _, other := range others {
+		other.leave()
+	}
+	d.expectService("afterwards")
+	d.expectWithinLimits()
+}
+
+// Connections that send no whole head are closed once the time for it is over, at any port.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	d := startGateway(t, options{})
+	for name, port := range ports {
+		t.Run(name, func(t *testing.T) {
+			c := newCrowd(t, port(d))
+			c.come(1, nil)
+			c.come(1, func(_ int, cl *client) { cl.send([]byte("GET /")) })
+			for _, cl := range c.clients {
+				_ = cl.SetReadDeadline(time.Now().Add(patience))
+				_, err := io.Copy(io.Discard, cl)
+				NewWithT(t).Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection is closed")
+			}
+		})
+	}
+	d.expectWithinLimits()
+}
+
+// Connections that ask and then stay idle must not keep the room of those that come later.
+func TestIdleConnections(t *testing.T) {
+	d := startGateway(t, options{})
+	c := newCrowd(t, d.callers, addresses...)
+	c.come(600, func(i int, cl *client) {
+		cl.send(head(plainRoute, fmt.Sprintf("i-%d", i), announced(1)), []byte("x"))
+		cl.response(answerTimeout)
+	})
+	d.expectSurvives(c)
+}
