--- a/callers/conn.go
+++ b/callers/conn.go
@@ -1,129 +1,58 @@
-// Package callers accepts callers' connections, detects callers that disconnect during a
-// request, and limits the connections of one address.
+// Package callers accepts callers' connections, reads and buffers what they send within an account of all connections, and detects
+// callers that disconnect during a request.
 package callers
 
 import (
-	"cmp"
 	"errors"
 	"io"
 	"net"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/heatherrail/heatherrail/internal/tcp"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
-// Listener accepts connections on which a disconnect of the caller can be detected during a
-// request. fasthttp reads a connection only between requests, so by itself it would notice a
-// closed connection only at the next write, which may be a long prefill away. Listener also
-// limits the connections of one address, so that a caller that opens idle connections cannot
-// use up the connections of all others.
-type Listener struct {
-	net.Listener
-	maxPerAddress  int
-	maxUnreadBytes int
-	onReject       func(remote net.Addr)
-
-	mu          sync.Mutex
-	connections map[netip.Addr]int
-	open        map[*Conn]struct{}
-	slow        slowReaders
-}
-
-// NewListener returns a listener that accepts at most half of maxCallers connections from one
-// address; onReject is called for each rejected one. Callers that do not read may leave
-// maxUnreadBytes unread in all; 0: DefaultUnreadBytes.
-func NewListener(ln net.Listener, maxCallers, maxUnreadBytes int, onReject func(net.Addr)) *Listener {
-	return &Listener{
-		Listener:       ln,
-		maxPerAddress:  max(1, maxCallers/addressShareDivisor),
-		maxUnreadBytes: cmp.Or(maxUnreadBytes, DefaultUnreadBytes),
-		onReject:       onReject,
-		connections:    make(map[netip.Addr]int),
-		open:           make(map[*Conn]struct{}),
-		slow:           make(slowReaders),
-	}
-}
-
-// addressShareDivisor limits one address to half of all connections. Many callers of a team
-// can share one address, so a lower limit would reject legitimate callers.
-const addressShareDivisor = 2
-
-// Accept implements net.Listener.
-func (l *Listener) Accept() (net.Conn, error) {
-	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		addr := remoteAddr(nc)
-		if l.addConn(addr) {
-			return l.newConn(nc, addr), nil
-		}
-		_ = nc.Close() // closed at once: a lingering close as in Conn.Close would need a goroutine
-		l.onReject(nc.RemoteAddr())
-	}
-}
-
-func (l *Listener) newConn(nc net.Conn, addr netip.Addr) *Conn {
-	c := &Conn{Conn: nc}
-	c.onClose = func() { l.removeConn(c, addr) }
-	c.stall = tcp.NewStallWatch(nc, func(s tcp.Stall) bool { return l.recordStall(c, s) })
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[c] = struct{}{}
-	return c
-}
-
-func remoteAddr(nc net.Conn) netip.Addr {
-	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
-		return tcp.AddrPort().Addr()
-	}
-	return netip.Addr{}
-}
-
-func (l *Listener) addConn(addr netip.Addr) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.connections[addr] >= l.maxPerAddress {
-		return false
-	}
-	l.connections[addr]++
-	return true
-}
-
-func (l *Listener) removeConn(c *Conn, addr netip.Addr) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.open, c)
-	if l.connections[addr]--; l.connections[addr] == 0 {
-		delete(l.connections, addr)
-	}
-}
-
 // Conn is a caller's connection. While a request runs, one byte is read ahead to detect
 // a disconnect, and is kept for the server's next read.
 type Conn struct {
 	net.Conn
-	onClose   func()
+	server    *Server
+	holder    *shedding.Holder
+	stall     *tcp.StallWatch
+	writing   atomic.Int64 // bytes of the write that waits for the caller
+	gaveWay   atomic.Bool
+	leaving   chan struct{} // closed when the connection gives way to others
+	closed    chan struct{} // closed when the descriptor is
 	closeOnce sync.Once
 
 	mu           sync.Mutex
+	state        shedding.State
 	readAhead    [1]byte
 	hasReadAhead bool
 	readErr      error
-
-	stall   *tcp.StallWatch
-	writing atomic.Int64 // bytes of the write that waits for the caller
+	cancel       func() // ends the pending read of a response; nil: none is pending
+	behind       int    // memory reserved for what the caller has sent behind a running request
+	atOnce       bool   // the connection gives way to a new one and is closed without waiting for its caller
+
+	// The fields below are used only by the goroutine that serves the connection.
+	began           time.Time // when the wait for a request or for its head began
+	betweenRequests bool
+	endedIdle       bool // the library has released the connection between two requests
+	bodyRead        bool
+	buffers         []*Buffer
+	reserved        int // memory granted by the account, without behind
 
 	// corked and pending are used only by the goroutine that writes the response.
 	corked  bool
 	pending *[]byte // data that is not yet written; nil if there is none
 }
 
+// Began returns when the request on the connection began to arrive.
+func (c *Conn) Began() time.Time { return c.began }
+
 // maxPendingBytes limits the data that is collected for one system call.
 const maxPendingBytes = 16 << 10
 
@@ -153,23 +82,6 @@
 	return err
 }
 
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	if c.hasReadAhead && len(p) > 0 {
-		p[0] = c.readAhead[0]
-		c.hasReadAhead = false
-		c.mu.Unlock()
-		return 1, nil
-	}
-	readErr := c.readErr
-	c.mu.Unlock()
-	if readErr != nil {
-		return 0, readErr
-	}
-	return c.Conn.Read(p)
-}
-
 // writeTimeout limits how long a write may wait for a caller that does not read. Without it, a
 // caller that stops reading would hold its connection and the memory of the response indefinitely.
 const writeTimeout = 30 * time.Second
@@ -221,18 +133,26 @@
 // example for a body that is too large, would have its connection reset and lose the
 // rejection. So Close reads and discards incoming data for up to lingerTime. A caller that has not
 // read its response yet keeps its connection until it has, or for writeTimeout without reading.
+//
+// Between two requests the library closes the connection only to release its buffers.
 func (c *Conn) Close() error {
+	if c.endedIdle {
+		return nil
+	}
 	c.closeOnce.Do(func() {
 		conn, ok := c.Conn.(*net.TCPConn)
-		if !ok || conn.CloseWrite() != nil {
-			c.closeNow()
+		c.endRequest(shedding.Closing)
+		c.mu.Lock()
+		atOnce := c.atOnce
+		c.mu.Unlock()
+		if !ok || atOnce || conn.CloseWrite() != nil {
+			c.finish()
 			return
 		}
 		go func() {
-			defer c.closeNow()
-			if conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-				_, _ = io.CopyN(io.Discard, conn, lingerBytes) // the result does not matter
-			}
+			defer c.finish()
+			_ = conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed
+			_, _ = io.CopyN(io.Discard, conn, lingerBytes)       // the result does not matter
 			for c.stall.Undelivered() {
 				time.Sleep(lingerRecheck)
 			}
@@ -241,12 +161,6 @@
 	return nil
 }
 
-func (c *Conn) closeNow() {
-	c.stall.Stop()
-	_ = c.Conn.Close() // an error at this point has no consequence
-	c.onClose()
-}
-
 // aLongTimeAgo is a deadline that ends a pending read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
@@ -272,6 +186,10 @@
 			return
 		default:
 		}
+		if n > 0 && !c.reserveBehind() {
+			tcp.Abort(c.Conn)
+			err = errBehind
+		}
 		if err != nil {
 			c.mu.Lock()
 			c.readErr = err
@@ -288,3 +206,20 @@
 		})
 	}
 }
+
+var errBehind = errors.New("no memory left for what the caller sends behind its request")
+
+// reserveBehind reserves memory for what the kernel may hold of a caller that sends more before its response.
+func (c *Conn) reserveBehind() bool {
+	d := c.holder.Grow(tcp.BufferBytes, time.Now())
+	for _, h := range d.GiveWay {
+		h.Owner.(*Conn).giveWay(false)
+	}
+	if !d.Granted {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind += tcp.BufferBytes
+	return true
+}
--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -1,51 +1,205 @@
 package callers
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
-// One address opens many idle connections. It must get at most half of all connections, other
+// testServer is a server whose handler reads the body and answers, or waits for release where the path is /wait.
+func testServer(t *testing.T, limits shedding.Limits) (s *Server, address string, refused chan net.Addr, release chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	refused, release = make(chan net.Addr, 64), make(chan struct{})
+	server := &fasthttp.Server{
+		Handler: func(c *fasthttp.RequestCtx) {
+			if _, err := ReadBody(c, s.MaxBodyBytes(), farFuture); err != nil {
+				c.SetStatusCode(ReceiveError(err).Code.Info().Status)
+				return
+			}
+			if string(c.Path()) == "/wait" {
+				<-release
+			}
+		},
+		Logger: silent{},
+	}
+	s = NewServer(server, limits, func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} },
+		Observer{Refused: func(a net.Addr) { refused <- a }})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		NewWithT(t).Expect(ln.Close()).To(Succeed())
+		NewWithT(t).Expect(<-served).To(Succeed())
+	})
+	return s, ln.Addr().String(), refused, release
+}
+
+var farFuture = time.Now().Add(time.Hour)
+
+// dialFrom connects from a loopback address.
+func dialFrom(t *testing.T, from, address string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	nc, err := d.Dial("tcp", address)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc
+}
+
+func ask(t *testing.T, nc net.Conn, path, body string) {
+	t.Helper()
+	_, err := fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+}
+
+func statusOf(t *testing.T, br *bufio.Reader) int {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, resp.Body)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return resp.StatusCode
+}
+
+// One address opens many connections with requests. It must get at most half of all connections, other
 // addresses must still be served, and a connection that it closes may be replaced.
 func TestOneAddressCannotUseAllConnections(t *testing.T) {
 	g := NewWithT(t)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = inner.Close() }()
-	rejected := make(chan net.Addr, 16)
-	ln := NewListener(inner, 8, 0, func(a net.Addr) { rejected <- a })
-	accepted := make(chan net.Conn, 16)
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- nc
+	s, address, refused, release := testServer(t, shedding.Limits{Connections: 8, Bytes: 64 << 20})
+	var busy []net.Conn
+	for range 4 {
+		nc := dialFrom(t, "127.0.0.1", address)
+		ask(t, nc, "/wait", "x")
+		busy = append(busy, nc)
+	}
+	g.Eventually(func() int { return s.inState(shedding.Running) }, "5s", "5ms").Should(Equal(4))
+	excess := dialFrom(t, "127.0.0.1", address)
+	<-refused
+	_, err := excess.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+	other := dialFrom(t, "127.0.0.2", address)
+	ask(t, other, "/", "x")
+	g.Expect(statusOf(t, bufio.NewReader(other))).To(Equal(200))
+	g.Expect(busy[0].Close()).To(Succeed())
+	close(release)
+	for _, nc := range busy[1:] {
+		g.Expect(statusOf(t, bufio.NewReader(nc))).To(Equal(200))
+	}
+	g.Eventually(func() int { return len(s.conns()) }, "5s", "5ms").Should(Equal(4))
+	again := dialFrom(t, "127.0.0.1", address)
+	ask(t, again, "/", "x")
+	g.Expect(statusOf(t, bufio.NewReader(again))).To(Equal(200))
+	g.Expect(refused).To(BeEmpty())
+}
+
+// inState returns the number of connections in a state.
+func (s *Server) inState(state shedding.State) (n int) {
+	for _, c := range s.conns() {
+		if c.currentState() == state {
+			n++
 		}
-	}()
-	dial := func(from string) net.Conn {
-		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
-		nc, err := d.Dial("tcp", inner.Addr().String())
+	}
+	return n
+}
+
+// A body that ends with its connection before its length must not be taken for whole.
+func TestTruncatedBodyIsNotWhole(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 100\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n64\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"} {
+		g := NewWithT(t)
+		_, address, _, _ := testServer(t, shedding.Limits{Connections: 8, Bytes: 64 << 20})
+		nc := dialFrom(t, "127.0.0.1", address)
+		_, err := io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\n"+framing)
 		g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { _ = nc.Close() })
-		return nc
+		g.Expect(nc.(*net.TCPConn).CloseWrite()).To(Succeed())
+		g.Expect(statusOf(t, bufio.NewReader(nc))).To(Equal(400))
 	}
-	var open []net.Conn
-	for range 4 {
-		dial("127.0.0.1")
-		open = append(open, <-accepted)
+}
+
+// What a connection holds for a request is given back with its response, and all of it with its end.
+func TestMemoryIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	s, address, _, _ := testServer(t, shedding.Limits{Connections: 8, Bytes: 64 << 20})
+	bytesHeld := func() int { _, bytes := s.account.Usage(); return bytes }
+	nc := dialFrom(t, "127.0.0.1", address)
+	br := bufio.NewReader(nc)
+	for _, size := range []int{0, 1, 5000, 100_000, 3 << 20} {
+		ask(t, nc, "/", strings.Repeat("x", size))
+		g.Expect(statusOf(t, br)).To(Equal(200))
+		g.Eventually(bytesHeld, "5s", "5ms").Should(BeZero(), "after a body of %d bytes", size)
 	}
-	excess := dial("127.0.0.1")
-	<-rejected
-	_, err = excess.Read(make([]byte, 1))
-	g.Expect(err).To(MatchError(io.EOF))
-	dial("127.0.0.2")
-	<-accepted
-	open[0].(*Conn).closeNow()
-	dial("127.0.0.1")
-	<-accepted
+	_, err := io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"+strings.Repeat("x", 800_000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(bytesHeld, "5s", "5ms").Should(BeNumerically(">=", 800_000))
+	g.Expect(nc.Close()).To(Succeed())
+	g.Eventually(func() int { connections, bytes := s.account.Usage(); return connections + bytes }, "5s", "5ms").Should(BeZero())
+}
+
+// A listener whose accepts fail is asked again, and serves once they succeed.
+func TestFailedAcceptsAreRepeated(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	flaky := &flakyListener{Listener: ln}
+	flaky.failures.Store(5)
+	failed := make(chan error, 16)
+	s := NewServer(&fasthttp.Server{Logger: silent{}, Handler: func(*fasthttp.RequestCtx) {}}, shedding.Limits{Connections: 8, Bytes: 1 << 20},
+		func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} }, Observer{AcceptFailed: func(err error) { failed <- err }})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(flaky) }()
+	g.Expect(<-failed).To(MatchError(syscall.EMFILE))
+	g.Expect(s.Accepting()).To(BeFalse())
+	nc := dialFrom(t, "127.0.0.1", ln.Addr().String())
+	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(statusOf(t, bufio.NewReader(nc))).To(Equal(200))
+	g.Expect(s.Accepting()).To(BeTrue())
+	g.Expect(ln.Close()).To(Succeed())
+	g.Expect(<-served).To(Succeed())
+}
+
+// flakyListener fails as if the process were out of descriptors.
+type flakyListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
 }
+
+// Connections that idle callers keep hold no buffers of the HTTP library.
+func TestIdleConnectionsHoldNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	s, address, _, _ := testServer(t, shedding.Limits{Connections: 2000, Bytes: 64 << 20})
+	for range 200 {
+		nc := dialFrom(t, "127.0.0.1", address)
+		ask(t, nc, "/", "x")
+		g.Expect(statusOf(t, bufio.NewReader(nc))).To(Equal(200))
+	}
+	g.Eventually(func() int { return s.inState(shedding.Idle) }, "5s", "5ms").Should(Equal(200))
+	_, bytes := s.account.Usage()
+	g.Expect(bytes).To(BeZero())
+}
+
+// silent discards the library's log lines.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/callers/lifecycle.go
@@ -0,0 +1,242 @@
+package callers
+
+import (
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"github.com/heatherrail/heatherrail/internal/tcp"
+	"github.com/heatherrail/heatherrail/shedding"
+)
+
+// timeMargin is added to the time that a caller may take, for the way of its bytes.
+const timeMargin = 500 * time.Millisecond
+
+// awaitRequest waits for the first byte of a request. It returns false if the connection is to be closed.
+func (c *Conn) awaitRequest() bool {
+	c.betweenRequests, c.endedIdle = false, false
+	first := c.currentState() == shedding.Silent
+	if !first {
+		c.began = time.Now()
+	}
+	for !c.hasByte() {
+		t := c.server.timeouts()
+		limit := t.Idle
+		if first {
+			limit = t.Head
+		}
+		end := c.began.Add(limit + timeMargin)
+		if !time.Now().Before(end) {
+			return false
+		}
+		c.setReadLimit(end)
+		n, err := c.Conn.Read(c.readAhead[:])
+		if n > 0 {
+			c.mu.Lock()
+			c.hasReadAhead = true
+			c.mu.Unlock()
+		} else if c.gaveWay.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
+	return c.beginHead()
+}
+
+// hasByte reports whether a byte has been read ahead, or the caller has disconnected, so that there is no need to wait.
+func (c *Conn) hasByte() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasReadAhead || c.readErr != nil
+}
+
+// beginHead reserves the memory of a request. It returns false if there is none.
+func (c *Conn) beginHead() bool {
+	c.setState(shedding.Head)
+	c.began = time.Now()
+	c.setReadLimit(c.began.Add(c.server.timeouts().Head + timeMargin))
+	return c.reserve(shedding.ActiveBytes) == nil
+}
+
+// beginRequest is called when the library has read the first byte of a request.
+func (c *Conn) beginRequest() {
+	c.betweenRequests = false
+	if c.reserved == 0 { // the request has arrived together with an earlier one
+		_ = c.beginHead() // if there is no memory, the connection gives way at the next read
+	}
+}
+
+// endRequest releases what the connection holds for a request.
+func (c *Conn) endRequest(next shedding.State) {
+	for _, b := range c.buffers {
+		for _, s := range b.segments {
+			c.server.segments.put(s)
+		}
+		b.segments = nil
+	}
+	c.buffers, c.bodyRead = nil, false
+	c.mu.Lock()
+	released := c.reserved + c.behind
+	c.reserved, c.behind = 0, 0
+	c.mu.Unlock()
+	if released > 0 {
+		c.holder.Release(released)
+	}
+	c.holder.SetKey("")
+	c.setState(next)
+	c.betweenRequests = next == shedding.Idle
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	readErr := c.readErr
+	if c.hasReadAhead && len(p) > 0 && !c.betweenRequests {
+		p[0] = c.readAhead[0]
+		c.hasReadAhead = false
+		c.mu.Unlock()
+		return 1, nil
+	}
+	c.mu.Unlock()
+	if c.betweenRequests {
+		c.endedIdle = true
+		return 0, io.EOF
+	}
+	if readErr != nil {
+		return 0, readErr
+	}
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || err == nil || !c.mayTakeLonger(err) {
+			return n, c.readError(err)
+		}
+	}
+}
+
+// mayTakeLonger extends the time for a head if the timeouts have changed meanwhile.
+func (c *Conn) mayTakeLonger(err error) bool {
+	if c.gaveWay.Load() || !errors.Is(err, os.ErrDeadlineExceeded) || c.currentState() != shedding.Head {
+		return false
+	}
+	end := c.began.Add(c.server.timeouts().Head + timeMargin)
+	if !time.Now().Before(end) {
+		return false
+	}
+	c.setReadLimit(end)
+	return true
+}
+
+// SetReadDeadline implements net.Conn. The library calls it when the head of a request is whole.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.setState(shedding.Body)
+	c.setReadLimit(t)
+	return nil
+}
+
+// setReadLimit sets the time at which reads end. A connection that gives way reads no more.
+func (c *Conn) setReadLimit(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gaveWay.Load() {
+		t = aLongTimeAgo
+	}
+	_ = c.Conn.SetReadDeadline(t) // fails only if the connection is closed, and then reads fail too
+}
+
+func (c *Conn) setState(s shedding.State) {
+	c.mu.Lock()
+	c.state = s
+	c.mu.Unlock()
+	c.holder.SetState(s, time.Now())
+}
+
+func (c *Conn) currentState() shedding.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *Conn) isIdle() bool {
+	s := c.currentState()
+	return s == shedding.Idle || s == shedding.Silent
+}
+
+func (c *Conn) setCancel(cancel func()) {
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
+	if cancel != nil && c.gaveWay.Load() {
+		cancel()
+	}
+}
+
+// SetKey records the key of the request, whose connections may not take all of the memory.
+func (c *Conn) SetKey(key string) { c.holder.SetKey(key) }
+
+// Reserve reserves more memory until the response has been written, and waits for it. It returns ErrNoMemory if there is none.
+func (c *Conn) Reserve(n int) error { return c.reserve(n) }
+
+// giveWay ends what the connection waits for from its caller, in favour of others. A request that has become whole meanwhile is not
+// ended.
+func (c *Conn) giveWay(atOnce bool) {
+	undelivered := c.stall.Undelivered()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == shedding.Running && !undelivered {
+		c.holder.Stay()
+		return
+	}
+	if c.gaveWay.Swap(true) {
+		return
+	}
+	close(c.leaving)
+	if c.server.observer.GaveWay != nil {
+		c.server.observer.GaveWay(c.RemoteAddr())
+	}
+	c.atOnce = atOnce
+	switch {
+	case c.state == shedding.Head, c.state == shedding.Body:
+		_ = c.Conn.SetReadDeadline(aLongTimeAgo) // fails only if the connection is closed
+	case c.cancel != nil:
+		c.cancel()
+	case c.state == shedding.Running:
+		tcp.Abort(c.Conn)
+	default:
+		_ = c.Conn.Close() // its goroutine does the rest
+	}
+}
+
+// recordStall records that a caller has not read its response. It returns false if the connection is to
+// be ended: the caller has read nothing for writeTimeout, or it gives way to others.
+func (c *Conn) recordStall(s tcp.Stall) bool {
+	unread := 0
+	if s != (tcp.Stall{}) {
+		unread = s.UnsentBytes + int(c.writing.Load())
+	}
+	keep := s.Since < writeTimeout
+	for _, h := range c.holder.Stalled(unread, s.Since, time.Now()) {
+		if h == c.holder {
+			keep = false
+		} else {
+			go h.Owner.(*Conn).giveWay(false) // not here: the watch that calls is locked
+		}
+	}
+	return keep
+}
+
+// closeNow closes the connection without waiting for its caller.
+func (c *Conn) closeNow() {
+	c.closeOnce.Do(func() {
+		c.endRequest(shedding.Closing)
+		c.finish()
+	})
+}
+
+// finish closes the descriptor and gives back what the connection holds.
+func (c *Conn) finish() {
+	c.stall.Stop()
+	_ = c.Conn.Close() // an error at this point has no consequence
+	c.holder.Close()
+	c.server.remove(c)
+	close(c.closed)
+}
--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -10,6 +10,7 @@
 	"github.com/heatherrail/heatherrail/internal/hosted"
 	"github.com/heatherrail/heatherrail/internal/tcp"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 func main() { os.Exit(hosted.Run(serve)) }
@@ -34,14 +35,6 @@
 	return p.Wait(g)
 }
 
-// unreadMemoryDivisor is the memory of the process divided by the memory that callers which do not read
-// may take.
-const unreadMemoryDivisor = 8
-
-// bufferMemoryDivisor is the memory of the process divided by the memory that responses take while they
-// are read from targets.
-const bufferMemoryDivisor = 8
-
 // options returns the gateway's options from the settings of the process.
 func options(p *hosted.Process) gateway.Options {
 	s := p.Settings
@@ -63,8 +56,7 @@
 		ShutdownGrace:           s.ShutdownGrace,
 		MaxDirectoryTTL:         s.MaxDirectoryTTL,
 		MaxDirectoryAddresses:   platform.MaxDirectoryAddresses,
-		MaxUnreadBytes:          int(s.MemoryBytes / unreadMemoryDivisor),
-		MaxBufferedBytes:        int(s.MemoryBytes / bufferMemoryDivisor),
+		MaxCallerBytes:          shedding.CallerBytes(s.MemoryBytes),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	log            logr.Logger
 	callerListener net.Listener
 	app            *fiber.App
+	callers        *callers.Server
 	current        atomic.Pointer[config.Snapshot]
 	vms            atomic.Pointer[[]outside.VM]
 	leaving        atomic.Bool
@@ -123,6 +124,7 @@
 	}
 	e.callerListener = ln
 	e.app = e.newApp()
+	e.callers = e.newCallerServer()
 	e.tasks.Go(e.serveCallers)
 	return nil
 }
@@ -139,11 +141,7 @@
 func (e *Entry) Current() *config.Snapshot { return e.current.Load() }
 
 func (e *Entry) serveCallers() {
-	ln := callers.NewListener(e.callerListener, e.opts.Settings.MaxCallers, 0, e.refuseConn)
-	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
-	if err != nil && e.ctx.Err() == nil {
-		e.log.Error(err, "caller listener stopped")
-	}
+	_ = e.callers.Serve(e.callerListener) // ends when the listener is closed
 }
 
 // refuseConn counts and logs a connection beyond the limit.
@@ -197,17 +195,18 @@
 // stops: a connection may stay open without a request.
 const callerShutdownTimeout = 2 * time.Second
 
-// shutdownCallerServer stops the HTTP server: the HTTP library accepts no new connections, closes
+// shutdownCallerServer stops the server for callers: it accepts no new connections, closes
 // idle ones and waits for those with a request. Closing all connections at once would be wrong: a
 // request that has arrived but has not been read does not count as in flight, and would get no
 // answer.
 func (e *Entry) shutdownCallerServer(ctx context.Context) {
-	if e.app == nil {
+	if e.callers == nil {
 		return
 	}
+	_ = e.callerListener.Close()
 	ctx, cancel := context.WithTimeout(ctx, callerShutdownTimeout)
 	defer cancel()
-	if err := e.app.ShutdownWithContext(ctx); err != nil {
+	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Info("caller connections not closed in time", "detail", err.Error())
 	}
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // Headers of the HTTP interface for callers.
@@ -34,18 +36,13 @@
 	defaultRequestTimeout = 30 * time.Second // limit for reading a whole request, if the settings have none
 	callerIdleTimeout     = 2 * time.Minute
 	callerReadBufferBytes = 8 << 10 // also the limit on the headers of a request
+	defaultCallerMemory   = 256 << 20
 )
 
 func (e *Entry) newApp() *fiber.App {
 	app := fiber.New(fiber.Config{
-		BodyLimit:      int(e.opts.Settings.MaxBody),
-		Concurrency:    e.opts.Settings.MaxCallers,
-		ReadTimeout:    cmp.Or(e.opts.Settings.RequestTimeout, defaultRequestTimeout),
-		IdleTimeout:    callerIdleTimeout,
 		ReadBufferSize: callerReadBufferBytes,
 		ErrorHandler:   e.httpError,
-		// Without this the body of a form is parsed, and encoded anew from maps.
-		DisablePreParseMultipartForm: true,
 	})
 	app.Use(func(c fiber.Ctx) error {
 		requestID(c)
@@ -63,6 +60,64 @@
 	return app
 }
 
+// newCallerServer returns the server for callers, which bounds what they make the process hold.
+func (e *Entry) newCallerServer() *callers.Server {
+	e.app.Handler() // prepares the routes
+	server := e.app.Server()
+	server.ExpectHandler = e.checkExpectation
+	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+		return fasthttp.RequestConfig{ReadTimeout: e.requestTimeout()}
+	}
+	limits := shedding.Limits{Connections: e.opts.Settings.MaxCallers, Bytes: cmp.Or(int(e.opts.Settings.CallerMemory), defaultCallerMemory)}
+	timeouts := func() callers.Timeouts { return callers.Timeouts{Head: e.requestTimeout(), Idle: callerIdleTimeout} }
+	observer := callers.Observer{
+		Refused:      e.refuseConn,
+		GaveWay:      func(net.Addr) { e.opts.Metrics.Count("connections_gave_way", 1) },
+		AcceptFailed: func(error) { e.opts.Metrics.Count("accept_failures", 1) },
+	}
+	return callers.NewServer(server, limits, timeouts, observer)
+}
+
+func (e *Entry) requestTimeout() time.Duration {
+	return cmp.Or(e.opts.Settings.RequestTimeout, defaultRequestTimeout)
+}
+
+// maxBodyBytes returns the limit on a body: that of the settings, and at most what one caller may hold. The message to the agent is a second copy.
+func (e *Entry) maxBodyBytes() int {
+	return min(int(e.opts.Settings.MaxBody), e.callers.MaxBodyBytes()/2)
+}
+
+// checkExpectation decides on its head whether a caller that waits for it is to send its body.
+func (e *Entry) checkExpectation(c *fasthttp.RequestCtx) int {
+	if c.Request.Header.ContentLength() > e.maxBodyBytes() {
+		return fasthttp.StatusRequestEntityTooLarge
+	}
+	return fasthttp.StatusContinue
+}
+
+// receiveBody reads the body of a request.
+func (e *Entry) receiveBody(c fiber.Ctx) ([]byte, error) {
+	conn, ok := c.RequestCtx().Conn().(*callers.Conn)
+	if !ok {
+		return c.BodyRaw(), nil // a test without connections
+	}
+	if length := c.Request().Header.ContentLength(); length > e.maxBodyBytes() {
+		return nil, result.New(result.BodyTooLarge, "body of %d bytes exceeds the limit of %d", length, e.maxBodyBytes())
+	}
+	b, err := callers.ReadBody(c.RequestCtx(), e.maxBodyBytes(), conn.Began().Add(e.requestTimeout()))
+	if err != nil {
+		return nil, callers.ReceiveError(err)
+	}
+	body, err := b.Bytes()
+	if err == nil {
+		err = conn.Reserve(b.Len()) // for the message to the agent
+	}
+	if err != nil {
+		return nil, callers.ReceiveError(err)
+	}
+	return body, nil
+}
+
 // httpError answers a request that the HTTP library rejects.
 func (e *Entry) httpError(c fiber.Ctx, err error) error {
 	var fe *fiber.Error
@@ -195,17 +250,33 @@
 }
 
 func (e *Entry) serveCompletion(c fiber.Ctx) error {
-	var body struct {
+	snap, team, err := e.authenticate(c)
+	if err != nil {
+		return e.refuse(c, err)
+	}
+	body, err := e.receiveBody(c)
+	if err != nil {
+		return e.refuse(c, err)
+	}
+	var model struct {
 		Model string `json:"model"`
 	}
-	if err := c.App().Config().JSONDecoder(c.Body(), &body); err != nil {
+	if err := c.App().Config().JSONDecoder(body, &model); err != nil {
 		return e.refuse(c, result.New(result.BadRequest, "decode body: %w", err))
 	}
-	return e.serveRequest(c, strings.Clone(body.Model), strings.Clone(c.Path()))
+	return e.serveRequest(c, snap, team, strings.Clone(model.Model), strings.Clone(c.Path()), body)
 }
 
 func (e *Entry) servePlainService(c fiber.Ctx) error {
-	return e.serveRequest(c, strings.Clone(c.Params("service")), pathAtService(c.RequestCtx()))
+	snap, team, err := e.authenticate(c)
+	if err != nil {
+		return e.refuse(c, err)
+	}
+	body, err := e.receiveBody(c)
+	if err != nil {
+		return e.refuse(c, err)
+	}
+	return e.serveRequest(c, snap, team, strings.Clone(c.Params("service")), pathAtService(c.RequestCtx()), body)
 }
 
 // servicePathSlashes is the number of slashes in /v1/services/SERVICE.
@@ -226,12 +297,8 @@
 }
 
 // serveRequest runs a request and streams its answer to the caller.
-func (e *Entry) serveRequest(c fiber.Ctx, service, path string) error {
-	snap, team, err := e.authenticate(c)
-	if err != nil {
-		return e.refuse(c, err)
-	}
-	call, err := newCall(c, snap, team, service, path)
+func (e *Entry) serveRequest(c fiber.Ctx, snap *config.Snapshot, team *config.Team, service, path string, body []byte) error {
+	call, err := newCall(c, snap, team, service, path, body)
 	if err != nil {
 		return e.refuse(c, err)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -13,9 +13,9 @@
 	"github.com/heatherrail/heatherrail/wire"
 )
 
-// newCall validates a request and copies it out of the HTTP library's buffers, which the library
+// newCall validates a request and copies its head out of the HTTP library's buffers, which the library
 // reuses for another caller's request once the handler has returned.
-func newCall(c fiber.Ctx, snap *config.Snapshot, team *config.Team, service, path string) (*Call, error) {
+func newCall(c fiber.Ctx, snap *config.Snapshot, team *config.Team, service, path string, body []byte) (*Call, error) {
 	svc := snap.Service(service)
 	if svc == nil {
 		return nil, result.New(result.UnknownService, "unknown service %q", service)
@@ -33,7 +33,7 @@
 		Method:     strings.Clone(c.Method()),
 		Path:       path,
 		Headers:    forwardHeaders(c),
-		Body:       append([]byte(nil), c.BodyRaw()...), // not Body, which decompresses,
+		Body:       body,
 		Key:        strings.Clone(c.Get(HeaderKey)),
 		Repeatable: true,
 	}
--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -4,98 +4,90 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/heatherrail/heatherrail/callers"
+	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/serving"
 )
 
 // maxBufferedBytes limits a response that is buffered completely before delivery.
 const maxBufferedBytes = 16 << 20
 
-// defaultBufferedBytes is the limit on all buffered responses together if the options have none.
-const defaultBufferedBytes = 2 * maxBufferedBytes
-
-var (
-	errResponseTooLarge = errors.New("response exceeds the size limit")
-	errBuffersFull      = errors.New("responses that are being read take too much memory, this one more than others")
-)
+var errResponseTooLarge = errors.New("response exceeds the size limit")
 
-// responseBuffers bounds the memory of the responses that are being read from targets. Beyond the
-// bound the larger ones are broken off, so that a target that answers without end does not cost the
-// responses of others.
-type responseBuffers struct {
-	limit int
+// headWait limits the wait for the first byte of a body. The time for the whole body depends on the route, which is not known yet.
+const headWait = time.Minute
 
-	mu        sync.Mutex
-	bytes     int // of all responses
-	responses int
+// headReceived is called by the HTTP library when the head of a request is whole.
+func (g *Gateway) headReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{ReadTimeout: headWait}
 }
 
-// responseBuffer is the memory of one response.
-type responseBuffer struct {
-	all   *responseBuffers
-	bytes int
-}
-
-func (b *responseBuffers) open() *responseBuffer {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.responses++
-	return &responseBuffer{all: b}
+// checkExpectation decides on its head whether a caller that waits for it is to send its body. A refusal is the response.
+func (g *Gateway) checkExpectation(c *fasthttp.RequestCtx) int {
+	snap := g.state.snapshot()
+	if snap == nil {
+		return fasthttp.StatusContinue // the handler refuses it
+	}
+	r, e := g.newRequest(c, snap)
+	if e == nil {
+		return fasthttp.StatusContinue
+	}
+	g.refuseAndLog(c, r, e)
+	return statusOf(e)
 }
 
-// grow reserves memory for the response to hold n bytes. It returns false if the response must be
-// broken off.
-func (r *responseBuffer) grow(n int) bool {
-	b := r.all
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	after := b.bytes + n - r.bytes
-	if after > b.limit && n*b.responses >= after {
-		return false
+// maxBodyBytes returns the limit on a body: that of the configuration, and at most what one caller may hold of the memory.
+func (g *Gateway) maxBodyBytes(l *serving.Limits) int {
+	limit := l.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
-	b.bytes, r.bytes = after, n
-	return true
+	return min(limit, g.callers.MaxBodyBytes())
 }
 
-// close releases the memory. The response counts as unread by its caller from then on.
-func (r *responseBuffer) close() {
-	b := r.all
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bytes -= r.bytes
-	b.responses--
-	r.bytes = 0
+// receiveBody reads the body of a request whose head is accepted, until the request's deadline, and completes the request.
+func (g *Gateway) receiveBody(c *fasthttp.RequestCtx, r *request) *result.Error {
+	if r.team != nil {
+		c.Conn().(*callers.Conn).SetKey(r.team.Name)
+	}
+	body, err := callers.ReadBody(c, r.maxBodyBytes, r.deadline)
+	if err != nil {
+		return callers.ReceiveError(err)
+	}
+	r.setBody(body.Segments())
+	return nil
 }
 
-// firstBufferBytes is the first size of the buffer for a body of unknown length.
-const firstBufferBytes = 4 << 10
-
 // readBody reads the whole body of a response.
-func (g *Gateway) readBody(a *attempt) ([]byte, error) {
-	memory := g.buffers.open()
-	defer memory.close()
-	size := a.resp.Header.ContentLength()
-	if size < 0 {
-		size = firstBufferBytes
+func (d *dispatch) readBody(a *attempt) (*callers.Buffer, error) {
+	limit := min(maxBufferedBytes, d.g.callers.MaxBodyBytes())
+	if a.resp.Length > limit {
+		return nil, errResponseTooLarge
 	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			switch {
-			case len(body) > maxBufferedBytes || size > maxBufferedBytes:
-				return nil, errResponseTooLarge
-			case !memory.grow(size + 1):
-				return nil, fmt.Errorf("response broken off after %d bytes: %w", len(body), errBuffersFull)
-			}
-			body = append(make([]byte, 0, size+1), body...)
-			size = min(2*size, maxBufferedBytes)
-		}
-		n, err := a.resp.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, fmt.Errorf("response broken after %d bytes: %w", len(body), err)
-		}
+	body, err := d.conn.ReadResponse(a.resp, a.resp.Length, limit, func() {
+		d.cancel(result.New(result.AnswerBroken, "%w", callers.ErrNoMemory))
+	})
+	switch {
+	case errors.Is(err, callers.ErrTooLarge):
+		return nil, errResponseTooLarge
+	case err != nil:
+		return nil, fmt.Errorf("response broken off: %w", err)
+	}
+	return body, nil
+}
+
+// setBody makes a body that was read the body of the response to the caller.
+func setBody(c *fasthttp.RequestCtx, body *callers.Buffer) {
+	switch segments := body.Segments(); len(segments) {
+	case 0:
+		c.Response.SetBodyRaw(nil)
+	case 1:
+		c.Response.SetBodyRaw(segments[0])
+	default:
+		c.Response.SetBodyStream(io.LimitReader(body.Reader(), int64(body.Len())), body.Len())
 	}
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
@@ -25,6 +26,8 @@
 	partsProven   bool      // the current attempt has shown that no part of the prompt crashes its target
 	retryReserved bool      // the retry budget has counted the next attempt, or the current one until it is answered
 	trial         *ownTrial // trial of the current attempt; nil: the request runs like any other
+	conn          *callers.Conn
+	cancel        context.CancelCauseFunc // ends the request
 }
 
 // attempt is an attempt of a request whose target has sent a response header.
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -65,7 +65,7 @@
 	for _, target := range targets {
 		store.put(serving.TopicTargets, target.id, serving.Target{Service: service, Address: target.addr, DataCentre: "a"})
 	}
-	e := startEntryWithOptions(t, "gw", store, func(o *Options) { o.MaxBufferedBytes = endlessBufferBytes })
+	e := startEntryWithOptions(t, "gw", store, func(o *Options) { o.MaxCallerBytes = 2 * endlessBufferBytes })
 	NewWithT(t).Eventually(func() bool { v := e.gw.state.snapshot(); return v != nil && len(v.targets[service]) == len(targets) }, "5s", "5ms").Should(BeTrue())
 	return e
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // Gateway is a running entry, the load balancer process that callers connect to.
@@ -34,13 +35,11 @@
 	crashes         *crashWatch
 	slackShare      *placing.SlackShare // share of the retry slack of all services
 	reservedHeaders map[string]bool     // lower-case names of headers that only the gateway may set
-	callerServer    *fasthttp.Server
-	callerListener  *callers.Listener
+	callers         *callers.Server
 	listener        net.Listener
 	peerServer      *peers.Server
 	inFlight        atomic.Int64
 	unwritten       unwrittenResponses
-	buffers         responseBuffers
 	stopping        atomic.Bool
 	refuseAfter     atomic.Pointer[time.Time] // time from which new requests are refused; nil: the gateway is not stopping
 	started         time.Time
@@ -50,13 +49,15 @@
 	queues       map[string]*placing.AdmissionQueue // admission queues, by service
 }
 
-// Limits on caller connections and requests.
+// Limits on callers that the options or the configuration do not set.
 const (
-	maxHeaderBytes   = 32 << 10 // limit of the HTTP server; above any limit in a configuration, which is checked separately
-	maxBodyBytes     = 16 << 20
-	maxCallerConns   = 3000
-	headerTimeout    = 10 * time.Second
-	writeBufferBytes = 4 << 10
+	maxHeaderBytes      = 32 << 10 // limit of the HTTP server; above any limit in a configuration, which is checked separately
+	defaultMaxBodyBytes = 16 << 20
+	defaultCallerConns  = 3000
+	defaultCallerBytes  = 64 << 20
+	defaultHeadTimeout  = 10 * time.Second
+	defaultIdleTimeout  = time.Minute
+	writeBufferBytes    = 4 << 10
 )
 
 // Start starts a gateway on a listener for callers and a listener for peers.
@@ -70,7 +71,6 @@
 		listener:        callersLn,
 		reservedHeaders: make(map[string]bool),
 	}
-	g.buffers.limit = cmp.Or(o.MaxBufferedBytes, defaultBufferedBytes)
 	p := &o.Headers
 	for _, name := range []string{p.Deadline, p.Key, p.Team, p.Instance, p.Priority} {
 		g.reservedHeaders[strings.ToLower(name)] = true
@@ -90,8 +90,9 @@
 		peers.KindProbe:     g.cluster.membership.HandleIndirectProbe,
 		peers.KindPermit:    g.cluster.servePermit,
 	}, g.peerFailed)
+	g.callers = g.newCallerServer()
 	g.startTasks()
-	g.serveCallers()
+	go func() { _ = g.callers.Serve(callersLn) }() // ends when the listener is closed
 	o.Log.Info("started", "vm", o.Name, "data_centre", o.DataCentre, "callers", o.CallerAddr, "peers", o.PeerAddr, "incarnation", o.Incarnation)
 	return g
 }
@@ -153,38 +154,46 @@
 	g.opts.Log.Info("peer connection failed", "remote", remote, "error", err.Error())
 }
 
-func (g *Gateway) serveCallers() {
-	g.callerListener = callers.NewListener(g.listener, maxCallerConns, g.opts.MaxUnreadBytes, func(a net.Addr) {
-		g.opts.Metrics.CountResult(result.ConnsFull)
-		g.opts.Log.Info("caller refused", "remote", a.String(), "reason", result.ConnsFull.Info().Name)
-	})
-	g.callerServer = &fasthttp.Server{
+func (g *Gateway) newCallerServer() *callers.Server {
+	limits := shedding.Limits{
+		Connections: cmp.Or(g.opts.MaxCallerConns, defaultCallerConns),
+		Bytes:       cmp.Or(g.opts.MaxCallerBytes, defaultCallerBytes),
+	}
+	server := &fasthttp.Server{
 		Handler:               g.serveRequest,
+		ExpectHandler:         g.checkExpectation,
+		HeaderReceived:        g.headReceived,
 		ErrorHandler:          g.serveError,
 		ConnState:             g.unwritten.connStateChanged,
 		ReadBufferSize:        maxHeaderBytes,
 		WriteBufferSize:       writeBufferBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           headerTimeout,
-		IdleTimeout:           callerIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
-		ReduceMemoryUsage:     true,
 		Logger:                discardLogger{},
-		// Without this the body of a form is parsed, and encoded anew from maps.
-		DisablePreParseMultipartForm: true,
 	}
-	go func() {
-		if err := g.callerServer.Serve(g.callerListener); err != nil {
-			g.opts.Log.Error(err, "server for callers failed")
-		}
-	}()
+	return callers.NewServer(server, limits, g.callerTimeouts, callers.Observer{
+		Refused: func(a net.Addr) {
+			g.opts.Metrics.CountResult(result.ConnsFull)
+			g.opts.Log.Info("caller refused", "remote", a.String(), "reason", result.ConnsFull.Info().Name)
+		},
+		GaveWay: func(net.Addr) { g.opts.Metrics.Count("callers_gave_way", 1) },
+		AcceptFailed: func(err error) {
+			g.opts.Metrics.Count("accept_failures", 1)
+			g.opts.Log.Error(err, "accepting a caller failed")
+		},
+	})
 }
 
-// callerIdleTimeout is how long the HTTP server keeps an idle caller connection. It exceeds the
-// time that any configuration allows.
-const callerIdleTimeout = time.Minute
+// callerTimeouts returns how long callers may take under the configuration in force.
+func (g *Gateway) callerTimeouts() callers.Timeouts {
+	t := callers.Timeouts{Head: defaultHeadTimeout, Idle: defaultIdleTimeout}
+	if snap := g.state.snapshot(); snap != nil {
+		t.Head = cmp.Or(snap.index.Limits.HeaderTimeout, t.Head)
+		t.Idle = cmp.Or(snap.index.Limits.IdleTimeout, t.Idle)
+	}
+	return t
+}
 
 // discardLogger drops the log output of fasthttp, as the gateway counts and answers each caller
 // error itself.
@@ -195,22 +204,15 @@
 
 // serveError answers a request that fasthttp could not parse.
 func (g *Gateway) serveError(c *fasthttp.RequestCtx, err error) {
-	e := result.New(result.BadRequest, "%w", err)
-	switch err.(type) {
-	case *fasthttp.ErrSmallBuffer:
-		e.Code = result.HeadersTooLarge
-	case *net.OpError:
-		e.Code = result.RequestTimeout
-	}
-	if err == fasthttp.ErrBodyTooLarge {
-		e.Code = result.BodyTooLarge
-	}
+	e := callers.ReceiveError(err)
 	g.refuse(c, e)
 	g.opts.Log.Info("refused", "code", int(e.Code), "reason", e.Code.Info().Name, "detail", e.Detail)
 }
 
 // Ready reports whether the gateway accepts requests.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.state.snapshot() != nil }
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.state.snapshot() != nil && g.callers.Accepting()
+}
 
 // serveRequest handles one request of a caller.
 func (g *Gateway) serveRequest(c *fasthttp.RequestCtx) {
@@ -222,6 +224,9 @@
 		return
 	}
 	r, e := g.newRequest(c, snap)
+	if e == nil {
+		e = g.receiveBody(c, r)
+	}
 	if e == nil {
 		e = g.checkStopping(r)
 	}
@@ -241,7 +246,7 @@
 		cancelCause(nil)
 		g.inFlight.Add(-1)
 	}
-	d := &dispatch{g: g, r: r, triedRuns: make(map[serving.Run]bool)}
+	d := &dispatch{g: g, r: r, triedRuns: make(map[serving.Run]bool), conn: c.Conn().(*callers.Conn), cancel: cancelCause}
 	if r.route.Kind == serving.KindStream {
 		e = g.serveStream(ctx, c, d, func(b *streamBody) {
 			finish()
@@ -278,11 +283,7 @@
 const leavingRetryAfter = 20 * time.Millisecond
 
 func (g *Gateway) watchCaller(c *fasthttp.RequestCtx, cancelCause context.CancelCauseFunc) func() {
-	conn, ok := c.Conn().(*callers.Conn)
-	if !ok {
-		return func() {}
-	}
-	return conn.WatchDisconnect(func() { cancelCause(result.New(result.CallerGone, "caller closed its connection")) })
+	return c.Conn().(*callers.Conn).WatchDisconnect(func() { cancelCause(result.New(result.CallerGone, "caller closed its connection")) })
 }
 
 // Shares of the shutdown grace.
@@ -316,14 +317,14 @@
 	earliestEnd := start.Add(3 * directoryTTL)
 	deadline := start.Add(fractionOf(g.opts.ShutdownGrace, 1-exitReserveShare))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 && g.callerListener.Unread() == 0 {
+		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 && g.callers.Unread() == 0 {
 			break
 		}
 		sleep(ctx, shutdownPollInterval)
 	}
 	inFlight := g.unwritten.count()
 	g.cancel()
-	g.opts.Log.Info("stopped", "in_flight", inFlight, "unread", g.callerListener.Unread(), "ms", time.Since(start).Milliseconds())
+	g.opts.Log.Info("stopped", "in_flight", inFlight, "unread", g.callers.Unread(), "ms", time.Since(start).Milliseconds())
 	if inFlight > 0 {
 		return fmt.Errorf("%d requests still in flight at the end of the shutdown", inFlight)
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -57,8 +57,8 @@
 	ShutdownGrace           time.Duration // time from the order to stop until the process must end
 	MaxDirectoryTTL         time.Duration // upper limit of the TTL of directory answers
 	MaxDirectoryAddresses   int           // maximum number of addresses in a directory answer; 0: no limit
-	MaxUnreadBytes          int           // bytes that callers may leave unread in all before the slowest is cut off; 0: callers.DefaultUnreadBytes
-	MaxBufferedBytes        int           // bytes of responses that are being read, all together; 0: defaultBufferedBytes
+	MaxCallerConns          int           // open connections of callers; 0: defaultCallerConns
+	MaxCallerBytes          int           // memory that is held for callers, all together; 0: defaultCallerBytes
 	RetryBudget             RetryBudget
 	AgentPort               string                                  // port of the lockstep agents
 	Dial                    func(address string) members.PeerClient // returns a client for another entry; nil: TCP
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -18,14 +18,14 @@
 		if e != nil {
 			return nil, e
 		}
-		body, err := g.readBody(a)
+		body, err := d.readBody(a)
 		if err == nil {
 			if a.resp.Status/100 == 2 {
 				g.tracker.RecordOutcome(a.target, true, time.Now())
 			}
 			g.crashes.recordCompleted(a)
 			g.copyHeader(c, a)
-			c.Response.SetBodyRaw(body)
+			setBody(c, body)
 			a.close()
 			return a, nil
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -32,9 +31,10 @@
 	resumeAfter     string   // id of the last event that the caller already has
 	fingerprint     uint64   // stays the same when the caller repeats the request under a new id
 	parts           []uint64 // fingerprints of the parts of the prompt that other requests may share
+	maxBodyBytes    int
 }
 
-// newRequest validates a caller's request against the configuration.
+// newRequest validates the head of a caller's request against the configuration. setBody completes the request.
 func (g *Gateway) newRequest(ctx *fasthttp.RequestCtx, snap *snapshot) (*request, *result.Error) {
 	header := &ctx.Request.Header
 	names := &g.opts.Headers
@@ -57,8 +57,9 @@
 	if limit := snap.index.Limits.MaxHeaderBytes; limit > 0 && len(header.RawHeaders()) > limit {
 		return r, result.New(result.HeadersTooLarge, "headers of %d bytes exceed the limit of %d", len(header.RawHeaders()), limit)
 	}
-	if limit := snap.index.Limits.MaxBodyBytes; limit > 0 && len(ctx.Request.Body()) > limit {
-		return r, result.New(result.BodyTooLarge, "body of %d bytes exceeds the limit of %d", len(ctx.Request.Body()), limit)
+	r.maxBodyBytes = g.maxBodyBytes(&snap.index.Limits)
+	if length := header.ContentLength(); length > r.maxBodyBytes {
+		return r, result.New(result.BodyTooLarge, "body of %d bytes exceeds the limit of %d", length, r.maxBodyBytes)
 	}
 	r.service = snap.index.Service(r.route.PickService(rand.Float64()))
 	if r.service == nil {
@@ -85,11 +86,16 @@
 		r.placement.ExpectedEvents = r.placement.Size.OutputTokens / float64(max(model.StepsPerPass, 1))
 	}
 	r.upstreamRequest = g.buildUpstreamRequest(ctx, r)
-	r.fingerprint = r.contentHash()
 	r.parts = sharedParts(string(header.Peek(names.PromptParts)), r.service.Name)
 	return r, nil
 }
 
+// setBody sets the body, which is used until the response has been written.
+func (r *request) setBody(segments [][]byte) {
+	r.upstreamRequest.Body = segments
+	r.fingerprint = r.contentHash()
+}
+
 // contentHash identifies what the caller asks for, whatever the id, the deadline and the event after
 // which a stream is resumed.
 func (r *request) contentHash() uint64 {
@@ -171,7 +177,6 @@
 		Method:            string(header.Method()),
 		URI:               string(header.RequestURI()),
 		Host:              string(header.Host()),
-		Body:              bytes.Clone(ctx.Request.Body()), // copied because fasthttp reuses the buffer of the body
 		SendContentLength: len(header.Peek(fasthttp.HeaderContentLength)) > 0 || len(header.Peek(fasthttp.HeaderTransferEncoding)) > 0,
 		Fields:            forwardedFields(header, g.reservedHeaders),
 		EchoHeader:        names.RequestID,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,7 @@
 	provingSince   time.Time
 	longestPause   time.Duration // longest pause between two events of the stream
 	resumed        bool          // the stream has been resumed since its latest event
+	reserved       int           // memory of the buffers beyond freeStreamBytes
 	onDone         func(b *streamBody)
 }
 
@@ -63,14 +64,14 @@
 
 // forwardFailure delivers a target's own error response.
 func (b *streamBody) forwardFailure(c *fasthttp.RequestCtx) *result.Error {
-	body, err := b.g.readBody(b.current)
+	body, err := b.dispatch.readBody(b.current)
 	defer b.current.close()
 	if err != nil {
 		return result.New(result.AnswerBroken, "%s: %w", b.current.target.ID, err)
 	}
 	b.g.crashes.recordCompleted(b.current)
 	b.g.copyHeader(c, b.current)
-	c.Response.SetBodyRaw(body)
+	setBody(c, body)
 	b.endErr = io.EOF
 	b.onDone(b)
 	return nil
@@ -106,6 +107,8 @@
 			var scanErr error
 			if b.pending, scanErr = b.scanner.add(b.pending, buf[:n]); scanErr != nil {
 				err = scanErr
+			} else if reserveErr := b.reserve(); reserveErr != nil {
+				err = reserveErr
 			}
 		}
 		if len(b.pending) > 0 {
@@ -125,6 +128,19 @@
 	}
 }
 
+// freeStreamBytes is the part of the buffers of a stream that the memory of its connection covers.
+const freeStreamBytes = 16 << 10
+
+// reserve reserves the memory of the buffers beyond freeStreamBytes.
+func (b *streamBody) reserve() error {
+	more := cap(b.pending) + cap(b.scanner.pending) - freeStreamBytes - b.reserved
+	if more <= 0 {
+		return nil
+	}
+	b.reserved += more
+	return b.dispatch.conn.Reserve(more)
+}
+
 // endedUnbegun reports whether a stream that ends with its connection has ended before its first event: the target has crashed.
 func (b *streamBody) endedUnbegun() bool {
 	return !b.current.resp.Framed && b.firstEventAt.IsZero() && b.dispatch.r.resumeAfter == ""
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits for the detection of unreachable peers.
@@ -23,13 +26,17 @@
 	userTimeout       = 2500 * time.Millisecond
 )
 
+// BufferBytes bounds what the kernel holds of a connection in each direction: received and not yet read, or written and not yet
+// acknowledged. Its own bounds are some MB.
+const BufferBytes = 64 << 10
+
 // Dial connects to an IP address and port. The connection fails within about
 // userTimeout after the peer becomes unreachable.
 func Dial(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: keepAlive,
-		Control:         setUserTimeout,
+		Control:         setOptions,
 	}
 	return d.DialContext(ctx, "tcp4", addr)
 }
@@ -37,14 +44,23 @@
 // Listen listens on an IP address and port. Accepted connections detect unreachable
 // peers in the same way as connections from Dial.
 func Listen(addr string) (net.Listener, error) {
-	l := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	l := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setOptions}
 	return l.Listen(context.Background(), "tcp4", addr)
 }
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
-// setUserTimeout sets TCP_USER_TIMEOUT, which bounds how long sent data may stay
-// unacknowledged.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return setUserTimeoutOf(raw, userTimeout)
+// setOptions sets TCP_USER_TIMEOUT, which bounds how long sent data may stay
+// unacknowledged, and the sizes of the kernel's buffers.
+func setOptions(_, _ string, raw syscall.RawConn) error {
+	if err := setUserTimeoutOf(raw, userTimeout); err != nil {
+		return err
+	}
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, BufferBytes),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, BufferBytes))
+	})
+	return errors.Join(err, setErr)
 }
--- a/result/codes.go
+++ b/result/codes.go
@@ -44,6 +44,7 @@
 	CrashRefused   Code = 223
 	WireStreams    Code = 260
 	ConnsFull      Code = 261
+	CallersFull    Code = 262
 
 	EntryUnregistered Code = 220
 	RankLost          Code = 222
@@ -155,6 +156,7 @@
 	{ChangeUnknown, "change_unknown", http.StatusGatewayTimeout, RunMaybe, 0, "It is not known whether a change was accepted.", "Run apply --resume with the id."},
 	{WireStreams, "wire_streams", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "A connection between two processes has as many streams as it may.", "Spread the load over more entries, or look for requests that never end."},
 	{ConnsFull, "connections_full", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "The process has as many connections as it may.", "Look for peers or callers that open connections and leave them idle."},
+	{CallersFull, "callers_full", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "The process holds as much for its callers as it may, and this request gave way.", "Look for callers that send bodies and do not finish them, or do not read; see callers_gave_way."},
 	{EntryUnregistered, "entry_unregistered", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "This entry may not yet dispatch requests that must not run twice.", "The entry started and could not write its presence to the log service."},
 	{CrashRefused, "crash_refused", http.StatusServiceUnavailable, RunNot, 5 * time.Minute, "Targets crashed each time they ran this request; it is refused for a time.", "Look at `request quarantined` and at the logs of the targets that it names."},
 	{TargetIsolated, "target_isolated", http.StatusServiceUnavailable, RunNot, shortRetryAfter, "The target runs a suspected request alone.", "Expected for a moment after a target crashed; entries retry elsewhere."},
--- a/route/home.go
+++ b/route/home.go
@@ -17,13 +17,20 @@
 // request id. identity holds what tells requests with equal bodies apart, such as the team and
 // the path.
 func Fingerprint(body []byte, identity ...string) uint64 {
+	return fingerprintOfParts([][]byte{body}, identity)
+}
+
+// fingerprintOfParts is Fingerprint of a body in parts.
+func fingerprintOfParts(body [][]byte, identity []string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	for _, part := range identity {
 		_, _ = d.WriteString(part) // a Digest never fails
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	for _, part := range body {
+		_, _ = d.Write(part)
+	}
 	return d.Sum64()
 }
 
--- a/route/parts.go
+++ b/route/parts.go
@@ -23,9 +23,9 @@
 	return Fingerprint([]byte(part), service) | partTag
 }
 
-// RequestFingerprint is Fingerprint for requests whose parts are suspects too.
-func RequestFingerprint(body []byte, identity ...string) uint64 {
-	fingerprint := Fingerprint(body, identity...)
+// RequestFingerprint is Fingerprint for requests whose parts are suspects too. The body may come in parts.
+func RequestFingerprint(body [][]byte, identity ...string) uint64 {
+	fingerprint := fingerprintOfParts(body, identity)
 	if IsPart(fingerprint) {
 		return ^fingerprint
 	}
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -117,7 +117,7 @@
 func TestFingerprintsTellPartsFromRequests(t *testing.T) {
 	g := NewWithT(t)
 	for n := range 200_000 {
-		g.Expect(route.IsPart(route.RequestFingerprint(fmt.Append(nil, n), "team", "path"))).To(BeFalse())
+		g.Expect(route.IsPart(route.RequestFingerprint([][]byte{fmt.Append(nil, n)}, "team", "path"))).To(BeFalse())
 	}
 	g.Expect(route.IsPart(partOf(1))).To(BeTrue())
 	g.Expect(partOf(1)).NotTo(Equal(partOf(2)))
--- /dev/null
+++ b/shedding/account_test.go
@@ -0,0 +1,323 @@
+package shedding
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func address(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
+
+// at is a time some milliseconds after start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// opened opens a connection for which there is room.
+func opened(t *testing.T, a *Account, addr, ms int) *Holder {
+	t.Helper()
+	h, givesWay := a.Open(address(addr), at(ms))
+	g := NewWithT(t)
+	g.Expect(h).NotTo(BeNil())
+	g.Expect(givesWay).To(BeNil())
+	return h
+}
+
+// holding opens a connection in a state that holds memory.
+func holding(t *testing.T, a *Account, addr, ms int, s State, bytes int) *Holder {
+	t.Helper()
+	h := opened(t, a, addr, ms)
+	h.SetState(s, at(ms))
+	NewWithT(t).Expect(h.Grow(bytes, at(ms)).Granted).To(BeTrue())
+	return h
+}
+
+const mb = 1 << 20
+
+// A connection that sends nothing gives way to one that comes; one with a request does not.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 4, Bytes: mb})
+	running := opened(t, a, 1, 0)
+	running.SetState(Running, at(0))
+	idle := opened(t, a, 1, 1)
+	idle.SetState(Idle, at(1))
+	part := opened(t, a, 2, 2)
+	part.SetState(Head, at(2))
+	silent := opened(t, a, 2, 3)
+	for _, expected := range []*Holder{silent, part, idle} {
+		h, givesWay := a.Open(address(3+int(expected.state)), at(4))
+		g.Expect(h).NotTo(BeNil())
+		g.Expect(givesWay).To(BeIdenticalTo(expected))
+		expected.Close()
+		h.SetState(Running, at(4))
+	}
+	h, givesWay := a.Open(address(9), at(5))
+	g.Expect(h).To(BeNil(), "all have requests")
+	g.Expect(givesWay).To(BeNil())
+	running.Close()
+	opened(t, a, 9, 6)
+}
+
+// One address opens many connections. It must get at most half of all, and its newest take the place of its silent ones.
+func TestOneAddressHasHalfOfTheConnections(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 8, Bytes: mb})
+	var list []*Holder
+	for i := range 4 {
+		list = append(list, opened(t, a, 1, i))
+	}
+	h, givesWay := a.Open(address(1), at(5))
+	g.Expect(h).NotTo(BeNil())
+	g.Expect(givesWay).To(BeIdenticalTo(list[0]), "the longest silent one of the same address")
+	list[0].Close()
+	for _, busy := range append(list[1:], h) {
+		busy.SetState(Running, at(6))
+	}
+	h, _ = a.Open(address(1), at(7))
+	g.Expect(h).To(BeNil())
+	opened(t, a, 2, 8)
+}
+
+// Silent connections of a crowd give way before one that another caller has just opened.
+func TestNewcomerIsKeptBesideACrowd(t *testing.T) {
+	a := NewAccount(Limits{Connections: 100, Bytes: mb})
+	for i := range 99 {
+		opened(t, a, 1+i%4, i)
+	}
+	newcomer := opened(t, a, 9, 100)
+	for i := range 99 {
+		h, givesWay := a.Open(address(1+i%4), at(101+i))
+		NewWithT(t).Expect(h).NotTo(BeNil())
+		NewWithT(t).Expect(givesWay).NotTo(BeIdenticalTo(newcomer))
+		givesWay.Close()
+	}
+}
+
+// Bodies that have stalled give way to any other; those that have for longest go first.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
+	first := holding(t, a, 1, 0, Body, 6*mb)
+	second := holding(t, a, 2, 10, Body, 6*mb)
+	trickle := holding(t, a, 3, 20, Body, mb)
+	for ms := range 200 {
+		trickle.Arrived(16, at(20+10*ms)) // some bytes now and then are no progress
+	}
+	moving := holding(t, a, 4, 30, Body, mb)
+	moving.Arrived(progressBytes, at(1900))
+	needs := opened(t, a, 5, 2000)
+	needs.SetState(Body, at(2000))
+	d := needs.Grow(mb, at(2000))
+	g.Expect(d.Granted || d.Refused).To(BeFalse())
+	g.Expect(d.GiveWay).To(Equal([]*Holder{first}))
+	again := needs.Grow(mb, at(2001))
+	g.Expect(again.GiveWay).To(BeEmpty(), "the first has been told already")
+	g.Expect(first.Grow(1, at(2001)).Refused).To(BeTrue())
+	first.Close()
+	g.Eventually(d.Released).Should(BeClosed())
+	g.Expect(needs.Grow(mb, at(2002)).Granted).To(BeTrue())
+	d = needs.Grow(6*mb, at(2003))
+	g.Expect(d.GiveWay).To(Equal([]*Holder{second}))
+	second.Close()
+	g.Expect(needs.Grow(6*mb, at(2004)).Granted).To(BeTrue())
+	d = needs.Grow(mb/2, at(2005))
+	g.Expect(d.Granted || d.Refused || d.GiveWay != nil).To(BeTrue())
+	g.Expect(moving.leaving).To(BeFalse())
+}
+
+// Requests that arrive while others hold the memory are refused; those with a short body find room.
+func TestSmallBodiesFindRoom(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 1000, Bytes: 16 * mb})
+	for i := range 7 {
+		holding(t, a, i, 0, Running, 2*mb)
+	}
+	large := holding(t, a, 100, 1, Body, SmallBytes)
+	g.Expect(large.Grow(mb, at(2)).Refused).To(BeTrue())
+	small := 0
+	for i := range 20 {
+		holding(t, a, 200+i, 3, Running, SmallBytes/2)
+		small++
+	}
+	g.Expect(small).To(Equal(20))
+}
+
+// When short requests have used their part too, the largest body that is arriving gives way to them.
+func TestLargestBodyGivesWayToSmallOnes(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 1000, Bytes: 16 * mb})
+	body := holding(t, a, 1, 0, Body, 2*mb)
+	response := holding(t, a, 2, 0, Response, 3*mb)
+	for i := range 4 {
+		holding(t, a, 3+i, 0, Running, 2*mb)
+	}
+	for i := 0; a.all.bytes+SmallBytes <= a.limits.Bytes; i++ {
+		holding(t, a, 20+i, 1, Running, SmallBytes)
+	}
+	small := opened(t, a, 500, 2)
+	small.SetState(Head, at(2))
+	g.Expect(small.Grow(SmallBytes, at(2)).GiveWay).To(Equal([]*Holder{response}))
+	response.Close()
+	g.Expect(small.Grow(SmallBytes, at(3)).Granted).To(BeTrue())
+	g.Expect(body.leaving).To(BeFalse())
+}
+
+// One address, or one key, can't have all of the memory.
+func TestOneCallerHasHalfOfTheMemory(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
+	holding(t, a, 1, 0, Running, 4*mb)
+	second := holding(t, a, 1, 0, Body, 4*mb)
+	third := opened(t, a, 1, 1)
+	third.SetState(Body, at(1))
+	g.Expect(third.Grow(mb, at(1)).Refused).To(BeTrue(), "the address has half")
+	g.Expect(third.Grow(mb, at(1500)).GiveWay).To(Equal([]*Holder{second}), "unless one of its bodies has stalled")
+	second.Close()
+
+	a = NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
+	for i := range 2 {
+		holding(t, a, 10+i, 0, Running, 4*mb).SetKey("team")
+	}
+	other := opened(t, a, 20, 1)
+	other.SetKey("team")
+	g.Expect(other.Grow(1, at(1)).Refused).To(BeTrue(), "the key has half")
+	other.SetKey("other")
+	g.Expect(other.Grow(1, at(1)).Granted).To(BeTrue())
+}
+
+// A response without end gives way to others, so that they are delivered.
+func TestEndlessResponseGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
+	endless := holding(t, a, 1, 0, Response, 8*mb)
+	for i := range 5 {
+		holding(t, a, 2+i, 0, Running, mb)
+	}
+	response := holding(t, a, 20, 1, Response, mb)
+	g.Expect(response.Grow(mb, at(2)).GiveWay).To(Equal([]*Holder{endless}))
+	g.Expect(endless.Grow(mb, at(2)).Refused).To(BeTrue())
+}
+
+// Callers that do not read must not use up the memory, and those that read must not pay for them.
+func TestSlowCallersShareTheMemory(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: 1000})
+	long, short, reading := opened(t, a, 1, 0), opened(t, a, 2, 0), opened(t, a, 3, 0)
+	now := at(20_000)
+	stalled := func(h *Holder, bytes int, since time.Duration) []*Holder { return h.Stalled(bytes, since, now) }
+	g.Expect(stalled(long, 500, 8*time.Second)).To(BeEmpty(), "within the bound")
+	g.Expect(stalled(short, 400, 4*time.Second)).To(BeEmpty())
+	g.Expect(stalled(reading, 400, time.Second)).To(Equal([]*Holder{long}), "the one that has read nothing for longest gives way")
+	g.Expect(stalled(long, 500, 8*time.Second)).To(BeEmpty(), "it has been told")
+	long.Close()
+	g.Expect(stalled(short, 400, 5*time.Second)).To(BeEmpty(), "within the bound again")
+	g.Expect(stalled(reading, 400, 2*time.Second)).To(BeEmpty())
+	g.Expect(stalled(reading, 700, 2*time.Second)).To(Equal([]*Holder{short}), "a caller that reads is never cut off")
+	short.Close()
+	g.Expect(stalled(reading, 1200, 2*time.Second)).To(BeEmpty())
+	g.Expect(stalled(reading, 0, 0)).To(BeEmpty())
+	_, bytes := a.Usage()
+	g.Expect(bytes).To(BeZero())
+}
+
+// A request that has become whole since it was chosen keeps its memory, and those that waited for it choose again.
+func TestHolderThatStaysIsNotWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
+	first := holding(t, a, 1, 0, Body, 7*mb)
+	second := holding(t, a, 2, 10, Body, 7*mb)
+	needs := opened(t, a, 3, 2000)
+	needs.SetState(Body, at(2000))
+	d := needs.Grow(mb, at(2000))
+	g.Expect(d.GiveWay).To(Equal([]*Holder{first}))
+	first.SetState(Running, at(2001))
+	first.Stay()
+	g.Eventually(d.Released).Should(BeClosed())
+	g.Expect(needs.Grow(mb, at(2002)).GiveWay).To(Equal([]*Holder{second}))
+}
+
+// Whatever connections do, the account stays within its limits and keeps no trace of closed ones.
+func TestRandomConnectionsStayWithinTheLimits(t *testing.T) {
+	for seed := range uint64(50) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		limits := Limits{Connections: 4 + rng.IntN(60), Bytes: mb + rng.IntN(16*mb)}
+		a := NewAccount(limits)
+		var list []*Holder
+		granted := make(map[*Holder]int)
+		closeOne := func(h *Holder) {
+			h.Close()
+			delete(granted, h)
+			for i := range list {
+				if list[i] == h {
+					list = append(list[:i], list[i+1:]...)
+					return
+				}
+			}
+		}
+		for ms := range 4000 {
+			now := at(10 * ms)
+			if rng.IntN(3) == 0 {
+				h, givesWay := a.Open(address(rng.IntN(5)), now)
+				if givesWay != nil {
+					closeOne(givesWay)
+				}
+				if h != nil {
+					list = append(list, h)
+				}
+			}
+			if len(list) == 0 {
+				continue
+			}
+			h := list[rng.IntN(len(list))]
+			switch rng.IntN(7) {
+			case 0:
+				h.SetState(State(rng.IntN(int(numStates))), now)
+			case 1:
+				h.SetKey(fmt.Sprint(rng.IntN(3)))
+			case 2:
+				h.Arrived(rng.IntN(2*progressBytes), now)
+			case 3:
+				closeOne(h)
+			case 4:
+				h.Release(granted[h])
+				granted[h] = 0
+			case 5:
+				for _, v := range h.Stalled(rng.IntN(4096), time.Duration(rng.IntN(5000))*time.Millisecond, now) {
+					closeOne(v)
+				}
+			default:
+				n := 1 + rng.IntN(mb)
+				d := h.Grow(n, now)
+				if d.Granted {
+					granted[h] += n
+				}
+				for _, v := range d.GiveWay {
+					closeOne(v)
+				}
+			}
+			connections, bytes := a.Usage()
+			g.Expect(connections).To(And(Equal(len(list)), BeNumerically("<=", limits.Connections)))
+			g.Expect(bytes).To(BeNumerically("<=", limits.Bytes+4096*len(list)), "beside what is unread")
+		}
+		for len(list) > 0 {
+			closeOne(list[0])
+		}
+		g.Expect(a.all).To(Equal(group{}), "seed %d", seed)
+		g.Expect(a.byAddress).To(BeEmpty())
+		g.Expect(a.byKey).To(BeEmpty())
+		g.Expect(a.open).To(BeEmpty())
+	}
+}
+
+// A body of the configured limit fits on the smallest machine.
+func TestBodyFitsOnTheSmallestMachine(t *testing.T) {
+	const smallestMemory, bodyLimit = 112 << 20, 4 << 20
+	limits := Limits{Bytes: CallerBytes(smallestMemory)}
+	NewWithT(t).Expect(limits.MaxBytesOfOne() - ActiveBytes).To(BeNumerically(">=", bodyLimit))
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -22,6 +22,7 @@
 	// Framed means that the header tells where the body ends. Otherwise the body ends with the
 	// connection, and a target that crashes may end it early.
 	Framed bool
+	Length int // length of the body; negative: the header does not tell it
 
 	body      io.Reader
 	reusable  bool
@@ -43,10 +44,10 @@
 	length := r.Header.ContentLength()
 	r.reusable = !r.Header.ConnectionClose()
 	r.keepAlive = keepAliveTime(string(r.Header.Peek(fasthttp.HeaderKeepAlive)))
-	r.Framed = length != lengthNone
+	r.Framed, r.Length = length != lengthNone, length
 	switch {
 	case isHead || r.Status == fasthttp.StatusNoContent || r.Status == fasthttp.StatusNotModified:
-		r.body = bytes.NewReader(nil)
+		r.body, r.Length = bytes.NewReader(nil), 0
 	case length == lengthChunked:
 		r.body = &chunkedBody{chunks: httputil.NewChunkedReader(c.br), conn: c}
 	case length == lengthNone:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -25,14 +25,21 @@
 	URI               string // URI as sent by the caller
 	Host              string
 	Fields            []Field
-	Body              []byte
-	SendContentLength bool // send Content-Length even if Body is empty
+	Body              [][]byte // in parts
+	SendContentLength bool     // send Content-Length even if Body is empty
 	// EchoHeader and EchoValue are the name and the value of the header field that identifies
 	// the response to this request.
 	EchoHeader string
 	EchoValue  string
 }
 
+func (r *Request) bodyLength() (n int) {
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // SendError is the failure of a request that has no usable response.
 type SendError struct {
 	MayHaveRun    bool // the target may have started to process the request
@@ -133,15 +140,18 @@
 func (c *conn) exchange(req *Request) (*Response, error) {
 	buf := headBuffers.Get().(*[]byte)
 	head := appendHead((*buf)[:0], req)
-	if len(req.Body) <= separateBodyBytes {
-		head = append(head, req.Body...)
+	joined := req.bodyLength() <= separateBodyBytes
+	if joined {
+		for _, part := range req.Body {
+			head = append(head, part...)
+		}
 	}
 	c.stall.Arm()
 	_, writeErr := c.nc.Write(head)
 	*buf = head[:0]
 	headBuffers.Put(buf)
-	if writeErr == nil && len(req.Body) > separateBodyBytes {
-		_, writeErr = c.nc.Write(req.Body)
+	for i := 0; i < len(req.Body) && !joined && writeErr == nil; i++ {
+		_, writeErr = c.nc.Write(req.Body[i])
 	}
 	// A target may reject a long request and close the connection before the whole body has
 	// arrived. The rejection can then be read although the rest could not be written.
@@ -168,9 +178,9 @@
 		b = append(b, f.Value...)
 		b = append(b, "\r\n"...)
 	}
-	if len(req.Body) > 0 || req.SendContentLength {
+	if length := req.bodyLength(); length > 0 || req.SendContentLength {
 		b = append(b, "Content-Length: "...)
-		b = fmt.Append(b, len(req.Body))
+		b = fmt.Append(b, length)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -178,7 +178,7 @@
 	p := NewPool(s.addr)
 	defer p.Close()
 	r, err := p.Send(context.Background(), &Request{Method: "POST", URI: "/x", Host: "h", EchoHeader: "Id", EchoValue: "r",
-		Body: []byte(strings.Repeat("x", 3<<20))})
+		Body: [][]byte{[]byte(strings.Repeat("x", 3<<20))}})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer r.Close()
 	g.Expect(r.Status).To(Equal(503))
@@ -264,7 +264,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	r, err := NewPool(target.addr).Send(ctx, &Request{Method: "POST", URI: "/", Host: "h", Body: []byte(body), EchoHeader: "Id", EchoValue: "1"})
+	r, err := NewPool(target.addr).Send(ctx, &Request{Method: "POST", URI: "/", Host: "h", Body: [][]byte{[]byte(body)}, EchoHeader: "Id", EchoValue: "1"})
 	g.Expect(err).NotTo(HaveOccurred())
 	text, err := io.ReadAll(r)
 	g.Expect(err).NotTo(HaveOccurred())
