callers: a byte that was read ahead is not replaced by a later one

While a request runs, one byte is read ahead to notice that its caller leaves. If the next request was already in the library's buffer, that byte was still there when the next watch began, which read another one over it. A watch now reads nothing while a byte waits.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -167,6 +167,15 @@
 // WatchDisconnect calls onDisconnect if the caller closes the connection before stop is
 // called. stop returns once the watching goroutine no longer uses the connection.
 func (c *Conn) WatchDisconnect(onDisconnect func()) (stop func()) {
+	c.mu.Lock()
+	sentMore, gone := c.hasReadAhead, c.readErr != nil
+	c.mu.Unlock()
+	if gone {
+		onDisconnect()
+	}
+	if sentMore || gone {
+		return func() {} // a second byte would replace the one that was read ahead
+	}
 	done := make(chan struct{})
 	// A deadline left from reading the request must not end the watch.
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -128,6 +130,72 @@
 	}
 }
 
+// Requests that come together, or in pieces that end anywhere, are each read as they were sent.
+func TestRequestsOfOneConnectionAreReadAsSent(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	var bodies []string
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var s *Server
+	s = NewServer(&fasthttp.Server{Logger: silent{}, Handler: func(c *fasthttp.RequestCtx) {
+		b, err := ReadBody(c, s.MaxBodyBytes(), farFuture)
+		if err != nil {
+			c.SetStatusCode(400)
+			return
+		}
+		stop := c.Conn().(*Conn).WatchDisconnect(func() {})
+		defer stop()
+		text, _ := b.Bytes()
+		mu.Lock()
+		defer mu.Unlock()
+		bodies = append(bodies, string(text))
+		time.Sleep(time.Duration(len(bodies)%3) * time.Millisecond)
+	}}, shedding.Limits{Connections: 8, Bytes: 64 << 20}, func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} }, Observer{})
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20 {
+		nc := dialFrom(t, "127.0.0.1", ln.Addr().String())
+		var text strings.Builder
+		var sent []string
+		bodies = nil
+		for range 12 {
+			body := strings.Repeat(string(rune('a'+rng.IntN(26))), rng.IntN(3)*rng.IntN(60_000))
+			sent = append(sent, body)
+			if rng.IntN(2) == 0 {
+				fmt.Fprintf(&text, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				continue
+			}
+			fmt.Fprint(&text, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for rest := body; rest != ""; {
+				n := 1 + rng.IntN(len(rest))
+				fmt.Fprintf(&text, "%x\r\n%s\r\n", n, rest[:n])
+				rest = rest[n:]
+			}
+			fmt.Fprint(&text, "0\r\n\r\n")
+		}
+		go func(text string) {
+			for text != "" {
+				n := 1 + rng.IntN(len(text))
+				if _, err := io.WriteString(nc, text[:n]); err != nil {
+					return
+				}
+				text = text[n:]
+				time.Sleep(time.Millisecond)
+			}
+		}(text.String())
+		br := bufio.NewReader(nc)
+		for range sent {
+			g.Expect(statusOf(t, br)).To(Equal(200))
+		}
+		for i := range sent {
+			g.Expect(len(bodies[i])).To(Equal(len(sent[i])), "body %d", i)
+			g.Expect(bodies[i] == sent[i]).To(BeTrue(), "body %d of %d bytes", i, len(sent[i]))
+		}
+	}
+}
+
 // What a connection holds for a request is given back with its response, and all of it with its end.
 func TestMemoryIsGivenBack(t *testing.T) {
 	g := NewWithT(t)
