gateway: the open files are divided among callers, targets and ports

Callers saw: with 600 connections that had asked once and stayed open, or silent ones, no ordinary request was answered, during or after; after the first accept that failed the gateway never accepted again. A gateway had a share for one address and nothing that bounded all together; the descriptors of targets, store and peers went with those of the callers.

max-fds is read from the settings, and the kernel's limit if that is lower. It is divided: callers and targets 40 in 100 each, as a running request has a connection of both kinds, and a part for each port. Idle connections to targets are closed when others need room.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -23,7 +23,8 @@
 		p.Log.Error(err, "failed to listen for callers")
 		return daemon.ExitFail
 	}
-	g := gateway.Start(options(p), callers, p.Peers)
+	files := shedding.DivideFiles(p.MaxFiles)
+	g := gateway.Start(options(p, files), callers, p.Peers)
 	if err := platform.ServeDirectory(p.Settings.DirectoryAddr, g.Entries); err != nil {
 		p.Log.Error(err, "failed to serve the directory")
 		return daemon.ExitFail
@@ -36,7 +37,7 @@
 }
 
 // options returns the gateway's options from the settings of the process.
-func options(p *hosted.Process) gateway.Options {
+func options(p *hosted.Process, files shedding.Files) gateway.Options {
 	s := p.Settings
 	return gateway.Options{
 		Name:                    s.Name,
@@ -56,6 +57,8 @@
 		ShutdownGrace:           s.ShutdownGrace,
 		MaxDirectoryTTL:         s.MaxDirectoryTTL,
 		MaxDirectoryAddresses:   platform.MaxDirectoryAddresses,
+		MaxCallerConns:          files.Callers,
+		MaxTargetConns:          files.Targets,
 		MaxCallerBytes:          shedding.CallerBytes(s.MemoryBytes),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 	g := &Gateway{
 		opts:            o,
 		tracker:         placing.NewTracker(o.Name, o.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		connPools:       newConnPools(),
+		connPools:       newConnPools(o.MaxTargetConns),
 		retryBudgets:    make(map[string]*placing.RetryBudget),
 		queues:          make(map[string]*placing.AdmissionQueue),
 		listener:        callersLn,
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -58,6 +58,7 @@
 	MaxDirectoryTTL         time.Duration // upper limit of the TTL of directory answers
 	MaxDirectoryAddresses   int           // maximum number of addresses in a directory answer; 0: no limit
 	MaxCallerConns          int           // open connections of callers; 0: defaultCallerConns
+	MaxTargetConns          int           // open connections to targets; 0: no limit
 	MaxCallerBytes          int           // memory that is held for callers, all together; 0: defaultCallerBytes
 	RetryBudget             RetryBudget
 	AgentPort               string                                  // port of the lockstep agents
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -12,9 +12,25 @@
 type connPools struct {
 	mu    sync.Mutex
 	byRun map[serving.Run]*upstream.Pool
+	limit upstream.Limit
 }
 
-func newConnPools() *connPools { return &connPools{byRun: make(map[serving.Run]*upstream.Pool)} }
+func newConnPools(maxConns int) *connPools {
+	p := &connPools{byRun: make(map[serving.Run]*upstream.Pool)}
+	p.limit.Max, p.limit.MakeRoom = int64(maxConns), p.closeIdle
+	return p
+}
+
+// closeIdle closes an idle connection to some target.
+func (p *connPools) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byRun {
+		if pool.CloseOldestIdle() {
+			return
+		}
+	}
+}
 
 // forTarget returns the pool of a target.
 func (p *connPools) forTarget(t *serving.Target) *upstream.Pool {
@@ -22,7 +38,7 @@
 	defer p.mu.Unlock()
 	pool := p.byRun[t.Run()]
 	if pool == nil {
-		pool = upstream.NewPool(t.Address)
+		pool = upstream.NewPool(t.Address, &p.limit)
 		p.byRun[t.Run()] = pool
 	}
 	return pool
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -113,7 +113,7 @@
 	e := &scaleEntry{cluster: c}
 	o.Dial = func(to string) members.PeerClient { return &scalePeerClient{cluster: c, from: e, to: to} }
 	e.gw = &Gateway{
-		opts: o, state: newReplicaState(&o), callers: new(callers.Server), connPools: newConnPools(), queues: make(map[string]*placing.AdmissionQueue),
+		opts: o, state: newReplicaState(&o), callers: new(callers.Server), connPools: newConnPools(0), queues: make(map[string]*placing.AdmissionQueue),
 		tracker: placing.NewTracker(o.Name, o.DataCentre, rand.New(rand.NewPCG(seed, 2))),
 	}
 	e.gw.ctx, e.gw.cancel = context.WithCancel(c.ctx)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"golang.org/x/sys/unix"
 )
 
 // Exit codes of the daemons.
@@ -123,6 +125,18 @@
 	}
 }
 
+// defaultMaxFiles is the limit on open files if the kernel tells none.
+const defaultMaxFiles = 1024
+
+// MaxFiles returns the kernel's limit on the open files of the process.
+func MaxFiles() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 {
+		return defaultMaxFiles
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // Incarnation returns a number that differs at each start of a process. It uses the
 // clock in nanoseconds, because a process can't start twice within one nanosecond.
 func Incarnation() uint64 { return uint64(time.Now().UnixNano()) }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -26,6 +26,7 @@
 	PeersPort string
 	PeersAddr string // IP address and port of Peers
 	Peers     net.Listener
+	MaxFiles  int // limit on the open files of the process
 }
 
 // memoryLimitDivisor is the memory limit of the process divided by the soft memory limit
@@ -48,6 +49,7 @@
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
 	p := &Process{Settings: s, Log: logging.New(out, 0), Metrics: metrics.New(), PeersPort: strconv.Itoa(s.PeerPort)}
+	p.MaxFiles = maxFiles(s.MaxFiles)
 	p.PeersAddr = net.JoinHostPort(s.IP, p.PeersPort)
 	if p.Peers, err = tcp.Listen(p.PeersAddr); err != nil {
 		p.Log.Error(err, "can't listen for peers")
@@ -59,6 +61,15 @@
 	return serve(p)
 }
 
+// maxFiles returns the limit on the open files of the process: that of its settings, and at most that of the kernel.
+func maxFiles(setting int) int {
+	limit := daemon.MaxFiles()
+	if setting == 0 {
+		return limit
+	}
+	return min(setting, limit)
+}
+
 // Wait blocks until SIGTERM or SIGINT, shuts the service down within the grace period and
 // returns the exit code. At each SIGHUP it logs whether the settings file has changed.
 func (p *Process) Wait(s daemon.Service) int {
--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -315,6 +315,17 @@
 	}
 }
 
+// The shares of the open files leave room for all, on the smallest machines too.
+func TestSharesOfTheOpenFiles(t *testing.T) {
+	g := NewWithT(t)
+	for _, limit := range []int{400, 1024, 2048, 2870, 4100, 16384} {
+		f := DivideFiles(limit)
+		sum := f.Callers + f.Targets + f.Peers + f.Directory + f.Ready + f.Metrics
+		g.Expect(sum).To(BeNumerically("<=", limit-min(reservedFiles, limit/2)))
+		g.Expect(f.Targets).To(BeNumerically(">=", f.Callers), "a running request has a connection to its target")
+	}
+}
+
 // A body of the configured limit fits on the smallest machine.
 func TestBodyFitsOnTheSmallestMachine(t *testing.T) {
 	const smallestMemory, bodyLimit = 112 << 20, 4 << 20
--- a/shedding/shares.go
+++ b/shedding/shares.go
@@ -11,3 +11,44 @@
 func CallerBytes(memory int64) int {
 	return int(max(memory/2-processBytes, memory/minCallerDivisor))
 }
+
+// Files divides the open files of a process among its ports and the connections that it opens, so that none can take those of another.
+type Files struct {
+	Callers, Targets, Peers, Directory, Ready, Metrics int
+}
+
+// Shares of the open files, in percent. A running request has a connection to its caller and one to its target. The rest is for the
+// connections to the store and to peers.
+const (
+	callersPercent   = 40
+	targetsPercent   = 40
+	peersPercent     = 10
+	directoryPercent = 3
+	readyPercent     = 2
+	metricsPercent   = 2
+
+	agentPeersPercent = 60 // of an agent, which has no callers
+)
+
+// reservedFiles are left for files that are no connections, or half of all if there are few.
+const reservedFiles = 200
+
+// minPortFiles is the least share of a port.
+const minPortFiles = 4
+
+// DivideFiles returns the shares of a process with a limit on its open files.
+func DivideFiles(limit int) Files {
+	share := func(percent int) int { return shareOf(limit, percent) }
+	return Files{
+		Callers: share(callersPercent), Targets: share(targetsPercent), Peers: share(peersPercent),
+		Directory: share(directoryPercent), Ready: share(readyPercent), Metrics: share(metricsPercent),
+	}
+}
+
+// AgentPeers returns the connections of peers in an agent with a limit on its open files.
+func AgentPeers(limit int) int { return shareOf(limit, agentPeersPercent) }
+
+func shareOf(limit, percent int) int {
+	sockets := limit - min(reservedFiles, limit/2)
+	return max(sockets*percent/100, minPortFiles)
+}
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -41,7 +41,7 @@
 	case err != nil:
 		return ProcessUnknown
 	}
-	c := newConn(nc)
+	c := newConn(nc, p.limit)
 	if err := nc.SetReadDeadline(time.Now().Add(checkHoldTime)); err != nil {
 		c.abort()
 		return ProcessUnknown
--- a/upstream/process_test.go
+++ b/upstream/process_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 	}()
-	p := NewPool(ln.Addr().String())
+	p := NewPool(ln.Addr().String(), new(Limit))
 	g.Expect(p.CheckProcess(context.Background())).To(Equal(ProcessRunning))
 	g.Expect(p.IdleCount()).To(Equal(1), "the connection is kept for requests")
 	g.Expect(p.CheckProcess(context.Background())).To(Equal(ProcessGone))
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if !running || !r.reusable || r.keepAlive == 0 || c.br.Buffered() > 0 {
-		_ = c.nc.Close()
+		c.close()
 		return
 	}
 	r.pool.release(c, r.keepAlive)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -62,9 +63,21 @@
 	maxIdleConns    = 64
 )
 
+// Limit bounds the open connections to all targets together. The zero value is no limit.
+type Limit struct {
+	Max      int64
+	MakeRoom func() // closes idle connections
+
+	open atomic.Int64
+}
+
+// isReached reports whether no more connections may be open.
+func (l *Limit) isReached() bool { return l.Max > 0 && l.open.Load() >= l.Max }
+
 // Pool holds the idle connections to one target.
 type Pool struct {
 	addr   string
+	limit  *Limit
 	mu     sync.Mutex
 	idle   []*conn // idle connections, most recently used last
 	closed bool
@@ -72,17 +85,31 @@
 }
 
 // NewPool returns a pool for the target at an address.
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
+func NewPool(addr string, limit *Limit) *Pool { return &Pool{addr: addr, limit: limit} }
 
 type conn struct {
 	nc      net.Conn
 	br      *bufio.Reader
 	stall   *tcp.StallWatch // a target may read a long body slowly
 	expires time.Time
+	limit   *Limit
+	closed  atomic.Bool
 }
 
-func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), stall: tcp.NewStallWatch(nc, nil)}
+func newConn(nc net.Conn, limit *Limit) *conn {
+	limit.open.Add(1)
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), stall: tcp.NewStallWatch(nc, nil), limit: limit}
+}
+
+func (c *conn) close() {
+	_ = c.nc.Close() // an error at this point has no consequence
+	c.recordClosed()
+}
+
+func (c *conn) recordClosed() {
+	if !c.closed.Swap(true) {
+		c.limit.open.Add(-1)
+	}
 }
 
 // DialCount returns the number of connections that were opened or attempted.
@@ -128,7 +155,10 @@
 // abort resets the connection. The reset discards data that is still on its way to the target.
 // After an ordinary close that data would arrive when a frozen or disconnected VM is back, and
 // the target would process a request whose caller has long left.
-func (c *conn) abort() { tcp.Abort(c.nc) }
+func (c *conn) abort() {
+	tcp.Abort(c.nc)
+	c.recordClosed()
+}
 
 var headBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
@@ -246,13 +276,16 @@
 		if time.Now().Before(c.expires) && c.br.Buffered() == 0 && tcp.StillOpen(c.nc) {
 			return c, false, nil
 		}
-		_ = c.nc.Close()
+		c.close()
+	}
+	if p.limit.isReached() && p.limit.MakeRoom != nil {
+		p.limit.MakeRoom()
 	}
 	nc, err := p.dial(ctx, dialTimeout)
 	if err != nil {
 		return nil, true, err
 	}
-	return newConn(nc), true, nil
+	return newConn(nc, p.limit), true, nil
 }
 
 func (p *Pool) popIdle() *conn {
@@ -271,13 +304,13 @@
 func (p *Pool) release(c *conn, idleTime time.Duration) {
 	c.expires = time.Now().Add(idleTime)
 	p.mu.Lock()
-	pooled := !p.closed && len(p.idle) < maxIdleConns
+	pooled := !p.closed && len(p.idle) < maxIdleConns && !p.limit.isReached()
 	if pooled {
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
 	if !pooled {
-		_ = c.nc.Close()
+		c.close()
 	}
 }
 
@@ -296,8 +329,22 @@
 	p.idle = valid
 	p.mu.Unlock()
 	for _, c := range expired {
-		_ = c.nc.Close()
+		c.close()
+	}
+}
+
+// CloseOldestIdle closes the idle connection that has not been used for longest, and reports whether there was one.
+func (p *Pool) CloseOldestIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
 	}
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	p.mu.Unlock()
+	oldest.close()
+	return true
 }
 
 // Close closes the idle connections. Connections in use are closed after their response.
@@ -307,6 +354,6 @@
 	p.idle, p.closed = nil, true
 	p.mu.Unlock()
 	for _, c := range idle {
-		_ = c.nc.Close()
+		c.close()
 	}
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -86,7 +86,7 @@
 		_, _ = io.WriteString(nc, okResponse("r2", "two"))
 		return true
 	})
-	p := NewPool(s.addr)
+	p := NewPool(s.addr, new(Limit))
 	defer p.Close()
 	g.Expect(send(p, "r1")).To(Equal("one"))
 	g.Expect(send(p, "r2")).To(Equal("two"))
@@ -107,7 +107,7 @@
 		_, _ = io.WriteString(nc, okResponse("r1", "one again")+okResponse("r2", "two"))
 		return true
 	})
-	p := NewPool(s.addr)
+	p := NewPool(s.addr, new(Limit))
 	defer p.Close()
 	g.Expect(send(p, "r1")).To(Equal("one"))
 	g.Expect(send(p, "r2")).To(Equal("two"))
@@ -125,7 +125,7 @@
 		_, _ = io.WriteString(nc, okResponse("r", "x"))
 		return true
 	})
-	p := NewPool(s.addr)
+	p := NewPool(s.addr, new(Limit))
 	defer p.Close()
 	g.Expect(send(p, "r")).To(Equal("x"))
 	g.Expect((<-s.conns).Close()).To(Succeed())
@@ -155,7 +155,7 @@
 				}
 				return false
 			})
-			p := NewPool(s.addr)
+			p := NewPool(s.addr, new(Limit))
 			defer p.Close()
 			_, err := send(p, "r")
 			g.Expect(err).To(HaveOccurred())
@@ -175,7 +175,7 @@
 		_, _ = io.Copy(io.Discard, br) // reads the rest of the body, as targets with keep-alive do
 		return false
 	})
-	p := NewPool(s.addr)
+	p := NewPool(s.addr, new(Limit))
 	defer p.Close()
 	r, err := p.Send(context.Background(), &Request{Method: "POST", URI: "/x", Host: "h", EchoHeader: "Id", EchoValue: "r",
 		Body: [][]byte{[]byte(strings.Repeat("x", 3<<20))}})
@@ -193,7 +193,7 @@
 	addr := ln.Addr().String()
 	g.Expect(ln.Close()).To(Succeed())
 	var failed *SendError
-	_, err = send(NewPool(addr), "r")
+	_, err = send(NewPool(addr, new(Limit)), "r")
 	g.Expect(errors.As(err, &failed)).To(BeTrue())
 	g.Expect(failed.MayHaveRun).To(BeFalse())
 
@@ -201,7 +201,7 @@
 		readRequest(br)
 		return false
 	})
-	_, err = send(NewPool(s.addr), "r")
+	_, err = send(NewPool(s.addr, new(Limit)), "r")
 	g.Expect(errors.As(err, &failed)).To(BeTrue())
 	g.Expect(failed.MayHaveRun).To(BeTrue())
 }
@@ -219,7 +219,7 @@
 		_, _ = io.WriteString(nc, okResponse("r", "x"))
 		return true
 	})
-	p := NewPool(s.addr)
+	p := NewPool(s.addr, new(Limit))
 	defer p.Close()
 	g.Expect(send(p, "r")).To(Equal("x"))
 	<-received
@@ -264,7 +264,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	r, err := NewPool(target.addr).Send(ctx, &Request{Method: "POST", URI: "/", Host: "h", Body: [][]byte{[]byte(body)}, EchoHeader: "Id", EchoValue: "1"})
+	r, err := NewPool(target.addr, new(Limit)).Send(ctx, &Request{Method: "POST", URI: "/", Host: "h", Body: [][]byte{[]byte(body)}, EchoHeader: "Id", EchoValue: "1"})
 	g.Expect(err).NotTo(HaveOccurred())
 	text, err := io.ReadAll(r)
 	g.Expect(err).NotTo(HaveOccurred())
