callers, platform, metrics: the ports for short requests are bounded like that for callers

Callers saw: with 1,500 half heads at the readiness port, or at the directory's, that port answered nobody, then and afterwards; connections with half a head stayed open without end, and took the descriptors of all other ports. An accept that failed ended the port for good, while the directory still named the gateway.

Cause: these servers had no bound on connections and no time for a head; that of the metrics had both, and refused the newest instead of the silent. All three are callers.ServePort now, with a share of the descriptors, 5 s for a head and 30 s between requests, and accepts that are tried again and counted (accept_failures).

--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -36,9 +36,9 @@
 				<-release
 			}
 		},
-		Logger: silent{},
+		Logger: discardLogger{},
 	}
-	s = NewServer(server, limits, func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} },
+	s = NewServer(server, limits, func() Timeouts { return Timeouts{Head: portHeadTimeout, Idle: portIdleTimeout} },
 		Observer{Refused: func(a net.Addr) { refused <- a }})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(ln) }()
@@ -138,7 +138,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	var s *Server
-	s = NewServer(&fasthttp.Server{Logger: silent{}, Handler: func(c *fasthttp.RequestCtx) {
+	s = NewServer(&fasthttp.Server{Logger: discardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
 		b, err := ReadBody(c, s.MaxBodyBytes(), farFuture)
 		if err != nil {
 			c.SetStatusCode(400)
@@ -223,7 +223,7 @@
 	flaky := &flakyListener{Listener: ln}
 	flaky.failures.Store(5)
 	failed := make(chan error, 16)
-	s := NewServer(&fasthttp.Server{Logger: silent{}, Handler: func(*fasthttp.RequestCtx) {}}, shedding.Limits{Connections: 8, Bytes: 1 << 20},
+	s := NewServer(&fasthttp.Server{Logger: discardLogger{}, Handler: func(*fasthttp.RequestCtx) {}}, shedding.Limits{Connections: 8, Bytes: 1 << 20},
 		func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} }, Observer{AcceptFailed: func(err error) { failed <- err }})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(flaky) }()
@@ -265,9 +265,3 @@
 	_, bytes := s.account.Usage()
 	g.Expect(bytes).To(BeZero())
 }
-
-// silent discards the library's log lines.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
--- a/cmd/heatherrail-agent/main.go
+++ b/cmd/heatherrail-agent/main.go
@@ -33,7 +33,7 @@
 	}
 	set := metrics.New()
 	if file.Agent.Metrics != "" {
-		server, err := set.Serve(file.Agent.Metrics)
+		server, err := set.Serve(file.Agent.Metrics, metrics.DefaultMaxConns)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return daemon.ExitFail
--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -25,11 +25,11 @@
 	}
 	files := shedding.DivideFiles(p.MaxFiles)
 	g := gateway.Start(options(p, files), callers, p.Peers)
-	if err := platform.ServeDirectory(p.Settings.DirectoryAddr, g.Entries); err != nil {
+	if err := platform.ServeDirectory(p.Settings.DirectoryAddr, files.Directory, p.Metrics.Observer(), g.Entries); err != nil {
 		p.Log.Error(err, "failed to serve the directory")
 		return daemon.ExitFail
 	}
-	if err := platform.ServeReady(p.Settings.ReadyAddr, g.Ready); err != nil {
+	if err := platform.ServeReady(p.Settings.ReadyAddr, files.Ready, p.Metrics.Observer(), g.Ready); err != nil {
 		p.Log.Error(err, "failed to serve readiness checks")
 		return daemon.ExitFail
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
 	"strings"
 	"time"
 
@@ -70,11 +69,8 @@
 	}
 	limits := shedding.Limits{Connections: e.opts.Settings.MaxCallers, Bytes: cmp.Or(int(e.opts.Settings.CallerMemory), defaultCallerMemory)}
 	timeouts := func() callers.Timeouts { return callers.Timeouts{Head: e.requestTimeout(), Idle: callerIdleTimeout} }
-	observer := callers.Observer{
-		Refused:      e.refuseConn,
-		GaveWay:      func(net.Addr) { e.opts.Metrics.Count("connections_gave_way", 1) },
-		AcceptFailed: func(error) { e.opts.Metrics.Count("accept_failures", 1) },
-	}
+	observer := e.opts.Metrics.Observer()
+	observer.Refused = e.refuseConn
 	return callers.NewServer(server, limits, timeouts, observer)
 }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -16,6 +16,7 @@
 	"github.com/heatherrail/heatherrail/logging"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // Process holds the settings, log, metrics and listener that Run sets up for a program.
@@ -55,7 +56,7 @@
 		p.Log.Error(err, "can't listen for peers")
 		return daemon.ExitFail
 	}
-	if _, err := p.Metrics.Serve(net.JoinHostPort(s.IP, metricsPort)); err != nil {
+	if _, err := p.Metrics.Serve(net.JoinHostPort(s.IP, metricsPort), shedding.DivideFiles(p.MaxFiles).Metrics); err != nil {
 		p.Log.Error(err, "can't serve metrics")
 	}
 	return serve(p)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -48,7 +48,7 @@
 	g := NewWithT(t)
 	s := metrics.New()
 	s.CountResult(result.TargetBusy)
-	server, err := s.Serve("127.0.0.1:0")
+	server, err := s.Serve("127.0.0.1:0", 4)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer server.Close()
 	resp, err := http.Get("http://" + server.Addr() + "/metrics")
--- a/metrics/serve.go
+++ b/metrics/serve.go
@@ -3,43 +3,38 @@
 import (
 	"fmt"
 	"net"
-	"time"
 
 	"github.com/valyala/fasthttp"
-)
 
-// Limits of the server. Collectors send few and small requests.
-const (
-	serveMaxConns       = 64
-	serveTimeout        = 10 * time.Second
-	serveMaxHeaderBytes = 4 << 10
+	"github.com/heatherrail/heatherrail/callers"
 )
 
+// DefaultMaxConns is the limit on the connections of a Server if there is no other.
+const DefaultMaxConns = 64
+
 // Server serves a Set over HTTP on its own address, for processes whose other listeners
 // don't serve metrics.
 type Server struct {
-	ln  net.Listener
-	srv *fasthttp.Server
+	ln net.Listener
 }
 
-// Serve starts an HTTP server on addr for /metrics and /healthz.
-func (s *Set) Serve(addr string) (*Server, error) {
+// Serve starts an HTTP server on addr for /metrics and /healthz, with a limit on its connections.
+func (s *Set) Serve(addr string, maxConns int) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
-	m := &Server{ln: ln, srv: &fasthttp.Server{
-		Handler:               s.handle,
-		Concurrency:           serveMaxConns,
-		ReadTimeout:           serveTimeout,
-		WriteTimeout:          serveTimeout,
-		IdleTimeout:           serveTimeout,
-		ReadBufferSize:        serveMaxHeaderBytes,
-		MaxRequestBodySize:    1,
-		NoDefaultServerHeader: true,
-	}}
-	go func() { _ = m.srv.Serve(ln) }() // returns after Close
-	return m, nil
+	callers.ServePort(ln, maxConns, s.handle, s.Observer())
+	return &Server{ln: ln}, nil
+}
+
+// Observer counts the connections to a port that were not served.
+func (s *Set) Observer() callers.Observer {
+	return callers.Observer{
+		Refused:      func(net.Addr) { s.Count("connections_refused", 1) },
+		GaveWay:      func(net.Addr) { s.Count("connections_gave_way", 1) },
+		AcceptFailed: func(error) { s.Count("accept_failures", 1) },
+	}
 }
 
 func (s *Set) handle(ctx *fasthttp.RequestCtx) {
