peers: what connections to the peers' port send is bounded

Anyone who reaches the port of a gateway or of a rank agent could end the process, or keep its descriptors until they were idle for 15 s. With 96 MB in the tests 100 frames of 8 MB that stopped a byte short took 814 MB (gateway) and 812 MB (agent); 100 frames of 15 bytes that announced an array of 8,388,608 elements took 2,044 MB and 786 MB; 1,000 silent connections kept the agent's descriptors.

Cause: a frame's payload was allocated as announced, for any number of connections; the decoder allocates arrays and byte strings as announced, up to a limit that must be as large as a frame, since it is the same for both; there was no bound on connections, and no time for a frame after its first byte.

The payload's memory follows what arrives, doubled each time, and is granted by an account of its own, an eighth of the process's memory. Before a message is decoded it is walked through: what it announces must be there, in at most 262,144 elements. Connections are bounded by a share of max-fds, those that have not asked anything give way first, and a frame has 3 s.

TestUnfinishedFramesOfPeers, TestAnnouncedElementsOfPeers and TestSilentConnectionsToAgents fail on with these figures, TestSilentConnections for the peers' port too.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -9,6 +9,7 @@
 	"github.com/heatherrail/heatherrail/internal/daemon"
 	"github.com/heatherrail/heatherrail/internal/hosted"
 	"github.com/heatherrail/heatherrail/internal/tcp"
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/platform"
 	"github.com/heatherrail/heatherrail/shedding"
 )
@@ -58,8 +59,9 @@
 		MaxDirectoryTTL:         s.MaxDirectoryTTL,
 		MaxDirectoryAddresses:   platform.MaxDirectoryAddresses,
 		MaxCallerConns:          files.Callers,
-		MaxTargetConns:          files.Targets,
 		MaxCallerBytes:          shedding.CallerBytes(s.MemoryBytes),
+		MaxTargetConns:          files.Targets,
+		PeerLimits:              peers.Limits(files.Peers, s.MemoryBytes),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/cmd/heatherrail-rank/main.go
+++ b/cmd/heatherrail-rank/main.go
@@ -7,7 +7,9 @@
 
 	"github.com/heatherrail/heatherrail/internal/hosted"
 	"github.com/heatherrail/heatherrail/lockstep"
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 func main() { os.Exit(hosted.Run(serve)) }
@@ -22,6 +24,7 @@
 		Service:         s.Service,
 		PeerAddr:        p.PeersAddr,
 		PeerPort:        p.PeersPort,
+		PeerLimits:      peers.Limits(shedding.AgentPeers(p.MaxFiles), s.MemoryBytes),
 		Store:           platform.NewStore(s.StoreAddr),
 		NewRemoteEngine: func(address string) lockstep.Engine { return platform.NewEngine(address) },
 		Dial:            lockstep.DialPeer,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,7 @@
 	g.cluster = newCluster(g)
 	g.state.onEntryRecord = g.cluster.recordEntry
 	g.state.onSuspectRecord = g.applySuspectRecord
-	g.peerServer = peers.Serve(peersLn, map[peers.Kind]peers.Handler{
+	g.peerServer = peers.Serve(peersLn, g.opts.PeerLimits, map[peers.Kind]peers.Handler{
 		peers.KindHeartbeat: g.cluster.membership.HandleProbe,
 		peers.KindProbe:     g.cluster.membership.HandleIndirectProbe,
 		peers.KindPermit:    g.cluster.servePermit,
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -105,7 +105,7 @@
 	changed = c.applyFailureReports(ack.FailureReports) || changed
 	ratesChanged, _ := c.applyRateMessages(ack.Rates, sent)
 	changed = changed || ratesChanged
-	for i := range ack.Updates {
+	for i := range min(len(ack.Updates), serving.NumTopics) {
 		c.applyTopicUpdate(ack, &ack.Updates[i], sent)
 		changed = true
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -13,6 +13,7 @@
 	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // HeaderNames are the names of the headers of requests. The comment on each field says what the
@@ -51,15 +52,16 @@
 	// DecodeAnswer decodes the header of a target's response.
 	DecodeAnswer func(status int, header *fasthttp.ResponseHeader) serving.Answer
 
-	DrainTimeout            time.Duration // time within which a leaving target must stop getting new requests
-	ConfigApplyTimeout      time.Duration // time within which an accepted configuration must be in force
-	TargetHeartbeatInterval time.Duration // interval between two records of a live target
-	ShutdownGrace           time.Duration // time from the order to stop until the process must end
-	MaxDirectoryTTL         time.Duration // upper limit of the TTL of directory answers
-	MaxDirectoryAddresses   int           // maximum number of addresses in a directory answer; 0: no limit
-	MaxCallerConns          int           // open connections of callers; 0: defaultCallerConns
-	MaxTargetConns          int           // open connections to targets; 0: no limit
-	MaxCallerBytes          int           // memory that is held for callers, all together; 0: defaultCallerBytes
+	DrainTimeout            time.Duration   // time within which a leaving target must stop getting new requests
+	ConfigApplyTimeout      time.Duration   // time within which an accepted configuration must be in force
+	TargetHeartbeatInterval time.Duration   // interval between two records of a live target
+	ShutdownGrace           time.Duration   // time from the order to stop until the process must end
+	MaxDirectoryTTL         time.Duration   // upper limit of the TTL of directory answers
+	MaxDirectoryAddresses   int             // maximum number of addresses in a directory answer; 0: no limit
+	MaxCallerConns          int             // open connections of callers; 0: defaultCallerConns
+	MaxCallerBytes          int             // memory that is held for callers, all together; 0: defaultCallerBytes
+	MaxTargetConns          int             // open connections to targets; 0: no limit
+	PeerLimits              shedding.Limits // connections of other entries and of agents, and their memory
 	RetryBudget             RetryBudget
 	AgentPort               string                                  // port of the lockstep agents
 	Dial                    func(address string) members.PeerClient // returns a client for another entry; nil: TCP
--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -24,6 +24,7 @@
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // Engine is a client of one model engine.
@@ -68,12 +69,13 @@
 
 // Options configure an agent.
 type Options struct {
-	VM         string // name of the agent's VM
-	Engine     Engine // engine on the agent's VM
-	EngineAddr string // address of the engine on the agent's VM
-	Service    string // service that the engine belongs to
-	PeerAddr   string // address that other agents and entries connect to
-	PeerPort   string // port that every agent listens on
+	VM         string          // name of the agent's VM
+	Engine     Engine          // engine on the agent's VM
+	EngineAddr string          // address of the engine on the agent's VM
+	Service    string          // service that the engine belongs to
+	PeerAddr   string          // address that other agents and entries connect to
+	PeerPort   string          // port that every agent listens on
+	PeerLimits shedding.Limits // connections of other agents and of entries, and their memory
 	Store      serving.Store
 	// NewRemoteEngine returns a client of an engine on another VM.
 	NewRemoteEngine func(address string) Engine
@@ -116,7 +118,7 @@
 // Start starts an agent that serves peers on ln.
 func Start(o Options, ln net.Listener) *Agent {
 	a := newAgent(o)
-	a.server = peers.Serve(ln, a.handlers(), func(remote string, err error) {
+	a.server = peers.Serve(ln, o.PeerLimits, a.handlers(), func(remote string, err error) {
 		o.Log.Info("peer connection failed", "remote", remote, "error", err.Error())
 	})
 	a.tasks.Go(a.run)
--- a/peers/client.go
+++ b/peers/client.go
@@ -65,7 +65,7 @@
 	if _, err := c.conn.Write(frame); err != nil {
 		return err
 	}
-	responseKind, payload, err := readFrame(c.br)
+	responseKind, payload, err := readFrame(c.br, reserveNothing)
 	if err != nil {
 		return err
 	}
--- a/peers/endless_test.go
+++ b/peers/endless_test.go
@@ -1,7 +1,10 @@
 package peers
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"strings"
@@ -9,6 +12,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // A peer that answers without end must not hold a request beyond its timeout, nor its connection.
@@ -44,7 +50,7 @@
 	g := NewWithT(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	s := Serve(ln, nil, func(string, error) {})
+	s := Serve(ln, shedding.Limits{}, nil, func(string, error) {})
 	defer s.Close()
 	nc, err := net.Dial("tcp", ln.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -55,3 +61,57 @@
 	}
 	g.Expect(err).NotTo(MatchError(ContainSubstring("timeout")))
 }
+
+// A peer that announces a payload must not make the receiver take memory for it before it has arrived.
+func TestMemoryOfFrameFollowsWhatArrives(t *testing.T) {
+	g := NewWithT(t)
+	var reserved int
+	reserve := func(n int) error { reserved += n; return nil }
+	frame := append([]byte{0, 0x80, 0, 0, 1}, make([]byte, 100)...)
+	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(frame)), reserve)
+	g.Expect(err).To(MatchError(ErrFrame))
+	g.Expect(reserved).To(Equal(firstPayloadBytes))
+}
+
+// Messages must not announce more elements than they hold, nor many that are larger in memory.
+func TestMessagesThatAnnounceMoreThanTheyHoldAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	array := func(n uint32, following int) []byte {
+		return append(binary.BigEndian.AppendUint32([]byte{0xdd}, n), bytes.Repeat([]byte{0xc0}, following)...)
+	}
+	g.Expect(checkMessage(array(3, 3))).To(Succeed())
+	g.Expect(checkMessage(array(3, 2))).To(MatchError(ErrFrame))
+	g.Expect(checkMessage(array(3, 4))).To(MatchError(ErrFrame))
+	g.Expect(checkMessage(array(8<<20, 0))).To(MatchError(ErrFrame))
+	g.Expect(checkMessage(array(maxElements+1, maxElements+1))).To(MatchError(ErrFrame))
+	g.Expect(checkMessage(binary.BigEndian.AppendUint32([]byte{0xc6}, 1<<20))).To(MatchError(ErrFrame), "bytes")
+	g.Expect(checkMessage(binary.BigEndian.AppendUint32([]byte{0xdf}, 1<<31))).To(MatchError(ErrFrame), "a map")
+	g.Expect(checkMessage(bytes.Repeat([]byte{0x91}, 1000))).To(MatchError(ErrFrame), "arrays in arrays")
+	g.Expect(checkMessage(nil)).To(MatchError(ErrFrame))
+}
+
+// Requests that are not whole must not keep the connections of peers that ask.
+func TestUnfinishedRequestsGiveWayToPeers(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s := Serve(ln, shedding.Limits{Connections: 8, Bytes: 2 * maxFrameBytes}, map[Kind]Handler{
+		KindLoads: func([]byte) (msgp.Marshaler, error) { return &Loads{Leader: "x"}, nil },
+	}, func(string, error) {})
+	defer s.Close()
+	for i := range 32 {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+i%4))}}
+		nc, err := d.Dial("tcp", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = nc.Close() }()
+		if i%2 == 0 {
+			_, err = nc.Write([]byte{0, 0x80, 0, 0, 1, 0})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	g.Eventually(func() error {
+		c := NewClient(ln.Addr().String())
+		defer c.Close()
+		return c.Ask(context.Background(), KindLoads, &LoadsQuery{}, new(Loads), time.Second)
+	}, "20s").Should(Succeed())
+}
--- a/peers/frame.go
+++ b/peers/frame.go
@@ -34,19 +34,35 @@
 	return b, nil
 }
 
-// readFrame reads one frame. It checks the length before it allocates the payload.
-func readFrame(r *bufio.Reader) (Kind, []byte, error) {
+// firstPayloadBytes is the memory that is taken for a payload before any of it has arrived. It is doubled with what arrives.
+const firstPayloadBytes = 16 << 10
+
+// readFrame reads one frame. The memory for its payload follows what arrives, not the length that the frame announces. reserve is
+// called before memory is taken.
+func readFrame(r *bufio.Reader, reserve func(bytes int) error) (Kind, []byte, error) {
 	var head [headerSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, nil, err
 	}
-	size := binary.BigEndian.Uint32(head[:4])
+	size := int(binary.BigEndian.Uint32(head[:4]))
 	if size > maxFrameBytes {
 		return 0, nil, fmt.Errorf("%w: payload of %d bytes exceeds the limit", ErrFrame, size)
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return 0, nil, fmt.Errorf("%w: truncated payload: %w", ErrFrame, err)
+	var payload []byte
+	for len(payload) < size || payload == nil {
+		next := min(max(2*len(payload), firstPayloadBytes), size)
+		if err := reserve(next); err != nil {
+			return 0, nil, err
+		}
+		grown := make([]byte, next)
+		arrived := copy(grown, payload)
+		if _, err := io.ReadFull(r, grown[arrived:]); err != nil {
+			return 0, nil, fmt.Errorf("%w: truncated payload: %w", ErrFrame, err)
+		}
+		payload = grown
 	}
-	return Kind(head[4]), payload, nil
+	return Kind(head[4]), payload, checkMessage(payload)
 }
+
+// reserveNothing is for frames of peers that this process has asked.
+func reserveNothing(int) error { return nil }
--- a/peers/pack.go
+++ b/peers/pack.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: packed records: %w", ErrFrame, err)
 	}
+	if err := checkMessage(encoded); err != nil {
+		return err
+	}
 	var records Records
 	if _, err := records.UnmarshalMsg(encoded); err != nil {
 		return fmt.Errorf("%w: packed records: %w", ErrFrame, err)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 func listen(t *testing.T) net.Listener {
@@ -27,7 +29,7 @@
 	g := NewWithT(t)
 	ln := listen(t)
 	handlers := map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) { return &Loads{Known: true, Leader: "l"}, nil }}
-	s := Serve(ln, handlers, func(string, error) {})
+	s := Serve(ln, shedding.Limits{}, handlers, func(string, error) {})
 	c := NewClient(ln.Addr().String())
 	defer c.Close()
 	ask := func() error {
@@ -43,7 +45,7 @@
 	restarted, err := net.Listen("tcp", ln.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer restarted.Close()
-	Serve(restarted, handlers, func(string, error) {})
+	Serve(restarted, shedding.Limits{}, handlers, func(string, error) {})
 	g.Eventually(ask, "5s").Should(Succeed())
 }
 
@@ -54,7 +56,7 @@
 	ln := listen(t)
 	release := make(chan struct{})
 	first := true
-	Serve(ln, map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) {
+	Serve(ln, shedding.Limits{}, map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) {
 		if first {
 			first = false
 			<-release
@@ -76,7 +78,7 @@
 func TestOversizedFrameIsRejected(t *testing.T) {
 	g := NewWithT(t)
 	head := binary.BigEndian.AppendUint32(nil, 1<<30)
-	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(append(head, 1))))
+	_, _, err := readFrame(bufio.NewReader(bytes.NewReader(append(head, 1))), reserveNothing)
 	g.Expect(err).To(MatchError(ErrFrame))
 }
 
@@ -102,7 +104,7 @@
 	}
 	f.Add(frame)
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, payload, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		_, payload, err := readFrame(bufio.NewReader(bytes.NewReader(data)), reserveNothing)
 		if err != nil {
 			return
 		}
@@ -122,7 +124,7 @@
 	g := NewWithT(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	s := Serve(ln, map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) { return &Loads{}, nil }}, func(string, error) {})
+	s := Serve(ln, shedding.Limits{}, map[Kind]Handler{KindLoads: func([]byte) (msgp.Marshaler, error) { return &Loads{}, nil }}, func(string, error) {})
 	c := NewClient(ln.Addr().String())
 	defer c.Close()
 	var loads Loads
--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -324,11 +324,7 @@
 		g.Expect(sum).To(BeNumerically("<=", limit-min(reservedFiles, limit/2)))
 		g.Expect(f.Targets).To(BeNumerically(">=", f.Callers), "a running request has a connection to its target")
 	}
-}
-
-// A body of the configured limit fits on the smallest machine.
-func TestBodyFitsOnTheSmallestMachine(t *testing.T) {
 	const smallestMemory, bodyLimit = 112 << 20, 4 << 20
 	limits := Limits{Bytes: CallerBytes(smallestMemory)}
-	NewWithT(t).Expect(limits.MaxBytesOfOne() - ActiveBytes).To(BeNumerically(">=", bodyLimit))
+	g.Expect(limits.MaxBytesOfOne() - ActiveBytes).To(BeNumerically(">=", bodyLimit))
 }
--- /dev/null
+++ b/soak/crowds/peers_test.go
@@ -0,0 +1,144 @@
+package crowds
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/heatherrail/heatherrail/peers"
+	"github.com/heatherrail/heatherrail/platform"
+	"github.com/heatherrail/heatherrail/platform/standin"
+)
+
+// announcedFrame is the head of a frame of 8 MB, the most that peers may send, and part of its payload.
+func announcedFrame(payload int) []byte {
+	return append([]byte{0, 0x80, 0, 0, 1}, make([]byte, payload)...)
+}
+
+// startAgent starts the agent of an engine that does not answer. It returns the addresses for its peers and of its metrics.
+func startAgent(t *testing.T) (p *process, peersAddr, metricsAddr string) {
+	t.Helper()
+	g := NewWithT(t)
+	ip := nextIP()
+	port := freePorts(t, ip, 1)[0]
+	peersAddr, metricsAddr = fmt.Sprintf("%s:%d", ip, port), fmt.Sprintf("%s:%d", ip, metricsPort)
+	settings := standin.EntrySettings{
+		Name: "rank-1", IP: ip, PeerPort: port, Store: serveHTTP(t, standin.NewStore()), Engine: serveHTTP(t, http.NotFoundHandler()),
+		Service: "plain", GraceSeconds: 4, DrainSeconds: 2, MemoryMB: lowered.memoryMB, MaxFiles: lowered.files,
+	}
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	g.Expect(os.WriteFile(file, []byte(settings.Text()), 0o600)).To(Succeed())
+	p = start(t, lowered, program(t, "heatherrail-rank"), nil, []string{platform.SettingsEnv + "=" + file})
+	g.Eventually(getStatus, startTimeout, sampleInterval).WithArguments("http://" + metricsAddr + "/metrics").Should(Equal(http.StatusOK))
+	return p, peersAddr, metricsAddr
+}
+
+// gatewayAnsweredPeer and agentAnsweredPeer report whether a process responds to a request of a peer on a connection of its own.
+func gatewayAnsweredPeer(address string) bool {
+	return peerAnswered(address, peers.KindPermit, new(peers.PermitQuery), new(peers.PermitResult))
+}
+
+func agentAnsweredPeer(address string) bool {
+	return peerAnswered(address, peers.KindLoads, new(peers.LoadsQuery), new(peers.Loads))
+}
+
+func peerAnswered(address string, kind peers.Kind, question msgp.Marshaler, answer msgp.Unmarshaler) bool {
+	c := peers.NewClient(address)
+	defer c.Close()
+	return c.Ask(context.Background(), kind, question, answer, answerTimeout) == nil
+}
+
+// Frames that are announced and not sent, or not whole, must not use up the memory of a gateway or of an agent; peers are still answered.
+func TestUnfinishedFramesOfPeers(t *testing.T) {
+	for name, payload := range map[string]int{"announced": 0, "nearly whole": 8<<20 - 1} {
+		t.Run("gateway, "+name, func(t *testing.T) {
+			d := startGateway(t, options{})
+			c := newCrowd(t, d.peers, addresses...)
+			c.come(100, func(_ int, cl *client) { cl.send(announcedFrame(payload)) })
+			NewWithT(t).Eventually(gatewayAnsweredPeer, patience).WithArguments(d.peers).Should(BeTrue())
+			d.expectSurvives(c)
+		})
+		t.Run("agent, "+name, func(t *testing.T) {
+			p, address, metricsAddr := startAgent(t)
+			c := newCrowd(t, address, addresses...)
+			c.come(100, func(_ int, cl *client) { cl.send(announcedFrame(payload)) })
+			g := NewWithT(t)
+			g.Eventually(agentAnsweredPeer, patience).WithArguments(address).Should(BeTrue())
+			c.leave()
+			g.Eventually(agentAnsweredPeer, patience).WithArguments(address).Should(BeTrue())
+			g.Eventually(getStatus, patience).WithArguments("http://" + metricsAddr + "/metrics").Should(Equal(http.StatusOK))
+			p.expectWithinLimits()
+		})
+	}
+}
+
+// Starts of messages up to an array: of a heartbeat up to its members, and of an order up to its map.
+var (
+	heartbeatStart = []byte{0x9b, 0x98, 0xa0, 0, 0, 0xa0, 0xa0, 0xa0, 0xc2, 0xc2}
+	orderStart     = []byte{0x9c, 1, 0, 0, 0}
+)
+
+// arrayFrame returns a frame with a message that announces an array of some elements, of which some follow, each of one byte.
+func arrayFrame(kind peers.Kind, start []byte, announced, following int) []byte {
+	payload := append(append([]byte{}, start...), 0xdd)
+	payload = binary.BigEndian.AppendUint32(payload, uint32(announced))
+	payload = append(payload, bytes.Repeat([]byte{0xc0}, following)...)
+	return append(append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), byte(kind)), payload...)
+}
+
+// Messages that announce more elements than they hold, or elements that are much larger in memory, must not use up the memory of a gateway or
+// of an agent.
+func TestAnnouncedElementsOfPeers(t *testing.T) {
+	const elements, shortElements = 8 << 20, 50 << 10
+	frames := func(kind peers.Kind, start []byte) [][]byte {
+		return [][]byte{arrayFrame(kind, start, elements, 0), arrayFrame(kind, start, shortElements, shortElements)}
+	}
+	t.Run("gateway", func(t *testing.T) {
+		d := startGateway(t, options{})
+		c := newCrowd(t, d.peers, addresses...)
+		f := frames(peers.KindHeartbeat, heartbeatStart)
+		c.come(100, func(i int, cl *client) { cl.send(f[i%len(f)]) })
+		NewWithT(t).Eventually(gatewayAnsweredPeer, patience).WithArguments(d.peers).Should(BeTrue())
+		d.expectSurvives(c)
+	})
+	t.Run("agent", func(t *testing.T) {
+		p, address, _ := startAgent(t)
+		c := newCrowd(t, address, addresses...)
+		f := frames(peers.KindOrder, orderStart)
+		c.come(100, func(i int, cl *client) { cl.send(f[i%len(f)]) })
+		NewWithT(t).Eventually(agentAnsweredPeer, patience).WithArguments(address).Should(BeTrue())
+		p.expectWithinLimits()
+	})
+}
+
+// Silent connections, and parts of frames or heads, must not keep the descriptors of an agent.
+func TestSilentConnectionsToAgents(t *testing.T) {
+	for name, part := range map[string][]byte{"silent": nil, "part": []byte("GET")} {
+		t.Run(name, func(t *testing.T) {
+			p, address, metricsAddr := startAgent(t)
+			g := NewWithT(t)
+			var crowds []*crowd
+			for _, port := range []string{address, metricsAddr} {
+				c := newCrowd(t, port, addresses...)
+				c.come(1000, func(_ int, cl *client) { cl.send(part) })
+				crowds = append(crowds, c)
+			}
+			for range 2 {
+				g.Eventually(agentAnsweredPeer, patience).WithArguments(address).Should(BeTrue())
+				g.Eventually(getStatus, patience).WithArguments("http://" + metricsAddr + "/metrics").Should(Equal(http.StatusOK))
+				for _, c := range crowds {
+					c.leave()
+				}
+			}
+			p.expectWithinLimits()
+		})
+	}
+}
