wire, entry: silent connections give way at the entry and the agent of our own form

The entry's port for callers held silent connections, parts of heads and idle ones for its request-timeout, and its memory followed what was announced: no ordinary request was answered beside 180 announced bodies or 300 silent connections, with max-callers 64.

A connection without a hello now gives way to a later one, that of the address with most of them first, decided by the same account. A frame's memory follows what arrives.

--- a/cmd/heatherrail-entry/main.go
+++ b/cmd/heatherrail-entry/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/heatherrail/heatherrail/entry"
 	"github.com/heatherrail/heatherrail/internal/daemon"
@@ -16,6 +17,9 @@
 
 func main() { os.Exit(run()) }
 
+// memoryLimitPercent is the soft limit of the Go runtime on its memory, in percent of that held for callers.
+const memoryLimitPercent = 150
+
 func run() int {
 	f := daemon.Parse("heatherrail-entry admits, places and relays the requests of callers.")
 	file, err := settings.LoadEntry(f.Settings)
@@ -27,6 +31,7 @@
 		fmt.Println("ok")
 		return daemon.ExitOK
 	}
+	debug.SetMemoryLimit(int64(file.Entry.CallerMemory) * memoryLimitPercent / 100)
 	ln, err := file.Network.Listen(file.Entry.Listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/entry/http.go
+++ b/entry/http.go
@@ -35,7 +35,7 @@
 	defaultRequestTimeout = 30 * time.Second // limit for reading a whole request, if the settings have none
 	callerIdleTimeout     = 2 * time.Minute
 	callerReadBufferBytes = 8 << 10 // also the limit on the headers of a request
-	defaultCallerMemory   = 256 << 20
+	defaultCallerMemory   = 128 << 20
 )
 
 func (e *Entry) newApp() *fiber.App {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,7 +24,7 @@
 	MaxCallers     int           `ini:"max-callers" default:"8192" min:"16" max:"262144" doc:"callers' connections at once"`
 	Callers        string        `ini:"callers" required:"true" format:"address" doc:"address that callers connect to"`
 	Listen         string        `ini:"listen" required:"true" format:"address" doc:"address for other heatherrail processes"`
-	CallerMemory   ini.Bytes     `ini:"caller-memory" default:"256MB" min:"32MB" max:"64GB" doc:"memory for what callers send and have not read, all together; about as much again is used beside it"`
+	CallerMemory   ini.Bytes     `ini:"caller-memory" default:"128MB" min:"32MB" max:"64GB" doc:"memory for what callers send and have not read, all together; about as much again is used beside it"`
 	MaxBody        ini.Bytes     `ini:"max-body" default:"4MB" min:"1KB" max:"7MB" doc:"largest request body"`
 	RequestTimeout time.Duration `ini:"request-timeout" default:"30s" min:"1s" max:"10m" doc:"how long a request may take to arrive whole, headers and body"`
 	DirectoryTTL   time.Duration `ini:"answer-life" default:"30s" min:"1s" max:"1h" doc:"how long callers keep the list of entries"`
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // Default limits of an Acceptor, in connections.
@@ -19,7 +22,7 @@
 // Acceptor accepts connections from other processes on a listener. It limits the
 // number of connections, and separately those whose hello exchange is pending.
 // Unknown clients that connect and send nothing therefore occupy at most MaxPending
-// of the MaxConns connections, each for at most Options.HelloTimeout.
+// of the MaxConns connections, each for at most Options.HelloTimeout, and give way to later ones.
 type Acceptor struct {
 	Listener   net.Listener
 	Hello      Hello
@@ -45,7 +48,7 @@
 	setDefault(&a.MaxPending, DefaultMaxPending)
 	stop := make(chan struct{})
 	connSlots := make(chan struct{}, a.MaxConns)
-	handshakeSlots := make(chan struct{}, a.MaxPending)
+	pending := shedding.NewAccount(shedding.Limits{Connections: a.MaxPending})
 	var conns conc.WaitGroup
 	for {
 		nc, err := a.Listener.Accept()
@@ -60,14 +63,21 @@
 			a.rejectConn(nc, "connections", a.MaxConns)
 			continue
 		}
-		if !tryAcquire(handshakeSlots) {
+		holder, givesWay := pending.Open(remoteAddr(nc), time.Now())
+		if givesWay != nil {
+			givesWay.Owner.(*pendingConn).giveWay()
+			givesWay.Close()
+		}
+		if holder == nil {
 			<-connSlots
 			a.rejectConn(nc, "connections without a hello", a.MaxPending)
 			continue
 		}
+		p := &pendingConn{Conn: nc, holder: holder}
+		holder.Owner = p
 		conns.Go(func() {
 			defer func() { <-connSlots }()
-			if c := a.handshake(nc, handshakeSlots); c != nil {
+			if c := a.handshake(p); c != nil {
 				a.serve(c, stop)
 			}
 		})
@@ -101,11 +111,34 @@
 	}
 }
 
-func (a *Acceptor) handshake(nc net.Conn, handshakeSlots <-chan struct{}) *Conn {
-	defer func() { <-handshakeSlots }()
-	c, err := Server(nc, a.Hello, a.Handler, a.Options)
+func remoteAddr(nc net.Conn) netip.Addr {
+	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr()
+	}
+	return netip.Addr{}
+}
+
+// pendingConn is a connection whose hello exchange is pending.
+type pendingConn struct {
+	net.Conn
+	holder  *shedding.Holder
+	gaveWay atomic.Bool
+}
+
+// giveWay ends the handshake in favour of a later connection.
+func (p *pendingConn) giveWay() {
+	p.gaveWay.Store(true)
+	_ = p.Close() // the handshake fails
+}
+
+func (a *Acceptor) handshake(p *pendingConn) *Conn {
+	defer p.holder.Close()
+	c, err := Server(p.Conn, a.Hello, a.Handler, a.Options)
+	if err != nil && p.gaveWay.Load() {
+		err = result.New(result.ConnsFull, "%d connections without a hello, this one for longest", a.MaxPending)
+	}
 	if err != nil {
-		a.reportRefused(nc, err)
+		a.reportRefused(p, err)
 		return nil
 	}
 	return c
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -50,9 +50,12 @@
 	header [headerSize]byte
 }
 
-// next returns the next frame. It checks the length of the frame against the limit
-// before it allocates: otherwise the four bytes of a length would be enough to make
-// this side allocate memory for an unknown peer.
+// firstPayloadBytes is the memory that is taken for a payload before any of it has arrived.
+const firstPayloadBytes = 64 << 10
+
+// next returns the next frame. It checks the length of the frame against the limit, and takes
+// memory as the payload arrives: otherwise the four bytes of a length would be enough to make
+// this side allocate memory.
 func (fr *frameReader) next() (Frame, error) {
 	if _, err := io.ReadFull(fr.r, fr.header[:]); err != nil {
 		return Frame{}, err
@@ -61,11 +64,8 @@
 	if size > fr.max {
 		return Frame{}, result.New(result.WireFrameTooLarge, "frame of %d bytes, limit %d", size, fr.max)
 	}
-	if cap(fr.buf) < size {
-		fr.buf = make([]byte, size)
-	}
-	payload := fr.buf[:size]
-	if _, err := io.ReadFull(fr.r, payload); err != nil {
+	payload, err := fr.readPayload(size)
+	if err != nil {
 		return Frame{}, fmt.Errorf("truncated frame: %w", err)
 	}
 	f := Frame{
@@ -76,6 +76,25 @@
 	return f, nil
 }
 
+// readPayload reads into the buffer, which is doubled with what arrives.
+func (fr *frameReader) readPayload(size int) ([]byte, error) {
+	arrived := 0
+	for {
+		if next := min(max(2*arrived, firstPayloadBytes), size); cap(fr.buf) < next {
+			grown := make([]byte, next)
+			copy(grown, fr.buf[:arrived])
+			fr.buf = grown
+		}
+		piece := fr.buf[arrived:min(cap(fr.buf), size)]
+		if _, err := io.ReadFull(fr.r, piece); err != nil {
+			return nil, err
+		}
+		if arrived += len(piece); arrived == size {
+			return fr.buf[:size], nil
+		}
+	}
+}
+
 // beginFrame appends a frame header with an empty length to b.
 func beginFrame(b []byte, kind Kind, stream uint64) []byte {
 	b = append(b, 0, 0, 0, 0, byte(kind))
