callers, shedding: unread responses in the kernel count, and few connections find room beside many

The watch of slow readers looks after a second, when they are there already. What the kernel has not sent is now looked at before the memory of a response is released, and its buffer is half as large. While memory was short, readers that had stalled kept theirs for 30 s if it would not have been enough for the request that needed some; they give way now all the same, and what waits in the process is no longer counted twice.

300 requests that run, from four addresses, took all connections: no ordinary request was answered with them there. An eighth of the connections is left for addresses with few, and within the half of an address or a key an eighth for short requests.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -22,7 +22,6 @@
 	server    *Server
 	holder    *shedding.Holder
 	stall     *tcp.StallWatch
-	writing   atomic.Int64 // bytes of the write that waits for the caller
 	gaveWay   atomic.Bool
 	leaving   chan struct{} // closed when the connection gives way to others
 	closed    chan struct{} // closed when the descriptor is
@@ -45,9 +44,10 @@
 	buffers         []*Buffer
 	reserved        int // memory granted by the account, without behind
 
-	// corked and pending are used only by the goroutine that writes the response.
-	corked  bool
-	pending *[]byte // data that is not yet written; nil if there is none
+	// unchecked, corked and pending are used only by the goroutine that writes the response.
+	unchecked int // bytes written since the caller was last known to have read all
+	corked    bool
+	pending   *[]byte // data that is not yet written; nil if there is none
 }
 
 // Began returns when the request on the connection began to arrive.
@@ -108,14 +108,13 @@
 
 func (c *Conn) writeNow(p []byte) (written int, err error) {
 	c.stall.Arm()
-	defer c.writing.Store(0)
 	for {
-		c.writing.Store(int64(len(p) - written))
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
+		c.unchecked += n
 		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
@@ -220,7 +219,7 @@
 
 // reserveBehind reserves memory for what the kernel may hold of a caller that sends more before its response.
 func (c *Conn) reserveBehind() bool {
-	d := c.holder.Grow(tcp.BufferBytes, time.Now())
+	d := c.holder.Grow(tcp.ReceiveBufferBytes, time.Now())
 	for _, h := range d.GiveWay {
 		h.Owner.(*Conn).giveWay(false)
 	}
@@ -229,6 +228,6 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.behind += tcp.BufferBytes
+	c.behind += tcp.ReceiveBufferBytes
 	return true
 }
--- a/callers/lifecycle.go
+++ b/callers/lifecycle.go
@@ -75,6 +75,7 @@
 		b.segments = nil
 	}
 	c.buffers, c.bodyRead = nil, false
+	c.recordUnsent()
 	c.mu.Lock()
 	released := c.reserved + c.behind
 	c.reserved, c.behind = 0, 0
@@ -87,6 +88,22 @@
 	c.betweenRequests = next == shedding.Idle
 }
 
+// maxUnchecked is how much may be written to a caller until it is checked whether the caller reads.
+const maxUnchecked = 8 << 10
+
+// recordUnsent records what the kernel holds of the responses because the caller does not read, before the memory of the response is
+// released. The stall watch records how it changes.
+func (c *Conn) recordUnsent() {
+	if c.unchecked <= maxUnchecked {
+		return
+	}
+	unsent := tcp.UnsentBytes(c.Conn)
+	if unsent == 0 {
+		c.unchecked = 0
+	}
+	c.shed(c.holder.Stalled(unsent, 0, time.Now()))
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -211,17 +228,21 @@
 func (c *Conn) recordStall(s tcp.Stall) bool {
 	unread := 0
 	if s != (tcp.Stall{}) {
-		unread = s.UnsentBytes + int(c.writing.Load())
+		unread = max(s.UnsentBytes, 1) // the memory of the response itself is reserved
 	}
-	keep := s.Since < writeTimeout
-	for _, h := range c.holder.Stalled(unread, s.Since, time.Now()) {
+	return !c.shed(c.holder.Stalled(unread, s.Since, time.Now())) && s.Since < writeTimeout
+}
+
+// shed tells connections to give way, and reports whether this one is among them.
+func (c *Conn) shed(giveWay []*shedding.Holder) (itself bool) {
+	for _, h := range giveWay {
 		if h == c.holder {
-			keep = false
+			itself = true
 		} else {
-			go h.Owner.(*Conn).giveWay(false) // not here: the watch that calls is locked
+			go h.Owner.(*Conn).giveWay(false) // not here: a stall watch that calls is locked
 		}
 	}
-	return keep
+	return itself
 }
 
 // closeNow closes the connection without waiting for its caller.
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -26,9 +26,11 @@
 	userTimeout       = 2500 * time.Millisecond
 )
 
-// BufferBytes bounds what the kernel holds of a connection in each direction: received and not yet read, or written and not yet
-// acknowledged. Its own bounds are some MB.
-const BufferBytes = 64 << 10
+// Bounds of what the kernel holds of a connection. Its own are some MB. It takes about twice as much with its own overhead.
+const (
+	ReceiveBufferBytes = 64 << 10 // received and not yet read
+	sendBufferBytes    = 32 << 10 // written and not yet acknowledged
+)
 
 // Dial connects to an IP address and port. The connection fails within about
 // userTimeout after the peer becomes unreachable.
@@ -59,8 +61,8 @@
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
 		setErr = errors.Join(
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, BufferBytes),
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, BufferBytes))
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes))
 	})
 	return errors.Join(err, setErr)
 }
--- a/internal/tcp/stall.go
+++ b/internal/tcp/stall.go
@@ -118,6 +118,19 @@
 	return err == nil && isOutstanding(info)
 }
 
+// UnsentBytes returns the bytes that the kernel holds because the peer has no room for them; 0 if it does not tell.
+func UnsentBytes(nc net.Conn) int {
+	conn, ok := nc.(*net.TCPConn)
+	if !ok || noTCPInfo.Load() {
+		return 0
+	}
+	info, err := connInfo(conn)
+	if err != nil {
+		return 0
+	}
+	return int(info.Notsent_bytes)
+}
+
 func (w *StallWatch) report(s Stall) bool { return w.onStall == nil || w.onStall(s) }
 
 func isOutstanding(info *unix.TCPInfo) bool { return info.Unacked > 0 || info.Notsent_bytes > 0 }
--- a/shedding/account.go
+++ b/shedding/account.go
@@ -19,7 +19,8 @@
 // Shares of the limits.
 const (
 	groupShareDivisor = 2 // the connections of one address have at most this part of each limit, those of one key of the memory
-	smallShareDivisor = 8 // this part of the memory is left for connections that hold at most SmallBytes
+	smallShareDivisor = 8 // this part of the memory is left for connections that hold at most SmallBytes, and of the connections for addresses with few
+	fewDivisor        = 128
 )
 
 // SmallBytes is the memory up to which a connection counts as small. It covers the buffers for a head and a short body.
@@ -116,8 +117,16 @@
 func (a *Account) Open(address netip.Addr, now time.Time) (opened, givesWay *Holder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	addressFull := a.byAddress[address] != nil && a.byAddress[address].connections >= max(1, a.limits.Connections/groupShareDivisor)
-	if addressFull || a.all.connections >= a.limits.Connections {
+	ofAddress := 0
+	if g := a.byAddress[address]; g != nil {
+		ofAddress = g.connections
+	}
+	addressFull := ofAddress >= max(1, a.limits.Connections/groupShareDivisor)
+	limit := a.limits.Connections
+	if ofAddress > a.limits.Connections/fewDivisor {
+		limit -= a.limits.Connections / smallShareDivisor
+	}
+	if addressFull || a.all.connections >= limit {
 		givesWay = a.yieldingConnection(func(h *Holder) bool { return !addressFull || h.address == address }, now)
 		if givesWay == nil {
 			return nil, nil
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -9,7 +9,7 @@
 type Decision struct {
 	Granted  bool
 	Refused  bool
-	GiveWay  []*Holder       // connections that must be told to give way
+	GiveWay  []*Holder       // connections that must be told to give way, also if the request is refused
 	Released <-chan struct{} // if neither granted nor refused: closed once memory has been released, then Grow is to be called again
 }
 
@@ -38,7 +38,7 @@
 		for over > 0 {
 			v := a.yieldingMemory(h, i, n, giveWay, now)
 			if v == nil {
-				return Decision{Refused: true}
+				return Decision{Refused: true, GiveWay: leaveStalled(giveWay, now)}
 			}
 			giveWay = append(giveWay, v)
 			over -= v.bytes
@@ -57,15 +57,28 @@
 	return Decision{Granted: true}
 }
 
+// leaveStalled makes those of some connections give way that have stalled: they have no claim to the memory, although it would not be enough.
+func leaveStalled(list []*Holder, now time.Time) (stalled []*Holder) {
+	for _, h := range list {
+		if h.isStalled(now) {
+			h.leave()
+			stalled = append(stalled, h)
+		}
+	}
+	return stalled
+}
+
 // limitOf returns the limit on the memory of the group with an index, for a connection that would hold some bytes.
 func (a *Account) limitOf(group, bytes int) int {
-	switch {
-	case group > 0:
-		return a.limits.Bytes / groupShareDivisor
-	case bytes <= SmallBytes:
-		return a.limits.Bytes
+	forSmall := a.limits.Bytes / smallShareDivisor
+	limit := a.limits.Bytes - forSmall
+	if group > 0 {
+		limit = a.limits.Bytes / groupShareDivisor
+	}
+	if bytes <= SmallBytes {
+		limit += forSmall
 	}
-	return a.limits.Bytes - a.limits.Bytes/smallShareDivisor
+	return limit
 }
 
 // isIn reports whether a holder is in the group with an index of another one.
--- a/soak/crowds/bodies_test.go
+++ b/soak/crowds/bodies_test.go
@@ -171,3 +171,40 @@
 	time.Sleep(2 * time.Second) // the responses arrive
 	d.expectSurvives(c)
 }
+
+// many are limits with descriptors for a crowd that holds little on each connection.
+var many = limits{memoryMB: 96, files: 1500}
+
+// Bodies of which a byte comes now and then must not keep the memory that others need.
+func TestTricklingBodies(t *testing.T) {
+	d := startGateway(t, options{limits: many})
+	c := newCrowd(t, d.callers, addresses...)
+	c.come(300, func(i int, cl *client) {
+		if !cl.send(head(heldRoute, fmt.Sprintf("t-%d", i), announced(maxBodyBytes)), make([]byte, 400<<10)) {
+			return
+		}
+		go func() {
+			for cl.send([]byte("x")) {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	})
+	d.expectSurvives(c)
+	d.expectNothingRan()
+}
+
+// Short responses that clients do not read stay in the kernel, many on each connection.
+func TestUnreadShortResponses(t *testing.T) {
+	d := startGateway(t, options{limits: many})
+	d.held.AnswerBytes.Store(60 << 10)
+	c := newCrowd(t, d.callers, addresses...)
+	c.come(500, func(i int, cl *client) {
+		for n := range 8 {
+			if !cl.send(head(heldRoute, fmt.Sprintf("s-%d-%d", i, n), announced(1)), []byte("x")) {
+				return
+			}
+		}
+	})
+	time.Sleep(2 * time.Second) // the responses arrive
+	d.expectSurvives(c)
+}
--- a/soak/crowds/connections_test.go
+++ b/soak/crowds/connections_test.go
@@ -97,3 +97,12 @@
 	})
 	d.expectSurvives(c)
 }
+
+// Requests that run, from a few addresses, must not take the connections that other callers need.
+func TestRunningRequestsFromFewAddresses(t *testing.T) {
+	d := startGateway(t, options{})
+	d.held.Work.Store(int64(time.Minute))
+	c := newCrowd(t, d.callers, addresses...)
+	c.come(300, func(i int, cl *client) { cl.send(head(heldRoute, fmt.Sprintf("r-%d", i), announced(1)), []byte("x")) })
+	d.expectSurvives(c)
+}
