shedding: bodies that come at once are served as far as they fit

TestWholeBodiesAtOnce once had no request that ran: 60 bodies of 4 MB filled the memory at the same moment, all asked for more before the first refused one had given back what it held, and all were refused. What a refused connection holds counts as being released now, so that the others wait for it; TestBodiesAtOnceAreServedAsFarAsTheyFit.

A connection without a hello gives way only once its hello has had 100 ms to arrive: TestConnectionsWithoutHelloAreLimited lost a peer that had just connected, with two places and the race detector. The send buffer is 64 kB again: 32 kB are half a segment on loopback, and seven bodies of 20 MB took 12.9 s in place of 0.5 s, waiting for delayed acknowledgements.

--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -29,7 +29,7 @@
 // Bounds of what the kernel holds of a connection. Its own are some MB. It takes about twice as much with its own overhead.
 const (
 	ReceiveBufferBytes = 64 << 10 // received and not yet read
-	sendBufferBytes    = 32 << 10 // written and not yet acknowledged
+	sendBufferBytes    = 64 << 10 // written and not yet acknowledged; less would be a part of one segment on loopback
 )
 
 // Dial connects to an IP address and port. The connection fails within about
--- a/shedding/account.go
+++ b/shedding/account.go
@@ -14,6 +14,8 @@
 type Limits struct {
 	Connections int
 	Bytes       int // of all connections together, whatever their state
+	// MinSilence is how long a connection may send nothing before it gives way to a new one.
+	MinSilence time.Duration
 }
 
 // Shares of the limits.
@@ -26,9 +28,9 @@
 // SmallBytes is the memory up to which a connection counts as small. It covers the buffers for a head and a short body.
 const SmallBytes = 64<<10 + ActiveBytes
 
-// ActiveBytes is the memory that a connection takes while a request is on it, without the body: buffers of the HTTP library, stacks, copies
-// of the head.
-const ActiveBytes = 48 << 10
+// ActiveBytes is the memory that a connection takes while a request is on it: buffers of the HTTP library, stacks, copies of the head, short
+// bodies.
+const ActiveBytes = 56 << 10
 
 // MaxBytesOfOne returns the memory that one connection may hold at most.
 func (l Limits) MaxBytesOfOne() int { return l.Bytes / groupShareDivisor }
@@ -161,9 +163,17 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !h.closed {
+		h.enter(s, now)
+	}
+}
+
+// enter moves the holder to a state.
+func (h *Holder) enter(s State, now time.Time) {
+	a := h.account
 	h.moved.Store(now.UnixNano())
 	h.arriving.Store(0)
-	if h.closed || h.state == s {
+	if h.state == s {
 		return
 	}
 	a.inState[h.state].remove(h)
@@ -180,6 +190,22 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	h.setKey(key)
+}
+
+// Run records that the request is whole, and its key.
+func (h *Holder) Run(key string, now time.Time) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.setKey(key)
+	if !h.closed {
+		h.enter(Running, now)
+	}
+}
+
+func (h *Holder) setKey(key string) {
+	a := h.account
 	if h.closed || h.key == key {
 		return
 	}
@@ -253,14 +279,20 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.closed || !h.leaving {
+	if !h.closed {
+		h.stay()
+		a.notifyReleased()
+	}
+}
+
+func (h *Holder) stay() {
+	if !h.leaving {
 		return
 	}
 	h.leaving = false
 	for _, g := range h.groups {
 		g.leaving -= h.bytes
 	}
-	a.notifyReleased()
 }
 
 // Release gives back memory that Grow has granted.
@@ -282,6 +314,22 @@
 	}
 }
 
+// End records that a request has ended: its memory is released, and the connection has no key until the next one.
+func (h *Holder) End(release int, s State, now time.Time) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.closed {
+		return
+	}
+	h.add(-release)
+	h.stay()
+	h.leaveKey()
+	h.key = ""
+	h.enter(s, now)
+	a.notifyReleased()
+}
+
 // Close removes the connection with all that it holds.
 func (h *Holder) Close() {
 	a := h.account
--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -148,6 +148,43 @@
 	g.Expect(moving.leaving).To(BeFalse())
 }
 
+// Of many bodies that come at once as many are served as fit, and not all refused at the moment at which the memory is full.
+func TestBodiesAtOnceAreServedAsFarAsTheyFit(t *testing.T) {
+	g := NewWithT(t)
+	const bodies, body, step = 60, 4 * mb, 64 << 10
+	a := NewAccount(Limits{Connections: 1000, Bytes: 24 * mb})
+	held := make(map[*Holder]int)
+	for i := range bodies {
+		h := opened(t, a, i, 0)
+		h.SetState(Body, at(0))
+		held[h] = 0
+	}
+	whole := 0
+	for ms := 1; len(held) > 0; ms++ {
+		var refused []*Holder
+		for h := range held {
+			d := h.Grow(step, at(ms))
+			switch {
+			case d.Granted:
+				h.Arrived(step, at(ms))
+				if held[h] += step; held[h] == body {
+					h.SetState(Running, at(ms))
+					delete(held, h)
+					whole++
+				}
+			case d.Refused:
+				refused = append(refused, h)
+			}
+		}
+		for _, h := range refused { // they have given their memory back only after all others have asked
+			h.Close()
+			delete(held, h)
+		}
+		g.Expect(ms).To(BeNumerically("<", 10_000))
+	}
+	g.Expect(whole).To(Equal(5), "as many as fit beside the part of short requests")
+}
+
 // Connections that have stalled must not keep their memory because it would not be enough for the one that needs it.
 func TestStalledConnectionsGiveWayToARefusedOne(t *testing.T) {
 	g := NewWithT(t)
@@ -206,23 +243,27 @@
 	a := NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
 	holding(t, a, 1, 0, Running, 4*mb)
 	second := holding(t, a, 1, 0, Body, 4*mb)
-	third := opened(t, a, 1, 1)
-	third.SetState(Body, at(1))
-	g.Expect(third.Grow(mb, at(1)).Refused).To(BeTrue(), "the address has half")
-	g.Expect(third.Grow(mb, at(1500)).GiveWay).To(Equal([]*Holder{second}), "unless one of its bodies has stalled")
+	needs := func(ms int) Decision {
+		h := opened(t, a, 1, ms)
+		h.SetState(Body, at(ms))
+		return h.Grow(mb, at(ms))
+	}
+	g.Expect(needs(1).Refused).To(BeTrue(), "the address has half")
+	g.Expect(needs(1500).GiveWay).To(Equal([]*Holder{second}), "unless one of its bodies has stalled")
 	second.Close()
 
 	a = NewAccount(Limits{Connections: 100, Bytes: 16 * mb})
 	for i := range 2 {
 		holding(t, a, 10+i, 0, Running, 4*mb).SetKey("team")
 	}
-	other := opened(t, a, 20, 1)
-	other.SetKey("team")
-	g.Expect(other.Grow(mb, at(1)).Refused).To(BeTrue(), "the key has half")
-	g.Expect(other.Grow(SmallBytes, at(1)).Granted).To(BeTrue(), "but for short requests")
-	other.Release(SmallBytes)
-	other.SetKey("other")
-	g.Expect(other.Grow(mb, at(1)).Granted).To(BeTrue())
+	ofKey := func(key string, bytes int) Decision {
+		h := opened(t, a, 20, 1)
+		h.SetKey(key)
+		return h.Grow(bytes, at(1))
+	}
+	g.Expect(ofKey("team", mb).Refused).To(BeTrue(), "the key has half")
+	g.Expect(ofKey("team", SmallBytes).Granted).To(BeTrue(), "but for short requests")
+	g.Expect(ofKey("other", mb).Granted).To(BeTrue())
 }
 
 // A response without end gives way to others, so that they are delivered.
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -18,6 +18,21 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.grow(h, n, now)
+}
+
+// Begin records that a request begins to arrive, and reserves memory for it like Grow.
+func (h *Holder) Begin(n int, now time.Time) Decision {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !h.closed {
+		h.enter(Head, now)
+	}
+	return a.grow(h, n, now)
+}
+
+func (a *Account) grow(h *Holder, n int, now time.Time) Decision {
 	if h.closed || h.leaving {
 		return Decision{Refused: true}
 	}
@@ -38,6 +53,7 @@
 		for over > 0 {
 			v := a.yieldingMemory(h, i, n, giveWay, now)
 			if v == nil {
+				h.leave() // others wait for what it holds, and are not refused at the same moment
 				return Decision{Refused: true, GiveWay: leaveStalled(giveWay, now)}
 			}
 			giveWay = append(giveWay, v)
@@ -191,7 +207,9 @@
 // one whose request has stalled. It is nil if none does.
 func (a *Account) yieldingConnection(eligible func(*Holder) bool, now time.Time) *Holder {
 	for _, s := range yieldOrder {
-		if h := a.longestInState(s, eligible); h != nil {
+		if h := a.longestInState(s, func(h *Holder) bool {
+			return now.UnixNano()-h.moved.Load() >= int64(a.limits.MinSilence) && eligible(h)
+		}); h != nil {
 			return h
 		}
 	}
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -41,6 +41,9 @@
 // process is out of file descriptors.
 const acceptBackoff = 50 * time.Millisecond
 
+// helloGrace is how long the hello of a connection may be on its way before the connection gives way to others.
+const helloGrace = 100 * time.Millisecond
+
 // Run accepts connections until the listener is closed. It then closes the accepted
 // connections and waits for them to end.
 func (a *Acceptor) Run() {
@@ -48,7 +51,7 @@
 	setDefault(&a.MaxPending, DefaultMaxPending)
 	stop := make(chan struct{})
 	connSlots := make(chan struct{}, a.MaxConns)
-	pending := shedding.NewAccount(shedding.Limits{Connections: a.MaxPending})
+	pending := shedding.NewAccount(shedding.Limits{Connections: a.MaxPending, MinSilence: helloGrace})
 	var conns conc.WaitGroup
 	for {
 		nc, err := a.Listener.Accept()
