callers: a gateway that could not accept is ready again once accepts are not failing

The readiness check failed from the first accept that failed until the next that succeeded. Callers do not come to an entry that is not ready, so none might have succeeded. Found by reading. Accepts that fail are repeated each 50 ms; 0.2 s without a failure count as accepting. TestFailedAcceptsAreRepeated failed before on the new line.

--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -229,6 +229,7 @@
 	go func() { served <- s.Serve(flaky) }()
 	g.Expect(<-failed).To(MatchError(syscall.EMFILE))
 	g.Expect(s.Accepting()).To(BeFalse())
+	g.Eventually(s.Accepting, "5s", "5ms").Should(BeTrue(), "no connection waits that can't be accepted")
 	nc := dialFrom(t, "127.0.0.1", ln.Addr().String())
 	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/callers/server.go
+++ b/callers/server.go
@@ -30,8 +30,8 @@
 	observer  Observer
 	connState func(net.Conn, fasthttp.ConnState) // the owner's own
 
-	notAccepting atomic.Bool // the latest attempt to accept a connection failed
-	segments     segmentPool
+	acceptFailedAt atomic.Int64 // time of the latest accept that failed, in nanoseconds; 0: one has succeeded since
+	segments       segmentPool
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -95,6 +95,7 @@
 // Times of failed accepts.
 const (
 	acceptRetryDelay = 50 * time.Millisecond
+	notAcceptingTime = 4 * acceptRetryDelay
 	giveWayWait      = time.Second // longest wait for the descriptor of a connection that gives way
 )
 
@@ -105,21 +106,25 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		s.notAccepting.Store(err != nil)
 		if err != nil {
 			// For example out of descriptors. Those of other connections become free.
+			s.acceptFailedAt.Store(time.Now().UnixNano())
 			if s.observer.AcceptFailed != nil {
 				s.observer.AcceptFailed(err)
 			}
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		s.acceptFailedAt.Store(0)
 		s.accept(nc)
 	}
 }
 
-// Accepting reports whether the latest attempt to accept a connection succeeded.
-func (s *Server) Accepting() bool { return !s.notAccepting.Load() }
+// Accepting reports whether connections can be accepted. While none come, it is not known; an accept that fails is soon repeated.
+func (s *Server) Accepting() bool {
+	failedAt := s.acceptFailedAt.Load()
+	return failedAt == 0 || time.Now().UnixNano()-failedAt > int64(notAcceptingTime)
+}
 
 // MaxBodyBytes returns the longest body that a request can have, since one connection may not take all of the memory.
 func (s *Server) MaxBodyBytes() int { return s.account.Limits().MaxBytesOfOne() - shedding.ActiveBytes }
