--- a/soak/crowds/process_test.go
+++ b/soak/crowds/process_test.go
@@ -59,6 +59,7 @@
 	stop    chan struct{}
 	sampled chan struct{}
 
+	mu                   sync.Mutex
 	peakBytes, peakFiles int
 }
 
@@ -116,9 +117,11 @@
 		}
 		pid := p.cmd.Process.Pid
 		inodes := sockets(pid)
-		p.peakBytes = max(p.peakBytes, statusBytes(pid, "VmRSS")+kernelBytes(inodes))
+		bytes := statusBytes(pid, "VmRSS") + kernelBytes(inodes)
 		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-		p.peakFiles = max(p.peakFiles, len(files))
+		p.mu.Lock()
+		p.peakBytes, p.peakFiles = max(p.peakBytes, bytes), max(p.peakFiles, len(files))
+		p.mu.Unlock()
 	}
 }
 
@@ -178,10 +181,12 @@
 	p.t.Helper()
 	g := NewWithT(p.t)
 	g.Consistently(p.exited, aliveTime).ShouldNot(BeClosed(), "the process lives")
-	peak := max(p.peakBytes, statusBytes(p.cmd.Process.Pid, "VmHWM"))
-	p.t.Logf("peak: %d MB of %d, %d files of %d", peak>>20, p.limits.memoryMB, p.peakFiles, p.limits.files)
+	p.mu.Lock()
+	peak, files := max(p.peakBytes, statusBytes(p.cmd.Process.Pid, "VmHWM")), p.peakFiles
+	p.mu.Unlock()
+	p.t.Logf("peak: %d MB of %d, %d files of %d", peak>>20, p.limits.memoryMB, files, p.limits.files)
 	g.Expect(peak).To(BeNumerically("<=", p.limits.memoryMB<<20), "peak of the memory in bytes")
-	g.Expect(p.peakFiles).To(BeNumerically("<=", p.limits.files), "peak of the open files")
+	g.Expect(files).To(BeNumerically("<=", p.limits.files), "peak of the open files")
 }
 
 const aliveTime = 100 * time.Millisecond
