--- a/entry/http.go
+++ b/entry/http.go
@@ -245,12 +245,18 @@
 	return snap, team, nil
 }
 
-func (e *Entry) serveCompletion(c fiber.Ctx) error {
+// receive returns the configuration, the team and the body of a request.
+func (e *Entry) receive(c fiber.Ctx) (*config.Snapshot, *config.Team, []byte, error) {
 	snap, team, err := e.authenticate(c)
 	if err != nil {
-		return e.refuse(c, err)
+		return nil, nil, nil, err
 	}
 	body, err := e.receiveBody(c)
+	return snap, team, body, err
+}
+
+func (e *Entry) serveCompletion(c fiber.Ctx) error {
+	snap, team, body, err := e.receive(c)
 	if err != nil {
 		return e.refuse(c, err)
 	}
@@ -264,11 +270,7 @@
 }
 
 func (e *Entry) servePlainService(c fiber.Ctx) error {
-	snap, team, err := e.authenticate(c)
-	if err != nil {
-		return e.refuse(c, err)
-	}
-	body, err := e.receiveBody(c)
+	snap, team, body, err := e.receive(c)
 	if err != nil {
 		return e.refuse(c, err)
 	}
--- a/peers/server.go
+++ b/peers/server.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/heatherrail/heatherrail/internal/tcp"
 	"github.com/heatherrail/heatherrail/shedding"
 )
 
@@ -124,11 +124,7 @@
 
 // admit serves a new connection if the account has room for it.
 func (s *Server) admit(nc net.Conn) {
-	var address netip.Addr
-	if remote, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
-		address = remote.AddrPort().Addr()
-	}
-	holder, givesWay := s.account.Open(address, time.Now())
+	holder, givesWay := s.account.Open(tcp.RemoteIP(nc), time.Now())
 	if holder == nil {
 		_ = nc.Close()
 		s.onError(nc.RemoteAddr().String(), errConnsFull)
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -3,12 +3,12 @@
 import (
 	"errors"
 	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/heatherrail/heatherrail/internal/tcp"
 	"github.com/heatherrail/heatherrail/result"
 	"github.com/heatherrail/heatherrail/shedding"
 )
@@ -66,7 +66,7 @@
 			a.rejectConn(nc, "connections", a.MaxConns)
 			continue
 		}
-		holder, givesWay := pending.Open(remoteAddr(nc), time.Now())
+		holder, givesWay := pending.Open(tcp.RemoteIP(nc), time.Now())
 		if givesWay != nil {
 			givesWay.Owner.(*pendingConn).giveWay()
 			givesWay.Close()
@@ -114,13 +114,6 @@
 	}
 }
 
-func remoteAddr(nc net.Conn) netip.Addr {
-	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
-		return tcp.AddrPort().Addr()
-	}
-	return netip.Addr{}
-}
-
 // pendingConn is a connection whose hello exchange is pending.
 type pendingConn struct {
 	net.Conn
