callers, shedding: a request whose connection was told to give way does not run

Callers saw connections that nobody accepted for seconds while others came.

Cause: a new connection took the place of one whose head was arriving; if that one's request became whole at the same moment, it ran, and the accept loop waited a second for a descriptor that stayed open. The new connection was over the limit besides.

Now the account decides: Run returns false once the connection was chosen, and the request is refused as not run, so that its descriptor becomes free at once. TestRequestThatGivesWayDoesNotRun failed before. A connection that is closed without an answer for want of memory is counted and logged as refused.

--- a/callers/buffer.go
+++ b/callers/buffer.go
@@ -264,17 +264,17 @@
 	}
 	b := &c.request
 	b.reset(c)
-	if !hasBody(ctx) {
-		c.run()
-		return b, nil
+	if hasBody(ctx) {
+		c.readLimit = deadline
+		err := b.readAll(ctx.RequestBodyStream(), max(ctx.Request.Header.ContentLength(), unknownLength), limit)
+		if err != nil {
+			return nil, c.readError(err)
+		}
+		c.bodyRead = true
 	}
-	c.readLimit = deadline
-	err := b.readAll(ctx.RequestBodyStream(), max(ctx.Request.Header.ContentLength(), unknownLength), limit)
-	if err != nil {
-		return nil, c.readError(err)
+	if err := c.run(); err != nil {
+		return nil, err
 	}
-	c.bodyRead = true
-	c.run()
 	return b, nil
 }
 
@@ -315,7 +315,7 @@
 
 // readError returns ErrNoMemory for an error of a connection that has given way to others.
 func (c *Conn) readError(err error) error {
-	if c.gaveWay.Load() && !errors.Is(err, ErrTooLarge) {
+	if err != nil && c.gaveWay.Load() && !errors.Is(err, ErrTooLarge) {
 		return fmt.Errorf("%w: %w", ErrNoMemory, err)
 	}
 	return err
--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -130,6 +131,34 @@
 	}
 }
 
+// A request that becomes whole after its connection was chosen to give way must not run: the new connection would wait until it ends.
+func TestRequestThatGivesWayDoesNotRun(t *testing.T) {
+	for _, body := range []string{"", "x"} {
+		g := NewWithT(t)
+		read, received := make(chan struct{}), make(chan error, 1)
+		var s *Server
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		s = NewServer(&fasthttp.Server{Logger: discardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
+			<-read
+			_, err := ReadBody(c, s.MaxBodyBytes(), farFuture)
+			received <- err
+		}}, shedding.Limits{Connections: 2, Bytes: 1 << 20}, func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} }, Observer{})
+		go func() { _ = s.Serve(ln) }()
+		t.Cleanup(func() { _ = ln.Close() })
+		ask(t, dialFrom(t, "127.0.0.1", ln.Addr().String()), "/", body)
+		g.Eventually(func() int { return s.inState(shedding.Head) + s.inState(shedding.Body) }, "5s", "5ms").Should(Equal(1))
+		opened, givesWay := s.account.Open(netip.MustParseAddr("127.0.0.1"), time.Now())
+		g.Expect(opened).NotTo(BeNil())
+		defer opened.Close()
+		close(read)
+		g.Expect(<-received).To(MatchError(ErrNoMemory))
+		conn := givesWay.Owner.(*Conn)
+		conn.giveWay(true)
+		g.Eventually(conn.closed, "5s").Should(BeClosed())
+	}
+}
+
 // Requests that come together, or in pieces that end anywhere, are each read as they were sent.
 func TestRequestsOfOneConnectionAreReadAsSent(t *testing.T) {
 	g := NewWithT(t)
--- a/callers/lifecycle.go
+++ b/callers/lifecycle.go
@@ -21,6 +21,9 @@
 		c.began = time.Now()
 	}
 	for !c.hasByte() {
+		if c.isGone() {
+			return false
+		}
 		c.readLimit = c.began.Add(c.waitLimit(first) + timeMargin)
 		if !time.Now().Before(c.readLimit) || !c.applyReadLimit() {
 			return false
@@ -34,7 +37,11 @@
 			return false
 		}
 	}
-	return c.beginHead()
+	if !c.beginHead() {
+		c.server.reportRefused(c)
+		return false
+	}
+	return true
 }
 
 // waitLimit returns how long the caller may be silent before its first request, or later ones.
@@ -61,11 +68,18 @@
 	return err
 }
 
-// hasByte reports whether a byte has been read ahead, or the caller has disconnected, so that there is no need to wait.
+// hasByte reports whether a byte has been read ahead, so that there is no need to wait.
 func (c *Conn) hasByte() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.hasReadAhead || c.readErr != nil
+	return c.hasReadAhead
+}
+
+// isGone reports whether the caller has disconnected during a request.
+func (c *Conn) isGone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr != nil
 }
 
 // beginHead reserves the memory of a request. It returns false if there is none.
@@ -78,19 +92,22 @@
 	return c.await(c.holder.Begin(shedding.ActiveBytes, c.began), shedding.ActiveBytes) == nil
 }
 
-// run records that the request is whole.
-func (c *Conn) run() {
+// run records that the request is whole. It returns ErrNoMemory if the connection gives way to others.
+func (c *Conn) run() error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.holder.Run(c.key, time.Now()) {
+		return ErrNoMemory
+	}
 	c.state = shedding.Running
-	c.mu.Unlock()
-	c.holder.Run(c.key, time.Now())
+	return nil
 }
 
 // beginRequest is called when the library has read the first byte of a request.
 func (c *Conn) beginRequest() {
 	c.betweenRequests = false
 	if c.reserved == 0 { // the request has arrived together with an earlier one
-		_ = c.beginHead() // if there is no memory, the connection gives way at the next read
+		_ = c.beginHead() // if there is no memory, ReadBody refuses the request
 	}
 }
 
@@ -240,10 +257,9 @@
 // giveWay ends what the connection waits for from its caller, in favour of others. A request that has become whole meanwhile is not
 // ended.
 func (c *Conn) giveWay(atOnce bool) {
-	undelivered := c.stall.Undelivered()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == shedding.Running && !undelivered {
+	if c.state == shedding.Running && !c.holder.HasStalled(time.Now()) {
 		c.holder.Stay()
 		return
 	}
--- a/callers/server.go
+++ b/callers/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +38,7 @@
 
 // Observer is told of connections that were not served. Its functions may be nil.
 type Observer struct {
-	Refused      func(remote net.Addr) // closed, as there are too many connections and none gives way
+	Refused      func(remote net.Addr) // closed before any of a request was read, as there is no room and none gives way
 	GaveWay      func(remote net.Addr) // closed or refused in favour of others
 	AcceptFailed func(error)
 }
@@ -130,12 +129,10 @@
 func (s *Server) MaxBodyBytes() int { return s.account.Limits().MaxBytesOfOne() - shedding.ActiveBytes }
 
 func (s *Server) accept(nc net.Conn) {
-	holder, givesWay := s.account.Open(remoteAddr(nc), time.Now())
+	holder, givesWay := s.account.Open(tcp.RemoteIP(nc), time.Now())
 	if holder == nil {
 		_ = nc.Close() // closed at once: a lingering close as in Conn.Close would need a goroutine
-		if s.observer.Refused != nil {
-			s.observer.Refused(nc.RemoteAddr())
-		}
+		s.reportRefused(nc)
 		return
 	}
 	if givesWay != nil {
@@ -149,6 +146,12 @@
 	go s.serve(s.newConn(nc, holder))
 }
 
+func (s *Server) reportRefused(nc net.Conn) {
+	if s.observer.Refused != nil {
+		s.observer.Refused(nc.RemoteAddr())
+	}
+}
+
 func (s *Server) newConn(nc net.Conn, holder *shedding.Holder) *Conn {
 	c := &Conn{Conn: nc, server: s, holder: holder, leaving: make(chan struct{}), closed: make(chan struct{}), began: time.Now()}
 	c.readable = tcp.NewReadable(nc)
@@ -160,13 +163,6 @@
 	return c
 }
 
-func remoteAddr(nc net.Conn) netip.Addr {
-	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
-		return tcp.AddrPort().Addr()
-	}
-	return netip.Addr{}
-}
-
 func (s *Server) serve(c *Conn) {
 	for c.awaitRequest() {
 		_ = s.http.ServeConn(c) // an error concerns this connection only, and its caller has got the answer to it
--- a/shedding/account.go
+++ b/shedding/account.go
@@ -18,11 +18,11 @@
 	MinSilence time.Duration
 }
 
-// Shares of the limits.
+// Divisors of the limits.
 const (
-	groupShareDivisor = 2 // the connections of one address have at most this part of each limit, those of one key of the memory
-	smallShareDivisor = 8 // this part of the memory is left for connections that hold at most SmallBytes, and of the connections for addresses with few
-	fewDivisor        = 128
+	groupShareDivisor = 2   // one address has at most this part of each limit, one key of the memory
+	smallShareDivisor = 8   // this part of the memory is left for connections that hold at most SmallBytes, and of the connections for addresses with few
+	fewDivisor        = 128 // an address has few connections up to this part of all
 )
 
 // SmallBytes is the memory up to which a connection counts as small. It covers the buffers for a head and a short body.
@@ -193,15 +193,20 @@
 	h.setKey(key)
 }
 
-// Run records that the request is whole, and its key.
-func (h *Holder) Run(key string, now time.Time) {
+// Run records that the request is whole, and its key. It returns false if the connection has been told to give way: the request must not
+// run, since others wait for what the connection holds.
+func (h *Holder) Run(key string, now time.Time) bool {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.leaving {
+		return false
+	}
 	h.setKey(key)
 	if !h.closed {
 		h.enter(Running, now)
 	}
+	return true
 }
 
 func (h *Holder) setKey(key string) {
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -131,6 +131,14 @@
 	return h.moved.Load()
 }
 
+// HasStalled reports whether the connection has had no progress for so long that it gives way to any other.
+func (h *Holder) HasStalled(now time.Time) bool {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.isStalled(now)
+}
+
 // isStalled reports whether the connection has had no progress for so long that it gives way to any other.
 func (h *Holder) isStalled(now time.Time) bool {
 	since := time.Duration(now.UnixNano() - h.progress())
