peers: a request whose connection gives way does not run

As in callers: a request of a peer that became whole when its connection had been chosen for a new one ran, its response was lost with the connection, and the accept loop could wait a second for it. TestRequestThatGivesWayDoesNotRun failed before.

--- a/peers/endless_test.go
+++ b/peers/endless_test.go
@@ -6,7 +6,10 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,3 +100,36 @@
 		return c.Ask(context.Background(), KindLoads, &LoadsQuery{}, new(Loads), time.Second)
 	}, "20s").Should(Succeed())
 }
+
+// A request that becomes whole after its connection was chosen to give way must not run: its peer gets no response.
+func TestRequestThatGivesWayDoesNotRun(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var ran atomic.Bool
+	s := Serve(ln, shedding.Limits{Connections: 2, Bytes: 2 * maxFrameBytes}, map[Kind]Handler{
+		KindLoads: func([]byte) (msgp.Marshaler, error) { ran.Store(true); return &Loads{}, nil },
+	}, func(string, error) {})
+	defer s.Close()
+	frame, err := appendFrame(nil, KindLoads, &LoadsQuery{})
+	g.Expect(err).NotTo(HaveOccurred())
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = nc.Close() }()
+	_, err = nc.Write(frame[:headerSize])
+	g.Expect(err).NotTo(HaveOccurred())
+	var chosen *shedding.Holder
+	g.Eventually(func() *shedding.Holder {
+		var opened *shedding.Holder
+		if opened, chosen = s.account.Open(netip.MustParseAddr("127.0.0.1"), time.Now().Add(frameTimeout)); opened != nil {
+			defer opened.Close()
+		}
+		return chosen
+	}, "5s", "5ms").ShouldNot(BeNil())
+	_, err = nc.Write(frame[headerSize:])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(nc.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = nc.Read(make([]byte, 1))
+	g.Expect(err).To(Or(MatchError(io.EOF), MatchError(syscall.ECONNRESET)))
+	g.Expect(ran.Load()).To(BeFalse())
+}
--- a/peers/server.go
+++ b/peers/server.go
@@ -192,7 +192,9 @@
 	if handler == nil {
 		return nil, ErrFrame
 	}
-	c.holder.SetState(shedding.Running, time.Now())
+	if !c.holder.Run("", time.Now()) {
+		return nil, errNoMemory
+	}
 	response, err := handler(payload)
 	if err != nil {
 		return nil, err
