soak/crowds: clients that connect again whenever they are closed

The crowds before stay away once they are refused; clients that are not controlled come again. 600 of them from four addresses, silent, with part of a head, with requests that run for a minute, or with unfinished bodies, against 96 MB and 400 descriptors.

--- a/soak/crowds/clients_test.go
+++ b/soak/crowds/clients_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -128,6 +129,43 @@
 	wait.Wait()
 }
 
+// reconnectPause is how long a client waits before it connects again.
+const reconnectPause = 20 * time.Millisecond
+
+// reconnect lets n clients connect and act, and again whenever their connection is closed, until the returned function is called.
+func (c *crowd) reconnect(n int, act func(i int, cl *client)) (leave func()) {
+	var clients sync.WaitGroup
+	var left atomic.Bool
+	open := make([]atomic.Pointer[client], n)
+	for i := range open {
+		clients.Go(func() {
+			for ; !left.Load(); time.Sleep(reconnectPause) {
+				cl, err := dial(c.address, c.from[i%len(c.from)])
+				if err != nil {
+					continue
+				}
+				open[i].Store(cl)
+				if !left.Load() {
+					act(i, cl)
+					_, _ = io.Copy(io.Discard, cl) // until the connection is closed
+				}
+				_ = cl.Close()
+			}
+		})
+	}
+	leave = sync.OnceFunc(func() {
+		left.Store(true)
+		for i := range open {
+			if cl := open[i].Load(); cl != nil {
+				_ = cl.Close()
+			}
+		}
+		clients.Wait()
+	})
+	c.t.Cleanup(leave)
+	return leave
+}
+
 // leave closes the connections of the crowd.
 func (c *crowd) leave() {
 	c.mu.Lock()
--- a/soak/crowds/connections_test.go
+++ b/soak/crowds/connections_test.go
@@ -110,3 +110,28 @@
 	c.come(300, func(i int, cl *client) { cl.send(head(heldRoute, fmt.Sprintf("r-%d", i), announced(1)), []byte("x")) })
 	d.expectSurvives(c)
 }
+
+// Clients that connect again whenever their connection is closed must not keep out others, whatever they send.
+func TestReconnectingConnections(t *testing.T) {
+	for name, act := range map[string]func(i int, cl *client){
+		"silent":         func(int, *client) {},
+		"part of a head": func(_ int, cl *client) { cl.send([]byte("POST /")) },
+		"running requests": func(i int, cl *client) {
+			cl.send(head(heldRoute, fmt.Sprintf("r-%d-%p", i, cl), announced(1)), []byte("x"))
+		},
+		"unfinished bodies": func(i int, cl *client) {
+			cl.send(head(heldRoute, fmt.Sprintf("u-%d-%p", i, cl), announced(maxBodyBytes)), make([]byte, 512<<10))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startGateway(t, options{})
+			d.held.Work.Store(int64(time.Minute))
+			leave := newCrowd(t, d.callers, addresses...).reconnect(600, act)
+			time.Sleep(time.Second) // the crowd takes what it can
+			d.expectService("with the crowd there")
+			leave()
+			d.expectService("afterwards")
+			d.expectWithinLimits()
+		})
+	}
+}
