--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/heatherrail/heatherrail/config"
 	"github.com/heatherrail/heatherrail/control"
 	"github.com/heatherrail/heatherrail/internal/safeguard"
+	"github.com/heatherrail/heatherrail/internal/tcp"
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
@@ -118,7 +119,7 @@
 }
 
 func (e *Entry) listenCallers() error {
-	ln, err := net.Listen("tcp", e.opts.Settings.Callers)
+	ln, err := tcp.ListenAny(e.opts.Settings.Callers)
 	if err != nil {
 		return fmt.Errorf("entry %s: %w", e.opts.Settings.Name, err)
 	}
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -43,11 +43,16 @@
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
-// Listen listens on an IP address and port. Accepted connections detect unreachable
+// Listen listens on an IPv4 address and port. Accepted connections detect unreachable
 // peers in the same way as connections from Dial.
-func Listen(addr string) (net.Listener, error) {
+func Listen(addr string) (net.Listener, error) { return listen("tcp4", addr) }
+
+// ListenAny is Listen for addresses of both IP versions.
+func ListenAny(addr string) (net.Listener, error) { return listen("tcp", addr) }
+
+func listen(network, addr string) (net.Listener, error) {
 	l := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setOptions}
-	return l.Listen(context.Background(), "tcp4", addr)
+	return l.Listen(context.Background(), network, addr)
 }
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
--- a/metrics/serve.go
+++ b/metrics/serve.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/heatherrail/heatherrail/callers"
+	"github.com/heatherrail/heatherrail/internal/tcp"
 )
 
 // DefaultMaxConns is the limit on the connections of a Server if there is no other.
@@ -20,7 +21,7 @@
 
 // Serve starts an HTTP server on addr for /metrics and /healthz, with a limit on its connections.
 func (s *Set) Serve(addr string, maxConns int) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := tcp.ListenAny(addr)
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
--- a/soak/crowds/connections_test.go
+++ b/soak/crowds/connections_test.go
@@ -135,3 +135,35 @@
 		})
 	}
 }
+
+// pipelined sends short requests until nothing more is taken, and reads no response.
+func pipelined(path string) func(i int, cl *client) {
+	requests := bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path), 1000)
+	return func(_ int, cl *client) {
+		for range 200 {
+			if !cl.send(requests) {
+				return
+			}
+		}
+	}
+}
+
+// Responses of the ports for short requests that are not read stay in the kernel. They count to the memory too.
+func TestUnreadResponsesOfPorts(t *testing.T) {
+	crowd := 300
+	lessMemory := limits{memoryMB: 64, files: many.files}
+	for name, path := range map[string]string{"readiness": "/heatherrail/ready", "directory": "/heatherrail/resolve", "metrics": "/metrics"} {
+		t.Run("gateway, "+name, func(t *testing.T) {
+			d := startGateway(t, options{limits: lessMemory})
+			c := newCrowd(t, ports[name](d), addresses...)
+			c.come(crowd, pipelined(path))
+			d.expectSurvives(c)
+		})
+	}
+	t.Run("entry of our own form", func(t *testing.T) {
+		d := startOwn(t)
+		c := newCrowd(t, d.callers, addresses...)
+		c.come(crowd, pipelined("/readyz"))
+		d.expectSurvives(c)
+	})
+}
