members, placing, gateway: what peers can make an entry remember is bounded

Anyone on the network of the peers' port can send heartbeats. 120 of them, in a gateway of 96 MB: with 20,000 members each that do not exist it answered no peer for 30 s (each goes into a sorted list, and is told to others); on also 4,554 MB with names of 4 MB, 293 MB with 20,000 targets each and 124 MB with 40,000 topics each, since a name, an array or a statement stays in memory as it came.

Cause: frames are bounded one by one and while they arrive; what was kept of them had no bound at all: tables of members, rate limits, leavings, failure reports and topics of peers.

A table of members takes 4,096 entries from others; records of the store, which only our platform writes, are always taken, so that real entries stay known. Rates, leavings and failure reports are kept up to 16,384 each, topics as many as there are and for 4,096 peers; names beyond 255 bytes are left out.

--- a/gateway/failures.go
+++ b/gateway/failures.go
@@ -91,6 +91,9 @@
 	reports := make([]placing.FailureReport, 0, len(messages))
 	for i := range messages {
 		m := &messages[i]
+		if !peers.IsName(m.Entry) || !peers.IsName(m.Target) {
+			continue
+		}
 		reports = append(reports, placing.FailureReport{
 			Entry:               m.Entry,
 			Run:                 serving.Run{ID: m.Target, StartedAtMS: m.StartedAtMS},
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
 )
@@ -150,7 +152,12 @@
 func (c *cluster) recordPeerTopics(h *peers.Heartbeat) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peerTopics[h.Entry.Name] = h.Topics
+	if _, known := c.peerTopics[h.Entry.Name]; !known && len(c.peerTopics) >= members.MaxMembers {
+		clear(c.peerTopics) // live peers tell theirs again
+	}
+	if peers.IsName(h.Entry.Name) {
+		c.peerTopics[h.Entry.Name] = slices.Clone(h.Topics[:min(len(h.Topics), serving.NumTopics)])
+	}
 }
 
 // HandleProbe implements members.Piggyback.
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -75,7 +75,7 @@
 }
 
 func (c *cluster) applyRateMessage(m *peers.Rate, sent, now time.Time) placing.RateLimitUpdate {
-	if m.Target == "" || m.AgeMS == peers.Never || math.IsNaN(m.PerSecond) {
+	if !peers.IsName(m.Target) || m.AgeMS == peers.Never || math.IsNaN(m.PerSecond) {
 		return placing.RateLimitUpdate{}
 	}
 	limit := placing.RateLimit{Run: serving.Run{ID: m.Target, StartedAtMS: m.StartedAtMS}, Rate: m.PerSecond}
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -45,7 +45,7 @@
 func (c *cluster) applyLeavingMessages(messages []peers.Leaving) {
 	now := time.Now()
 	for _, m := range messages {
-		if m.Target != "" && m.AgeMS != peers.Never {
+		if peers.IsName(m.Target) && m.AgeMS != peers.Never {
 			c.g.applyLeaving(placing.Leaving{Run: serving.Run{ID: m.Target, StartedAtMS: m.StartedAtMS}, SaidAt: timeBefore(now, m.AgeMS)}, now)
 		}
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -75,6 +75,9 @@
 		state.Crashes = append(state.Crashes, route.SuspectCrash{ID: c.Target, At: asOf.Add(-time.Duration(c.AgeMS) * time.Millisecond), Cleared: c.Cleared})
 	}
 	for _, t := range m.Trials {
+		if !peers.IsName(t.Entry) {
+			continue
+		}
 		state.Trials = append(state.Trials, route.Trial{Entry: t.Entry, Seq: t.Seq, Target: t.Target, Until: asOf.Add(time.Duration(t.LeftMS) * time.Millisecond), Ended: t.Ended})
 	}
 	return state
--- a/members/table.go
+++ b/members/table.go
@@ -60,6 +60,9 @@
 	// maxFailedProbes is the number of consecutive failed probes that make an entry unreachable
 	// if no other entry can be asked for an indirect probe.
 	maxFailedProbes = 3
+	// MaxMembers is the number of entries up to which a table takes new ones from other entries. Those in the store are
+	// always taken.
+	MaxMembers = 4096
 )
 
 // NewTable returns a table that holds only the entry's own presence.
@@ -112,6 +115,9 @@
 	if p.Name == t.self.Name || p.Name == "" {
 		return false, nil
 	}
+	if !t.admits(&p) {
+		return false, nil
+	}
 	known := t.byName[p.Name]
 	if known == nil {
 		known = t.insert(peers.Member{Entry: p})
@@ -132,6 +138,17 @@
 	return changed, newer
 }
 
+// admits reports whether a presence that another entry has sent is kept: anyone who reaches the port of peers could otherwise use
+// up the memory. Table.mu must be held.
+func (t *Table) admits(p *peers.Presence) bool {
+	for _, s := range []string{p.Name, p.DataCentre, p.CallerAddr, p.PeerAddr} {
+		if len(s) > peers.MaxNameBytes {
+			return false
+		}
+	}
+	return len(t.byName) < MaxMembers || t.byName[p.Name] != nil
+}
+
 // compareFreshness orders two presences of one entry by incarnation, then by revision.
 func compareFreshness(a, b peers.Presence) int {
 	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Revision, b.Revision))
@@ -157,7 +174,9 @@
 			result.HasUpdates = t.refute(m) || result.HasUpdates
 			continue
 		}
-		t.mergeMember(m, now, &result)
+		if t.admits(&m.Entry) {
+			t.mergeMember(m, now, &result)
+		}
 	}
 	return result
 }
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -128,6 +128,12 @@
 	SuccessAgeMS    uint32 // time since the latest complete response; Never: none
 }
 
+// MaxNameBytes is the maximum length of the names and addresses that are kept of a message.
+const MaxNameBytes = 255
+
+// IsName reports whether a name in a message may be kept.
+func IsName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
+
 // Never is the age of an event that has not happened.
 const Never = 1<<32 - 1
 
--- a/placing/failurereport.go
+++ b/placing/failurereport.go
@@ -32,6 +32,8 @@
 	maxTimeouts = 3
 	// maxFailureReports is the maximum number of reports in one message.
 	maxFailureReports = 16
+	// maxKeptReports is the number of reports up to which those of other entries on further targets are kept.
+	maxKeptReports = 1 << 14
 )
 
 // failureReports are the failure reports of this entry and of others.
@@ -108,7 +110,10 @@
 	if r.Entry == f.entry || now.Sub(r.latestEvent()) >= failureReportTTL {
 		return false
 	}
-	known := f.reports[reportKey{run: r.Run, entry: r.Entry}]
+	known, ok := f.reports[reportKey{run: r.Run, entry: r.Entry}]
+	if !ok && len(f.reports) >= maxKeptReports {
+		return false
+	}
 	if r.latestEvent().Sub(known.latestEvent()) < sameEventTolerance {
 		return false
 	}
--- a/placing/leaving.go
+++ b/placing/leaving.go
@@ -35,7 +35,7 @@
 	case ok:
 		known.saidAt = later(known.saidAt, l.SaidAt)
 		return false
-	case now.Sub(l.SaidAt) >= leavingTTL:
+	case now.Sub(l.SaidAt) >= leavingTTL, len(tr.stated.leavings) >= maxStatements:
 		return false
 	}
 	tr.stated.leavings[l.Run] = &leaving{saidAt: l.SaidAt, learntAt: now}
--- a/placing/ratelimit.go
+++ b/placing/ratelimit.go
@@ -83,7 +83,7 @@
 func (s *statements) update(reported RateLimit, bounds TimeBounds, now time.Time) (u RateLimitUpdate) {
 	known := s.byRun[reported.Run]
 	if known == nil {
-		if reported.Rate == Unlimited {
+		if reported.Rate == Unlimited || len(s.byRun) >= maxStatements {
 			return RateLimitUpdate{}
 		}
 		s.byRun[reported.Run] = &rateLimit{rate: reported.Rate, reportedAt: bounds.Latest, learntAt: now}
--- a/placing/statements.go
+++ b/placing/statements.go
@@ -18,6 +18,9 @@
 	lastRetry map[string]time.Time // latest time given to a refused caller while all targets rested, by service
 }
 
+// maxStatements is the number of statements of one kind up to which those on further targets are kept.
+const maxStatements = 1 << 14
+
 func newStatements() statements {
 	return statements{
 		byRun:     make(map[serving.Run]*rateLimit),
--- a/soak/crowds/peers_test.go
+++ b/soak/crowds/peers_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/tinylib/msgp/msgp"
@@ -142,3 +144,46 @@
 		})
 	}
 }
+
+// heartbeatFrame returns a frame with a heartbeat.
+func heartbeatFrame(t *testing.T, h *peers.Heartbeat) []byte {
+	payload, err := h.MarshalMsg(nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return append(append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), byte(peers.KindHeartbeat)), payload...)
+}
+
+// What whoever speaks as a peer tells of entries and targets that do not exist must not use up the memory of a gateway.
+func TestStatementsOfPeers(t *testing.T) {
+	const listed = 20_000
+	address := "127.0.0.1:9" // nobody listens
+	for name, h := range map[string]func(i int, h *peers.Heartbeat){
+		"long names": func(i int, h *peers.Heartbeat) { h.Entry.DataCentre = strings.Repeat("x", 4<<20) },
+		"topics":     func(_ int, h *peers.Heartbeat) { h.Topics = make([]peers.TopicState, 2*listed) },
+		"members": func(i int, h *peers.Heartbeat) {
+			for n := range listed {
+				h.Members = append(h.Members, peers.Member{Entry: peers.Presence{Name: fmt.Sprintf("m-%d-%d", i, n), Incarnation: 1, PeerAddr: address}})
+			}
+		},
+		"targets": func(i int, h *peers.Heartbeat) {
+			for n := range listed {
+				target := fmt.Sprintf("t-%d-%d", i, n)
+				h.Leavings = append(h.Leavings, peers.Leaving{Target: target})
+				h.Rates = append(h.Rates, peers.Rate{Target: target, PerSecond: 1})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startGateway(t, options{})
+			c := newCrowd(t, d.peers, addresses...)
+			c.come(120, func(i int, cl *client) {
+				sent := &peers.Heartbeat{Entry: peers.Presence{Name: fmt.Sprintf("e-%d", i), Incarnation: 1, PeerAddr: address}}
+				h(i, sent)
+				cl.send(heartbeatFrame(t, sent))
+				_ = cl.SetReadDeadline(time.Now().Add(answerTimeout))
+				_, _ = cl.Read(make([]byte, 1)) // the heartbeat has been merged, or refused
+			})
+			NewWithT(t).Eventually(gatewayAnsweredPeer, patience).WithArguments(d.peers).Should(BeTrue())
+			d.expectSurvives(c)
+		})
+	}
+}
