callers: a test for the time after which an unread response is ended

TestSlowCallersShareABoundOnUnreadBytes became shedding's TestSlowCallersShareTheMemory with the account; its check that a caller that reads nothing is ended after writeTimeout whatever the bound was not carried over, as the account does not know that time. It stands again. The check that bytes that wait in the process count has no counterpart: they are part of the memory that the request has reserved.

--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/internal/tcp"
 	"github.com/heatherrail/heatherrail/shedding"
 )
 
@@ -331,3 +332,14 @@
 	ask(t, nc, "/", "x")
 	g.Expect(statusOf(t, br)).To(Equal(200))
 }
+
+// A caller that reads nothing of its response keeps its connection for writeTimeout, however much memory is left.
+func TestUnreadResponseIsEndedAfterTheWriteTimeout(t *testing.T) {
+	g := NewWithT(t)
+	s, address, _, _ := testServer(t, shedding.Limits{Connections: 8, Bytes: 64 << 20})
+	dialFrom(t, "127.0.0.1", address)
+	g.Eventually(s.conns, "5s", "5ms").Should(HaveLen(1))
+	c := s.conns()[0]
+	g.Expect(c.recordStall(tcp.Stall{UnsentBytes: 1, Since: writeTimeout - time.Second})).To(BeTrue())
+	g.Expect(c.recordStall(tcp.Stall{UnsentBytes: 1, Since: writeTimeout})).To(BeFalse())
+}
