lockstep: what entries and other groups tell an agent is bounded

Samples of other groups were decoded at any length, eight bytes for each.

TestOversizedSampleIsRejected checks the new limit; there was none.

--- a/lockstep/entryreports.go
+++ b/lockstep/entryreports.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherrail/heatherrail/members"
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/placing"
 )
@@ -27,7 +28,7 @@
 
 // record stores the report of an entry.
 func (e *entryReports) record(q *peers.LoadsQuery, now time.Time) {
-	if q.Entry == "" {
+	if _, known := e.byEntry[q.Entry]; !peers.IsName(q.Entry) || !known && len(e.byEntry) >= members.MaxMembers {
 		return
 	}
 	if e.byEntry == nil {
--- a/lockstep/exchange.go
+++ b/lockstep/exchange.go
@@ -163,9 +163,12 @@
 	}
 }
 
+// maxSampleExperts is the maximum number of experts in a sample, over all layer sets. A decoded expert takes eight times its bytes in the message.
+const maxSampleExperts = 1 << 16
+
 // decodeSample decodes a message of another group; false if it is malformed.
 func decodeSample(m *peers.DemandSample, now time.Time) (groupSample, bool) {
-	if len(m.Bands) == 0 || int(m.Experts) != len(m.Bands) || !(m.Unit > 0) || math.IsInf(m.Unit, 0) {
+	if !peers.IsName(m.Group) || len(m.Bands) == 0 || len(m.Bands) > maxSampleExperts || int(m.Experts) != len(m.Bands) || !(m.Unit > 0) || math.IsInf(m.Unit, 0) {
 		return groupSample{}, false
 	}
 	s := groupSample{group: m.Group, loads: expert.DecodeLoads(m.Unit, m.Bands), shiftAt: now.Add(-time.Duration(m.AgeMS) * time.Millisecond), receivedAt: now}
--- a/lockstep/exchange_test.go
+++ b/lockstep/exchange_test.go
@@ -185,3 +185,15 @@
 	second.loads = loads
 	second.mu.Unlock()
 }
+
+// A sample of more experts than any group has must not be decoded, as it takes eight times its bytes.
+func TestOversizedSampleIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	message := func(experts int) *peers.DemandSample {
+		return &peers.DemandSample{Group: "g", Unit: 1, Experts: uint32(experts), Bands: bytes.Repeat([]byte{1}, experts)}
+	}
+	_, ok := decodeSample(message(maxSampleExperts), time.Now())
+	g.Expect(ok).To(BeTrue())
+	_, ok = decodeSample(message(maxSampleExperts+1), time.Now())
+	g.Expect(ok).To(BeFalse())
+}
--- a/soak/crowds/peers_test.go
+++ b/soak/crowds/peers_test.go
@@ -145,11 +145,18 @@
 	}
 }
 
-// heartbeatFrame returns a frame with a heartbeat.
-func heartbeatFrame(t *testing.T, h *peers.Heartbeat) []byte {
-	payload, err := h.MarshalMsg(nil)
+// messageFrame returns a frame with a message.
+func messageFrame(t *testing.T, kind peers.Kind, m msgp.Marshaler) []byte {
+	payload, err := m.MarshalMsg(nil)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	return append(append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), byte(peers.KindHeartbeat)), payload...)
+	return append(append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), byte(kind)), payload...)
+}
+
+// deliver sends a frame and waits until it has been handled, or refused.
+func (c *client) deliver(frame []byte) {
+	c.send(frame)
+	_ = c.SetReadDeadline(time.Now().Add(answerTimeout))
+	_, _ = c.Read(make([]byte, 1))
 }
 
 // What whoever speaks as a peer tells of entries and targets that do not exist must not use up the memory of a gateway.
@@ -178,12 +185,23 @@
 			c.come(120, func(i int, cl *client) {
 				sent := &peers.Heartbeat{Entry: peers.Presence{Name: fmt.Sprintf("e-%d", i), Incarnation: 1, PeerAddr: address}}
 				h(i, sent)
-				cl.send(heartbeatFrame(t, sent))
-				_ = cl.SetReadDeadline(time.Now().Add(answerTimeout))
-				_, _ = cl.Read(make([]byte, 1)) // the heartbeat has been merged, or refused
+				cl.deliver(messageFrame(t, peers.KindHeartbeat, sent))
 			})
 			NewWithT(t).Eventually(gatewayAnsweredPeer, patience).WithArguments(d.peers).Should(BeTrue())
 			d.expectSurvives(c)
 		})
 	}
 }
+
+// What whoever speaks as an entry reports of itself must not use up the memory of an agent.
+func TestReportsOfEntries(t *testing.T) {
+	g := NewWithT(t)
+	p, address, metricsAddr := startAgent(t)
+	c := newCrowd(t, address, addresses...)
+	c.come(120, func(i int, cl *client) {
+		cl.deliver(messageFrame(t, peers.KindLoads, &peers.LoadsQuery{Entry: strings.Repeat(string(rune('0'+i)), 4<<20)}))
+	})
+	g.Eventually(agentAnsweredPeer, patience).WithArguments(address).Should(BeTrue())
+	g.Eventually(getStatus, patience).WithArguments("http://" + metricsAddr + "/metrics").Should(Equal(http.StatusOK))
+	p.expectWithinLimits()
+}
