--- a/soak/crowds/entry_test.go
+++ b/soak/crowds/entry_test.go
@@ -1,6 +1,7 @@
 package crowds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +10,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,45 +185,26 @@
 	d.entry.expectWithinLimits()
 }
 
+// silentEntry is an entry that does nothing with what an agent sends.
+type silentEntry struct{}
+
+// ServeStream implements wire.Handler.
+func (silentEntry) ServeStream(context.Context, *wire.Stream, wire.Method, []byte) {}
+
+// ServeNote implements wire.Handler.
+func (silentEntry) ServeNote(*wire.Conn, wire.Note, []byte) {}
+
 // Clients that connect to an agent of our own form again whenever it closes their connection, and send nothing, must not keep entries out.
 func TestSilentConnectionsToOwnAgent(t *testing.T) {
 	d := startOwn(t)
 	g := NewWithT(t)
-	var crowd sync.WaitGroup
-	var left atomic.Bool
-	var open [300]atomic.Pointer[client]
-	for i := range open {
-		crowd.Go(func() {
-			for !left.Load() {
-				cl, err := dial(d.agentAddr, addresses[i%len(addresses)])
-				if err != nil {
-					continue
-				}
-				open[i].Store(cl)
-				if left.Load() {
-					_ = cl.Close()
-				}
-				_, _ = io.Copy(io.Discard, cl) // until the connection is closed
-				_ = cl.Close()
-			}
-		})
-	}
-	leave := sync.OnceFunc(func() {
-		left.Store(true)
-		for i := range open {
-			if cl := open[i].Load(); cl != nil {
-				_ = cl.Close()
-			}
-		}
-		crowd.Wait()
-	})
-	t.Cleanup(leave)
+	leave := newCrowd(t, d.agentAddr, addresses...).reconnect(300, func(int, *client) {})
 	connects := func() error {
 		nc, err := net.Dial("tcp", d.agentAddr)
 		if err != nil {
 			return err
 		}
-		conn, err := wire.Client(nc, wire.Hello{Name: "entry-2", Role: wire.RoleEntry, Incarnation: 1}, nil, wire.Options{})
+		conn, err := wire.Client(nc, wire.Hello{Name: "entry-2", Role: wire.RoleEntry, Incarnation: 1}, silentEntry{}, wire.Options{})
 		if err != nil {
 			return err
 		}
