shedding, callers: a connection whose request is on its way is not replaced at once

Cause: the connections of the crowd all run, so that a new connection of an ordinary caller is the only one that may give way, and the next client of the crowd takes its place before its request has been read. Without load the gateway is quick enough for it to be seen rarely.

A connection that has been silent for less than MinSilence, 200 ms for callers, gives way only to one of an address with fewer connections. So the crowd cannot replace it, and ordinary callers still replace silent connections of a crowd at once. Those of the agent's port without a hello had a MinSilence already; theirs follow the same rule.

TestFreshConnectionIsKeptBesideRunningRequests failed before in its last lines: with a MinSilence, a fresh connection of a crowd gave way to nobody.

--- a/callers/server.go
+++ b/callers/server.go
@@ -91,6 +91,10 @@
 	}
 }
 
+// MinSilence is how long a request may be on its way on a new connection, or on an idle one, before the connection gives way to those of
+// other callers. It is for servers whose requests may run for long: others do not need it, as their connections soon become idle.
+const MinSilence = 200 * time.Millisecond
+
 // Times of failed accepts.
 const (
 	acceptRetryDelay = 50 * time.Millisecond
--- a/entry/http.go
+++ b/entry/http.go
@@ -67,7 +67,11 @@
 	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 		return fasthttp.RequestConfig{ReadTimeout: e.requestTimeout()}
 	}
-	limits := shedding.Limits{Connections: e.opts.Settings.MaxCallers, Bytes: cmp.Or(int(e.opts.Settings.CallerMemory), defaultCallerMemory)}
+	limits := shedding.Limits{
+		Connections: e.opts.Settings.MaxCallers,
+		Bytes:       cmp.Or(int(e.opts.Settings.CallerMemory), defaultCallerMemory),
+		MinSilence:  callers.MinSilence,
+	}
 	timeouts := func() callers.Timeouts { return callers.Timeouts{Head: e.requestTimeout(), Idle: callerIdleTimeout} }
 	observer := e.opts.Metrics.Observer()
 	observer.Refused = e.refuseConn
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,7 @@
 	limits := shedding.Limits{
 		Connections: cmp.Or(g.opts.MaxCallerConns, defaultCallerConns),
 		Bytes:       cmp.Or(g.opts.MaxCallerBytes, defaultCallerBytes),
+		MinSilence:  callers.MinSilence,
 	}
 	server := &fasthttp.Server{
 		Handler:               g.serveRequest,
--- a/shedding/account.go
+++ b/shedding/account.go
@@ -14,7 +14,8 @@
 type Limits struct {
 	Connections int
 	Bytes       int // of all connections together, whatever their state
-	// MinSilence is how long a connection may send nothing before it gives way to a new one.
+	// MinSilence is how long a connection may send nothing before it gives way to a new one of an address that has as many
+	// connections as its own, or more.
 	MinSilence time.Duration
 }
 
@@ -129,7 +130,15 @@
 		limit -= a.limits.Connections / smallShareDivisor
 	}
 	if addressFull || a.all.connections >= limit {
-		givesWay = a.yieldingConnection(func(h *Holder) bool { return !addressFull || h.address == address }, now)
+		givesWay = a.yieldingConnection(func(h *Holder) bool {
+			switch {
+			case addressFull && h.address != address:
+				return false
+			case h.isFresh(now):
+				return h.groups[addressGroup].connections > ofAddress+1
+			}
+			return true
+		}, now)
 		if givesWay == nil {
 			return nil, nil
 		}
@@ -229,8 +238,11 @@
 	h.groups = append(h.groups, g)
 }
 
-// keyGroup is the index of the group of the key.
-const keyGroup = 2
+// Indices of the groups of a connection.
+const (
+	addressGroup = 1
+	keyGroup     = 2
+)
 
 func (h *Holder) leaveKey() {
 	if len(h.groups) <= keyGroup {
@@ -351,7 +363,7 @@
 		g.connections--
 		g.states[h.state]--
 	}
-	if h.groups[1].connections == 0 {
+	if h.groups[addressGroup].connections == 0 {
 		delete(a.byAddress, h.address)
 	}
 	delete(a.open, h)
--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -101,6 +101,30 @@
 	g.Expect(h).To(BeNil())
 }
 
+// A connection whose request is on its way must not be replaced by the next of a crowd whose other requests run.
+func TestFreshConnectionIsKeptBesideRunningRequests(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 100, Bytes: mb, MinSilence: 200 * time.Millisecond})
+	for i := range 88 {
+		opened(t, a, 1+i%4, i).SetState(Running, at(i))
+	}
+	newcomer := opened(t, a, 9, 100)
+	for i := range 4 {
+		h, _ := a.Open(address(1+i), at(299))
+		g.Expect(h).To(BeNil())
+	}
+	h, givesWay := a.Open(address(1), at(300))
+	g.Expect(h).NotTo(BeNil())
+	g.Expect(givesWay).To(BeIdenticalTo(newcomer), "it has had its time")
+	newcomer.Close()
+	for i := range 11 {
+		opened(t, a, 10+i, 300).SetState(Running, at(300))
+	}
+	other, givesWay := a.Open(address(50), at(301))
+	g.Expect(other).NotTo(BeNil())
+	g.Expect(givesWay).To(BeIdenticalTo(h), "a fresh one of an address with more connections")
+}
+
 // Silent connections of a crowd give way before one that another caller has just opened.
 func TestNewcomerIsKeptBesideACrowd(t *testing.T) {
 	a := NewAccount(Limits{Connections: 100, Bytes: mb})
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -215,9 +215,7 @@
 // one whose request has stalled. It is nil if none does.
 func (a *Account) yieldingConnection(eligible func(*Holder) bool, now time.Time) *Holder {
 	for _, s := range yieldOrder {
-		if h := a.longestInState(s, func(h *Holder) bool {
-			return now.UnixNano()-h.moved.Load() >= int64(a.limits.MinSilence) && eligible(h)
-		}); h != nil {
+		if h := a.longestInState(s, eligible); h != nil {
 			return h
 		}
 	}
@@ -229,6 +227,11 @@
 	return nil
 }
 
+// isFresh reports whether the connection has been in its state for less than MinSilence: its request may be on its way.
+func (h *Holder) isFresh(now time.Time) bool {
+	return now.UnixNano()-h.moved.Load() < int64(h.account.limits.MinSilence)
+}
+
 // longestInState returns one of the connections that have been in a state for longest: that of the address with most in it.
 func (a *Account) longestInState(s State, eligible func(*Holder) bool) (longest *Holder) {
 	seen := 0
@@ -237,7 +240,7 @@
 			continue
 		}
 		seen++
-		if longest == nil || h.groups[1].states[s] > longest.groups[1].states[s] {
+		if longest == nil || h.groups[addressGroup].states[s] > longest.groups[addressGroup].states[s] {
 			longest = h
 		}
 	}
