--- a/soak/crowds/entry_test.go
+++ b/soak/crowds/entry_test.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,7 +200,35 @@
 func TestSilentConnectionsToOwnAgent(t *testing.T) {
 	d := startOwn(t)
 	g := NewWithT(t)
-	leave := newCrowd(t, d.agentAddr, addresses...).reconnect(300, func(int, *client) {})
+	var crowd sync.WaitGroup
+	var left atomic.Bool
+	var open [300]atomic.Pointer[client]
+	for i := range open {
+		crowd.Go(func() {
+			for !left.Load() {
+				cl, err := dial(d.agentAddr, addresses[i%len(addresses)])
+				if err != nil {
+					continue
+				}
+				open[i].Store(cl)
+				if left.Load() {
+					_ = cl.Close()
+				}
+				_, _ = io.Copy(io.Discard, cl) // until the connection is closed
+				_ = cl.Close()
+			}
+		})
+	}
+	leave := sync.OnceFunc(func() {
+		left.Store(true)
+		for i := range open {
+			if cl := open[i].Load(); cl != nil {
+				_ = cl.Close()
+			}
+		}
+		crowd.Wait()
+	})
+	t.Cleanup(leave)
 	connects := func() error {
 		nc, err := net.Dial("tcp", d.agentAddr)
 		if err != nil {
