soak/crowds: tests begin once the gateway knows the targets

Its log shows the request refused 9 ms before "target known": the readiness check is good as soon as there is a configuration, with or without targets, and the tests asked as soon as it was. Bodies and heads at their limits have the same race. startGateway now waits for both targets too; no check has changed.

--- a/soak/crowds/gateway_test.go
+++ b/soak/crowds/gateway_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,7 +107,7 @@
 
 const heartbeatInterval = 400 * time.Millisecond
 
-// startGateway starts a gateway and waits until it is ready.
+// startGateway starts a gateway and waits until it is ready and knows the targets: it is ready without them, and refuses requests as not run.
 func startGateway(t *testing.T, o options) *deployment {
 	t.Helper()
 	if o.limits == (limits{}) {
@@ -133,9 +134,18 @@
 	g.Expect(os.WriteFile(file, []byte(settings.Text()), 0o600)).To(Succeed())
 	d.process = start(t, o.limits, program(t, "heatherrail-gateway"), nil, []string{platform.SettingsEnv + "=" + file})
 	g.Eventually(d.isReady, startTimeout, sampleInterval).Should(BeTrue(), "the gateway is ready")
+	for _, target := range []string{d.plain.ID, d.held.ID} {
+		g.Eventually(d.knowsTarget, startTimeout, sampleInterval).WithArguments(target).Should(BeTrue(), "the gateway knows target %s", target)
+	}
 	return d
 }
 
+// knowsTarget reports whether the gateway has logged that it knows a target.
+func (d *deployment) knowsTarget(id string) bool {
+	text, _ := os.ReadFile(d.log)
+	return strings.Contains(string(text), `event="target known" target=`+id+" ")
+}
+
 const startTimeout = 20 * time.Second
 
 func (d *deployment) isReady() bool {
