gateway: three fleets at a time in the test of a part of prompts that crashes targets

Cause: its seven cases ran at once, each with 18 callers without a pause, beside the other packages; the case served 157 other requests where it serves 1,200 alone. Trace of a scratch copy (each send and each arrival against the fifth crash, 126 cases with six processes of the test side by side): the late ones are sent 0.9 to 1.6 s after the crash by entries that have not yet been told of it; alone, 84 cases have none.

Six processes of the test side by side, four times each: before, 21 of 168 cases had late arrivals and two of them four; now none of 168 has any.

--- a/gateway/part_test.go
+++ b/gateway/part_test.go
@@ -138,6 +138,8 @@
 // Requests with one part in their prompts crash each target that begins to answer them. No two are alike, so none was a suspect twice, and
 // targets crashed for as long as such requests came. They must stop after the fifth, and those that share the other parts must be served.
 func TestPartOfPromptsThatCrashedFiveTargetsIsStopped(t *testing.T) {
+	const atOnce = 3 // fleets; more starve each other, and the entries learn of a crash too late
+	slots := make(chan struct{}, atOnce)
 	for name, traffic := range map[string]partTraffic{
 		"plain, second of two":          {path: "/idem/x", position: 1, shared: 2, pool: 12, badCallers: 1},
 		"plain, first":                  {path: "/idem/x", position: 0, shared: 2, pool: 200, badCallers: 2},
@@ -149,6 +151,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			g := NewWithT(t)
 			service := "plain"
 			if strings.HasPrefix(traffic.path, "/s/") {
