logging: lines that wait to be written are bounded in bytes

Cause: the queue of log lines is bounded by 2,048 lines, and a line by nothing. An id of 15 kB that is not ASCII becomes 60 kB when it is quoted, in each line of its request; 2,048 lines of it are 120 MB.

The queue has 1 MB as well, some 3,000 ordinary lines, more than it has places. A value of a line is cut after 1 kB; the longest that our own code writes are error texts.

--- a/logging/async.go
+++ b/logging/async.go
@@ -14,6 +14,7 @@
 type Async struct {
 	w       io.Writer
 	lines   chan string
+	queued  atomic.Int64 // bytes of the lines in the queue
 	dropped atomic.Int64
 	quit    chan struct{}
 	done    chan struct{}
@@ -21,6 +22,7 @@
 
 const (
 	asyncQueueLines = 2048
+	asyncQueueBytes = 1 << 20
 	// asyncBatchDelay is the pause between batches. Lines collect during the pause, so
 	// that one system call writes about a dozen lines.
 	asyncBatchDelay = 50 * time.Millisecond
@@ -38,14 +40,25 @@
 // Write implements io.Writer. It queues or drops the line; it never blocks and never
 // returns an error.
 func (a *Async) Write(line []byte) (int, error) {
+	n := int64(len(line))
+	if a.queued.Add(n) > asyncQueueBytes {
+		a.drop(n)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- string(line):
 	default:
-		a.dropped.Add(1)
+		a.drop(n)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that does not go into the queue.
+func (a *Async) drop(n int64) {
+	a.queued.Add(-n)
+	a.dropped.Add(1)
+}
+
 // Dropped returns the number of dropped lines that have not been logged yet.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
@@ -55,7 +68,7 @@
 	for {
 		select {
 		case line := <-a.lines:
-			batch = a.writeBatch(append(batch[:0], line...))
+			batch = a.writeBatch(a.appendLine(batch[:0], line))
 			time.Sleep(asyncBatchDelay)
 		case <-a.quit:
 			for len(a.lines) > 0 {
@@ -83,7 +96,7 @@
 	for len(batch) < asyncBatchBytes {
 		select {
 		case line := <-a.lines:
-			batch = append(batch, line...)
+			batch = a.appendLine(batch, line)
 		default:
 			return batch
 		}
@@ -91,6 +104,12 @@
 	return batch
 }
 
+// appendLine appends a line that has been taken out of the queue.
+func (a *Async) appendLine(batch []byte, line string) []byte {
+	a.queued.Add(-int64(len(line)))
+	return append(batch, line...)
+}
+
 // closeTimeout limits how long Close waits for the log reader. A process that waited for a reader
 // that has stopped reading would be killed at the end of its grace period. The limit leaves time for
 // several batches, which are asyncBatchDelay apart.
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -63,6 +63,39 @@
 	g.Expect(int64(strings.Count(text, "line\n"))).To(Equal(5000 - dropped))
 }
 
+// Callers make lines long. Those that wait for the reader must not use up the memory.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	g := NewWithT(t)
+	w := &blockedWriter{release: make(chan struct{})}
+	a := logging.NewAsync(w)
+	long := []byte(strings.Repeat("x", 64<<10) + "\n")
+	for range 1000 {
+		_, err := a.Write(long)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	close(w.release)
+	a.Close()
+	g.Expect(w.text.Len()).To(BeNumerically("<=", 2<<20), "the queue, and the batch that was being written")
+	g.Expect(w.text.String()).To(ContainSubstring("log lines dropped"))
+}
+
+// Lines that have been written must leave room in the queue for those that follow.
+func TestWrittenLinesLeaveTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		close(w.release)
+		a := logging.NewAsync(w)
+		for range 100 {
+			_, err := a.Write([]byte(strings.Repeat("x", 64<<10) + "\n"))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+		}
+		a.Close()
+		g.Expect(strings.Count(w.text.String(), "\n")).To(Equal(100))
+	})
+}
+
 // The log reader has stopped reading when the process exits. Close must return, as the process would
 // otherwise be killed at the end of its grace period.
 func TestCloseDoesNotWaitForBlockedReader(t *testing.T) {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -96,9 +96,19 @@
 	return b.String()
 }
 
+// maxValueBytes limits a value in a line. Longer ones are cut and end with cutMark.
+const (
+	maxValueBytes = 1 << 10
+	cutMark       = "..."
+)
+
 // quote quotes a value unless it is printable ASCII without spaces, quotes and '='. Some
-// values come from callers, and a line feed in a value must not start a new event.
+// values come from callers: a line feed in a value must not start a new event, and a long
+// value must not use up the memory of the process.
 func quote(s string) string {
+	if len(s) > maxValueBytes {
+		s = s[:maxValueBytes] + cutMark
+	}
 	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '"' || r == '=' || r > '~' }) {
 		return strconv.Quote(s)
 	}
