--- a/result/result.go
+++ b/result/result.go
@@ -66,15 +66,27 @@
 // socket's io.EOF. A reader that checks errors.Is(err, io.EOF) would take the loss for the
 // end of the response, and the caller would get a truncated response that looks complete.
 // Therefore no Error wraps io.EOF.
+//
+// A longer detail is cut: it may quote what a caller or a target has sent.
 func New(c Code, format string, args ...any) *Error {
 	wrapped := fmt.Errorf(format, args...)
-	e := &Error{Code: c, Detail: wrapped.Error(), Cause: errors.Unwrap(wrapped)}
+	e := &Error{Code: c, Detail: cut(wrapped.Error()), Cause: errors.Unwrap(wrapped)}
 	if errors.Is(e.Cause, io.EOF) {
 		e.Cause = nil
 	}
 	return e
 }
 
+const maxDetailBytes = 1 << 10
+
+// cut returns the beginning of a text that is too long, in memory of its own.
+func cut(text string) string {
+	if len(text) <= maxDetailBytes {
+		return text
+	}
+	return text[:maxDetailBytes] + "..."
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%d %s: %s", e.Code, e.Code.Info().Name, e.Detail)
