members, shedding: connections to other entries have a share of the descriptors

Cause: a client is kept for each entry that was probed within four seconds, and who speaks as a peer decides how many there are and which are probed: a request for an indirect probe is carried out at once. The share of the peers' port bounds what comes in, nothing bounded what goes out. Looked for elsewhere: connections to targets have a bound, the store 4, leaders of groups one a group, agents those of their group.

Connections to other entries have 7 in 100 of the descriptors (callers and targets 38 in place of 40); the one that was not used for longest is closed, and at most 32 probes at once are made for others. 4,100 descriptors leave 273, so that only fleets of some hundreds of entries meet the bound, and reconnect then.

--- a/cmd/heatherrail-gateway/main.go
+++ b/cmd/heatherrail-gateway/main.go
@@ -61,6 +61,7 @@
 		MaxCallerConns:          files.Callers,
 		MaxCallerBytes:          shedding.CallerBytes(s.MemoryBytes),
 		MaxTargetConns:          files.Targets,
+		MaxEntryConns:           files.Entries,
 		PeerLimits:              peers.Limits(files.Peers, s.MemoryBytes),
 		RetryBudget: gateway.RetryBudget{
 			Ratio:  s.RetryRatio,
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -39,6 +39,7 @@
 		},
 		Piggyback:        c,
 		Dial:             dial,
+		MaxConnections:   o.MaxEntryConns,
 		Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:              o.Log,
 		IncrementCounter: func(counter string) { o.Metrics.Count(counter, 1) },
--- a/members/clients.go
+++ b/members/clients.go
@@ -32,6 +32,7 @@
 		return nil
 	}
 	if c == nil {
+		m.makeRoom()
 		c = &pooledClient{address: address, peer: m.opts.Dial(address)}
 		m.clients[name] = c
 	}
@@ -39,6 +40,21 @@
 	return c.peer
 }
 
+// makeRoom closes the connection that has not been used for longest if there are as many as there may be. m.mu must be held.
+func (m *Membership) makeRoom() {
+	if m.opts.MaxConnections <= 0 || len(m.clients) < m.opts.MaxConnections {
+		return
+	}
+	oldest := ""
+	for name, c := range m.clients {
+		if oldest == "" || c.lastUsed.Before(m.clients[oldest].lastUsed) {
+			oldest = name
+		}
+	}
+	go m.clients[oldest].peer.Close() // waits for the end of a request
+	delete(m.clients, oldest)
+}
+
 func (m *Membership) closeIdleClients() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/members/membership.go
+++ b/members/membership.go
@@ -41,6 +41,7 @@
 	Self             peers.Presence
 	Piggyback        Piggyback
 	Dial             func(address string) PeerClient
+	MaxConnections   int // open connections to other entries, without those in use; 0: no limit
 	Rand             *rand.Rand
 	Log              logr.Logger
 	IncrementCounter func(counter string)
@@ -55,6 +56,7 @@
 	clients       map[string]*pooledClient // by entry name
 	queued        map[string]bool          // names in probeQueue
 	probeQueue    chan string              // names of the entries to probe
+	indirect      chan struct{}            // holds a token for each probe on behalf of another entry
 	updatePending chan struct{}            // holds one token while updates wait for dissemination
 	fullSyncDone  bool                     // no full sync (request for another entry's whole table) is due: one was sent and has not failed
 }
@@ -82,6 +84,8 @@
 	// of them for probeTimeout.
 	probeWorkers   = 8
 	probeQueueSize = 256
+	// maxIndirectProbes is the number of probes at the same time on behalf of other entries.
+	maxIndirectProbes = 32
 	// convergenceTime is the time without updates after which the tables of all entries should
 	// be equal. If two digests still differ, one of the entries has missed updates.
 	convergenceTime = time.Second
@@ -98,6 +102,7 @@
 		clients:       make(map[string]*pooledClient),
 		queued:        make(map[string]bool),
 		probeQueue:    make(chan string, probeQueueSize),
+		indirect:      make(chan struct{}, maxIndirectProbes),
 		updatePending: make(chan struct{}, 1),
 	}
 }
@@ -364,6 +369,12 @@
 	if _, known := m.table.Address(q.Name); !known {
 		return &peers.ProbeResult{}, nil
 	}
+	select {
+	case m.indirect <- struct{}{}:
+	default:
+		return &peers.ProbeResult{}, nil // the other entry asks several
+	}
+	defer func() { <-m.indirect }()
 	ctx, cancel := context.WithTimeout(context.Background(), indirectProbeTimeout)
 	defer cancel()
 	return &peers.ProbeResult{Known: true, Answered: m.directProbe(ctx, q.Name) == nil}, nil
--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -248,7 +248,7 @@
 	g := NewWithT(t)
 	for _, limit := range []int{400, 1024, 2048, 2870, 4100, 16384} {
 		f := DivideFiles(limit)
-		sum := f.Callers + f.Targets + f.Peers + f.Directory + f.Ready + f.Metrics
+		sum := f.Callers + f.Targets + f.Peers + f.Directory + f.Ready + f.Metrics + f.Entries
 		g.Expect(sum).To(BeNumerically("<=", limit-min(reservedFiles, limit/2)))
 		g.Expect(f.Targets).To(BeNumerically(">=", f.Callers), "a running request has a connection to its target")
 	}
--- a/shedding/shares.go
+++ b/shedding/shares.go
@@ -15,14 +15,16 @@
 // Files divides the open files of a process among its ports and the connections that it opens, so that none can take those of another.
 type Files struct {
 	Callers, Targets, Peers, Directory, Ready, Metrics int
+	Entries                                            int // connections that the process opens to other entries
 }
 
-// Shares of the open files, in percent. A running request has a connection to its caller and one to its target. The rest is for the
-// connections to the store and to peers.
+// Shares of the open files, in percent. A running request has a connection to its caller and one to its target. The few connections to the
+// store and to leaders of groups are among the reserved files.
 const (
-	callersPercent   = 40
-	targetsPercent   = 40
+	callersPercent   = 38
+	targetsPercent   = 38
 	peersPercent     = 10
+	entriesPercent   = 7
 	directoryPercent = 3
 	readyPercent     = 2
 	metricsPercent   = 2
@@ -30,7 +32,7 @@
 	agentPeersPercent = 60 // of an agent, which has no callers
 )
 
-// reservedFiles are left for files that are no connections, or half of all if there are few.
+// reservedFiles are left for files that are no connections and for those that have no share, or half of all if there are few.
 const reservedFiles = 200
 
 // minPortFiles is the least share of a port.
@@ -41,7 +43,7 @@
 	share := func(percent int) int { return shareOf(limit, percent) }
 	return Files{
 		Callers: share(callersPercent), Targets: share(targetsPercent), Peers: share(peersPercent),
-		Directory: share(directoryPercent), Ready: share(readyPercent), Metrics: share(metricsPercent),
+		Directory: share(directoryPercent), Ready: share(readyPercent), Metrics: share(metricsPercent), Entries: share(entriesPercent),
 	}
 }
 
--- a/soak/crowds/peers_test.go
+++ b/soak/crowds/peers_test.go
@@ -5,10 +5,14 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,3 +209,76 @@
 	g.Eventually(getStatus, patience).WithArguments("http://" + metricsAddr + "/metrics").Should(Equal(http.StatusOK))
 	p.expectWithinLimits()
 }
+
+// startAnsweringEntries starts a listener that answers each probe, as any number of entries. It returns its address.
+func startAnsweringEntries(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() })
+	ack := messageFrame(t, peers.KindHeartbeat, new(peers.Heartbeat))
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				var head [5]byte // the length of the payload and the kind
+				for {
+					if _, err := io.ReadFull(nc, head[:]); err != nil {
+						return
+					}
+					if _, err := io.CopyN(io.Discard, nc, int64(binary.BigEndian.Uint32(head[:]))); err != nil {
+						return
+					}
+					if _, err := nc.Write(ack); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Entries that do not exist, and that answer, must not make a gateway use up its descriptors for connections to them.
+func TestConnectionsToEntriesOfPeers(t *testing.T) {
+	const clients, listed = 8, 250
+	g := NewWithT(t)
+	d := startGateway(t, options{})
+	entries := startAnsweringEntries(t)
+	var crowd sync.WaitGroup
+	var left atomic.Bool
+	leave := sync.OnceFunc(func() {
+		left.Store(true)
+		crowd.Wait()
+	})
+	defer leave()
+	for i := range clients {
+		crowd.Go(func() {
+			c := peers.NewClient(d.peers)
+			defer c.Close()
+			name := func(n int) string { return fmt.Sprintf("m-%d-%d", i, n) }
+			told := &peers.Heartbeat{Entry: peers.Presence{Name: name(0), Incarnation: 1, PeerAddr: entries}}
+			for n := range listed {
+				told.Members = append(told.Members, peers.Member{Entry: peers.Presence{Name: name(n), Incarnation: 1, PeerAddr: entries}})
+			}
+			for !left.Load() {
+				_ = c.Ask(context.Background(), peers.KindHeartbeat, told, new(peers.Heartbeat), answerTimeout)
+				for n := 0; n < listed && !left.Load(); n++ {
+					_ = c.Ask(context.Background(), peers.KindProbe, &peers.ProbeQuery{Name: name(n)}, new(peers.ProbeResult), answerTimeout)
+				}
+			}
+		})
+	}
+	time.Sleep(4 * time.Second) // connections to entries that are not probed again are closed later
+	d.expectService("with the crowd there")
+	g.Eventually(gatewayAnsweredPeer, patience).WithArguments(d.peers).Should(BeTrue())
+	leave()
+	d.expectService("afterwards")
+	d.expectWithinLimits()
+	text, err := os.ReadFile(d.log)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).NotTo(ContainSubstring("too many open files"))
+}
