route: the trials of a suspect are bounded

Cause: a suspect keeps the latest trial of each entry, and the number of entries is what others say. All trials are gone through for each request that is placed, and told to other entries.

A suspect keeps the trials of 32 entries: one that is over makes room, and while all run no other is taken, as only one entry runs a suspect at a time. An own trial always finds room, since it starts only if no other runs.

TestTrialsOfASuspectAreBounded: 10,000 trials kept before, 32 now.

--- a/route/quarantine_test.go
+++ b/route/quarantine_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -114,6 +115,26 @@
 	g.Expect(actionOf(q, 10, now)).To(Equal(route.QuarantineReject))
 }
 
+// Whoever speaks as an entry can tell of trials of any number of entries. They must not add up, and an own trial must still be known.
+func TestTrialsOfASuspectAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := route.NewQuarantine(entryPolicy)
+	q.RecordCrash(1, false, []uint64{10}, now, now)
+	trial := func(entry string, until time.Time) route.Trial {
+		return route.Trial{Entry: entry, Seq: 1, Target: 7, Until: until}
+	}
+	for n := range 10_000 {
+		q.Merge(route.SuspectState{Fingerprint: 10, Trials: []route.Trial{trial(fmt.Sprint("e", n), now.Add(time.Second))}}, now)
+	}
+	g.Expect(len(q.State(10).Trials)).To(BeNumerically("<=", 64))
+	g.Expect(q.HasTrial(7, now)).To(BeTrue())
+	now = now.Add(2 * time.Second)
+	g.Expect(q.StartTrial(10, trial("self", now.Add(time.Second)), now)).To(BeTrue())
+	g.Expect(q.HasTrial(7, now)).To(BeTrue())
+	g.Expect(len(q.State(10).Trials)).To(BeNumerically("<=", 64))
+}
+
 // Guards against entries that decide differently: messages arrive in any order, twice or through others.
 func TestQuarantinesThatMergeEachOtherDecideAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/route/suspects.go
+++ b/route/suspects.go
@@ -41,7 +41,7 @@
 		}
 	}
 	for _, t := range state.Trials {
-		if s.mergeTrial(t) {
+		if s.mergeTrial(t, now) {
 			changed = true
 			q.trialsUntil = later(q.trialsUntil, t.Until)
 		}
--- a/route/trial.go
+++ b/route/trial.go
@@ -25,7 +25,9 @@
 	if q.conflicts(fingerprint, &t, now, func(uint64, *Trial) bool { return true }) {
 		return false
 	}
-	s.setTrial(t)
+	if !s.setTrial(t, now) {
+		return false
+	}
 	s.changedAt = now
 	q.trialsUntil = later(q.trialsUntil, t.Until)
 	return true
@@ -62,26 +64,45 @@
 func (q *Quarantine) EndTrial(fingerprint uint64, t Trial, now time.Time) {
 	if s := q.suspects[fingerprint]; s != nil && s.trials[t.Entry].Seq == t.Seq {
 		t.Ended = true
-		s.setTrial(t)
+		s.setTrial(t, now)
 		s.changedAt = now
 	}
 }
 
-func (s *suspect) setTrial(t Trial) {
+// maxTrials limits the entries whose trials of one suspect are known. Only one of them runs it at a time.
+const maxTrials = 32
+
+// setTrial records the latest trial of an entry. It returns false if there is no room: the trials of other entries still run.
+func (s *suspect) setTrial(t Trial, now time.Time) bool {
 	if s.trials == nil {
 		s.trials = make(map[string]Trial)
 	}
+	if _, ok := s.trials[t.Entry]; !ok && len(s.trials) >= maxTrials && !s.forgetTrial(now) {
+		return false
+	}
 	s.trials[t.Entry] = t
+	return true
 }
 
-// mergeTrial merges a trial of another entry; it returns false if it is known.
-func (s *suspect) mergeTrial(t Trial) bool {
+// forgetTrial removes the trial that was over first, and reports whether there was one.
+func (s *suspect) forgetTrial(now time.Time) bool {
+	oldest := ""
+	for entry, t := range s.trials {
+		if !t.isRunning(now) && (oldest == "" || t.Until.Before(s.trials[oldest].Until)) {
+			oldest = entry
+		}
+	}
+	delete(s.trials, oldest)
+	return oldest != ""
+}
+
+// mergeTrial merges a trial of another entry; it returns false if it is known, or if there is no room for it.
+func (s *suspect) mergeTrial(t Trial, now time.Time) bool {
 	known, ok := s.trials[t.Entry]
 	if ok && (t.Seq < known.Seq || t.Seq == known.Seq && t.Ended == known.Ended || t.Seq == known.Seq && known.Ended) {
 		return false
 	}
-	s.setTrial(t)
-	return true
+	return s.setTrial(t, now)
 }
 
 // HasTrial reports whether a suspect is known to have a trial on a target. Requests that are not
--- a/soak/crowds/peers_test.go
+++ b/soak/crowds/peers_test.go
@@ -182,6 +182,13 @@
 				h.Rates = append(h.Rates, peers.Rate{Target: target, PerSecond: 1})
 			}
 		},
+		"trials": func(i int, h *peers.Heartbeat) {
+			s := peers.Suspect{Fingerprint: 1, Crashes: []peers.SuspectCrash{{Target: 1}}}
+			for n := range listed {
+				s.Trials = append(s.Trials, peers.Trial{Entry: fmt.Sprintf("e-%d-%d", i, n), Seq: 1, Target: 1, LeftMS: 60_000})
+			}
+			h.Suspects = append(h.Suspects, s)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := startGateway(t, options{})
