shedding: callers that read nothing give way to new connections

Cause: such a connection counts as running. It gave way for memory, after 2.5 s, but never for its place, which it kept until 30 s without reading.

A response of which nothing has been read for 2.5 s now gives way to a new connection, after the silent ones and the stalled requests; only where all places are taken, so that callers that pause while they read keep theirs otherwise.

TestUnreadResponsesGiveWayToNewConnections fails before (the new connection is refused).

--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -125,6 +125,29 @@
 	g.Expect(givesWay).To(BeIdenticalTo(h), "a fresh one of an address with more connections")
 }
 
+// Callers that read nothing of their responses must not keep the connections that others need; those that read, or whose requests run, do.
+func TestUnreadResponsesGiveWayToNewConnections(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(Limits{Connections: 4, Bytes: mb})
+	var list []*Holder
+	for i := range 4 {
+		h := opened(t, a, 1+i, i)
+		h.SetState(Running, at(i))
+		list = append(list, h)
+	}
+	list[1].Stalled(1, 2*time.Second, at(3000))
+	list[2].Stalled(1, 3*time.Second, at(3000))
+	h, givesWay := a.Open(address(9), at(3000))
+	g.Expect(h).NotTo(BeNil())
+	g.Expect(givesWay).To(BeIdenticalTo(list[2]))
+	list[2].Close()
+	h, _ = a.Open(address(10), at(3001))
+	g.Expect(h).NotTo(BeNil(), "in place of the silent one")
+	h.SetState(Running, at(3002))
+	h, _ = a.Open(address(11), at(3003))
+	g.Expect(h).To(BeNil())
+}
+
 // Silent connections of a crowd give way before one that another caller has just opened.
 func TestNewcomerIsKeptBesideACrowd(t *testing.T) {
 	a := NewAccount(Limits{Connections: 100, Bytes: mb})
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -208,20 +208,25 @@
 // yieldOrder are the states in which a connection gives way to a new one, in this order.
 var yieldOrder = [...]State{Silent, Head, Idle, Closing}
 
+// stallOrder are the states in which a connection gives way to a new one if it has stalled, in this order.
+var stallOrder = [...]State{Body, Response, Running}
+
 // yieldWindow is how many connections of a state are compared, those that have been in it for longest.
 const yieldWindow = 64
 
 // yieldingConnection returns the connection that gives way to a new one: one that sends nothing, of the address that has most of them; or
-// one whose request has stalled. It is nil if none does.
+// one whose request, or the caller's reading of the response, has stalled. It is nil if none does.
 func (a *Account) yieldingConnection(eligible func(*Holder) bool, now time.Time) *Holder {
 	for _, s := range yieldOrder {
 		if h := a.longestInState(s, eligible); h != nil {
 			return h
 		}
 	}
-	for h := a.inState[Body].first; h != nil; h = h.next {
-		if !h.leaving && eligible(h) && h.isStalled(now) {
-			return h
+	for _, s := range stallOrder {
+		for h := a.inState[s].first; h != nil; h = h.next {
+			if !h.leaving && eligible(h) && h.isStalled(now) {
+				return h
+			}
 		}
 	}
 	return nil
