soak/crowds: a test that shows on each run that silent connections keep entries out of an agent of our own form

TestSilentConnectionsToOwnAgent, whose clients connect again and again, does not fail on in each run: the places of silent connections are freed every 5 s, and an entry that tries 50 times a second may find one; it passed there in 4 of 6 runs so far, after 11 to 25 s, in two of them now. It stays as it is.

TestHeldConnectionsToOwnAgent has the same crowd without connecting again, and one try: the hello fails on in three of three runs (128 places, all taken), and passes now in three of three.

--- a/soak/crowds/entry_test.go
+++ b/soak/crowds/entry_test.go
@@ -196,6 +196,32 @@
 // ServeNote implements wire.Handler.
 func (silentEntry) ServeNote(*wire.Conn, wire.Note, []byte) {}
 
+// connectsToAgent connects to the agent as an entry.
+func (d *ownDeployment) connectsToAgent() error {
+	nc, err := net.Dial("tcp", d.agentAddr)
+	if err != nil {
+		return err
+	}
+	conn, err := wire.Client(nc, wire.Hello{Name: "entry-2", Role: wire.RoleEntry, Incarnation: 1}, silentEntry{}, wire.Options{})
+	if err != nil {
+		return err
+	}
+	conn.Close()
+	return nil
+}
+
+// Connections to an agent of our own form that send nothing must not keep an entry out: it connects at its first try.
+func TestHeldConnectionsToOwnAgent(t *testing.T) {
+	d := startOwn(t)
+	c := newCrowd(t, d.agentAddr, addresses...)
+	c.come(300, nil)
+	g := NewWithT(t)
+	g.Expect(d.connectsToAgent()).To(Succeed())
+	c.leave()
+	g.Eventually(d.connectsToAgent, patience).Should(Succeed())
+	d.agent.expectWithinLimits()
+}
+
 // Clients that connect to an agent of our own form again whenever it closes their connection, and send nothing, must not keep entries out.
 func TestSilentConnectionsToOwnAgent(t *testing.T) {
 	d := startOwn(t)
@@ -229,21 +255,9 @@
 		crowd.Wait()
 	})
 	t.Cleanup(leave)
-	connects := func() error {
-		nc, err := net.Dial("tcp", d.agentAddr)
-		if err != nil {
-			return err
-		}
-		conn, err := wire.Client(nc, wire.Hello{Name: "entry-2", Role: wire.RoleEntry, Incarnation: 1}, silentEntry{}, wire.Options{})
-		if err != nil {
-			return err
-		}
-		conn.Close()
-		return nil
-	}
 	time.Sleep(time.Second) // the crowd takes what it can
-	g.Eventually(connects, patience, "20ms").Should(Succeed())
+	g.Eventually(d.connectsToAgent, patience, "20ms").Should(Succeed())
 	leave()
-	g.Eventually(connects, patience).Should(Succeed())
+	g.Eventually(d.connectsToAgent, patience).Should(Succeed())
 	d.agent.expectWithinLimits()
 }
