shedding: a quarter of a small machine's memory is for callers

With less than 96 MB a gateway held M/2 - 24 MB for callers, down to an eighth: 8 MB of 64, so that a body of 4 MB, the limit of the sheets, got 413 there. It is a quarter now, 16 MB of 64; from 96 MB on nothing changes, and no machine of the sheets has less than 136 MB.

--- a/shedding/account_test.go
+++ b/shedding/account_test.go
@@ -275,7 +275,9 @@
 		g.Expect(sum).To(BeNumerically("<=", limit-min(reservedFiles, limit/2)))
 		g.Expect(f.Targets).To(BeNumerically(">=", f.Callers), "a running request has a connection to its target")
 	}
-	const smallestMemory, bodyLimit = 112 << 20, 4 << 20
-	limits := Limits{Bytes: CallerBytes(smallestMemory)}
-	g.Expect(limits.MaxBytesOfOne() - ActiveBytes).To(BeNumerically(">=", bodyLimit))
+	const bodyLimit = 4 << 20
+	for _, memory := range []int64{48 << 20, 64 << 20, 112 << 20} {
+		limits := Limits{Bytes: CallerBytes(memory)}
+		g.Expect(limits.MaxBytesOfOne()-ActiveBytes).To(BeNumerically(">=", bodyLimit), "%d bytes of memory", memory)
+	}
 }
--- a/shedding/shares.go
+++ b/shedding/shares.go
@@ -4,7 +4,7 @@
 const processBytes = 24 << 20
 
 // minCallerDivisor is the memory of a process divided by the least part that is held for callers, however small the process is.
-const minCallerDivisor = 8
+const minCallerDivisor = 4
 
 // CallerBytes returns what a process with a limit on its memory may hold for its callers: half of the memory, less what the process needs for
 // itself. The other half is for garbage and for what the kernel holds.
