--- a/callers/server.go
+++ b/callers/server.go
@@ -57,7 +57,7 @@
 	http.MaxRequestBodySize = 1    // what the library reads ahead of the handler
 	http.ReduceMemoryUsage = false // it reads the first byte of a request by itself; the memory is released between requests anyway
 	http.ReadTimeout, http.IdleTimeout = 0, 0
-	http.SecureErrorLogMessage = true // errors would quote the head, with up to four bytes for one
+	http.SecureErrorLogMessage = true // an error would quote the head, each byte as up to four
 	// Without this the body of a form is parsed, and encoded anew from maps.
 	http.DisablePreParseMultipartForm = true
 	return s
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -61,7 +61,7 @@
 	MaxCallerConns          int             // open connections of callers; 0: defaultCallerConns
 	MaxCallerBytes          int             // memory that is held for callers, all together; 0: defaultCallerBytes
 	MaxTargetConns          int             // open connections to targets; 0: no limit
-	MaxEntryConns           int             // open connections to other entries; 0: no limit
+	MaxEntryConns           int             // kept connections to other entries; 0: no limit
 	PeerLimits              shedding.Limits // connections of other entries and of agents, and their memory
 	RetryBudget             RetryBudget
 	AgentPort               string                                  // port of the lockstep agents
--- a/members/membership.go
+++ b/members/membership.go
@@ -41,7 +41,7 @@
 	Self             peers.Presence
 	Piggyback        Piggyback
 	Dial             func(address string) PeerClient
-	MaxConnections   int // open connections to other entries, without those in use; 0: no limit
+	MaxConnections   int // connections to other entries that are kept; 0: no limit
 	Rand             *rand.Rand
 	Log              logr.Logger
 	IncrementCounter func(counter string)
