gateway, callers: a stopping gateway refuses requests whose bodies have not arrived whole

Cause: since the body is read by the handler, its request counts as in flight, and the shutdown waits for it.

A request that becomes whole at the same moment is refused by the check that there was.

--- a/callers/lifecycle.go
+++ b/callers/lifecycle.go
@@ -283,6 +283,17 @@
 	}
 }
 
+// refuseBody ends the wait for the rest of a body, so that the request is refused. A request that is whole runs.
+func (c *Conn) refuseBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != shedding.Body || c.gaveWay.Swap(true) {
+		return
+	}
+	close(c.leaving)
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // fails only if the connection is closed
+}
+
 // recordStall records that a caller has not read its response. It returns false if the connection is to
 // be ended: the caller has read nothing for writeTimeout, or it gives way to others.
 func (c *Conn) recordStall(s tcp.Stall) bool {
--- a/callers/server.go
+++ b/callers/server.go
@@ -218,6 +218,13 @@
 	return n
 }
 
+// RefuseUnfinished makes ReadBody fail with ErrNoMemory for requests whose bodies have not arrived whole.
+func (s *Server) RefuseUnfinished() {
+	for _, c := range s.conns() {
+		c.refuseBody()
+	}
+}
+
 // shutdownPollInterval is the interval at which Shutdown looks at the connections.
 const shutdownPollInterval = 50 * time.Millisecond
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -56,6 +56,9 @@
 	}
 	body, err := callers.ReadBody(c, r.maxBodyBytes, r.deadline)
 	if err != nil {
+		if e := g.checkStopping(r); e != nil && errors.Is(err, callers.ErrNoMemory) {
+			return e
+		}
 		return callers.ReceiveError(err)
 	}
 	r.setBody(body.Segments())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,6 +321,9 @@
 		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 && g.callers.Unread() == 0 {
 			break
 		}
+		if time.Now().After(refuseAfter) {
+			g.callers.RefuseUnfinished() // once whole, they would be refused too
+		}
 		sleep(ctx, shutdownPollInterval)
 	}
 	inFlight := g.unwritten.count()
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/heatherrail/heatherrail/result"
 )
 
 // largeResponse starts an entry and requests a response that exceeds the socket buffers, so that
@@ -84,3 +86,27 @@
 	g.Expect(resp.StatusCode).To(Equal(404))
 	g.Eventually(e.gw.unwritten.count, "5s", "5ms").Should(BeZero())
 }
+
+// A caller sends part of a body and stays. The entry must refuse its request as not run, and must not wait for it until its grace is over.
+func TestShutdownRefusesUnfinishedBodies(t *testing.T) {
+	g := NewWithT(t)
+	target := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool { return reply(w, r, 200, sealHeader, "done") })
+	e := startEntryWithTargets(t, "plain", target)
+	caller, err := net.Dial("tcp", e.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = caller.Close() })
+	_, err = io.WriteString(caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nRid: r1\r\nKey: k1\r\nLeft: 60000\r\nContent-Length: 100000\r\n\r\nx")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(e.gw.unwritten.count, "5s", "5ms").Should(Equal(1))
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.gw.Shutdown(context.Background()) }()
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	text, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(string(text)).To(Equal(result.EntryLeaving.Info().Name + "\n"))
+	g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(<-stopped).To(Succeed())
+	g.Expect(target.received()).To(BeEmpty())
+}
