gateway: the test of gaps over two attempts reads what the entry has reported too

The entry's own reader of loads takes the longest gap for its query to the agent, and the test asked the tracker after that.

The test has an agent now, and compares the longest of what that was told and what is left, once the query under way has arrived; targets wait for the caller, since a busy machine may read two events at once.

--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -360,10 +360,21 @@
 
 // request sends a request on a new connection and reads the complete response.
 func (e *testEntry) request(method, path, key, body string, fields ...string) (*http.Response, string, error) {
+	resp, err := e.begin(method, path, key, body, fields...)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// begin sends a request and returns its response, whose body must be read and closed.
+func (e *testEntry) begin(method, path, key, body string, fields ...string) (*http.Response, error) {
 	e.requestCount++
 	req, err := http.NewRequest(method, "http://"+e.addr+path, strings.NewReader(body))
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	req.Host = "h"
 	req.Header.Set("Rid", fmt.Sprintf("r%d", e.requestCount))
@@ -374,13 +385,7 @@
 	for i := 0; i+1 < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
 	}
-	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
-	if err != nil {
-		return nil, "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	return resp, string(text), err
+	return (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
 }
 
 // testTracker returns the tracker of an entry that has not sent any requests.
--- a/gateway/streampath_test.go
+++ b/gateway/streampath_test.go
@@ -6,13 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
 
+	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/serving"
+	"github.com/heatherrail/heatherrail/shedding"
 )
 
 // A target fails in the middle of the fourth event. The stream must resume at another target after
@@ -68,23 +72,67 @@
 	}
 }
 
+// gapAgent is an agent that records the gaps that an entry reports.
+type gapAgent struct {
+	mu      sync.Mutex
+	queries int
+	longest time.Duration
+}
+
+// startGapAgent starts an agent and returns its port.
+func startGapAgent(t *testing.T) (a *gapAgent, port string) {
+	a = new(gapAgent)
+	ln := listen(t)
+	server := peers.Serve(ln, shedding.Limits{}, map[peers.Kind]peers.Handler{peers.KindLoads: a.serve}, func(string, error) {})
+	t.Cleanup(server.Close)
+	_, port, err := net.SplitHostPort(ln.Addr().String())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return a, port
+}
+
+func (a *gapAgent) serve(payload []byte) (msgp.Marshaler, error) {
+	var q peers.LoadsQuery
+	if _, err := q.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queries++
+	a.longest = max(a.longest, time.Duration(q.LongestGapMS)*time.Millisecond)
+	return new(peers.Loads), nil
+}
+
+func (a *gapAgent) queryCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queries
+}
+
 // A target fails between two events, and the stream resumes at another target after a while. That gap is
 // not the time of a pass: recorded as one, it would lower the stream limit of the group.
 func TestGapOverTwoAttemptsIsNotRecordedAsAPass(t *testing.T) {
 	const resumeDelay, passTime = 300 * time.Millisecond, 20 * time.Millisecond
 	g := NewWithT(t)
+	received := make(chan struct{}) // by the caller; without it a busy machine may read two events at once
+	event := func(w net.Conn, n int) {
+		writeChunk(w, eventText(n))
+		select {
+		case <-received:
+		case <-time.After(5 * time.Second): // the response is compared below
+		}
+	}
 	serve := func(w net.Conn, r *http.Request) bool {
 		writeStreamHead(w, r)
 		if r.Header.Get("After") == "" {
-			writeChunk(w, eventText(0))
+			event(w, 0)
 			time.Sleep(passTime)
-			writeChunk(w, eventText(1))
+			event(w, 1)
 			return resetConn(w)
 		}
 		time.Sleep(resumeDelay)
-		writeChunk(w, eventText(2))
+		event(w, 2)
 		time.Sleep(passTime)
-		writeChunk(w, eventText(3))
+		event(w, 3)
 		_, _ = io.WriteString(w, "0\r\n\r\n")
 		return true
 	}
@@ -96,15 +144,31 @@
 	for _, target := range []*testTarget{a, b} {
 		store.put(serving.TopicTargets, target.id, serving.Target{Service: "llm", Address: target.addr, DataCentre: "a"})
 	}
-	e := startEntry(t, "gw", store)
+	agent, port := startGapAgent(t)
+	e := startEntryWithOptions(t, "gw", store, func(o *Options) { o.AgentPort = port })
 	g.Eventually(func() bool {
 		snap := e.gw.state.snapshot()
 		return e.gw.Ready() && snap != nil && len(snap.targets["llm"]) == 2
 	}, "5s", "5ms").Should(BeTrue())
-	_, body, err := e.request("POST", "/s/x", "k1", "prompt")
+	resp, err := e.begin("POST", "/s/x", "k1", "prompt")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	for n := range 4 {
+		text := make([]byte, len(eventText(n)))
+		_, err := io.ReadFull(resp.Body, text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(text)).To(Equal(eventText(n)))
+		received <- struct{}{}
+	}
+	rest, err := io.ReadAll(resp.Body)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(body).To(Equal(eventText(0) + eventText(1) + eventText(2) + eventText(3)))
-	gap := e.gw.tracker.TakeLongestGap("llm", "")
+	g.Expect(rest).To(BeEmpty())
+	gap := e.gw.tracker.TakeLongestGap("llm", "") // what has not been reported
+	reported := agent.queryCount()
+	g.Eventually(agent.queryCount, "5s", "5ms").Should(BeNumerically(">", reported+1), "the query under way has arrived")
+	agent.mu.Lock()
+	gap = max(gap, agent.longest)
+	agent.mu.Unlock()
 	g.Expect(gap).To(And(BeNumerically(">=", passTime/2), BeNumerically("<", resumeDelay)))
 }
 
