callers: a connection that gives way ends while it is writing too

Cause, by a trial that times each ordinary request: beside busy processes each takes 1.00 s, which is how long the accept loop waits for the descriptor of a connection that gives way. Such a connection has a request whose handler reads no body, so it counts as arriving; it was told to read no more, but its goroutine was in the write of a response that its caller does not read, for up to 30 s. The loop waited a second for it, for each new connection, those of the crowd among them. Ruled out: memory (32 MB of 256), the processor (ordinary requests are answered in 2 ms once accepted).

A connection whose caller has read nothing for 2.5 s is closed, whatever its state; any other that gives way has 200 ms for what it still writes, also if the write began before. Its pending read from a target ends as well.

TestConnectionThatIsWritingGivesWay: not closed after 10 s before, passes three times with the race detector.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -94,6 +94,10 @@
 // caller that stops reading would hold its connection and the memory of the response indefinitely.
 const writeTimeout = 30 * time.Second
 
+// lastWriteTimeout is writeTimeout for a connection that gives way to others. A refusal needs no more, unless the caller has not read
+// earlier responses.
+const lastWriteTimeout = 200 * time.Millisecond
+
 // SetWriteDeadline implements net.Conn. Write has a limit of its own.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
@@ -120,18 +124,29 @@
 func (c *Conn) writeNow(p []byte) (written int, err error) {
 	c.stall.Arm()
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.setWriteLimit(); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
 		c.unchecked += n
-		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.gaveWay.Load() {
 			return written, err
 		}
 	}
 }
 
+// setWriteLimit limits the next write, briefly if the connection gives way to others.
+func (c *Conn) setWriteLimit() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := writeTimeout
+	if c.gaveWay.Load() {
+		limit = lastWriteTimeout
+	}
+	return c.Conn.SetWriteDeadline(time.Now().Add(limit))
+}
+
 // Limits of a lingering close.
 const (
 	lingerTime    = time.Second
--- a/callers/conn_test.go
+++ b/callers/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -343,3 +344,35 @@
 	g.Expect(c.recordStall(tcp.Stall{UnsentBytes: 1, Since: writeTimeout - time.Second})).To(BeTrue())
 	g.Expect(c.recordStall(tcp.Stall{UnsentBytes: 1, Since: writeTimeout})).To(BeFalse())
 }
+
+// A caller that pipelines and reads nothing, and that gives way to a new connection, kept its own until the write timeout: it was told to read
+// no more, while it was writing. The new connection waited for it, and each after it.
+func TestConnectionThatIsWritingGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := tcp.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	response := bytes.Repeat([]byte("x"), 64<<10)
+	s := NewServer(&fasthttp.Server{Logger: discardLogger{}, Handler: func(c *fasthttp.RequestCtx) { c.SetBody(response) }},
+		shedding.Limits{Connections: 2, Bytes: 1 << 20}, func() Timeouts { return Timeouts{Head: time.Minute, Idle: time.Minute} }, Observer{})
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	reader := dialFrom(t, "127.0.0.2", ln.Addr().String())
+	ask(t, reader, "/", "")
+	g.Expect(statusOf(t, bufio.NewReader(reader))).To(Equal(200))
+	unread := dialFrom(t, "127.0.0.1", ln.Addr().String())
+	for range 1000 {
+		ask(t, unread, "/", "")
+	}
+	g.Eventually(func() int { return s.inState(shedding.Idle) }, "5s", "5ms").Should(Equal(1))
+	var conn *Conn
+	for _, c := range s.conns() {
+		if !c.isIdle() {
+			conn = c
+		}
+	}
+	g.Eventually(conn.stall.Undelivered, "5s", "5ms").Should(BeTrue())
+	conn.giveWay(true)
+	g.Eventually(conn.closed, "10s", "5ms").Should(BeClosed())
+	ask(t, reader, "/", "")
+	g.Expect(statusOf(t, bufio.NewReader(reader))).To(Equal(200))
+}
--- a/callers/lifecycle.go
+++ b/callers/lifecycle.go
@@ -272,8 +272,15 @@
 	}
 	c.atOnce = atOnce
 	switch {
+	case c.holder.ReadsNothing(time.Now()):
+		tcp.Abort(c.Conn) // its goroutine may be writing
+		if c.cancel != nil {
+			c.cancel()
+		}
 	case c.state == shedding.Head, c.state == shedding.Body:
-		_ = c.Conn.SetReadDeadline(aLongTimeAgo) // fails only if the connection is closed
+		// These fail only if the connection is closed.
+		_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(lastWriteTimeout)) // of responses to earlier requests
 	case c.cancel != nil:
 		c.cancel()
 	case c.state == shedding.Running:
--- a/shedding/giveway.go
+++ b/shedding/giveway.go
@@ -139,6 +139,14 @@
 	return h.isStalled(now)
 }
 
+// ReadsNothing reports whether the caller has read nothing of its response for so long that the connection counts as stalled.
+func (h *Holder) ReadsNothing(now time.Time) bool {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.unread > 0 && h.isStalled(now)
+}
+
 // isStalled reports whether the connection has had no progress for so long that it gives way to any other.
 func (h *Holder) isStalled(now time.Time) bool {
 	since := time.Duration(now.UnixNano() - h.progress())
