wire: a pending connection ends before anyone is told that its hello exchange is over

Cause, by reading and by that time, in which all eight silent connections had been refused although one of them should have stayed for 200 ms: the place of the connection before them was still taken. An acceptor frees it after it has answered the hello, and after it has reported a refusal; who connects at that moment from the same address is refused. With 128 places it takes 64 such connections at once.

The place is freed before the connection is served or its refusal reported, and the test waits until its first connection is served, which the answered hello alone does not say. No check has changed.

--- a/wire/accept.go
+++ b/wire/accept.go
@@ -128,8 +128,8 @@
 }
 
 func (a *Acceptor) handshake(p *pendingConn) *Conn {
-	defer p.holder.Close()
 	c, err := Server(p.Conn, a.Hello, a.Handler, a.Options)
+	p.holder.Close() // before anyone is told that the exchange is over
 	if err != nil && p.gaveWay.Load() {
 		err = result.New(result.ConnsFull, "%d connections without a hello, this one for longest", a.MaxPending)
 	}
--- a/wire/network_test.go
+++ b/wire/network_test.go
@@ -154,13 +154,16 @@
 func TestConnectionsWithoutHelloAreLimited(t *testing.T) {
 	g := NewWithT(t)
 	n := new(wire.Network)
+	served := make(chan struct{}, 2)
 	addr, refused := listen(t, n, wire.Acceptor{
 		Hello:      wire.Hello{Role: wire.RoleAgent},
 		MaxPending: 2,
 		Options:    wire.Options{HelloTimeout: 200 * time.Millisecond},
+		Serve:      func(*wire.Conn) { served <- struct{}{} },
 	})
 	connected, err := dial(t, n, addr, wire.RoleEntry)
 	g.Expect(err).NotTo(HaveOccurred())
+	<-served // its hello exchange is over for the acceptor too
 	for range 8 {
 		nc, err := net.Dial("tcp", addr)
 		g.Expect(err).NotTo(HaveOccurred())
