--- a/review/standins-2/group.go
+++ b/review/standins-2/group.go
@@ -425,6 +425,7 @@
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = after + 1
 	}
+	e.group.w.note("rank %d runs stream %s from event %d", e.rank, r.Header.Get("X-Request-Id"), first)
 	w.Header().Set(sealHeader, "seal-"+e.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := first; n < streamEvents; n++ {
--- a/review/standins-2/harness.go
+++ b/review/standins-2/harness.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -64,6 +65,9 @@
 	return w, nil
 }
 
+// ctx returns the context of calls that have no other limit.
+func (w *world) ctx() context.Context { return context.Background() }
+
 // note writes a line to the record of the case.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
@@ -190,7 +194,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) (int, error){
-	"maps": maps,
+	"maps":    maps,
+	"promise": promise,
+	"version": version,
+	"term":    term,
 }
 
 // Programs of the deploy file, relative to the root of the repository.
--- a/review/standins-2/lag.go
+++ b/review/standins-2/lag.go
@@ -128,10 +128,12 @@
 		go func() {
 			t := &http.Transport{}
 			for i := 0; ; i++ {
+				id := fmt.Sprintf("s%d-%d", n, i)
 				answer := standin.Send(t, entry.callers, standin.Request{
-					Host: draftHost, Path: "/draft/x", ID: fmt.Sprintf("s%d-%d", n, i), Key: draftKey, Timeout: streamTimeoutMS * time.Millisecond, Stream: true,
+					Host: draftHost, Path: "/draft/x", ID: id, Key: draftKey, Timeout: streamTimeoutMS * time.Millisecond, Stream: true,
 				})
 				whole := answer.Status == http.StatusOK && answer.Complete
+				w.note("stream %s was sent, answered %d, whole: %v", id, answer.Status, whole)
 				mu.Lock()
 				if whole {
 					complete++
--- a/review/standins-2/names.go
+++ b/review/standins-2/names.go
@@ -5,9 +5,10 @@
 	"strings"
 )
 
-// sealName is the name of the header that marks the answers of engines.
+// names holds the names of headers of the platform, one on each line: the mark of an engine's answer, and the engine that a
+// request is meant for.
 //
 //go:embed names.txt
-var sealName string
+var names string
 
-var sealHeader = strings.TrimSpace(sealName)
+var sealHeader, instanceHeader, _ = strings.Cut(strings.TrimSpace(names), "\n")
