review: the stand-ins of all cases in their last form

Servers whose answers end with their channel, for a case of their own; no process is started after the end of a case; the cases with plain services have an address of their own, so that they can run beside case 4.

--- a/review/standins-2/harness.go
+++ b/review/standins-2/harness.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,8 +47,11 @@
 	program  string
 	settings string
 	log      *os.File
-	cmd      *exec.Cmd
 	pid      atomic.Int64
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended bool // the case is over: the process is not started again
 }
 
 func newWorld(recordPath string) (*world, error) {
@@ -75,6 +80,13 @@
 	_, _ = fmt.Fprintf(w.record, "%9.3f s  %s\n", time.Since(w.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// noteLines writes the lines of a text to the record.
+func (w *world) noteLines(text string) {
+	for line := range strings.SplitSeq(strings.TrimSpace(text), "\n") {
+		w.note("%s", line)
+	}
+}
+
 // serve serves HTTP at an address until the process ends.
 func serve(address string, h http.Handler) (string, error) {
 	ln, err := net.Listen("tcp4", address)
@@ -124,7 +136,15 @@
 	return p, p.run()
 }
 
+// errEnded is the error of a start after the end of the case.
+var errEnded = errors.New("the case has ended")
+
 func (p *process) run() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return errEnded
+	}
 	p.cmd = exec.Command(p.program)
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsEnv + "=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -137,17 +157,39 @@
 
 // kill ends the process as a crash would.
 func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stop()
+}
+
+// end ends the process for good.
+func (p *process) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	p.stop()
+}
+
+// stop kills the process if it runs. The caller holds the lock.
+func (p *process) stop() {
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
 	_ = p.cmd.Process.Signal(syscall.SIGKILL)
 	_ = p.cmd.Wait()
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Signal(s)
+}
+
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
 	for _, p := range w.procs {
-		if p.cmd != nil && p.cmd.Process != nil {
-			_ = p.cmd.Process.Signal(syscall.SIGCONT)
-			p.kill()
-		}
+		p.end()
 		_ = p.log.Close()
 	}
 	if os.Getenv("KEEP") == "" {
@@ -167,6 +209,9 @@
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "server" {
+		os.Exit(serveUnframed(os.Args[2], os.Args[3]))
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE RECORD")
 		os.Exit(exitInvalid)
@@ -194,10 +239,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) (int, error){
-	"maps":    maps,
-	"promise": promise,
-	"version": version,
-	"term":    term,
+	"maps":     maps,
+	"promise":  promise,
+	"version":  version,
+	"term":     term,
+	"unframed": unframed,
 }
 
 // Programs of the deploy file, relative to the root of the repository.
--- a/review/standins-2/lag.go
+++ b/review/standins-2/lag.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/heatherrail/heatherrail/platform/standin"
@@ -183,8 +182,7 @@
 	k.kills++
 	k.lastAt = time.Now()
 	p := k.agents[e.rank]
-	_ = p.cmd.Process.Signal(syscall.SIGKILL)
-	_ = p.cmd.Wait()
+	p.kill()
 	k.w.note("agent of rank %d killed (kill %d)", e.rank, k.kills)
 	time.AfterFunc(agentDownTime, func() {
 		if err := p.run(); err == nil {
--- a/review/standins-2/plain.go
+++ b/review/standins-2/plain.go
@@ -154,7 +154,7 @@
 
 // promise has one of three servers fail a part of the requests that it runs, with 503.
 func promise(w *world) (int, error) {
-	ip := "127.0.0.71"
+	ip := "127.0.0.81"
 	ports, err := freePorts([]string{ip}, 4)
 	if err != nil {
 		return 0, err
@@ -242,7 +242,7 @@
 
 // version has one caller expect a version of the weights that no server has, a few times.
 func version(w *world) (int, error) {
-	ip := "127.0.0.71"
+	ip := "127.0.0.81"
 	ports, err := freePorts([]string{ip}, 4)
 	if err != nil {
 		return 0, err
--- a/review/standins-2/term.go
+++ b/review/standins-2/term.go
@@ -167,11 +167,11 @@
 	time.Sleep(resolvedBefore)
 	stoppedAt := time.Now()
 	if w.trouble {
-		if err := entry.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		if err := entry.signal(syscall.SIGTERM); err != nil {
 			return 0, err
 		}
 		w.note("SIGTERM to %s", entry.name)
-		time.AfterFunc(graceTime, func() { _ = entry.cmd.Process.Signal(syscall.SIGKILL) })
+		time.AfterFunc(graceTime, func() { _ = entry.signal(syscall.SIGKILL) })
 	}
 	results := make(chan streamResult, earlyStreams+lateStreams)
 	send := func(id string, after time.Duration) {
