lockstep: an old report of a rank is not taken for its present state

Cause: while a rank's agent does not answer, its state is read from the engine over the network, some 200 ms old. isVoided took the absence of the version from that report for proof that the rank had given it up, so the rank stayed armed and the hold was released. The same trust in old reports: whether a switch has ended, whether the hold is released, which version is taken back or completed, whether ranks use different maps.

Evidence: the simulation gives reports to other VMs with a lag and ends agents at each order of switches and recoveries.

Fix: each RankState carries the time that it is of, and whether it is a report to another VM. A rank counts as voided when it shows a later map (versions only rise, so an old report cannot be wrong about that), or when its own agent has read since the hold that nothing is prepared. The version in doubt is the highest that any rank shows; this agent's own rank is always up to date among them. Decisions that break nothing when they are late ask again until the state is of the time in question.

TestBusyHolderAgentDoesNotDelayASwitch passes the hold as one value now.

--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -105,6 +106,8 @@
 	entryReports      entryReports
 	proxyArm          peers.ProxyArm
 
+	reportLag atomic.Int64 // EngineModel.ReportLag of the service, a time.Duration; 0: unknown
+
 	armToken   chan struct{} // semaphore, held while an arm order or a fence is processed: the two never overlap
 	fence      fence         // passes for which this agent must not arm a rank; guarded by armToken
 	abandoned  fence         // passes for which this agent must not arm rank 0 as the proxy, in a recovery either; guarded by armToken
--- a/lockstep/group.go
+++ b/lockstep/group.go
@@ -65,7 +65,14 @@
 		g.a.opts.Log.Info("reading the cost model failed", "error", err.Error())
 		return
 	}
+	g.setCostModel(read)
+}
+
+func (g *group) setCostModel(read costModel) {
 	g.costModel = read
+	if read.model != nil {
+		g.a.reportLag.Store(int64(read.model.ReportLag))
+	}
 }
 
 // modelTTL is how long a cost model is used before it is read again. A store that has come back from
@@ -79,7 +86,7 @@
 	case read := <-g.modelReads:
 		g.modelReads, g.readAt = nil, now
 		if read.model != nil && read.version >= g.version {
-			g.costModel = read
+			g.setCostModel(read)
 		}
 	default:
 	}
@@ -291,10 +298,12 @@
 	for k, i := range viaTree {
 		addresses[k] = members[i].agentAddr
 	}
+	askedAt := time.Now()
 	collected := g.a.collectAlongTree(addresses, q, askTimeout)
 	var wait sync.WaitGroup
 	for k, i := range viaTree {
 		states[i] = collected[k]
+		states[i].AsOf = askedAt
 		if collected[k].Known {
 			continue
 		}
--- a/lockstep/leader_test.go
+++ b/lockstep/leader_test.go
@@ -109,7 +109,7 @@
 		heldStep, held := holdGroup(f.agents[0], holder, 1)
 		g.Expect(held).To(BeTrue())
 		g.Expect(time.Since(start)).To(BeNumerically("<", simPass))
-		f.tasks.Go(func() { releaseGroup(f.agents[0], holder, 1, heldStep) })
+		f.tasks.Go(func() { releaseGroup(f.agents[0], &hold{holder: holder, epoch: 1, step: heldStep, heldAt: start}) })
 		time.Sleep(2 * simPass)
 		group.mu.Lock()
 		step := group.step
--- a/lockstep/maps.go
+++ b/lockstep/maps.go
@@ -123,7 +123,9 @@
 		full.Map, full.Changes = sets, nil
 	}
 	state, err := a.opts.Engine.State(a.ctx)
-	witnessed := err == nil && state.Epoch == o.Epoch && isVoided(&state, o.Version)
+	// The report of this VM's engine is up to date, so a version that it does not show is not prepared.
+	isPrepared := state.Prepared == o.Version || state.Armed == o.Version || state.Map == o.Version
+	witnessed := err == nil && state.Epoch == o.Epoch && !isPrepared
 	a.mapHistory.put(o.Epoch, mapEntry{version: o.Version, sets: full.Map, witnessed: witnessed})
 	return a.orderLocalEngine(&full)
 }
--- a/lockstep/member.go
+++ b/lockstep/member.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -41,6 +42,14 @@
 	hedgeDelay = 40 * time.Millisecond
 )
 
+// maxReportLag bounds the age of engines' reports to other VMs where the configuration does not give it.
+const maxReportLag = time.Second
+
+// remoteReportLag returns the age of the reports that engines give to other VMs.
+func (a *Agent) remoteReportLag() time.Duration {
+	return cmp.Or(time.Duration(a.reportLag.Load()), maxReportLag)
+}
+
 // canAskAgent reports whether the member has an agent that is not in backoff.
 func (m *member) canAskAgent() bool { return m.agent != nil && !m.agent.inBackoff() }
 
@@ -50,16 +59,18 @@
 // collect asks the member's agent for the state of its rank, or asks the engine itself if the agent
 // does not answer.
 func (m *member) collect(a *Agent, q *peers.Collect) peers.RankState {
+	askedAt := time.Now()
 	if m.localAgent != nil {
 		fenced := q.Fence != 0 && a.setFence(fence{epoch: q.Epoch, step: q.Fence})
 		state := a.collect(q)
-		state.Fenced = fenced
+		state.Fenced, state.AsOf = fenced, askedAt
 		return state
 	}
 	var state peers.RankState
 	if m.canAskAgent() {
 		err := m.agent.ask(a.ctx, peers.KindCollect, q, &state, askTimeout)
 		if err == nil && state.Known {
+			state.AsOf = askedAt // agents read their own engines, whose reports are up to date there
 			return state
 		}
 		if err != nil {
@@ -73,7 +84,7 @@
 // while the engine's agent is down, since an engine's reports to another VM are billed. Counts are
 // left out because reading them would delay the group.
 func (m *member) collectFromEngine(a *Agent, q *peers.Collect) peers.RankState {
-	state, err := m.engine.State(a.ctx)
+	state, err := m.engineState(a)
 	if err != nil {
 		a.opts.Log.Info("engine lost", "engine", m.engineAddr, "error", err.Error())
 		return peers.RankState{}
@@ -84,6 +95,30 @@
 	return state
 }
 
+// engineState asks the engine for the state of its rank. From another VM this is a state that the rank
+// had remoteReportLag before.
+func (m *member) engineState(a *Agent) (peers.RankState, error) {
+	asOf := time.Now()
+	if m.localAgent == nil {
+		asOf = asOf.Add(-a.remoteReportLag())
+	}
+	state, err := m.engine.State(a.ctx)
+	state.AsOf, state.Lagged = asOf, m.localAgent == nil
+	return state, err
+}
+
+// collectSince is collect for a decision on what has happened since a time: it asks again until the
+// state is of that time or a later one.
+func (m *member) collectSince(a *Agent, q *peers.Collect, since time.Time) peers.RankState {
+	for {
+		state := m.collect(a, q)
+		if !state.Known || !state.AsOf.Before(since) || a.ctx.Err() != nil {
+			return state
+		}
+		a.sleep(since.Sub(state.AsOf))
+	}
+}
+
 // readExpertsFromEngine asks the engine for the experts of its rank and adds them to s, if they are
 // of the map version in s.
 func (m *member) readExpertsFromEngine(a *Agent, s *peers.RankState) {
@@ -107,11 +142,13 @@
 		return m.collect(a, q)
 	}
 	answer := make(chan peers.RankState, 1)
+	askedAt := time.Now()
 	go func() {
 		var state peers.RankState
 		if err := m.agent.client.Ask(a.ctx, peers.KindCollect, q, &state, askTimeout); err != nil {
 			state = peers.RankState{}
 		}
+		state.AsOf = askedAt
 		answer <- state
 	}()
 	timer := time.NewTimer(hedgeDelay)
@@ -123,7 +160,7 @@
 		}
 	case <-timer.C:
 	}
-	directState, err := m.engine.State(a.ctx)
+	directState, err := m.engineState(a)
 	select {
 	case state := <-answer:
 		if state.Known {
--- a/lockstep/recover.go
+++ b/lockstep/recover.go
@@ -22,7 +22,8 @@
 		g.refresh()
 		ranks, complete = g.collectUsing(name, q, (*member).collectHedged)
 	}
-	t := &takeBack{a: a, group: g, holder: holder, held: first, version: preparedVersion(ranks)}
+	t := &takeBack{a: a, group: g, held: first, version: versionInDoubt(ranks),
+		hold: hold{holder: holder, epoch: first.Epoch, step: first.Held, heldAt: first.AsOf}}
 	if !complete || ranks[0].state.Epoch != first.Epoch {
 		recoverWithoutLeader(t, ranks)
 		return
@@ -33,7 +34,7 @@
 		return
 	}
 	a.opts.Log.Info("group held by nobody", "group", name, "step", first.Held, "version", version)
-	if canComplete(ranks, version) && completeSwitch(a, holder, ranks, version, first.Held, true) {
+	if version == t.version && t.hold.canComplete(ranks, version) && completeSwitch(a, &t.hold, ranks, version, true) {
 		return
 	}
 	if ranks[0].state = ranks[0].collect(a, stateOnlyWithLists); !ranks[0].state.Known {
@@ -45,11 +46,11 @@
 
 // canComplete reports whether a switch to a version may be completed: some rank is armed for it, and
 // rank 0 is, or can be.
-func canComplete(ranks []rank, version uint64) bool {
+func (h *hold) canComplete(ranks []rank, version uint64) bool {
 	if version == 0 {
 		return false
 	}
-	return ranks[0].state.Armed == version || !isVoided(&ranks[0].state, version) && canDecide(ranks, version)
+	return ranks[0].state.Armed == version || !h.isVoided(&ranks[0].state, version) && canDecide(ranks, version)
 }
 
 // stateOnlyWithLists requests a rank's state and the experts that it has in the map in use.
@@ -64,14 +65,13 @@
 	return !slices.ContainsFunc(ranks, func(r rank) bool { return !r.state.Fenced })
 }
 
-// armedVersion returns the version that some rank is armed for; 0: none.
+// armedVersion returns the highest version that some rank is armed for; 0: none.
 func armedVersion(ranks []rank) uint64 {
+	version := uint64(0)
 	for i := range ranks {
-		if v := ranks[i].state.Armed; v != 0 {
-			return v
-		}
+		version = max(version, ranks[i].state.Armed)
 	}
-	return 0
+	return version
 }
 
 // recoverWithoutLeader recovers a group whose leader's VM is unreachable. ranks are those that
@@ -91,7 +91,7 @@
 		log.Info("group held, leader's rank may be armed", "group", group, "step", step)
 		return
 	case switched:
-		released = releaseGroup(t.a, t.holder, t.held.Epoch, step)
+		released = releaseGroup(t.a, &t.hold)
 	case t.abandon(proxy):
 		released = t.run(ranks)
 	default:
@@ -120,29 +120,29 @@
 type takeBack struct {
 	a       *Agent
 	group   *group
-	holder  *member
+	hold    hold
 	held    peers.RankState // state of the holder's rank
-	version uint64          // version that the ranks have prepared or are armed for; 0: none
+	version uint64          // result of versionInDoubt
 }
 
-// preparedVersion returns the highest version that a rank has prepared or is armed for, without void
-// versions; 0: none.
-func preparedVersion(ranks []rank) uint64 {
+// versionInDoubt returns the highest version that a rank may be armed for; 0: none. The state of this
+// agent's own rank is among the states and up to date, and all ranks have prepared a map before the group
+// is held, so no rank has prepared a later one.
+func versionInDoubt(ranks []rank) uint64 {
 	version := uint64(0)
 	for i := range ranks {
-		for _, v := range []uint64{ranks[i].state.Prepared, ranks[i].state.Armed} {
-			if !isVoidVersion(v) {
-				version = max(version, v)
-			}
-		}
+		version = max(version, ranks[i].state.Prepared, ranks[i].state.Armed)
+	}
+	if version != 0 && isVoidVersion(version) {
+		return version - 1 // the switch to an earlier version is being taken back
 	}
 	return version
 }
 
 // abandon asks the proxy to abandon the switch in place of rank 0.
 func (t *takeBack) abandon(proxy *rank) bool {
-	if t.version == 0 {
-		return true // no rank can be armed
+	if t.version == 0 || isVoidVersion(t.version+1) {
+		return true // no rank can be armed, or some rank is voided already, which comes after this decision
 	}
 	result, _ := proxy.orderAgent(t.a, &peers.RankOrder{Kind: peers.OrderAbandon, Epoch: t.held.Epoch, Step: t.held.Held, Version: t.version})
 	return result.Accepted
@@ -152,7 +152,7 @@
 // hold. It returns false if the switch has been completed meanwhile, or if some rank may still be armed.
 func (t *takeBack) run(ranks []rank) bool {
 	if t.version == 0 {
-		return releaseGroup(t.a, t.holder, t.held.Epoch, t.held.Held)
+		return releaseGroup(t.a, &t.hold)
 	}
 	void := t.newVoidMap(ranks)
 	if ranks[0].state.Rank == 0 {
@@ -161,7 +161,7 @@
 		}
 		ranks = ranks[1:]
 	}
-	return t.voidRanks(ranks, void) && releaseGroup(t.a, t.holder, t.held.Epoch, t.held.Held)
+	return t.voidRanks(ranks, void) && releaseGroup(t.a, &t.hold)
 }
 
 // voidMap is a map with a void version, as the two forms of a prepare order.
@@ -245,12 +245,14 @@
 		}
 		var live []rank
 		for _, r := range remaining {
-			if !isVoided(&r.state, t.version) {
+			if !t.hold.isVoided(&r.state, t.version) {
 				live = append(live, r)
 			}
 		}
 		prepareAll(t.a, live, void.full, void.delta)
-		remaining = t.notVoided(live)
+		if remaining = t.notVoided(live); len(remaining) > 0 {
+			t.a.sleep(retryInterval)
+		}
 	}
 	return len(remaining) == 0
 }
@@ -263,7 +265,7 @@
 	for _, r := range ranks {
 		wait.Go(func() {
 			state := r.collect(t.a, stateOnly)
-			if state.Known && isVoided(&state, t.version) {
+			if state.Known && state.Epoch == t.hold.epoch && t.hold.isVoided(&state, t.version) {
 				return
 			}
 			if state.Known {
@@ -278,19 +280,20 @@
 	return remaining
 }
 
-// disarmAll disarms the ranks that are armed for a version but rank 0, whose arming completes a switch. It
-// updates the states of the ranks, and returns false if some rank may still be armed.
+// disarmAll disarms the ranks that are armed for a version or an earlier one but rank 0, whose arming
+// completes a switch. It updates the states of the ranks, and returns false if some rank reports that it is
+// still armed.
 func disarmAll(a *Agent, ranks []rank, version uint64) bool {
 	for range holdAttempts {
 		var wait sync.WaitGroup
 		for i := range ranks {
 			r := &ranks[i]
-			if r.state.Armed != version {
+			if !isArmed(&r.state, version) {
 				continue
 			}
 			wait.Go(func() {
 				if r.state.Rank != 0 {
-					r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: version})
+					r.order(a, &peers.RankOrder{Kind: peers.OrderDisarm, Epoch: r.state.Epoch, Version: r.state.Armed})
 				}
 				if state := r.collect(a, stateOnly); state.Known {
 					r.state = state
@@ -298,13 +301,17 @@
 			})
 		}
 		wait.Wait()
-		if !slices.ContainsFunc(ranks, func(r rank) bool { return r.state.Armed == version }) {
+		if !slices.ContainsFunc(ranks, func(r rank) bool { return isArmed(&r.state, version) }) {
 			return true
 		}
+		a.sleep(retryInterval)
 	}
 	return false
 }
 
+// isArmed reports whether a rank is armed for a version or an earlier one.
+func isArmed(s *peers.RankState, version uint64) bool { return s.Armed != 0 && s.Armed <= version }
+
 // isVoidVersion reports whether a version is that of a void map, or 0.
 func isVoidVersion(version uint64) bool { return version%versionStride == 0 }
 
@@ -312,7 +319,16 @@
 // multiples of versionStride.
 func nextVoidVersion(highest uint64) uint64 { return (highest/versionStride + 1) * versionStride }
 
-// isVoided reports whether a rank has given up a version that it had prepared.
-func isVoided(s *peers.RankState, version uint64) bool {
-	return s.Prepared != version && s.Armed != version && s.Map != version
+// isVoided reports whether a rank can never switch to a version, or an earlier one, that all ranks had
+// prepared when the group was held.
+//
+// A rank that has prepared or uses a later map is voided. Versions of a rank only rise, so an old state that
+// shows this is as good as a new one. A rank that has prepared nothing is copying a later map, but an old
+// state may be older than the preparation, so this counts only in one read at the engine's own VM since.
+func (h *hold) isVoided(s *peers.RankState, version uint64) bool {
+	if isArmed(s, version) || s.Map == version {
+		return false
+	}
+	readSince := !s.Lagged && !s.AsOf.Before(h.heldAt)
+	return max(s.Prepared, s.Armed, s.Map) > version || readSince && s.Prepared == 0
 }
--- a/lockstep/repair.go
+++ b/lockstep/repair.go
@@ -7,8 +7,8 @@
 	"github.com/heatherrail/heatherrail/peers"
 )
 
-// mixedMapsDelay is how long ranks must have reported different maps before they are repaired. Reports
-// of one round that were made before and after the start of a pass differ too.
+// mixedMapsDelay is how long ranks must have had different maps before they are repaired. States that
+// were read before and after the start of a pass differ too.
 const mixedMapsDelay = 200 * time.Millisecond
 
 // repairMaps switches a group whose ranks use different maps to one map.
@@ -21,7 +21,7 @@
 	case l.mixedSince.IsZero():
 		l.mixedSince = now
 		return
-	case now.Sub(l.mixedSince) < mixedMapsDelay:
+	case oldestState(ranks).Sub(l.mixedSince) < mixedMapsDelay:
 		return
 	case l.pending != nil:
 		l.advancePending(holder, ranks)
@@ -44,6 +44,17 @@
 	l.prepare(ranks)
 }
 
+// oldestState returns the time of the oldest of the ranks' states.
+func oldestState(ranks []rank) time.Time {
+	oldest := ranks[0].state.AsOf
+	for i := range ranks {
+		if t := ranks[i].state.AsOf; t.Before(oldest) {
+			oldest = t
+		}
+	}
+	return oldest
+}
+
 // usesSeveralMaps reports whether ranks use maps of different versions.
 func usesSeveralMaps(ranks []rank) bool {
 	for i := range ranks {
--- a/lockstep/sim_test.go
+++ b/lockstep/sim_test.go
@@ -33,6 +33,7 @@
 	idle         bool                     // the group has no requests and begins no passes
 	holdReplaces bool                     // a hold replaces the one in force, else it is refused
 	onOrder      func(o *peers.RankOrder) // called without mu before an order is carried out
+	reportLag    time.Duration            // age of the reports that engines give to other VMs
 }
 
 // simRank is the simulated engine of one rank.
@@ -50,6 +51,13 @@
 	heldAt      uint64
 	counts      []uint64
 	vm          *simVM
+	past        []pastState // states of the rank as they changed; only with a reportLag
+}
+
+// pastState is the state that a rank had from a time on.
+type pastState struct {
+	since time.Time
+	state peers.RankState
 }
 
 // simVM is the VM of a rank and its agent. While it is frozen its agent does nothing, and neither
@@ -238,6 +246,9 @@
 			break
 		}
 	}
+	for _, r := range g.ranks {
+		r.recordState()
+	}
 	return true
 }
 
@@ -246,6 +257,11 @@
 	time.Sleep(simLatency / 2)
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
+	return r.state(), nil
+}
+
+// state returns the present state of the rank. The caller holds the group's mu.
+func (r *simRank) state() peers.RankState {
 	running := 4
 	if r.group.idle {
 		running = 0
@@ -253,7 +269,38 @@
 	return peers.RankState{
 		Known: true, StartedAtMS: r.startedAtMS, Group: r.group.name, Epoch: r.group.epoch, Rank: r.index, Ranks: len(r.group.ranks), Complete: true,
 		Step: r.group.step, Map: r.version, Prepared: r.prepared, Armed: r.armed, Held: r.heldAt, Running: running, Slowdown: 1,
-	}, nil
+	}
+}
+
+// recordState records a change of the rank's state for reports to other VMs. The caller holds the
+// group's mu.
+func (r *simRank) recordState() {
+	lag := r.group.reportLag
+	if lag == 0 {
+		return
+	}
+	now := time.Now()
+	r.past = append(r.past, pastState{since: now, state: r.state()})
+	for len(r.past) > 1 && now.Sub(r.past[1].since) >= lag {
+		r.past = r.past[1:]
+	}
+}
+
+// report returns the state that the rank reports to other VMs.
+func (r *simRank) report() peers.RankState {
+	time.Sleep(simLatency / 2)
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	if r.group.reportLag == 0 || len(r.past) == 0 {
+		return r.state()
+	}
+	reported := r.past[0].state
+	for _, p := range r.past {
+		if time.Since(p.since) >= r.group.reportLag {
+			reported = p.state
+		}
+	}
+	return reported
 }
 
 // ExpertCounts implements Engine.
@@ -305,6 +352,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer r.recordState()
 	if o.Epoch != g.epoch {
 		return false
 	}
@@ -358,6 +406,7 @@
 		defer r.group.mu.Unlock()
 		if r.highest == version {
 			r.prepared, r.next = version, next
+			r.recordState()
 		}
 	})
 	return true
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -37,6 +37,12 @@
 	if err := e.reach(); err != nil {
 		return peers.RankState{}, err
 	}
+	if ctx.Err() != nil {
+		return peers.RankState{}, ctx.Err() // the agent has ended
+	}
+	if e.vm != e.from {
+		return e.report(), nil
+	}
 	return e.simRank.State(ctx)
 }
 
@@ -74,6 +80,10 @@
 	if ctx.Err() != nil {
 		return ctx.Err() // the agent has ended
 	}
+	if s.f.isDown(s.rank) {
+		time.Sleep(simLatency)
+		return errNoAnswer
+	}
 	if kind == peers.KindOrder && s.from == s.f.group.ranks[0].vm {
 		s.f.leaderOrders.Add(1)
 	}
@@ -159,6 +169,7 @@
 	fleets           []*simFleet // all groups of the service; nil: only this one
 	agentsMu         sync.Mutex
 	agents           []*Agent
+	down             map[int]bool // ranks whose agents do not run; guarded by agentsMu
 	cancel           context.CancelFunc
 	tasks            sync.WaitGroup
 }
@@ -268,6 +279,37 @@
 	return f.agents[r]
 }
 
+// isDown reports whether the agent of a rank does not run.
+func (f *simFleet) isDown(r int) bool {
+	f.agentsMu.Lock()
+	defer f.agentsMu.Unlock()
+	return f.down[r]
+}
+
+func (f *simFleet) setDown(r int, down bool) {
+	f.agentsMu.Lock()
+	defer f.agentsMu.Unlock()
+	if f.down == nil {
+		f.down = make(map[int]bool)
+	}
+	f.down[r] = down
+}
+
+// killAgent ends the agent of a rank at once and starts another after a time.
+func (f *simFleet) killAgent(r int, after time.Duration) {
+	f.setDown(r, true)
+	f.agent(r).cancel()
+	time.Sleep(after)
+	f.setDown(r, false)
+	f.restartAgent(r)
+}
+
+// stopAgent stops the agent of a rank, which may finish what it has begun, and starts another after a
+// time.
+func (f *simFleet) stopAgent(r int, after time.Duration) {
+	f.killAgent(r, after)
+}
+
 // restartAgent ends the agent of a rank and starts another, with an empty memory.
 func (f *simFleet) restartAgent(r int) {
 	a := f.newAgent(r)
@@ -295,7 +337,7 @@
 	}
 	return serving.Config{Version: 1, Services: []serving.Service{{Name: "s", Engine: &serving.EngineModel{
 		Slots: 12, StepsPerPass: 4, LayerSets: g.sets, Experts: g.experts, ExpertsPerRank: places, SpareExperts: simSpare,
-		ExpertBytes: 1e9, CopyRate: 2e10, ExpertShare: 0.85,
+		ExpertBytes: 1e9, CopyRate: 2e10, ExpertShare: 0.85, ReportLag: max(g.reportLag, time.Millisecond),
 	}}}}
 }
 
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -36,6 +36,10 @@
 //   - An agent that finds the group held for longer than a switch takes recovers it: it completes
 //     the switch if some rank is armed and rank 0 can be, and otherwise takes it back. Agents that
 //     do so at the same time, the leader among them, get the same decision.
+//   - An engine's report to another VM is old, so what an agent reads while the engine's own agent is
+//     down may precede the switch. Each state carries the time that it is of. A rank counts as voided
+//     only when it shows a later map, which no old state can show wrongly, or when its own agent has read
+//     since the hold that nothing is prepared. The rank may be armed otherwise.
 //   - Each order carries the epoch. After a rank has restarted the group has another epoch, and
 //     orders in flight from before are refused.
 //
@@ -64,7 +68,7 @@
 		return step, 0, false
 	}
 	start := time.Now()
-	ok = completeSwitch(a, holder, ranks, version, step, false)
+	ok = completeSwitch(a, &hold{holder: holder, epoch: epoch, step: step, heldAt: start}, ranks, version, false)
 	return step, time.Since(start), ok
 }
 
@@ -75,6 +79,7 @@
 // agent may answer slowly, as after a restart of the whole fleet, and would delay the switch.
 func holdGroup(a *Agent, holder *member, epoch uint64) (step uint64, held bool) {
 	unanswered := uint64(0) // step of the latest hold order without an answer, which may have been accepted
+	var orderedAt time.Time // time of that order
 	for range holdAttempts {
 		state, err := a.opts.Engine.State(a.ctx)
 		if err != nil || !state.Known || state.Epoch != epoch || !state.Complete {
@@ -82,7 +87,7 @@
 		}
 		if unanswered != 0 {
 			// A hold that another agent has placed may be released by a recovering agent at any moment.
-			if s := holder.collect(a, stateOnly); !s.Known || s.Held != 0 {
+			if s := holder.collectSince(a, stateOnly, orderedAt); !s.Known || s.Held != 0 {
 				return step, s.Known && s.Held == unanswered
 			}
 		}
@@ -92,25 +97,32 @@
 			return step, true
 		}
 		if err != nil {
-			unanswered = step
+			unanswered, orderedAt = step, time.Now()
 		}
 		a.sleep(retryInterval)
 	}
 	return step, false
 }
 
+// hold is a hold of a group, at one of its ranks.
+type hold struct {
+	holder *member
+	epoch  uint64
+	step   uint64    // number of the held pass
+	heldAt time.Time // the group was held at this time; an older state of the rank says nothing of the hold
+}
+
 // completeSwitch arms all ranks for the held pass and releases the hold. recovery states that this
 // agent has fenced the pass to recover the group.
-func completeSwitch(a *Agent, holder *member, ranks []rank, version, step uint64, recovery bool) bool {
-	epoch := ranks[0].state.Epoch
+func completeSwitch(a *Agent, h *hold, ranks []rank, version uint64, recovery bool) bool {
 	start := time.Now()
 	name := ranks[0].state.Group
-	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: epoch, Version: version, Step: step, Recovery: recovery}
-	if !armAll(a, holder, ranks[1:], order) || !armLeader(a, holder, ranks, order) {
+	order := &peers.RankOrder{Kind: peers.OrderArm, Epoch: h.epoch, Version: version, Step: h.step, Recovery: recovery}
+	if !armAll(a, h, ranks[1:], order) || !armLeader(a, h, ranks, order) {
 		return false
 	}
-	ok := releaseGroup(a, holder, epoch, step)
-	a.opts.Log.Info("map switched", "group", name, "version", version, "step", step, "released", ok, "ms", time.Since(start).Milliseconds())
+	ok := releaseGroup(a, h)
+	a.opts.Log.Info("map switched", "group", name, "version", version, "step", h.step, "released", ok, "ms", time.Since(start).Milliseconds())
 	return ok
 }
 
@@ -133,9 +145,9 @@
 // armLeader arms rank 0, the rank of the leader, which completes the switch: it orders the engine of
 // rank 0 to switch maps when the held pass begins. The agent of the proxy records and sends the order
 // first. This agent repeats it only once the proxy has recorded it.
-func armLeader(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
+func armLeader(a *Agent, h *hold, ranks []rank, o *peers.RankOrder) bool {
 	if len(ranks) == 1 {
-		return armAll(a, holder, ranks, o)
+		return armAll(a, h, ranks, o)
 	}
 	byProxy := *o
 	byProxy.Engine = ranks[0].engineAddr
@@ -145,9 +157,9 @@
 		case result.Accepted:
 			return true
 		case answered && !result.Refused: // recorded, but rank 0 left the order unanswered
-			return armAll(a, holder, ranks[:1], o)
+			return armAll(a, h, ranks[:1], o)
 		}
-		state := ranks[0].collect(a, stateOnly)
+		state := ranks[0].collect(a, stateOnly) // an old state serves too: rank 0 is never disarmed
 		if state.Known && state.Armed == o.Version {
 			return true
 		}
@@ -161,7 +173,7 @@
 
 // armAll repeats the arm order until each rank is seen to be armed. It returns false if the switch
 // has ended elsewhere or is being taken back, or if this agent is fenced or stops.
-func armAll(a *Agent, holder *member, ranks []rank, o *peers.RankOrder) bool {
+func armAll(a *Agent, h *hold, ranks []rank, o *peers.RankOrder) bool {
 	remaining := ranks
 	for len(remaining) > 0 {
 		if a.ctx.Err() != nil || a.isFenced(o) {
@@ -174,13 +186,13 @@
 		}
 		remaining = remaining[:0:0]
 		for _, r := range unarmed {
-			if isVoided(&r.state, o.Version) {
+			if h.isVoided(&r.state, o.Version) {
 				a.opts.Log.Info("switch is being taken back", "version", o.Version, "step", o.Step, "rank", r.state.Rank)
 				return false
 			}
 			remaining = append(remaining, r)
 		}
-		if ended, epochChanged := a.switchEnded(holder, o.Epoch, o.Step); ended {
+		if ended, epochChanged := a.switchEnded(h); ended {
 			a.opts.Log.Info("switch ended before all ranks were armed", "version", o.Version, "step", o.Step, "changed", epochChanged)
 			return false
 		}
@@ -211,28 +223,28 @@
 
 // switchEnded reports whether the switch has ended elsewhere: the group has another epoch or is
 // incomplete (epochChanged), the pass has begun, or the group is not held at it any more.
-func (a *Agent) switchEnded(holder *member, epoch, step uint64) (ended, epochChanged bool) {
-	state := holder.collect(a, stateOnly)
-	if !state.Known {
+func (a *Agent) switchEnded(h *hold) (ended, epochChanged bool) {
+	state := h.holder.collect(a, stateOnly)
+	if !state.Known || state.AsOf.Before(h.heldAt) {
 		return false, false
 	}
-	if state.Epoch != epoch || !state.Complete {
+	if state.Epoch != h.epoch || !state.Complete {
 		return true, true
 	}
-	return state.Step >= step || state.Held != step, false
+	return state.Step >= h.step || state.Held != h.step, false
 }
 
-// releaseGroup releases the hold and repeats the order until the holder's state shows the release: an
-// order may be lost, and a late copy of the hold may take effect again.
-func releaseGroup(a *Agent, holder *member, epoch, step uint64) bool {
+// releaseGroup releases the hold and repeats the order until a state of the holder since then shows the
+// release: an order may be lost, and a late copy of the hold may take effect again.
+func releaseGroup(a *Agent, h *hold) bool {
 	for a.ctx.Err() == nil {
-		sendRelease(a, holder, &peers.RankOrder{Kind: peers.OrderRelease, Epoch: epoch, Step: step})
-		state := holder.collect(a, stateOnly)
+		sendRelease(a, h.holder, &peers.RankOrder{Kind: peers.OrderRelease, Epoch: h.epoch, Step: h.step})
+		state := h.holder.collectSince(a, stateOnly, time.Now())
 		switch {
 		case !state.Known:
-		case state.Epoch != epoch || !state.Complete:
+		case state.Epoch != h.epoch || !state.Complete:
 			return false
-		case state.Held != step || state.Step >= step:
+		case state.Held != h.step || state.Step >= h.step:
 			return true
 		}
 		a.sleep(retryInterval)
--- a/peers/schema.go
+++ b/peers/schema.go
@@ -1,5 +1,7 @@
 package peers
 
+import "time"
+
 //go:generate go tool -modfile=../tools/go.mod msgp -tests=false -io=false -o schema_gen.go
 
 //msgp:limit arrays:8388608 maps:1024
@@ -261,6 +263,9 @@
 	LongestGapMS  uint16   // longest gap between two events of a stream that entries have reported since the last Collect; 0: none
 
 	Subtree []RankState // states of the ranks below this one in the tree; their selections and queued requests are added to this state's own
+
+	AsOf   time.Time `msg:"-"` // the state is that of this moment or a later one, by the clock of the process that asked for it
+	Lagged bool      `msg:"-"` // the state is a report to another VM, which is old; AsOf is an estimate
 }
 
 // ProxyArm is an arm order that an agent sent to an engine on another VM.
--- a/serving/config.go
+++ b/serving/config.go
@@ -92,8 +92,9 @@
 	ExpertsPerRank    int // most experts of a layer set on one rank
 	SpareExperts      int // new experts of a layer set that a rank can load at once
 	ExpertBytes       float64
-	CopyRate          float64 // bytes a second at which a rank copies experts
-	ExpertShare       float64 // share of the work for a token that is done by experts
+	CopyRate          float64       // bytes a second at which a rank copies experts
+	ExpertShare       float64       // share of the work for a token that is done by experts
+	ReportLag         time.Duration // age of the reports that engines give to other VMs; 0: unknown
 }
 
 // Service is a named service that targets provide.
