lockstep: a stopping agent carries its map switch through

What callers saw: streams of a group stood for tenths of a second after the agent of its leader had been stopped in the middle of a switch.

Cause: SIGTERM ended the agent's context at once, between any two orders of a switch or recovery; the group stayed held until another agent found the hold.

Fix: Shutdown first ends the loop that begins rounds and checks, waits up to a second for the one in progress while other agents are still answered, and ends the context then.

--- a/lockstep/agent.go
+++ b/lockstep/agent.go
@@ -90,11 +90,14 @@
 
 // Agent is the running agent of one model engine.
 type Agent struct {
-	opts   Options
-	ctx    context.Context
-	cancel context.CancelFunc
-	tasks  conc.WaitGroup
-	server *peers.Server
+	opts     Options
+	ctx      context.Context // ends with the agent
+	cancel   context.CancelFunc
+	stopping context.Context // ends when the agent begins nothing any more
+	stop     context.CancelFunc
+	runEnded chan struct{} // closed when run returns
+	tasks    conc.WaitGroup
+	server   *peers.Server
 
 	mu                sync.Mutex
 	lastCounts        ExpertCounts // expert counts of the engine at the previous read
@@ -130,8 +133,9 @@
 }
 
 func newAgent(o Options) *Agent {
-	a := &Agent{opts: o, armToken: make(chan struct{}, 1)}
+	a := &Agent{opts: o, armToken: make(chan struct{}, 1), runEnded: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.stopping, a.stop = context.WithCancel(a.ctx)
 	return a
 }
 
@@ -144,11 +148,29 @@
 	}
 }
 
-// Shutdown stops the agent and waits for its tasks until ctx ends. A map switch that this agent
-// leads is completed after its restart, or by another agent.
+// finishTimeout is how long a stopping agent goes on with the map switch or the recovery that it has
+// begun. Both take some ten milliseconds while the other agents and the engines answer.
+const finishTimeout = time.Second
+
+// finish ends the agent's own work: the map switch or the recovery in progress is carried through, so
+// that it need not be found and recovered by another agent while the group is held.
+func (a *Agent) finish(ctx context.Context) {
+	a.stop()
+	timer := time.NewTimer(finishTimeout)
+	defer timer.Stop()
+	select {
+	case <-a.runEnded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.cancel()
+}
+
+// Shutdown stops the agent and waits for its tasks until ctx ends. The agent answers other agents until
+// its own work is finished. What it can't finish is completed after its restart, or by another agent.
 func (a *Agent) Shutdown(ctx context.Context) error {
 	a.opts.Log.Info("stopping")
-	a.cancel()
+	a.finish(ctx)
 	a.server.Close()
 	finished := make(chan struct{})
 	go func() {
@@ -184,32 +206,35 @@
 
 // run leads the group while this agent's engine is rank 0, and otherwise watches the group.
 func (a *Agent) run() {
+	defer close(a.runEnded)
 	l := newLeader(a)
 	w := newWatcher(a)
-	for a.ctx.Err() == nil {
+	for a.stopping.Err() == nil {
 		state, err := a.opts.Engine.State(a.ctx)
 		if err == nil {
 			a.setGroup(state.Group, state.Ranks)
 		}
 		switch {
 		case err != nil || !state.Known:
-			a.sleep(watchInterval)
+			sleep(a.stopping, watchInterval)
 		case state.Rank == 0:
 			l.round(state)
-			a.sleep(l.roundDelay())
+			sleep(a.stopping, l.roundDelay())
 		default:
 			w.check(state)
-			a.sleep(w.checkDelay(state))
+			sleep(a.stopping, w.checkDelay(state))
 		}
 	}
 }
 
-// sleep waits for d or until the agent stops.
-func (a *Agent) sleep(d time.Duration) {
+// sleep waits for d or until the agent ends.
+func (a *Agent) sleep(d time.Duration) { sleep(a.ctx, d) }
+
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-a.ctx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -307,6 +307,7 @@
 // stopAgent stops the agent of a rank, which may finish what it has begun, and starts another after a
 // time.
 func (f *simFleet) stopAgent(r int, after time.Duration) {
+	f.agent(r).finish(context.Background())
 	f.killAgent(r, after)
 }
 
--- a/lockstep/stalereport_test.go
+++ b/lockstep/stalereport_test.go
@@ -112,6 +112,34 @@
 	}
 }
 
+// A leader that was stopped in the middle of a switch left the group held until another agent found it.
+func TestStoppedLeaderCarriesItsSwitchThrough(t *testing.T) {
+	const ranks = 4
+	for order := 1; order <= ranks+2; order++ {
+		g := NewWithT(t)
+		group := newSimGroup(ranks, 2, 4*ranks, 3)
+		group.reportLag = simReportLag
+		var armed, heldAt uint64
+		runGroup(t, group, 10*time.Second, func(f *simFleet) {
+			time.Sleep(2 * time.Second)
+			f.endAgents([]agentEnd{{order: order, stopped: true, absent: 6 * time.Second}})
+			for range 3 { // the map in use may happen to fit a demand
+				group.shiftDemand()
+				time.Sleep(500 * time.Millisecond)
+			}
+			group.mu.Lock()
+			defer group.mu.Unlock()
+			for _, r := range group.ranks {
+				armed, heldAt = max(armed, r.armed), max(heldAt, r.heldAt)
+			}
+		})
+		g.Expect(armed).To(BeZero(), "order %d", order)
+		g.Expect(heldAt).To(BeZero(), "order %d", order)
+		g.Expect(group.mixedSteps).To(BeEmpty(), "order %d", order)
+		g.Expect(group.longestStall).To(BeNumerically("<=", 2*simPass), "order %d", order)
+	}
+}
+
 // The absence of a version from an old report was taken for proof that the rank had given the map up.
 func TestOnlyProofCountsAsVoided(t *testing.T) {
 	held := time.Unix(1000, 0)
