gateway, entry: a stopping entry passes on only what it can answer

Cause: all requests were taken until 0.4 of the grace, whatever their deadline, while the process ends at 0.95 of it. Requests in the admission queue, at rest, before a permit or a trial were sent whenever their turn came.

Fix: route.StopWindow decides by the deadline of a request whether it may still be passed on. It is asked when a request is read and before each send, and ends the wait of requests that it does not admit any more. The refusal says "not run" only if no attempt may have run. heatherrail-entry has the same window.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -46,6 +46,9 @@
 // Do runs a call under one configuration version and returns when its answer begins. The
 // error is a *result.Error. Cancelling ctx releases the target.
 func (e *Entry) Do(ctx context.Context, snap *config.Snapshot, c *Call) (*Exchange, error) {
+	if w := e.stopWindow.Load(); w != nil && !w.Takes(time.Now(), c.Deadline) {
+		return nil, result.New(result.EntryLeaving, "entry is shutting down, and the request may last longer")
+	}
 	cancel := func() {}
 	if !e.opts.Off.Deadline {
 		ctx, cancel = context.WithDeadlineCause(ctx, c.Deadline, result.New(result.DeadlinePast, "deadline passed"))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/heatherrail/heatherrail/metrics"
 	"github.com/heatherrail/heatherrail/outside"
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/settings"
 	"github.com/heatherrail/heatherrail/wire"
 )
@@ -61,6 +62,7 @@
 	current        atomic.Pointer[config.Snapshot]
 	vms            atomic.Pointer[[]outside.VM]
 	leaving        atomic.Bool
+	stopWindow     atomic.Pointer[route.StopWindow] // nil: the entry is not stopping
 	inFlight       atomic.Int64
 	idleSignal     chan struct{}
 	ctx            context.Context
@@ -162,9 +164,14 @@
 
 // Shutdown drains the entry and stops it. Before it stops, it keeps listening until the cached
 // answers of GET /v1/entries that name this entry have expired, and then waits for requests in
-// flight until ctx ends.
+// flight until ctx ends. It accepts the requests that its StopWindow allows.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.Drain()
+	if end, ok := ctx.Deadline(); ok {
+		start := time.Now()
+		window := route.NewStopWindow(start, end.Sub(start), end.Sub(start))
+		e.stopWindow.Store(&window)
+	}
 	select {
 	case <-time.After(e.opts.Settings.DirectoryTTL):
 	case <-ctx.Done():
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -327,3 +327,28 @@
 	}
 	g.Expect(f.Plains["logbook-01"].Runs()).To(HaveLen(count))
 }
+
+// A stopping entry passed on requests that its own end cut off.
+func TestStoppingEntryRefusesWhatItMayNotFinish(t *testing.T) {
+	g := NewWithT(t)
+	f, addr, _ := startSmall(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Entries[0].Shutdown(ctx) }()
+	send := func() (*http.Response, error) {
+		req := newRequest(t, "POST", addr, "/v1/completions", draft("x", 1))
+		req.Header.Set(entry.HeaderDeadline, "60000")
+		return http.DefaultClient.Do(req)
+	}
+	g.Eventually(func() (int, error) {
+		resp, err := send()
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		g.Expect(resp.Header.Get(entry.HeaderRun)).To(Equal(map[int]string{503: "not-run", 200: "ran"}[resp.StatusCode]))
+		return resp.StatusCode, nil
+	}, "2s", "50ms").Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(<-stopped).To(Succeed())
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -56,8 +56,8 @@
 	}
 	body, err := callers.ReadBody(c, r.maxBodyBytes, r.deadline)
 	if err != nil {
-		if e := g.checkStopping(r); e != nil && errors.Is(err, callers.ErrNoMemory) {
-			return e
+		if errors.Is(err, callers.ErrNoMemory) && g.stopping.Load() {
+			return newEntryLeaving()
 		}
 		return callers.ReceiveError(err)
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -21,12 +21,13 @@
 	sendCount       int // attempts, including refused ones
 	lastErr         *result.Error
 	// queueTime is the time between the arrival of the request and its first attempt.
-	queueTime     time.Duration
-	partsProven   bool      // the current attempt has shown that no part of the prompt crashes its target
-	retryReserved bool      // the retry budget has counted the next attempt, or the current one until it is answered
-	trial         *ownTrial // trial of the current attempt; nil: the request runs like any other
-	conn          *callers.Conn
-	cancel        context.CancelCauseFunc // ends the request
+	queueTime        time.Duration
+	partsProven      bool      // the current attempt has shown that no part of the prompt crashes its target
+	hasBegunResponse bool      // the caller has part of a stream
+	retryReserved    bool      // the retry budget has counted the next attempt, or the current one until it is answered
+	trial            *ownTrial // trial of the current attempt; nil: the request runs like any other
+	conn             *callers.Conn
+	cancel           context.CancelCauseFunc // ends the request
 }
 
 // attempt is an attempt of a request whose target has sent a response header.
@@ -76,7 +77,7 @@
 		if e := d.stopError(ctx); e != nil {
 			return nil, e
 		}
-		target, e := d.acquireForSend(ctx)
+		target, e := d.acquireBeforeStop(ctx)
 		if e != nil {
 			return nil, e
 		}
@@ -98,8 +99,29 @@
 	}
 }
 
-// stopError returns why no further attempt can be made: the caller has disconnected or the
-// deadline has passed. The error says that the request did not run unless an attempt may have
+// acquireBeforeStop is acquireForSend for a request that must not be passed on once the shutdown of the
+// gateway could cut off its response. A stream that is interrupted is resumed all the same: it could only
+// end sooner.
+func (d *dispatch) acquireBeforeStop(ctx context.Context) (*serving.Target, *result.Error) {
+	if d.hasBegunResponse {
+		return d.acquireForSend(ctx)
+	}
+	watched, done := d.g.stopGate.watch(ctx, d.r)
+	defer done()
+	target, e := d.acquireForSend(watched)
+	if e != nil {
+		return nil, e
+	}
+	if e := d.g.stopGate.check(d.r); e != nil {
+		d.endTrial()
+		d.releaseTarget(target)
+		return nil, d.unlessMayHaveRun(e)
+	}
+	return target, nil
+}
+
+// stopError returns why no further attempt can be made: the caller has disconnected, the deadline has
+// passed, or the gateway stops. The error says that the request did not run unless an attempt may have
 // run.
 func (d *dispatch) stopError(ctx context.Context) *result.Error {
 	cause := context.Cause(ctx)
@@ -111,7 +133,11 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return result.New(result.DeadlinePast, "deadline passed after %d attempts that may have run", d.mayHaveRunCount)
 	}
-	return result.From(cause)
+	e := result.From(cause)
+	if e.Code == result.EntryLeaving {
+		return d.unlessMayHaveRun(e)
+	}
+	return e
 }
 
 // preferLastError returns the error of the last attempt if there is one, as it is more specific
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/serving"
 	"github.com/heatherrail/heatherrail/shedding"
 )
@@ -41,7 +42,7 @@
 	inFlight        atomic.Int64
 	unwritten       unwrittenResponses
 	stopping        atomic.Bool
-	refuseAfter     atomic.Pointer[time.Time] // time from which new requests are refused; nil: the gateway is not stopping
+	stopGate        stopGate
 	started         time.Time
 
 	mu           sync.Mutex
@@ -229,7 +230,7 @@
 		e = g.receiveBody(c, r)
 	}
 	if e == nil {
-		e = g.checkStopping(r)
+		e = g.stopGate.check(r)
 	}
 	if e != nil {
 		g.refuseAndLog(c, r, e)
@@ -267,29 +268,12 @@
 	}
 }
 
-// checkStopping refuses a request that arrives late in the shutdown. The end of the process could
-// cut its response off, so a retry at another entry is better for the caller.
-func (g *Gateway) checkStopping(r *request) *result.Error {
-	refuseAfter := g.refuseAfter.Load()
-	if refuseAfter == nil || time.Now().Before(*refuseAfter) {
-		return nil
-	}
-	e := result.New(result.EntryLeaving, "entry is shutting down")
-	e.RetryAfter = leavingRetryAfter
-	return e
-}
-
-// leavingRetryAfter is the Retry-After that a stopping entry gives. It is short, as another entry
-// can take the request at once.
-const leavingRetryAfter = 20 * time.Millisecond
-
 func (g *Gateway) watchCaller(c *fasthttp.RequestCtx, cancelCause context.CancelCauseFunc) func() {
 	return c.Conn().(*callers.Conn).WatchDisconnect(func() { cancelCause(result.New(result.CallerGone, "caller closed its connection")) })
 }
 
 // Shares of the shutdown grace.
 const (
-	acceptShare          = 0.4  // share of the grace during which new requests are accepted
 	exitReserveShare     = 0.05 // share of the grace, at its end, that is reserved for the exit of the process
 	shutdownPollInterval = 100 * time.Millisecond
 )
@@ -304,25 +288,27 @@
 	g.peerServer.Close()
 }
 
-// Shutdown stops the gateway. It notifies peers and callers, accepts requests until most callers
-// have a new directory answer, and waits until all responses are written and read. It returns an error if
-// requests are still in flight at the end of the shutdown grace.
+// Shutdown stops the gateway. It notifies peers and callers, accepts the requests that its StopWindow
+// allows, and waits until all responses are written and read. It returns an error if requests are still in
+// flight at the end of the shutdown grace.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	start := time.Now()
 	g.opts.Log.Info("stopping", "in_flight", g.unwritten.count())
 	g.stopping.Store(true)
 	g.slackShare.Stop()
-	refuseAfter := start.Add(fractionOf(g.opts.ShutdownGrace, acceptShare))
-	g.refuseAfter.Store(&refuseAfter)
+	left := fractionOf(g.opts.ShutdownGrace, 1-exitReserveShare)
+	window := route.NewStopWindow(start, g.opts.ShutdownGrace, left)
+	g.stopGate.begin(window)
 	g.cluster.notify()
 	earliestEnd := start.Add(3 * directoryTTL)
-	deadline := start.Add(fractionOf(g.opts.ShutdownGrace, 1-exitReserveShare))
+	deadline := start.Add(left)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if time.Now().After(earliestEnd) && g.unwritten.count() == 0 && g.callers.Unread() == 0 {
 			break
 		}
-		if time.Now().After(refuseAfter) {
-			g.callers.RefuseUnfinished() // once whole, they would be refused too
+		if time.Now().After(window.AnyUntil) {
+			g.stopGate.refuseWaiting()
+			g.callers.RefuseUnfinished() // once whole, most of them would be refused too
 		}
 		sleep(ctx, shutdownPollInterval)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -226,6 +226,7 @@
 		after = strconv.FormatInt(b.scanner.lastID, 10)
 	}
 	b.g.opts.Metrics.CountRetry(b.failure.Code)
+	b.dispatch.hasBegunResponse = !b.firstEventAt.IsZero()
 	a, e := b.dispatch.nextResponse(b.ctx, after)
 	switch {
 	case e != nil:
