gateway, route: statuses of targets are passed on only for what they state

Cause: one status has two meanings. Towards callers 408, 421, 429 and 503 promise "not run"; from a target only the header states it. Nothing translated, and 421 was believed without a statement.

Fix: route.JudgeResponse decides by status, statement and whether the request may be repeated, for all kinds of routes and attempts. dispatch.truthful keeps the entry's own refusals from promising "not run" once an attempt may have run; one way was open (a response whose body broke while the caller's connection gave way). A 421 takes a target out of use only if it names another target, as the platform's does.

Also, found by the same test: the only target of a service counted as one that can still be tried while its failure was judged, so that the failure was replaced by a 502 (TestFailureOfTheOnlyTargetIsDelivered).

TestRequestThatDidNotRunIsRetriedElsewhere used a 421 that names nobody; it has the published form now and asks for the same.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,9 +5,12 @@
 	"errors"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/heatherrail/heatherrail/callers"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/result"
+	"github.com/heatherrail/heatherrail/route"
 	"github.com/heatherrail/heatherrail/serving"
 	"github.com/heatherrail/heatherrail/upstream"
 )
@@ -66,6 +69,7 @@
 func (d *dispatch) nextResponse(ctx context.Context, resumeAfter string) (*attempt, *result.Error) {
 	a, e := d.tryTargets(ctx, resumeAfter)
 	if e != nil {
+		e = d.truthful(e)
 		d.cancelRetry()
 		d.setRestRetryAfter(e)
 	}
@@ -133,11 +137,15 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return result.New(result.DeadlinePast, "deadline passed after %d attempts that may have run", d.mayHaveRunCount)
 	}
-	e := result.From(cause)
-	if e.Code == result.EntryLeaving {
-		return d.unlessMayHaveRun(e)
+	return d.truthful(result.From(cause))
+}
+
+// truthful returns an error that does not say that the request did not run if an attempt may have run it.
+func (d *dispatch) truthful(e *result.Error) *result.Error {
+	if e.Run() != result.RunNot {
+		return e
 	}
-	return e
+	return d.unlessMayHaveRun(e)
 }
 
 // preferLastError returns the error of the last attempt if there is one, as it is more specific
@@ -145,6 +153,8 @@
 // run.
 func (d *dispatch) preferLastError(e *result.Error) *result.Error {
 	switch {
+	case d.lastErr == nil && d.mayHaveRunCount > 0 && e.Run() == result.RunNot:
+		return result.New(result.TargetLost, "the request may have run; then: %w", e)
 	case d.lastErr == nil:
 		return e
 	case d.mayHaveRunCount > 0 && d.lastErr.Run() == result.RunNot:
@@ -202,13 +212,13 @@
 	}
 	a.answer = d.g.opts.DecodeAnswer(resp.Status, &resp.Header)
 	d.recordStatements(a)
+	d.triedRuns[target.Run()] = true
 	if e := d.checkResponse(a); e != nil {
 		// After a rank loss the target may be used again once its group has recovered.
 		d.triedRuns[target.Run()] = e.Code != result.RankLost
 		a.close()
 		return nil, e
 	}
-	d.triedRuns[target.Run()] = true
 	return a, nil
 }
 
@@ -245,17 +255,21 @@
 // response is to be delivered to the caller.
 func (d *dispatch) checkResponse(a *attempt) *result.Error {
 	status := a.resp.Status
-	switch {
-	case status == statusMisdirected:
+	fromOther := a.answer.Instance != "" && a.answer.Instance != a.target.ID
+	verdict := route.JudgeResponse(status, a.answer.NotRun, fromOther, d.r.route.Repeatable())
+	// A caller that expects another version makes sound targets answer 421.
+	failed := status/100 == 5 || status == fasthttp.StatusMisdirectedRequest && !d.r.expectsVersion
+	switch verdict {
+	case route.VerdictReplaced:
 		d.g.tracker.MarkReplaced(a.target)
-		return result.New(result.TargetLeaving, "another target has taken the address of %s", a.target.ID)
-	case a.answer.NotRun:
+		return result.New(result.TargetLeaving, "%s has taken the address of %s", a.answer.Instance, a.target.ID)
+	case route.VerdictNotRun:
 		e := result.New(result.TargetBusy, "%s did not run the request, status %d", a.target.ID, status)
 		if a.answer.FaultAt != "" {
 			e.Code = result.RankLost
 			e.Detail += ", fault at " + a.answer.FaultAt
 			d.g.tracker.RecordGroupRefusal(a.target, time.Now())
-		} else {
+		} else if status != fasthttp.StatusMisdirectedRequest || failed {
 			d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		}
 		if a.answer.Rest == 0 { // a rest concerns this target only
@@ -271,12 +285,15 @@
 	case status/100 == 2 && !a.answer.Sealed:
 		d.g.tracker.RecordOutcome(a.target, false, time.Now())
 		return result.New(result.AnswerBroken, "%s answered %d without a seal", a.target.ID, status)
-	case status/100 == 5 && d.r.route.Repeatable() && d.mayHaveRunCount < d.r.route.MaxAttempts && d.hasAlternative():
-		d.g.tracker.RecordOutcome(a.target, false, time.Now())
-		return result.New(result.EngineLost, "%s answered with status %d", a.target.ID, status)
 	}
 	if status/100 != 2 { // a success counts once the body, or the first event of a stream, has arrived
-		d.g.tracker.RecordOutcome(a.target, status/100 != 5, time.Now())
+		d.g.tracker.RecordOutcome(a.target, !failed, time.Now())
+	}
+	switch {
+	case verdict == route.VerdictWithhold:
+		return result.New(result.EngineLost, "%s answered with status %d and does not state that the request did not run", a.target.ID, status)
+	case verdict == route.VerdictRepeat && d.mayHaveRunCount < d.r.route.MaxAttempts && d.hasAlternative():
+		return result.New(result.EngineLost, "%s answered with status %d", a.target.ID, status)
 	}
 	return nil
 }
@@ -294,5 +311,3 @@
 	g.tracker.EndAttempt(state, &r.placement, time.Now())
 	g.admitIfQueued(r.service.Name)
 }
-
-const statusMisdirected = 421
--- a/gateway/kit_test.go
+++ b/gateway/kit_test.go
@@ -29,7 +29,7 @@
 // of a platform.
 var testHeaders = HeaderNames{
 	RequestID: "Rid", Deadline: "Left", Key: "Key", Team: "Team", Instance: "Run-Id",
-	ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint", PromptParts: "Parts",
+	ResumeAfter: "After", Priority: "Prio", Tokens: "Tokens", LengthHint: "Hint", PromptParts: "Parts", Version: "Expect-Version",
 }
 
 // memStore is a store in memory that can be made unreachable, and can come back from an older copy.
@@ -178,6 +178,7 @@
 	a := serving.Answer{
 		NotRun:    len(header.Peek("Not-Run")) > 0,
 		FaultAt:   string(header.Peek("Fault-At")),
+		Instance:  string(header.Peek("Run-Id")),
 		Sealed:    len(header.Peek("Seal")) > 0,
 		RateLimit: serving.NoRateLimit,
 		Leaving:   len(header.Peek("Leaving")) > 0,
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,6 +29,7 @@
 	Tokens      string // prompt tokens and maximum output tokens, separated by a comma
 	PromptParts string // parts of the prompt in order, as ID:TOKENS separated by commas; the last one belongs to the request or its session
 	LengthHint  string // the caller's estimate of the output tokens
+	Version     string // version of the weights that the caller expects
 }
 
 // Options configure a gateway.
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -104,7 +104,7 @@
 	full := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool {
 		return reply(w, r, 503, "Not-Run: 1\r\n", "")
 	})
-	other := startTarget(t, "i2", func(w net.Conn, r *http.Request) bool { return reply(w, r, 421, "", "") })
+	other := startTarget(t, "i2", func(w net.Conn, r *http.Request) bool { return reply(w, r, 421, "Run-Id: i9\r\n", "") })
 	good := startTarget(t, "i3", func(w net.Conn, r *http.Request) bool { return reply(w, r, 200, sealHeader, "done") })
 	e := startEntryWithTargets(t, "plain", full, other, good)
 	for range 6 {
@@ -256,3 +256,16 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(502))
 }
+
+// The failure of the only target of a service was replaced by a 502 of the entry, as the target itself counted as one that can still be tried.
+func TestFailureOfTheOnlyTargetIsDelivered(t *testing.T) {
+	g := NewWithT(t)
+	target := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool { return reply(w, r, 500, sealHeader, "failed") })
+	e := startEntryWithTargets(t, "plain", target)
+	resp, body, err := e.request("POST", "/idem/x", "k1", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(500))
+	g.Expect(resp.Header.Get("Seal")).NotTo(BeEmpty())
+	g.Expect(body).To(Equal("failed"))
+	g.Expect(target.received()).To(HaveLen(1))
+}
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/heatherrail/heatherrail/peers"
 	"github.com/heatherrail/heatherrail/placing"
 	"github.com/heatherrail/heatherrail/serving"
@@ -16,7 +18,7 @@
 	answer := &a.answer
 	limit := placing.RateLimit{Run: a.target.Run(), Rate: answer.RateLimit}
 	switch {
-	case a.resp.Status == statusMisdirected:
+	case a.resp.Status == fasthttp.StatusMisdirectedRequest:
 		return
 	case answer.RateLimitInvalid:
 		g.opts.Metrics.Count("rate_limits_unread", 1)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,7 @@
 	priority        int
 	placement       placing.Request // input for placement
 	upstreamRequest upstream.Request
+	expectsVersion  bool     // targets whose weights have another version reject the request
 	resumeAfter     string   // id of the last event that the caller already has
 	fingerprint     uint64   // stays the same when the caller repeats the request under a new id
 	parts           []uint64 // fingerprints of the parts of the prompt that other requests may share
@@ -74,6 +75,7 @@
 		r.deadline = end
 	}
 	r.resumeAfter = string(header.Peek(names.ResumeAfter))
+	r.expectsVersion = len(header.Peek(names.Version)) > 0
 	r.placement = placing.Request{
 		Arrived:          r.arrived,
 		Priority:         r.priority,
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -6,7 +6,9 @@
 type Answer struct {
 	NotRun  bool   // the target did not run the request
 	FaultAt string // target that caused the failure; empty: not stated
-	Sealed  bool   // the response carries the proof that it comes from the target itself
+	// Instance is the id of the target that answered, where the response states it; empty: not stated.
+	Instance string
+	Sealed   bool // the response carries the proof that it comes from the target itself
 	// RateLimit is the number of requests a second that the target accepts from all entries
 	// together; NoRateLimit if it states none.
 	RateLimit float64
