internal/httphead: heads of responses are checked by the grammar

Cause: the HTTP library that parses heads is lenient, and nothing checked the bytes before it.

What fails is an error of the connection: the request may have run, and the connection is closed.

--- a/outside/backend.go
+++ b/outside/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/internal/httphead"
 	"github.com/heatherrail/heatherrail/internal/tcp"
 )
 
@@ -47,7 +48,8 @@
 
 type backendConn struct {
 	nc      net.Conn
-	br      *bufio.Reader
+	checked *httphead.Conn // nc, for the request and the response
+	br      *bufio.Reader  // reads from checked
 	idledAt time.Time
 }
 
@@ -125,7 +127,7 @@
 func (bc *backendConn) send(req *fasthttp.Request) error {
 	bw := requestWriters.Get().(*bufio.Writer)
 	defer requestWriters.Put(bw)
-	bw.Reset(bc.nc)
+	bw.Reset(bc.checked)
 	defer bw.Reset(nil)
 	if err := req.Write(bw); err != nil {
 		return err
@@ -240,10 +242,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{
-		nc: nc,
-		br: bufio.NewReaderSize(nc, backendReadBuf),
-	}, nil
+	checked := httphead.NewConn(nc)
+	return &backendConn{nc: nc, checked: checked, br: bufio.NewReaderSize(checked, backendReadBuf)}, nil
 }
 
 func (b *HTTPBackend) popIdle() *backendConn {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/heatherrail/heatherrail/internal/httphead"
 )
 
 // Response is a response whose head has been read. Its body must be closed. Closing it before
@@ -117,10 +119,14 @@
 		if err != nil {
 			return n, fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
 		}
-		if len(bytes.TrimSpace(line)) == 0 {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
 			b.atEOF = true
 			return n, io.EOF
 		}
+		if err := httphead.CheckField(line); err != nil {
+			return n, fmt.Errorf("trailer: %w", err)
+		}
 	}
 	return n, errTrailerTooLong
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/heatherrail/heatherrail/internal/httphead"
 	"github.com/heatherrail/heatherrail/internal/tcp"
 )
 
@@ -251,6 +252,9 @@
 	r := &Response{}
 	r.Header.SetNoDefaultContentType(true)
 	for range maxInterimResponses + 1 {
+		if err := httphead.Peek(c.br); err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
+		}
 		if err := r.Header.Read(c.br); err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
