upstream, httphead: an error of a write is not forgotten by the read after it

Cause: the kernel reports a reset once. The failed write took the error; the read after it drained what had come and saw an ordinary end.

Fix: the error of the write stays with the response: a body that ends with its connection is whole only if no write has failed. The connection below the clients of the store and of engines does the same. A HEAD, 204 or 304 is framed by definition.

--- a/gateway/strict_test.go
+++ b/gateway/strict_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -48,3 +50,58 @@
 		}
 	}
 }
+
+// startResettingTarget starts a target that answers before it has read the request's body, and resets the
+// connection while the body is being written.
+func startResettingTarget(t *testing.T, head, part string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 4<<10)
+				n, err := nc.Read(buf)
+				if err != nil {
+					return
+				}
+				rid := ""
+				for line := range strings.Lines(string(buf[:n])) {
+					if value, ok := strings.CutPrefix(line, "Rid: "); ok {
+						rid = strings.TrimSpace(value)
+					}
+				}
+				fmt.Fprintf(nc, "%s\r\nRid: %s\r\nSeal: yes\r\n\r\n%s", head, rid, part)
+				time.Sleep(50 * time.Millisecond) // the caller of this target is blocked in the write of its body
+				_ = resetConn(nc)
+				_ = nc.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// A target reset the connection while the upload was being written; the write took the error, and the part that had come passed for a whole answer.
+func TestAnswerCutDuringTheUploadIsNotWhole(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 OK\r\nConnection: close", "HTTP/1.0 200 OK\r\nConnection: keep-alive"} {
+		for path, service := range map[string]string{"/once/x": "plain", "/idem/x": "plain", "/s/x": "llm", "/cut/x": "llm"} {
+			t.Run(fmt.Sprintf("%q %s", head, path), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				target := &testTarget{id: "i1", addr: startResettingTarget(t, head, eventText(0)+eventText(1))}
+				e := startEntryWithTargets(t, service, target)
+				resp, body, err := e.request("POST", path, "k1", strings.Repeat("0123456789abcdef", 256<<10))
+				if err == nil {
+					g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), "body %q", body)
+					return
+				}
+				g.Expect(service).To(Equal("llm"), "a stream breaks off, others get a status")
+			})
+		}
+	}
+}
--- a/internal/httphead/conn.go
+++ b/internal/httphead/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 )
@@ -16,6 +17,7 @@
 	inBody   bool   // the head of the latest response has been passed on
 	held     []byte // bytes that are read and not passed on
 	passable int    // length of the part of held that may be passed on
+	writeErr error
 }
 
 // NewConn returns a Conn that uses nc.
@@ -26,7 +28,11 @@
 	if c.inBody {
 		c.inBody, c.held, c.passable = false, nil, 0
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
 // Read implements io.Reader.
@@ -42,7 +48,7 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
-	return n, err
+	return n, EndError(err, c.writeErr)
 }
 
 // readHead reads until a head is complete. After an interim response another head follows.
@@ -72,3 +78,13 @@
 		}
 	}
 }
+
+// EndError returns the error for a read that ended with readErr on a connection on which a write has
+// failed with writeErr. The kernel reports a reset once. If the write was told, the connection seems to
+// end in the ordinary way, and a body that ends with it would seem whole.
+func EndError(readErr, writeErr error) error {
+	if writeErr == nil || !errors.Is(readErr, io.EOF) {
+		return readErr
+	}
+	return fmt.Errorf("%w: the connection failed while the request was written: %w", io.ErrUnexpectedEOF, writeErr)
+}
--- a/internal/httphead/head_test.go
+++ b/internal/httphead/head_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -124,15 +126,21 @@
 	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 }
 
-// fakeConn is a connection that reads from r.
+// fakeConn is a connection that reads from r and whose writes fail with writeErr.
 type fakeConn struct {
 	net.Conn
-	r io.Reader
+	r        io.Reader
+	writeErr error
 }
 
 func (c *fakeConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
-func (c *fakeConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c *fakeConn) Write(p []byte) (int, error) {
+	if c.writeErr != nil {
+		return 0, c.writeErr
+	}
+	return len(p), nil
+}
 
 func pipeOf(text string) *fakeConn { return &fakeConn{r: strings.NewReader(text)} }
 
@@ -158,3 +166,18 @@
 	_, err = io.ReadAll(c)
 	g.Expect(err).To(MatchError(ErrInvalid), "each head is checked")
 }
+
+var errReset = errors.New("connection reset by peer")
+
+// The failed write of an upload took the report of a reset, and the read after it saw an ordinary end.
+func TestFailedWriteMakesTheEndABreak(t *testing.T) {
+	g := NewWithT(t)
+	nc := &fakeConn{r: bytes.NewReader([]byte("HTTP/1.1 200 OK\r\n\r\npart")), writeErr: errReset}
+	c := NewConn(nc)
+	_, err := c.Write([]byte("request"))
+	g.Expect(err).To(MatchError(errReset))
+	got, err := io.ReadAll(c)
+	g.Expect(string(got)).To(HaveSuffix("part"))
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	g.Expect(err).To(MatchError(errReset))
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -49,7 +49,7 @@
 	r.Framed, r.Length = length != lengthNone, length
 	switch {
 	case isHead || r.Status == fasthttp.StatusNoContent || r.Status == fasthttp.StatusNotModified:
-		r.body, r.Length = bytes.NewReader(nil), 0
+		r.body, r.Length, r.Framed = bytes.NewReader(nil), 0, true
 	case length == lengthChunked:
 		r.body = &chunkedBody{chunks: httputil.NewChunkedReader(c.br), conn: c}
 	case length == lengthNone:
@@ -76,6 +76,19 @@
 	return defaultIdleTime
 }
 
+// cutBody is a body that ends with its connection, on which the request could not be written completely.
+// Its end is never that of a whole body.
+type cutBody struct {
+	body     io.Reader
+	writeErr error
+}
+
+// Read implements io.Reader.
+func (b *cutBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	return n, httphead.EndError(err, b.writeErr)
+}
+
 type fixedLengthBody struct {
 	conn      *conn
 	remaining int
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -192,6 +192,9 @@
 	}
 	if err == nil && writeErr != nil {
 		r.reusable = false
+		if !r.Framed {
+			r.body = &cutBody{body: r.body, writeErr: writeErr}
+		}
 	}
 	return r, err
 }
