gateway, upstream: a crash does not end a response without a length

Cause: the kernel ends the connections of a killed process in the ordinary way, and for such a response that is the end of the body.

Fix: after a response that ended with its connection the entry opens a connection to the target. A refusal shows that the process is gone, and the response counts as broken off; otherwise the connection goes to the pool in place of the one that ended.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -220,6 +221,19 @@
 	})
 }
 
+var errEndedByCrash = errors.New("the target's process is gone, and its response had no length")
+
+// checkUnframedEnd returns an error if a response has ended with its connection because the process of its
+// target has ended. The kernel closes the connections of a killed process in the ordinary way, and its
+// listener before them.
+func (d *dispatch) checkUnframedEnd(ctx context.Context, a *attempt) error {
+	if a.resp.Framed || !d.g.connPools.forTarget(a.target).RefusesConnections(ctx) {
+		return nil
+	}
+	d.g.opts.Metrics.Count("responses_ended_by_crash", 1)
+	return errEndedByCrash
+}
+
 func (w *crashWatch) clear(r *request) {
 	w.mu.Lock()
 	now := time.Now()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -19,6 +19,9 @@
 			return nil, e
 		}
 		body, err := d.readBody(a)
+		if err == nil {
+			err = d.checkUnframedEnd(ctx, a)
+		}
 		if err == nil {
 			if a.resp.Status/100 == 2 {
 				g.tracker.RecordOutcome(a.target, true, time.Now())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -65,6 +66,9 @@
 // forwardFailure delivers a target's own error response.
 func (b *streamBody) forwardFailure(c *fasthttp.RequestCtx) *result.Error {
 	body, err := b.dispatch.readBody(b.current)
+	if err == nil {
+		err = b.dispatch.checkUnframedEnd(b.ctx, b.current)
+	}
 	defer b.current.close()
 	if err != nil {
 		return result.New(result.AnswerBroken, "%s: %w", b.current.target.ID, err)
@@ -117,6 +121,9 @@
 		if err == io.EOF && (b.scanner.hasPartialEvent() || b.endedUnbegun()) {
 			err = errEventTruncated
 		}
+		if err == io.EOF {
+			err = cmp.Or(b.dispatch.checkUnframedEnd(b.ctx, b.current), io.EOF)
+		}
 		switch {
 		case err == nil:
 		case err == io.EOF:
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -59,6 +59,17 @@
 	return ProcessRunning
 }
 
+// RefusesConnections reports whether the target's VM responds and no process accepts connections there. A
+// connection that could be opened is added to the pool.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	nc, err := p.dial(ctx, checkDialTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.release(newConn(nc, p.limit), defaultIdleTime)
+	return false
+}
+
 // dial opens a connection and counts it.
 func (p *Pool) dial(ctx context.Context, timeout time.Duration) (net.Conn, error) {
 	p.mu.Lock()
