upstream: the connection of a 204 with an announced body is not reused

What could be seen: a target that sends the body of a 204 late; the next request on that connection failed, or its response was misread. Found by reading for parsers that take what the standard refuses; not seen at callers.

Fix: a 204 that states a length above 0 or chunks (RFC 9110 forbids both) is delivered, and its connection is closed.

Measured: TestConnectionOfAnAnnouncedEmptyBodyIsNotReused; two of its four forms failed before.

--- a/upstream/response.go
+++ b/upstream/response.go
@@ -49,6 +49,8 @@
 	r.Framed, r.Length = length != lengthNone, length
 	switch {
 	case isHead || r.Status == fasthttp.StatusNoContent || r.Status == fasthttp.StatusNotModified:
+		announced := r.Status == fasthttp.StatusNoContent && (length > 0 || length == lengthChunked)
+		r.reusable = r.reusable && !announced // a body would be taken for the next response
 		r.body, r.Length, r.Framed = bytes.NewReader(nil), 0, true
 	case length == lengthChunked:
 		r.body = &chunkedBody{chunks: httputil.NewChunkedReader(c.br), conn: c}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -92,6 +92,25 @@
 	g.Expect(send(p, "r2")).To(Equal("two"))
 }
 
+// A 204 has no body; one that was announced and came late would have been read as the response to the next request.
+func TestConnectionOfAnAnnouncedEmptyBodyIsNotReused(t *testing.T) {
+	for field, reused := range map[string]bool{"Content-Length: 4": false, "Transfer-Encoding: chunked": false, "Content-Length: 0": true, "A: b": true} {
+		g := NewWithT(t)
+		s := serve(t, func(nc net.Conn, br *bufio.Reader, _ int) bool {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return false
+			}
+			_, err = fmt.Fprintf(nc, "HTTP/1.1 204 No Content\r\nId: %s\r\n%s\r\n\r\n", r.Header.Get("Id"), field)
+			return err == nil
+		})
+		p := NewPool(s.addr, new(Limit))
+		g.Expect(send(p, "r1")).To(BeEmpty())
+		g.Expect(p.IdleCount() == 1).To(Equal(reused), field)
+		p.Close()
+	}
+}
+
 // The second response to the first request arrives only while the next request is in flight.
 // It must be recognised by its request ID and skipped.
 func TestLateSecondResponseIsSkipped(t *testing.T) {
