gateway: a test of statuses of a second attempt

The first target states that it did not run the request, the second answers 408, 421, 429 or 503 without a statement: none of these reaches the caller of a route that must not repeat.

--- a/gateway/promise_test.go
+++ b/gateway/promise_test.go
@@ -86,3 +86,23 @@
 	}
 	g.Expect(e.gw.state.snapshot().targets["plain"]).To(HaveLen(3))
 }
+
+// The first target did not run a request and the second one did; the status of the second was passed on as the promise of both.
+func TestUnprovenPromiseOfASecondAttemptIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		g := NewWithT(t)
+		full := startTarget(t, "i1", func(w net.Conn, r *http.Request) bool { return reply(w, r, 503, "Not-Run: 1\r\n", "") })
+		failing := startTarget(t, "i2", func(w net.Conn, r *http.Request) bool { return reply(w, r, status, sealHeader, "") })
+		e := startEntryWithTargets(t, "plain", full, failing)
+		for range 4 {
+			resp, _, err := e.request("POST", "/once/x", "k1", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			if resp.StatusCode != http.StatusBadGateway {
+				g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable), "status %d", status)
+				g.Expect(resp.Header.Get("Seal")).To(BeEmpty(), "a refusal of the entry, as only the full target was tried")
+				g.Expect(len(failing.received())).To(BeZero(), "status %d", status)
+			}
+		}
+		g.Expect(failing.received()).NotTo(BeEmpty())
+	}
+}
