--- a/lockstep/simfleet_test.go
+++ b/lockstep/simfleet_test.go
@@ -322,8 +322,8 @@
 }
 
 func (f *simFleet) stop() {
-	for i, a := range f.agents {
-		a.cancel()
+	for i := range f.group.ranks {
+		f.agent(i).cancel()
 		f.group.ranks[i].vm.unfreeze()
 	}
 	f.cancel()
