upstream: a connection to an ending process does not prove that it runs

Cause: a process that is being killed closes its connections before its listener. The connection that the entry opened after a response without a length could still be accepted in between.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -224,8 +224,7 @@
 var errEndedByCrash = errors.New("the target's process is gone, and its response had no length")
 
 // checkUnframedEnd returns an error if a response has ended with its connection because the process of its
-// target has ended. The kernel closes the connections of a killed process in the ordinary way, and its
-// listener before them.
+// target has ended. The kernel closes the connections of a killed process in the ordinary way.
 func (d *dispatch) checkUnframedEnd(ctx context.Context, a *attempt) error {
 	if a.resp.Framed || !d.g.connPools.forTarget(a.target).RefusesConnections(ctx) {
 		return nil
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -34,40 +34,47 @@
 // CheckProcess opens a connection to the target to find out whether its process still runs, after
 // another connection to the target has broken. A usable connection is added to the pool.
 func (p *Pool) CheckProcess(ctx context.Context) ProcessState {
+	state, _ := p.checkProcess(ctx)
+	return state
+}
+
+// RefusesConnections reports whether the target's VM responds and no process accepts connections there, after
+// another connection to the target has ended. A connection that stays open is added to the pool. One that is
+// ended at once may be one too many for a running process, or have been opened to a process that was ending
+// and whose listener was still open; the next one tells these apart.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	state, refused := p.checkProcess(ctx)
+	if state == ProcessGone && !refused {
+		_, refused = p.checkProcess(ctx)
+	}
+	return refused
+}
+
+// checkProcess does the work of CheckProcess. refused means that the connection was refused.
+func (p *Pool) checkProcess(ctx context.Context) (state ProcessState, refused bool) {
 	nc, err := p.dial(ctx, checkDialTimeout)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return ProcessGone
+		return ProcessGone, true
 	case err != nil:
-		return ProcessUnknown
+		return ProcessUnknown, false
 	}
 	c := newConn(nc, p.limit)
 	if err := nc.SetReadDeadline(time.Now().Add(checkHoldTime)); err != nil {
 		c.abort()
-		return ProcessUnknown
+		return ProcessUnknown, false
 	}
 	_, err = c.br.Peek(1)
 	if !IsTimeout(err) {
 		c.abort()
-		return ProcessGone
+		return ProcessGone, false
 	}
 	if err := nc.SetReadDeadline(time.Time{}); err != nil {
 		c.abort()
-		return ProcessRunning
+		return ProcessRunning, false
 	}
 	p.release(c, defaultIdleTime)
-	return ProcessRunning
-}
-
-// RefusesConnections reports whether the target's VM responds and no process accepts connections there. A
-// connection that could be opened is added to the pool.
-func (p *Pool) RefusesConnections(ctx context.Context) bool {
-	nc, err := p.dial(ctx, checkDialTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	p.release(newConn(nc, p.limit), defaultIdleTime)
-	return false
+	return ProcessRunning, false
 }
 
 // dial opens a connection and counts it.
